contract, clock, document, config, platform, keys, link, settings: the ground

Cause: nothing stood yet. A configuration has to be one whole under one revision, errors need their step and peer, and a suspended VM must not overrun a lease. Ruled out: the INI library's own line numbers (it keeps none; lines are looked up beside it); the monotonic clock alone (it stands still while a VM is suspended); a certificate authority (pins are enough for one fleet).

--- /dev/null
+++ b/config/build.go
@@ -0,0 +1,279 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/document"
+)
+
+// Kinds of sections. A section is named "kind name".
+const (
+	kindWorkspace = "workspace"
+	kindModel     = "model"
+	kindVersion   = "version"
+	kindCascade   = "cascade"
+	kindRollout   = "rollout"
+	kindPool      = "pool"
+	kindService   = "service"
+	kindProgress  = "progress"
+	// KindFrom is the section of a file that names the revision it was made
+	// from. It is not part of the document.
+	KindFrom = "configuration"
+)
+
+// ProgressSection returns the name of the section that holds the progress of a
+// roll-out.
+func ProgressSection(m contract.ModelID) string { return kindProgress + " " + string(m) }
+
+// VersionSection returns the name of the section of a version.
+func VersionSection(v contract.VersionID) string { return kindVersion + " " + string(v) }
+
+// IsSystemSection tells whether the system, not a file, owns a section.
+func IsSystemSection(name string) bool { return strings.HasPrefix(name, kindProgress+" ") }
+
+// Parse reads and checks an operator's file.
+func Parse(name string, text []byte) (*Config, *File, error) {
+	f, err := ReadFile(name, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	var faults Faults
+	for section := range f.sections {
+		if IsSystemSection(section) {
+			faults = append(faults, Fault{name, f.Line(section, ""), section, "", "is kept by the system: expected no such section in a file"})
+		}
+	}
+	c, more := build(f)
+	faults = append(faults, more...)
+	sortFaults(faults)
+	if err := faults.Err(); err != nil {
+		return nil, nil, err
+	}
+	return c, f, nil
+}
+
+// FromDocument gives a document its meaning. It fails with Faults.
+func FromDocument(d *document.Document) (*Config, error) {
+	f := &File{Name: fmt.Sprintf("revision-%d", d.Revision), sections: d.Sections()}
+	c, faults := build(f)
+	sortFaults(faults)
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func sortFaults(faults Faults) {
+	slices.SortFunc(faults, func(a, b Fault) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return strings.Compare(a.Section+a.Key, b.Section+b.Key)
+	})
+}
+
+// build reads every section, then checks what they say of each other.
+func build(f *File) (*Config, Faults) {
+	c := &Config{
+		Workspaces: make(map[contract.WorkspaceID]*Workspace),
+		Models:     make(map[contract.ModelID]*Model),
+		Versions:   make(map[contract.VersionID]*Version),
+		Cascades:   make(map[string]*Cascade),
+		Rollouts:   make(map[contract.ModelID]*Rollout),
+		Progress:   make(map[contract.ModelID]*Progress),
+		Pools:      make(map[contract.PoolID]*Pool),
+		Services:   make(map[contract.ServiceID]*Service),
+		byKey:      make(map[KeyHash]*Workspace),
+	}
+	var faults Faults
+	readers := make(map[string]*Reader, len(f.sections))
+	for section := range f.sections {
+		r := NewReader(f, section, &faults)
+		readers[section] = r
+		c.readSection(section, r)
+	}
+	ch := &checker{config: c, readers: readers}
+	ch.check()
+	return c, faults
+}
+
+func (c *Config) readSection(section string, r *Reader) {
+	kind, name, _ := strings.Cut(section, " ")
+	if name == "" && kind != KindFrom {
+		r.Fault("", `is not a section: expected "[kind name]" with a kind of workspace, model, version, cascade, rollout, pool, service`)
+		return
+	}
+	switch kind {
+	case kindWorkspace:
+		c.readWorkspace(contract.WorkspaceID(name), r)
+	case kindModel:
+		c.readModel(contract.ModelID(name), r)
+	case kindVersion:
+		c.readVersion(contract.VersionID(name), r)
+	case kindCascade:
+		c.readCascade(name, r)
+	case kindRollout:
+		c.readRollout(contract.ModelID(name), r)
+	case kindProgress:
+		c.readProgress(contract.ModelID(name), r)
+	case kindPool:
+		c.readPool(contract.PoolID(name), r)
+	case kindService:
+		c.readService(contract.ServiceID(name), r)
+	case KindFrom:
+		r.Int("from", 0, 0, 1<<62)
+	default:
+		r.Fault("", "is not known: expected a kind of workspace, model, version, cascade, rollout, pool, service")
+		return
+	}
+	r.Done()
+}
+
+func (c *Config) readWorkspace(id contract.WorkspaceID, r *Reader) {
+	w := &Workspace{
+		ID:      id,
+		KeyHash: KeyHash(r.Need("key-hash", "the SHA-256 of the workspace's key, in hex")),
+		Allow:   make(map[contract.VersionID]bool),
+		Share:   r.Int("share", 1, 1, 1000),
+		Quality: r.Rate("quality", 0),
+		Bill:    BillPolicy(r.OneOf("bill-at-risk", string(BillRefuse), string(BillRefuse), string(BillServe))),
+	}
+	if len(w.KeyHash) != 64 && w.KeyHash != "" {
+		r.Fault("key-hash", "has %d characters: expected 64 hex digits (woaddoor keys hash prints them)", len(w.KeyHash))
+	}
+	r.Need("allow", "at least one version, such as chat-small@3")
+	for _, v := range r.List("allow") {
+		w.Allow[contract.VersionID(v)] = true
+	}
+	c.Workspaces[id] = w
+}
+
+func (c *Config) readModel(id contract.ModelID, r *Reader) {
+	c.Models[id] = &Model{
+		ID:     id,
+		Serve:  contract.VersionID(r.Need("serve", "the version that serves the model")),
+		Input:  contract.Price(r.Int("input-price", 0, 0, 1<<40)),
+		Output: contract.Price(r.Int("output-price", 0, 0, 1<<40)),
+	}
+}
+
+func (c *Config) readVersion(id contract.VersionID, r *Reader) {
+	if !contract.IsVersion(string(id)) {
+		r.Fault("", `is not a version: expected "model@number"`)
+	}
+	c.Versions[id] = &Version{
+		ID:               id,
+		State:            VersionState(r.OneOf("state", string(Serving), string(Serving), string(Draining), string(Withdrawn))),
+		ServeWithoutWord: r.Duration("serve-without-word", 0),
+	}
+}
+
+func (c *Config) readCascade(name string, r *Reader) {
+	cascade := &Cascade{Name: name}
+	for _, m := range r.List("models") {
+		cascade.Models = append(cascade.Models, contract.ModelID(m))
+	}
+	if len(cascade.Models) < 2 {
+		r.Fault("models", "has %d models: expected two or more, cheapest first", len(cascade.Models))
+	}
+	c.Cascades[name] = cascade
+}
+
+// Defaults of a roll-out.
+const (
+	defaultGoodRate      = 0.02
+	defaultBadRate       = 0.10
+	defaultFalseAlarm    = 0.01
+	defaultMiss          = 0.01
+	defaultRatingsWithin = 10 * time.Minute
+)
+
+func (c *Config) readRollout(m contract.ModelID, r *Reader) {
+	ro := &Rollout{
+		Model:         m,
+		From:          contract.VersionID(r.Need("from", "the version served now")),
+		To:            contract.VersionID(r.Need("to", "the new version")),
+		Steps:         r.Percents("steps"),
+		GoodRate:      r.Rate("good-rate", defaultGoodRate),
+		BadRate:       r.Rate("bad-rate", defaultBadRate),
+		FalseAlarm:    r.Rate("false-alarm", defaultFalseAlarm),
+		Miss:          r.Rate("miss", defaultMiss),
+		RatingsWithin: r.Duration("ratings-within", defaultRatingsWithin),
+	}
+	if len(ro.Steps) == 0 && !r.Has("steps") {
+		r.Fault("steps", "is missing: expected rising percentages, such as 1%%, 5%%, 25%%, 100%%")
+	}
+	if ro.GoodRate >= ro.BadRate {
+		r.Fault("bad-rate", "is %g: expected more than good-rate, %g", ro.BadRate, ro.GoodRate)
+	}
+	c.Rollouts[m] = ro
+}
+
+func (c *Config) readProgress(m contract.ModelID, r *Reader) {
+	c.Progress[m] = &Progress{
+		Model: m,
+		To:    contract.VersionID(r.Need("to", "a version")),
+		Step:  r.Int("step", 0, 0, 1000),
+		State: RampState(r.OneOf("state", string(Ramping), string(Ramping), string(Halted), string(Done))),
+	}
+}
+
+// Text returns the section that holds p.
+func (p *Progress) Text() document.Section {
+	return document.Section("state = " + string(p.State) + "\nstep = " + strconv.Itoa(p.Step) + "\nto = " + string(p.To) + "\n")
+}
+
+func (c *Config) readPool(id contract.PoolID, r *Reader) {
+	p := &Pool{
+		ID:         id,
+		Kind:       PoolKind(r.OneOf("kind", string(EnginePool), string(EnginePool), string(ServicePool))),
+		DataCentre: contract.DataCentreID(r.Need("data-centre", "the data centre of its upstreams")),
+		Fencing:    Fencing(r.OneOf("fencing", string(FencingIgnores), string(FencingIgnores), string(FencingRefuses))),
+		Slots:      r.Int("slots", DefaultSlots, 1, 10000),
+	}
+	for _, item := range r.List("upstreams") {
+		name, url, ok := strings.Cut(item, " ")
+		if !ok || !strings.HasPrefix(url, "http") {
+			r.Fault("upstreams", `has %q: expected "name http://address:port"`, item)
+			continue
+		}
+		p.Upstreams = append(p.Upstreams, Upstream{ID: contract.UpstreamID(name), URL: strings.TrimSpace(url)})
+	}
+	if len(p.Upstreams) == 0 {
+		r.Fault("upstreams", `is empty: expected "name http://address:port, ..."`)
+	}
+	c.Pools[id] = p
+}
+
+func (c *Config) readService(id contract.ServiceID, r *Reader) {
+	s := &Service{ID: id}
+	for _, p := range r.List("pools") {
+		s.Pools = append(s.Pools, contract.PoolID(p))
+	}
+	for _, item := range r.List("not-repeatable") {
+		method, path, ok := strings.Cut(item, " ")
+		if !ok || !strings.HasPrefix(path, "/") {
+			r.Fault("not-repeatable", `has %q: expected "METHOD /path"`, item)
+			continue
+		}
+		s.NotRepeatable = append(s.NotRepeatable, CallPattern{Method: method, Path: path})
+	}
+	c.Services[id] = s
+}
+
+// Repeatable tells whether a call of the service may run more than once. Calls
+// that change nothing by their method always may.
+func (s *Service) Repeatable(method, path string) bool {
+	for _, p := range s.NotRepeatable {
+		prefix, open := strings.CutSuffix(p.Path, "*")
+		if p.Method == method && (path == p.Path || open && strings.HasPrefix(path, prefix)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/config/reader.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"woaddoor/document"
+)
+
+// Reader takes typed values out of one section and notes each fault. Keys that
+// nobody asked for are faults too, see Done.
+type Reader struct {
+	file    *File
+	section string
+	values  map[string]string
+	asked   []string
+	faults  *Faults
+}
+
+// NewReader returns a reader of one section of a file.
+func NewReader(f *File, section string, faults *Faults) *Reader {
+	return &Reader{file: f, section: section, values: parseSection(f.sections[section]), faults: faults}
+}
+
+func parseSection(s document.Section) map[string]string {
+	values := make(map[string]string)
+	for _, line := range strings.Split(string(s), "\n") {
+		key, value, ok := strings.Cut(line, " = ")
+		if ok {
+			values[key] = value
+		}
+	}
+	return values
+}
+
+// Fault notes that key is not what was wanted.
+func (r *Reader) Fault(key, want string, args ...any) {
+	*r.faults = append(*r.faults, Fault{
+		File: r.file.Name, Line: r.file.Line(r.section, key),
+		Section: r.section, Key: key, Want: fmt.Sprintf(want, args...),
+	})
+}
+
+// Text returns the value of key, or fallback when it is not there.
+func (r *Reader) Text(key, fallback string) string {
+	r.asked = append(r.asked, key)
+	if v, ok := r.values[key]; ok {
+		return v
+	}
+	return fallback
+}
+
+// Need returns the value of key, which has to be there and not be empty.
+func (r *Reader) Need(key, want string) string {
+	v := r.Text(key, "")
+	if v == "" {
+		r.Fault(key, "is missing or empty: expected %s", want)
+	}
+	return v
+}
+
+// Has tells whether the section holds key.
+func (r *Reader) Has(key string) bool {
+	_, ok := r.values[key]
+	return ok
+}
+
+// List returns the comma-separated values of key.
+func (r *Reader) List(key string) []string {
+	var items []string
+	for _, item := range strings.Split(r.Text(key, ""), ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// Duration returns the value of key as a duration with its unit.
+func (r *Reader) Duration(key string, fallback time.Duration) time.Duration {
+	text := r.Text(key, "")
+	if text == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		r.Fault(key, "is %q: expected a duration with a unit, such as 30s, 5m or 2h", text)
+		return fallback
+	}
+	return d
+}
+
+// Int returns the value of key as a whole number from low to high.
+func (r *Reader) Int(key string, fallback, low, high int) int {
+	text := r.Text(key, "")
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < low || n > high {
+		r.Fault(key, "is %q: expected a whole number from %d to %d", text, low, high)
+		return fallback
+	}
+	return n
+}
+
+// Rate returns the value of key as a number from 0 to 1.
+func (r *Reader) Rate(key string, fallback float64) float64 {
+	text := r.Text(key, "")
+	if text == "" {
+		return fallback
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(x >= 0 && x <= 1) {
+		r.Fault(key, "is %q: expected a number from 0 to 1", text)
+		return fallback
+	}
+	return x
+}
+
+// Percents returns the comma-separated percentages of key, which have to rise.
+func (r *Reader) Percents(key string) []float64 {
+	var steps []float64
+	for _, item := range r.List(key) {
+		x, err := strconv.ParseFloat(strings.TrimSuffix(item, "%"), 64)
+		rising := len(steps) == 0 || x > steps[len(steps)-1]
+		if err != nil || !strings.HasSuffix(item, "%") || !(x > 0 && x <= 100) || !rising {
+			r.Fault(key, "has %q: expected rising percentages, such as 1%%, 5%%, 25%%, 100%%", item)
+			return nil
+		}
+		steps = append(steps, x)
+	}
+	return steps
+}
+
+// OneOf returns the value of key, which has to be one of the choices.
+func (r *Reader) OneOf(key, fallback string, choices ...string) string {
+	v := r.Text(key, fallback)
+	for _, c := range choices {
+		if v == c {
+			return v
+		}
+	}
+	r.Fault(key, "is %q: expected one of %s", v, strings.Join(choices, ", "))
+	return fallback
+}
+
+// Done notes a fault for each key of the section that nobody asked for.
+func (r *Reader) Done() {
+	asked := make(map[string]bool, len(r.asked))
+	for _, k := range r.asked {
+		asked[k] = true
+	}
+	for key := range r.values {
+		if !asked[key] {
+			r.Fault(key, "is not known here: expected one of %s", strings.Join(r.asked, ", "))
+		}
+	}
+}
--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,123 @@
+package document
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woaddoor/contract"
+)
+
+func drawDocument(t *rapid.T, revision contract.Revision) *Document {
+	names := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), rapid.ID[string]).Draw(t, "names")
+	sections := make(map[string]Section)
+	for _, n := range names {
+		sections[n] = Section(rapid.SampledFrom([]string{"x = 1\n", "x = 2\n", ""}).Draw(t, "text"))
+	}
+	return New(revision, contract.ChangeID("c"), sections)
+}
+
+// TestPatchLeadsToDocument compares a patched document with the one sent.
+func TestPatchLeadsToDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, d := drawDocument(t, 1), drawDocument(t, 2)
+		got, err := NewPatch(old, d).Apply(old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Hash() != d.Hash() || got.Revision != d.Revision {
+			t.Fatalf("patched to %q, sent %q", got.Text(), d.Text())
+		}
+	})
+}
+
+// TestPatchOnWrongBase shows that a late patch changes nothing.
+func TestPatchOnWrongBase(t *testing.T) {
+	is := is.New(t)
+	one := New(1, "one", map[string]Section{"a": "x = 1\n"})
+	two := New(2, "two", map[string]Section{"a": "x = 2\n"})
+	_, err := NewPatch(one, two).Apply(two)
+	is.Equal(err, ErrWrongBase)
+	wrong := NewPatch(one, two)
+	wrong.Set["a"] = "x = 3\n"
+	_, err = wrong.Apply(one)
+	is.Equal(err, ErrWrongHash)
+}
+
+// naiveReplica takes whatever it read last, as a plain cache would.
+type naiveReplica struct{ held *Document }
+
+func (n *naiveReplica) learn(d *Document) { n.held = d }
+
+// TestNeverReverts shows a stale read that takes the naive replica back to an
+// older configuration, and that Replica holds against any order of reads.
+func TestNeverReverts(t *testing.T) {
+	is := is.New(t)
+	one := New(1, "one", nil)
+	two := New(2, "two", nil)
+	naive := &naiveReplica{}
+	naive.learn(two)
+	naive.learn(one)
+	is.Equal(naive.held.Revision, contract.Revision(1)) // the naive way reverts
+
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewReplica()
+		var highest contract.Revision
+		for range rapid.IntRange(1, 30).Draw(t, "reads") {
+			rev := contract.Revision(rapid.Uint64Range(1, 6).Draw(t, "revision"))
+			r.Learn(New(rev, "c", nil), time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0))
+			highest = max(highest, rev)
+			if r.Held().Revision != highest {
+				t.Fatalf("held %d after seeing %d", r.Held().Revision, highest)
+			}
+		}
+	})
+}
+
+// TestFreshnessNeverFromBehind checks, against a platform whose history is
+// known, that FreshAt is never later than the time at which the held document
+// stopped being the newest. This is what the end of a serving lease rests on.
+func TestFreshnessNeverFromBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// accepted[i] is the second at which revision i+1 was accepted.
+		var accepted []int64
+		at := int64(0)
+		for range rapid.IntRange(1, 5).Draw(t, "changes") {
+			at += rapid.Int64Range(1, 10).Draw(t, "gap")
+			accepted = append(accepted, at)
+		}
+		newestAt := func(sec int64) contract.Revision {
+			var n contract.Revision
+			for i, a := range accepted {
+				if a <= sec {
+					n = contract.Revision(i + 1)
+				}
+			}
+			return n
+		}
+		replicas := []*Replica{NewReplica(), NewReplica(), NewReplica()}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			sec := rapid.Int64Range(0, at+5).Draw(t, "second")
+			i := rapid.IntRange(0, 2).Draw(t, "who")
+			j := rapid.IntRange(0, 2).Draw(t, "from")
+			if i == j { // a read of the platform, any time late
+				r := replicas[i]
+				r.Learn(New(newestAt(sec), "c", nil), time.Unix(sec, 0))
+			} else { // a relay from a peer
+				replicas[i].Learn(replicas[j].Held(), replicas[j].FreshAt())
+			}
+			for _, r := range replicas {
+				rev := r.Held().Revision
+				if rev == 0 || int(rev) >= len(accepted) {
+					continue
+				}
+				next := accepted[rev]
+				if !r.FreshAt().Before(time.Unix(next, 0)) {
+					t.Fatalf("revision %d fresh at %v, but %d was accepted at %d", rev, r.FreshAt().Unix(), rev+1, next)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/link/client.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"woaddoor/contract"
+)
+
+// callTimeout bounds a call whose context has no earlier deadline.
+const callTimeout = 5 * time.Second
+
+// Call sends req to the endpoint at address and returns its answer.
+//
+// An error of type *RemoteError means that the peer refused; any other means
+// that nobody knows whether the peer acted. A connection that fails is
+// forgotten, and the next call makes another.
+func Call[Req, Resp any](ctx context.Context, e *Endpoint, address string, kind Kind, req Req) (Resp, error) {
+	var resp Resp
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := Encode(req)
+	if err != nil {
+		return resp, contract.Fail(contract.StepLink, address, err)
+	}
+	got, err := e.exchange(ctx, address, envelope{Kind: kind, Body: body})
+	if err != nil {
+		return resp, contract.Fail(contract.StepLink, address, err)
+	}
+	if got.Error != "" {
+		return resp, contract.Fail(contract.StepLink, address, &RemoteError{Text: got.Error})
+	}
+	err = Decode(got.Body, &resp)
+	return resp, contract.Fail(contract.StepLink, address, err)
+}
+
+func (e *Endpoint) exchange(ctx context.Context, address string, req envelope) (answer, error) {
+	conn, err := e.conn(ctx, address)
+	if err != nil {
+		return answer{}, err
+	}
+	got, err := e.onStream(ctx, conn, req)
+	if err != nil {
+		e.forget(address, conn)
+	}
+	return got, err
+}
+
+func (e *Endpoint) onStream(ctx context.Context, conn *quic.Conn, req envelope) (answer, error) {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return answer{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	_ = stream.SetDeadline(deadline)
+	// A caller that gave up frees the stream at once.
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(quic.StreamErrorCode(closeNormal)) })
+	defer stop()
+	raw, err := Encode(req)
+	if err != nil {
+		return answer{}, err
+	}
+	if _, err := stream.Write(raw); err != nil {
+		return answer{}, err
+	}
+	if err := stream.Close(); err != nil {
+		return answer{}, err
+	}
+	e.sent.Add(int64(len(raw)))
+	var got answer
+	err = readFrame(stream, &got)
+	e.received.Add(int64(len(got.Body)))
+	return got, err
+}
+
+func (e *Endpoint) conn(ctx context.Context, address string) (*quic.Conn, error) {
+	e.mu.Lock()
+	conn, ok := e.conns[address]
+	closed := e.closed
+	e.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	if ok && conn.Context().Err() == nil {
+		return conn, nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	dialed, err := e.transport.Dial(ctx, udp, e.keys.TLS(protocol), quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	return e.remember(address, dialed), nil
+}
+
+// remember keeps the connection, or uses the one that another call made in the
+// meantime.
+func (e *Endpoint) remember(address string, dialed *quic.Conn) *quic.Conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if conn, ok := e.conns[address]; ok && conn.Context().Err() == nil {
+		_ = dialed.CloseWithError(closeNormal, "twice")
+		return conn
+	}
+	e.conns[address] = dialed
+	return dialed
+}
+
+// forget drops a connection on which a call failed while it is itself broken
+// or the peer went silent. A call that was only cancelled keeps it.
+func (e *Endpoint) forget(address string, conn *quic.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns[address] == conn && conn.Context().Err() != nil {
+		delete(e.conns, address)
+	}
+}
