--- /dev/null
+++ b/internal/standin/platform/http.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"woaddoor/contract"
+	"woaddoor/platform"
+)
+
+// Handler serves the view over HTTP, as platform.Client expects it.
+func (v *View) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.SkipClean(true)
+	r.HandleFunc(platform.VMsPath, v.serveVMs).Methods(http.MethodGet)
+	r.HandleFunc(platform.ListPath, v.serveList).Methods(http.MethodGet)
+	r.PathPrefix(platform.ObjectsPath).Methods(http.MethodGet).HandlerFunc(v.serveGet)
+	r.PathPrefix(platform.ObjectsPath).Methods(http.MethodPut).HandlerFunc(v.servePut)
+	return r
+}
+
+func objectName(r *http.Request) string {
+	return strings.TrimPrefix(r.URL.Path, platform.ObjectsPath)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, platform.ErrUnchanged):
+		status = http.StatusNotModified
+	case errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrConflict):
+		status = http.StatusPreconditionFailed
+	case errors.Is(err, platform.ErrTooMany):
+		status = http.StatusTooManyRequests
+	case errors.Is(err, errDown):
+		panic(http.ErrAbortHandler) // the connection is cut: no answer at all
+	}
+	w.WriteHeader(status)
+}
+
+func (v *View) serveGet(w http.ResponseWriter, r *http.Request) {
+	var o platform.Object
+	var err error
+	if wait := r.URL.Query().Get(platform.ParamWait); wait != "" {
+		var d time.Duration
+		var after platform.Version
+		d, err = time.ParseDuration(wait)
+		if err == nil {
+			after, err = platform.ParseETag(r.Header.Get(platform.HeaderIfNone))
+		}
+		if err == nil {
+			o, err = v.Watch(r.Context(), objectName(r), after, d)
+		}
+	} else {
+		o, err = v.Read(r.Context(), objectName(r))
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set(platform.HeaderETag, platform.ETag(o.Version))
+	_, _ = w.Write(o.Value)
+}
+
+func (v *View) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, int64(2*contract.MiB)))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	var version platform.Version
+	if r.Header.Get(platform.HeaderIfNone) == "*" {
+		version, err = v.Create(r.Context(), objectName(r), value)
+	} else {
+		var has platform.Version
+		has, err = platform.ParseETag(r.Header.Get(platform.HeaderIfHas))
+		if err == nil {
+			version, err = v.Update(r.Context(), objectName(r), value, has)
+		}
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set(platform.HeaderETag, platform.ETag(version))
+	w.WriteHeader(http.StatusCreated)
+}
+
+func (v *View) serveList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	names, err := v.List(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(names)
+}
+
+func (v *View) serveVMs(w http.ResponseWriter, r *http.Request) {
+	vms, err := v.VMs(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(vms)
+}
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/platform"
+)
+
+// TestClient runs the real client against the stand-in, over HTTP.
+func TestClient(t *testing.T) {
+	is := is.New(t)
+	store := New()
+	server := httptest.NewServer(store.View("a").Handler())
+	t.Cleanup(server.Close)
+	c := platform.NewClient(&platform.Options{URL: server.URL})
+	ctx := t.Context()
+
+	_, err := c.Read(ctx, "woaddoor/x")
+	is.Equal(err, platform.ErrNotFound)
+	v1, err := c.Create(ctx, "woaddoor/x", []byte("one"))
+	is.NoErr(err)
+	_, err = c.Create(ctx, "woaddoor/x", []byte("two"))
+	is.Equal(err, platform.ErrExists)
+	_, err = c.Watch(ctx, "woaddoor/x", v1, time.Millisecond)
+	is.Equal(err, platform.ErrUnchanged)
+	v2, err := c.Update(ctx, "woaddoor/x", []byte("two"), v1)
+	is.NoErr(err)
+	_, err = c.Update(ctx, "woaddoor/x", []byte("three"), v1)
+	is.Equal(err, platform.ErrConflict)
+	o, err := c.Watch(ctx, "woaddoor/x", v1, time.Second)
+	is.NoErr(err)
+	is.Equal(string(o.Value), "two")
+	is.Equal(o.Version, v2)
+	names, err := c.List(ctx, "woaddoor/", "")
+	is.NoErr(err)
+	is.Equal(names, []string{"woaddoor/x"})
+}
+
+// TestLostReply shows a write that takes effect though its reply is lost.
+func TestLostReply(t *testing.T) {
+	is := is.New(t)
+	store := New()
+	server := httptest.NewServer(store.View("a").Handler())
+	t.Cleanup(server.Close)
+	c := platform.NewClient(&platform.Options{URL: server.URL})
+	store.SetFaults(Faults{LoseReplies: 1})
+	_, err := c.Create(t.Context(), "woaddoor/x", []byte("one"))
+	is.True(err != nil)
+	o, err := c.Read(t.Context(), "woaddoor/x")
+	is.NoErr(err)
+	is.Equal(string(o.Value), "one")
+
+	store.Cut("a", true)
+	_, err = c.Read(t.Context(), "woaddoor/x")
+	is.True(err != nil)
+}
