--- /dev/null
+++ b/upstream/table.go
@@ -0,0 +1,243 @@
+// Package upstream decides which upstream gets a request. It is a pure state
+// machine fed with configuration, load reports, the platform's list of leaving
+// VMs, and what this VM itself sends; the time and the random source are given.
+//
+// Several VMs decide at once without a word between them, and reports lag, so
+// each choice goes by this VM's own requests first and lets the report of a
+// busy or idle upstream count less the older it is.
+package upstream
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/engine"
+)
+
+// Options tune the choice.
+type Options struct {
+	// SilentAfter is how long an upstream may go without a report before it
+	// gets no new work. Zero means 3 s.
+	SilentAfter time.Duration
+	// Choices is how many upstreams are compared for one request. Zero means
+	// 3: enough to avoid a slow one, too few for all VMs to run to one.
+	Choices int
+	// PrefixWorth is how many requests in line a cached prefix outweighs.
+	// Zero means 2.
+	PrefixWorth float64
+	// MaxPrefixes bounds the prefixes remembered. Zero means 8192.
+	MaxPrefixes int
+}
+
+// Defaults of Options.
+const (
+	defaultSilentAfter = 3 * time.Second
+	defaultChoices     = 3
+	defaultPrefixWorth = 2.0
+	defaultMaxPrefixes = 8192
+)
+
+func (o Options) withDefaults() Options {
+	return Options{
+		SilentAfter: cmp.Or(o.SilentAfter, defaultSilentAfter),
+		Choices:     cmp.Or(o.Choices, defaultChoices),
+		PrefixWorth: cmp.Or(o.PrefixWorth, defaultPrefixWorth),
+		MaxPrefixes: cmp.Or(o.MaxPrefixes, defaultMaxPrefixes),
+	}
+}
+
+// Table is what one VM knows of the upstreams. Its owner locks it.
+type Table struct {
+	opts     Options
+	states   map[contract.UpstreamID]*state
+	pools    map[contract.PoolID][]*state
+	prefixes *prefixes
+}
+
+// state is what is known of one upstream.
+type state struct {
+	upstream config.Upstream
+	pool     *config.Pool
+
+	incarnation contract.Incarnation
+	load        engine.Load
+	// heardAt is when the last report was asked for; zero means never.
+	heardAt time.Time
+	// leaving holds the incarnation that is known to leave. A later one under
+	// the same address is a new upstream.
+	leaving    contract.Incarnation
+	unlisted   bool
+	inFlight   int
+	sentAfter  int // requests sent since the last report was asked for
+	doneAfter  int // requests ended since then
+	service    time.Duration
+	failures   int
+	openUntil  time.Time
+	probing    bool
+	lastFailed time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	o := opts.withDefaults()
+	return &Table{
+		opts: o, states: make(map[contract.UpstreamID]*state),
+		pools: make(map[contract.PoolID][]*state), prefixes: newPrefixes(o.MaxPrefixes),
+	}
+}
+
+// Configure takes in the pools of a configuration. What is known of upstreams
+// that stay is kept.
+func (t *Table) Configure(pools map[contract.PoolID]*config.Pool) {
+	states := make(map[contract.UpstreamID]*state)
+	t.pools = make(map[contract.PoolID][]*state)
+	for _, p := range pools {
+		for _, u := range p.Upstreams {
+			s, had := t.states[u.ID]
+			if !had || s.upstream.URL != u.URL {
+				s = &state{}
+			}
+			s.upstream, s.pool = u, p
+			states[u.ID] = s
+			t.pools[p.ID] = append(t.pools[p.ID], s)
+		}
+		slices.SortFunc(t.pools[p.ID], func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	}
+	t.states = states
+}
+
+// Reported takes in a load report that was asked for at askedAt. One that
+// comes after a later one is dropped, and one of an earlier incarnation too.
+func (t *Table) Reported(id contract.UpstreamID, l engine.Load, askedAt time.Time) {
+	s, ok := t.states[id]
+	if !ok || askedAt.Before(s.heardAt) || l.Incarnation < s.incarnation {
+		return
+	}
+	if l.Incarnation > s.incarnation {
+		// Another life under the same address: nothing known of the former
+		// one holds, but for the requests still in flight.
+		s.incarnation, s.failures, s.openUntil, s.service = l.Incarnation, 0, time.Time{}, 0
+		t.prefixes.drop(id)
+	}
+	if l.Draining {
+		s.leaving = l.Incarnation
+	}
+	s.load, s.heardAt = l, askedAt
+	s.sentAfter, s.doneAfter = 0, 0
+}
+
+// Unlisted takes in the upstreams that the platform lists as leaving, or that
+// its list, which lags, no longer holds as live.
+func (t *Table) Unlisted(leaving map[contract.UpstreamID]bool) {
+	for id, s := range t.states {
+		s.unlisted = leaving[id]
+		if s.unlisted {
+			s.leaving = max(s.leaving, s.incarnation)
+		}
+	}
+}
+
+// Sent notes that a request goes to an upstream.
+func (t *Table) Sent(id contract.UpstreamID, prefix uint64) {
+	if s, ok := t.states[id]; ok {
+		s.inFlight++
+		s.sentAfter++
+		t.prefixes.note(prefix, id)
+	}
+}
+
+// Result says how a request ended at an upstream.
+type Result uint8
+
+// The results of a request.
+const (
+	// Good is a whole answer.
+	Good Result = iota
+	// Failed is the upstream's failure: it counts towards its circuit breaker.
+	Failed
+	// Abandoned is the caller's doing and says nothing of the upstream.
+	Abandoned
+)
+
+// Circuit breaker of one upstream.
+const (
+	breakAfter   = 3
+	breakBase    = 500 * time.Millisecond
+	breakMax     = 10 * time.Second
+	serviceSmall = 0.2 // weight of the newest service time
+)
+
+// Done notes that a request has ended, and how long it took.
+func (t *Table) Done(id contract.UpstreamID, r Result, took time.Duration, now time.Time) {
+	s, ok := t.states[id]
+	if !ok {
+		return
+	}
+	s.inFlight--
+	s.doneAfter++
+	s.probing = false
+	switch r {
+	case Good:
+		s.failures = 0
+		s.openUntil = time.Time{}
+		if s.service == 0 {
+			s.service = took
+		}
+		s.service += time.Duration(serviceSmall * float64(took-s.service))
+	case Failed:
+		s.failures++
+		s.lastFailed = now
+		if s.failures >= breakAfter {
+			backoff := min(breakBase<<min(s.failures-breakAfter, 8), breakMax)
+			s.openUntil = now.Add(backoff)
+		}
+	}
+}
+
+// ErrNone means that no upstream can take the request now.
+var ErrNone = errors.New("no upstream can take the request")
+
+// URL returns the address of an upstream.
+func (t *Table) URL(id contract.UpstreamID) string {
+	if s, ok := t.states[id]; ok {
+		return s.upstream.URL
+	}
+	return ""
+}
+
+// All returns the upstreams of the pools in a data centre.
+func (t *Table) All(dc contract.DataCentreID) []config.Upstream {
+	var all []config.Upstream
+	for _, states := range t.pools {
+		for _, s := range states {
+			if s.pool.DataCentre == dc {
+				all = append(all, s.upstream)
+			}
+		}
+	}
+	return all
+}
+
+// usable tells whether an upstream may get new work.
+//
+// The platform's list may lag, and the platform may be out, so silence alone
+// takes an upstream out: it has to say, every few seconds, that it is there.
+func (t *Table) usable(s *state, v contract.VersionID, now time.Time) bool {
+	if s.heardAt.IsZero() || now.Sub(s.heardAt) >= t.opts.SilentAfter {
+		return false
+	}
+	if s.leaving != 0 && s.leaving >= s.incarnation {
+		return false
+	}
+	if now.Before(s.openUntil) {
+		return false
+	}
+	if s.failures >= breakAfter && s.probing {
+		return false // one request at a time finds out whether it is back
+	}
+	return v == "" || slices.Contains(s.load.Versions, v)
+}
--- /dev/null
+++ b/vm/vm.go
@@ -0,0 +1,195 @@
+// Package vm knows the VMs of the system: who lives, in which incarnation, and
+// which of them watch the platform. It is a pure state machine fed with
+// heartbeats, with the platform's lagging list and with the time.
+package vm
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"woaddoor/contract"
+	"woaddoor/platform"
+)
+
+// Member is one VM of the system, as it tells of itself.
+type Member struct {
+	VM          contract.VMID         `cbor:"1,keyasint"`
+	DataCentre  contract.DataCentreID `cbor:"2,keyasint"`
+	Incarnation contract.Incarnation  `cbor:"3,keyasint"`
+	EntryLink   string                `cbor:"4,keyasint"`
+	ControlLink string                `cbor:"5,keyasint"`
+	// EntryIncarnation is that of the entry process; zero while there is none.
+	EntryIncarnation contract.Incarnation `cbor:"6,keyasint"`
+	// Revision is the configuration that its entry process has in force.
+	Revision contract.Revision `cbor:"7,keyasint"`
+	Leaving  bool              `cbor:"8,keyasint"`
+	// Age is how long ago the sender last heard from it.
+	Age time.Duration `cbor:"9,keyasint"`
+}
+
+// DeadAfter is how long a VM may be silent before it counts as gone.
+const DeadAfter = 5 * time.Second
+
+// forgetAfter is how long a silent VM is remembered, so that a late word of an
+// earlier life is told from a new VM.
+const forgetAfter = 10 * time.Minute
+
+// Table is what one VM knows of all. Its owner locks it.
+type Table struct {
+	self    Member
+	members map[contract.VMID]seen
+	listed  map[contract.VMID]platform.VMState
+}
+
+type seen struct {
+	member Member
+	at     time.Time
+}
+
+// NewTable returns the table of the VM self.
+func NewTable(self Member) *Table {
+	return &Table{self: self, members: make(map[contract.VMID]seen), listed: make(map[contract.VMID]platform.VMState)}
+}
+
+// SetSelf replaces what this VM tells of itself.
+func (t *Table) SetSelf(self Member) { t.self = self }
+
+// Self returns what this VM tells of itself.
+func (t *Table) Self() Member { return t.self }
+
+// Heard takes in what a VM told of itself, or what a peer passed on of it;
+// Member.Age says how old the word is. Word of an earlier life, or older than
+// what is known, is dropped: heartbeats may come late and in any order.
+func (t *Table) Heard(m Member, now time.Time) {
+	if m.VM == t.self.VM {
+		return
+	}
+	at := now.Add(-max(m.Age, 0))
+	old, had := t.members[m.VM]
+	if had && (m.Incarnation < old.member.Incarnation) {
+		return
+	}
+	if had && m.Incarnation == old.member.Incarnation {
+		if !at.After(old.at) {
+			return
+		}
+		m.Leaving = m.Leaving || old.member.Leaving // leaving is for good
+		m.Revision = max(m.Revision, old.member.Revision)
+		m.EntryIncarnation = max(m.EntryIncarnation, old.member.EntryIncarnation)
+	}
+	t.members[m.VM] = seen{m, at}
+}
+
+// Listed takes in the platform's list. It lags, so it adds to what heartbeats
+// tell and never makes a silent VM live.
+func (t *Table) Listed(entries []platform.VMEntry) {
+	clear(t.listed)
+	for _, e := range entries {
+		if !e.Upstream {
+			t.listed[e.ID] = e.State
+		}
+	}
+}
+
+// Live returns the VMs heard of within DeadAfter, this one among them, sorted
+// by name.
+func (t *Table) Live(now time.Time) []Member {
+	live := []Member{t.self}
+	for id, s := range t.members {
+		if now.Sub(s.at) > forgetAfter {
+			delete(t.members, id)
+			continue
+		}
+		if now.Sub(s.at) > DeadAfter {
+			continue
+		}
+		m := s.member
+		m.Age = now.Sub(s.at)
+		m.Leaving = m.Leaving || t.listed[m.VM] == platform.VMLeaving
+		live = append(live, m)
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return live
+}
+
+// Gone tells whether a life of a VM is known to have ended: a later life was
+// heard of. Silence alone proves nothing.
+func (t *Table) Gone(id contract.VMID, inc contract.Incarnation) bool {
+	s, ok := t.members[id]
+	return ok && s.member.Incarnation > inc
+}
+
+// rank orders VMs by the hash of a key and their name (rendezvous hashing), so
+// that a VM that goes moves only its own part to others.
+func rank(key string, id contract.VMID) uint64 { return xxhash.Sum64String(key + "\x00" + string(id)) }
+
+// Rank returns the members of a data centre in the order of their rank for a
+// key, leaving ones last.
+func Rank(members []Member, dc contract.DataCentreID, key string) []Member {
+	var ranked []Member
+	for _, m := range members {
+		if m.DataCentre == dc {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b Member) int {
+		if a.Leaving != b.Leaving {
+			if b.Leaving {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(rank(key, a.VM), rank(key, b.VM))
+	})
+	return ranked
+}
+
+// watchKey ranks the VMs of a data centre for watching the platform.
+const watchKey = "watch"
+
+// Watches tells whether this VM is one of the n of its data centre that watch
+// the platform for all.
+func (t *Table) Watches(n int, now time.Time) bool {
+	for i, m := range Rank(t.Live(now), t.self.DataCentre, watchKey) {
+		if i >= n {
+			return false
+		}
+		if m.VM == t.self.VM {
+			return true
+		}
+	}
+	return false
+}
+
+// Sources returns the peers to ask for the newest configuration, best first:
+// the watchers of the own data centre, then its other VMs, then the watchers
+// of each other data centre.
+func (t *Table) Sources(now time.Time) []Member {
+	live := t.Live(now)
+	var sources []Member
+	for _, m := range Rank(live, t.self.DataCentre, watchKey) {
+		if m.VM != t.self.VM {
+			sources = append(sources, m)
+		}
+	}
+	for _, dc := range dataCentres(live) {
+		if dc != t.self.DataCentre {
+			sources = append(sources, Rank(live, dc, watchKey)...)
+		}
+	}
+	return sources
+}
+
+func dataCentres(members []Member) []contract.DataCentreID {
+	var ids []contract.DataCentreID
+	for _, m := range members {
+		if !slices.Contains(ids, m.DataCentre) {
+			ids = append(ids, m.DataCentre)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
