--- a/engine/call.go
+++ b/engine/call.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +24,8 @@
 	// Version is the version that the body names, and that the answer has to.
 	Version contract.VersionID
 	Body    []byte
+	// ContentType of the body. Empty means JSON.
+	ContentType string
 	// Permit is asked immediately before the first byte of the body is given
 	// out, and again after the last. An error stops the call. Nil permits.
 	Permit func() error
@@ -114,26 +118,59 @@
 	return contract.NotRun
 }
 
+// exchange is an answer that has begun. Its end frees what the call holds.
+type exchange struct {
+	resp   *http.Response
+	cancel context.CancelCauseFunc
+}
+
+func (x *exchange) close() {
+	x.resp.Body.Close()
+	x.cancel(nil)
+}
+
 // send sends the call and returns the head of the answer.
-func (c *Client) send(ctx context.Context, call Call, path string) (*http.Response, *CallError) {
+func (c *Client) send(ctx context.Context, call Call, method, path string) (*exchange, *CallError) {
+	ctx, cancel := context.WithCancelCause(ctx)
 	body := &gatedBody{permit: call.Permit, rest: bytes.NewReader(call.Body)}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, call.URL+path, body)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+		// A VM that was paused between the check and the write finds out here:
+		// the call is cancelled and its answer not used.
+		if call.Permit == nil {
+			return
+		}
+		if err := call.Permit(); err != nil {
+			cancel(err)
+		}
+	}})
+	x, failed := c.do(ctx, call, body, method, path)
+	if failed != nil {
+		cancel(nil)
+		return nil, failed
+	}
+	return &exchange{x, cancel}, nil
+}
+
+func (c *Client) do(ctx context.Context, call Call, body *gatedBody, method, path string) (*http.Response, *CallError) {
+	req, err := http.NewRequestWithContext(ctx, method, call.URL+path, body)
 	if err != nil {
 		return nil, &CallError{Outcome: contract.NotRun, Err: err}
 	}
 	req.ContentLength = int64(len(call.Body))
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderRequest, string(call.RequestID))
-	if !call.NotAfter.IsZero() {
-		req.Header.Set(HeaderNotAfter, call.NotAfter.UTC().Format(time.RFC3339Nano))
-	}
-	if call.LastEvent != "" {
-		req.Header.Set(HeaderLastEvent, call.LastEvent)
+	if len(call.Body) == 0 {
+		// A call without a body is complete with its head: ask before that.
+		req.Body = nil
+		if _, err := body.Read(nil); err != nil && err != io.EOF {
+			return nil, &CallError{Outcome: contract.NotRun, Err: err}
+		}
 	}
+	setHeaders(req, call)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if denied := body.denied.Load(); denied != nil {
 			err = *denied
+		} else if cause := context.Cause(ctx); cause != nil {
+			err = cause
 		}
 		return nil, &CallError{Outcome: body.outcome(), Err: contract.Fail(contract.StepSend, string(call.Upstream), err)}
 	}
@@ -144,6 +181,17 @@
 	return resp, nil
 }
 
+func setHeaders(req *http.Request, call Call) {
+	req.Header.Set("Content-Type", cmp.Or(call.ContentType, "application/json"))
+	req.Header.Set(HeaderRequest, string(call.RequestID))
+	if !call.NotAfter.IsZero() {
+		req.Header.Set(HeaderNotAfter, call.NotAfter.UTC().Format(time.RFC3339Nano))
+	}
+	if call.LastEvent != "" {
+		req.Header.Set(HeaderLastEvent, call.LastEvent)
+	}
+}
+
 // checkHead checks the status and that the answer is to this request.
 //
 // 429 and 503 are an engine's words for "refused before it was queued", by its
@@ -183,11 +231,12 @@
 // Chat sends a chat request and returns its whole answer. The answer is
 // checked: its length, that it belongs to the call, and its version.
 func (c *Client) Chat(ctx context.Context, call Call) (*Answer, error) {
-	resp, failed := c.send(ctx, call, PathChat)
+	x, failed := c.send(ctx, call, http.MethodPost, PathChat)
 	if failed != nil {
 		return nil, failed
 	}
-	defer resp.Body.Close()
+	defer x.close()
+	resp := x.resp
 	fail := func(o contract.Outcome, err error) error {
 		return &CallError{Outcome: o, Err: contract.Fail(contract.StepAnswer, string(call.Upstream), err)}
 	}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -26,11 +26,10 @@
 // Stream is a streamed answer. It is whole only when Next has returned an
 // event with End set.
 type Stream struct {
-	call    Call
-	resp    *http.Response
-	reader  *bufio.Reader
-	checked string // the id that every chunk carries
-	// lastRest is the first chunk's bytes after the choices' start, see head.
+	call     Call
+	exchange *exchange
+	reader   *bufio.Reader
+	checked  string // the id that every chunk carries
 	usage    Usage
 	finished bool
 	data     []byte
@@ -45,19 +44,19 @@
 
 // Stream sends a chat request and returns its answer as a stream.
 func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
-	resp, failed := c.send(ctx, call, PathChat)
+	x, failed := c.send(ctx, call, http.MethodPost, PathChat)
 	if failed != nil {
 		return nil, failed
 	}
-	if resp.Header.Get(HeaderRequest) == "" {
-		resp.Body.Close()
+	if x.resp.Header.Get(HeaderRequest) == "" {
+		x.close()
 		return nil, &CallError{Outcome: contract.Ran, Err: contract.Fail(contract.StepAnswer, string(call.Upstream), ErrCrossed)}
 	}
-	return &Stream{call: call, resp: resp, reader: bufio.NewReaderSize(resp.Body, int(streamBuffer))}, nil
+	return &Stream{call: call, exchange: x, reader: bufio.NewReaderSize(x.resp.Body, int(streamBuffer))}, nil
 }
 
 // Close ends the stream; the engine sees the connection go.
-func (s *Stream) Close() error { return s.resp.Body.Close() }
+func (s *Stream) Close() { s.exchange.close() }
 
 // Usage returns the tokens that the stream has told of so far.
 func (s *Stream) Usage() Usage { return s.usage }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -184,6 +184,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if cut > 0 {
 		_, _ = w.Write(body[:len(body)/2])
+		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body)
