entry, control, operator: the whole path, in separate processes

Cause: decisions stood without the programs around them. Ruled out: one process a VM (a stall of the slow side would touch streams). Change: woaddoor-entry, woaddoor-control and woaddoor over the library; the trial fleet of six VMs in three data centres with stand-ins.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -110,3 +110,6 @@
 	}
 	return sums
 }
+
+// Prefix begins the names of the filed batches.
+const Prefix = "woaddoor/bill/"
--- /dev/null
+++ b/cascade/cascade_test.go
@@ -0,0 +1,97 @@
+package cascade
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woaddoor/contract"
+)
+
+var models = []Model{{ID: "small", Cost: 1}, {ID: "large", Cost: 10}}
+
+func query(target float64) Query {
+	return Query{Workspace: "w", Models: models, CheckCost: 0.2, Target: target}
+}
+
+// simulate runs n requests at true shares of good answers, with one rating in
+// ten coming back, and returns the mean quality and cost of the last half.
+func simulate(l *Learner, q Query, small, large float64, n int, r *rand.Rand) (quality, cost float64) {
+	share := map[contract.ModelID]float64{"small": small, "large": large}
+	price := map[contract.ModelID]float64{"small": 1, "large": 10}
+	for i := range n {
+		p := l.Decide(q, r)
+		good := r.Float64() < share[p.First]
+		paid := price[p.First]
+		delivered := p.First
+		if p.Check {
+			paid += q.CheckCost
+			l.Rated(Arm{q.Workspace, p.First, q.Class}, good)
+			if !good {
+				good = r.Float64() < share[p.Then]
+				paid += price[p.Then]
+				delivered = p.Then
+			}
+		}
+		if (!p.Check || delivered == p.Then) && r.Float64() < 0.1 {
+			l.Rated(Arm{q.Workspace, delivered, q.Class}, good)
+		}
+		if i >= n/2 {
+			cost += paid
+			if good {
+				quality++
+			}
+		}
+	}
+	return quality / float64(n-n/2), cost / float64(n-n/2)
+}
+
+// TestCheapOnlyWhereItPays runs three mixes: the cheap model good enough, of
+// use under check, and of no use.
+func TestCheapOnlyWhereItPays(t *testing.T) {
+	for name, c := range map[string]struct{ small, target, maxCost, minQuality float64 }{
+		"good enough":       {0.97, 0.9, 1.5, 0.95},
+		"good under check":  {0.7, 0.9, 5, 0.93},
+		"of no use":         {0.02, 0.9, 10.5, 0.93},
+		"any quality taken": {0.5, 0, 1.3, 0.45},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := rand.New(rand.NewPCG(1, 1))
+			quality, cost := simulate(NewLearner(Options{}), query(c.target), c.small, 0.95, 4000, r)
+			is.True(cost <= c.maxCost)
+			is.True(quality >= c.minQuality)
+		})
+	}
+}
+
+// TestFollowsDrift shows a cheap model that becomes bad, and the plan change.
+func TestFollowsDrift(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	l := NewLearner(Options{})
+	_, before := simulate(l, query(0.9), 0.97, 0.95, 4000, r)
+	quality, after := simulate(l, query(0.9), 0.3, 0.95, 8000, r)
+	is.True(before < 2)
+	is.True(after > 5)
+	is.True(quality > 0.9)
+}
+
+// TestAlwaysAPlan checks that any query gets a plan of its own models.
+func TestAlwaysAPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLearner(Options{MaxArms: 2})
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for range rapid.IntRange(1, 30).Draw(t, "n") {
+			q := query(rapid.Float64Range(0, 1).Draw(t, "target"))
+			q.Class = ClassOf(rapid.IntRange(0, 1<<20).Draw(t, "bytes"))
+			p := l.Decide(q, r)
+			if p.First != "small" && p.First != "large" || p.Check && p.Then != "large" {
+				t.Fatalf("plan %+v", p)
+			}
+			l.Rated(Arm{"w", p.First, q.Class}, rapid.Bool().Draw(t, "good"))
+		}
+	})
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,354 @@
+// Package command is the command line of the operator's tool.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/datacentre"
+	"woaddoor/document"
+	"woaddoor/history"
+	"woaddoor/keys"
+	"woaddoor/operator"
+	"woaddoor/platform"
+)
+
+// Exit codes. docs/OPERATING.md lists them.
+const (
+	ExitOK        = 0
+	ExitFailed    = 1
+	ExitInvalid   = 2 // the file or the call is wrong; nothing was changed
+	ExitConflict  = 3 // another change was first; nothing was changed
+	ExitPending   = 4 // accepted, and not yet in force everywhere
+	ExitUnsettled = 5 // it is not known whether it was accepted
+)
+
+// commands are the tool's commands.
+type commands struct {
+	Platform string        `help:"The platform's address." env:"WOADDOOR_PLATFORM" default:"http://127.0.0.1:7000"`
+	Output   string        `help:"Form of the output." enum:"text,json" default:"text"`
+	Timeout  time.Duration `help:"How long to wait for the platform and for a change to be in force." default:"30s"`
+
+	Check    checkCmd    `cmd:"" help:"Check a configuration file. Example: woaddoor check site.ini"`
+	Plan     planCmd     `cmd:"" help:"Show what applying a file would change. Example: woaddoor plan site.ini"`
+	Apply    applyCmd    `cmd:"" help:"Make a file the configuration, and wait until it is in force. Example: woaddoor apply site.ini --why 'new model'"`
+	Show     showCmd     `cmd:"" help:"Print the configuration as a file. Example: woaddoor show > site.ini"`
+	Status   statusCmd   `cmd:"" help:"Show where the configuration is in force. Example: woaddoor status"`
+	History  historyCmd  `cmd:"" help:"Show the audit trail. Example: woaddoor history --limit 5"`
+	Withdraw withdrawCmd `cmd:"" help:"Withdraw a version for good. Example: woaddoor withdraw chat-small@3 --why 'bad answers'"`
+	Bill     billCmd     `cmd:"" help:"Show what each workspace owes. Example: woaddoor bill --output json"`
+	Keys     keysCmd     `cmd:"" help:"Make keys for VMs, or hash a workspace's key."`
+}
+
+// session is what a command works with.
+type session struct {
+	ctx      context.Context
+	operator *operator.Operator
+	out      io.Writer
+	json     bool
+}
+
+// Run runs the tool and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	code := -1
+	parser, err := kong.New(&c, kong.Name("woaddoor"), kong.Writers(stdout, stderr),
+		kong.Description("Operates a fleet of woaddoor: declarative files, versions, bills. Exit codes: 0 done, 1 failed, 2 invalid, 3 conflict, 4 pending, 5 not known."),
+		kong.Exit(func(n int) { code = n }))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if code >= 0 { // help was printed
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitInvalid
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	client := platform.NewClient(&platform.Options{URL: c.Platform})
+	s := &session{ctx: ctx, operator: &operator.Operator{Store: client, VMs: client, Now: time.Now}, out: stdout, json: c.Output == "json"}
+	err = parsed.Run(s)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+	}
+	return exitCode(err)
+}
+
+// pendingError means that a change is accepted and not yet in force everywhere.
+type pendingError struct{ force datacentre.Force }
+
+func (e *pendingError) Error() string {
+	text := fmt.Sprintf("revision %d is accepted; pending:", e.force.Revision)
+	for _, p := range e.force.Pending {
+		text += fmt.Sprintf("\n  %s in %s has revision %d; it may act on it until %s", p.VM, p.DataCentre, p.Revision, p.Until.Format(time.RFC3339))
+	}
+	return text
+}
+
+func exitCode(err error) int {
+	var faults config.Faults
+	var conflict *history.Conflict
+	var stale *operator.StaleError
+	var unsettled *history.Unsettled
+	var pending *pendingError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults), errors.Is(err, operator.ErrNoBase), errors.Is(err, operator.ErrNoVersion):
+		return ExitInvalid
+	case errors.As(err, &conflict), errors.As(err, &stale):
+		return ExitConflict
+	case errors.As(err, &pending):
+		return ExitPending
+	case errors.As(err, &unsettled):
+		return ExitUnsettled
+	}
+	return ExitFailed
+}
+
+func (s *session) print(v any, text func()) error {
+	if !s.json {
+		text()
+		return nil
+	}
+	e := json.NewEncoder(s.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+type fileArg struct {
+	File string `arg:"" help:"The configuration file (INI)." type:"existingfile"`
+}
+
+type checkCmd struct{ fileArg }
+
+// Run checks a file.
+func (c *checkCmd) Run(s *session) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	conf, _, err := config.Parse(c.File, text)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "%s is good: %d workspaces, %d versions, %d pools, %d roll-outs\n",
+		c.File, len(conf.Workspaces), len(conf.Versions), len(conf.Pools), len(conf.Rollouts))
+	return nil
+}
+
+type planCmd struct{ fileArg }
+
+// Run shows what a file would change.
+func (c *planCmd) Run(s *session) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	p, err := s.operator.Plan(s.ctx, c.File, text)
+	if err != nil {
+		return err
+	}
+	return s.print(p, func() {
+		fmt.Fprintf(s.out, "from revision %d, %d sections change\n", p.From, len(p.Changes))
+		printChanges(s.out, p.Changes)
+	})
+}
+
+func printChanges(w io.Writer, changes []document.SectionChange) {
+	for _, ch := range changes {
+		fmt.Fprintf(w, "[%s]\n", ch.Name)
+		printLines(w, "- ", ch.From)
+		printLines(w, "+ ", ch.To)
+	}
+}
+
+type authorFlags struct {
+	Who string `help:"Who makes the change. Default: the user's name." default:""`
+	Why string `help:"Why, for the audit trail." required:""`
+}
+
+func (f authorFlags) author() history.Author {
+	who := f.Who
+	if who == "" {
+		if u, err := user.Current(); err == nil {
+			who = u.Username
+		}
+	}
+	return history.Author{Who: who, Why: f.Why, At: time.Now()}
+}
+
+type applyCmd struct {
+	fileArg
+	authorFlags
+	From   int64 `help:"The revision that the file was made from. Default: what its [configuration] section says." default:"-1"`
+	NoWait bool  `help:"Do not wait until it is in force."`
+}
+
+// Run applies a file.
+func (c *applyCmd) Run(s *session) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	root, err := s.operator.Apply(s.ctx, c.File, text, c.From, c.author())
+	if err != nil {
+		return err
+	}
+	if c.NoWait {
+		return s.print(root, func() { fmt.Fprintf(s.out, "accepted: revision %d\n", root.Revision) })
+	}
+	return s.wait(root)
+}
+
+// wait shows how a change comes into force.
+func (s *session) wait(root document.Root) error {
+	if !s.json {
+		fmt.Fprintf(s.out, "accepted: revision %d, change %s\n", root.Revision, root.Change)
+	}
+	shown := ""
+	f, err := s.operator.Wait(s.ctx, root, func(f datacentre.Force) {
+		line := fmt.Sprintf("in force on %d VMs, pending on %d", len(f.InForce), len(f.Pending))
+		if line != shown && !s.json {
+			fmt.Fprintln(s.out, line)
+			shown = line
+		}
+	})
+	if printErr := s.print(f, func() {}); printErr != nil {
+		return printErr
+	}
+	if err != nil {
+		return &pendingError{f}
+	}
+	if !s.json {
+		fmt.Fprintf(s.out, "in force everywhere: revision %d\n", root.Revision)
+	}
+	return nil
+}
+
+type showCmd struct{}
+
+// Run prints the configuration.
+func (*showCmd) Run(s *session) error {
+	text, err := s.operator.Show(s.ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(s.out, text)
+	return nil
+}
+
+type statusCmd struct{}
+
+// Run shows where the configuration is in force.
+func (*statusCmd) Run(s *session) error {
+	base, err := history.Load(s.ctx, s.operator.Store)
+	if err != nil {
+		return err
+	}
+	f, err := s.operator.Force(s.ctx, base.Root)
+	if err != nil {
+		return err
+	}
+	return s.print(f, func() {
+		fmt.Fprintf(s.out, "revision %d, in force on %v\n", f.Revision, f.InForce)
+		for _, p := range f.Pending {
+			fmt.Fprintf(s.out, "pending: %s in %s, at revision %d, until %s\n", p.VM, p.DataCentre, p.Revision, p.Until.Format(time.RFC3339))
+		}
+	})
+}
+
+type historyCmd struct {
+	Limit int `help:"How many changes to show." default:"20"`
+}
+
+// Run shows the audit trail.
+func (c *historyCmd) Run(s *session) error {
+	changes, err := s.operator.History(s.ctx, c.Limit)
+	if err != nil {
+		return err
+	}
+	return s.print(changes, func() {
+		for _, ch := range changes {
+			fmt.Fprintf(s.out, "revision %d  %s  by %s: %s  (%d sections, change %s)\n",
+				ch.ToRevision, ch.At.Format(time.RFC3339), ch.Who, ch.Why, len(ch.Sections), ch.ID)
+		}
+	})
+}
+
+type withdrawCmd struct {
+	authorFlags
+	Version string `arg:"" help:"The version, such as chat-small@3."`
+}
+
+// Run withdraws a version.
+func (c *withdrawCmd) Run(s *session) error {
+	root, err := s.operator.Withdraw(s.ctx, contract.VersionID(c.Version), c.author())
+	if err != nil {
+		return err
+	}
+	return s.wait(root)
+}
+
+type billCmd struct{}
+
+// Run shows the bills.
+func (*billCmd) Run(s *session) error {
+	sums, err := s.operator.Bills(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(sums, func() {
+		for _, b := range sums {
+			fmt.Fprintf(s.out, "%s: %d requests, %d input and %d output tokens, %d millionths\n", b.Workspace, b.Requests, b.Input, b.Output, b.Amount)
+		}
+	})
+}
+
+type keysCmd struct {
+	Make makeKeysCmd `cmd:"" help:"Make keys for trial use. Example: woaddoor keys make keys a1 a2 b1"`
+	Hash hashKeyCmd  `cmd:"" help:"Print the hash of a workspace's key, read from standard input, for a configuration file."`
+}
+
+type makeKeysCmd struct {
+	Dir   string   `arg:"" help:"The directory to write to."`
+	Names []string `arg:"" help:"The names of the VMs."`
+}
+
+// Run makes keys.
+func (c *makeKeysCmd) Run(s *session) error {
+	if err := keys.Make(c.Dir, c.Names); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "%d key pairs, %s and %s are in %s\n", len(c.Names), keys.PinsFile, keys.SigningFile, c.Dir)
+	return nil
+}
+
+type hashKeyCmd struct{}
+
+// maxKey bounds a workspace's key.
+const maxKey = 4096
+
+// Run prints a hash.
+func (*hashKeyCmd) Run(s *session) error {
+	raw, err := io.ReadAll(io.LimitReader(os.Stdin, maxKey))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out, keys.HashKey(trimLine(raw)))
+	return nil
+}
--- a/config/build.go
+++ b/config/build.go
@@ -251,7 +251,7 @@
 }
 
 func (c *Config) readService(id contract.ServiceID, r *Reader) {
-	s := &Service{ID: id}
+	s := &Service{ID: id, Price: contract.Money(r.Int("price", 0, 0, 1<<40))}
 	for _, p := range r.List("pools") {
 		s.Pools = append(s.Pools, contract.PoolID(p))
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -182,6 +182,8 @@
 	Pools []contract.PoolID
 	// NotRepeatable lists the calls that run at most once.
 	NotRepeatable []CallPattern
+	// Price is what one call costs, in millionths. Zero means nothing.
+	Price contract.Money
 }
 
 // CallPattern is a method and a path; a path that ends in "*" is a prefix.
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,106 @@
+// Package daemon starts the two daemons from their settings and stops them on
+// a signal.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"woaddoor/clock"
+	"woaddoor/control"
+	"woaddoor/entry"
+	"woaddoor/keys"
+	"woaddoor/logs"
+	"woaddoor/platform"
+	"woaddoor/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// arguments are those of both daemons.
+type arguments struct {
+	Settings string `arg:"" help:"The VM's settings file (INI), shared by both daemons." type:"path"`
+	Check    bool   `help:"Check the settings and the keys, print every fault, and end."`
+}
+
+// service is a daemon's server.
+type service interface {
+	Run(ctx context.Context) error
+}
+
+// start makes a daemon's server.
+type start func(s *settings.Settings, set *keys.Set, log *zap.Logger) (service, error)
+
+// Entry runs woaddoor-entry and returns its exit code.
+func Entry(args []string) int {
+	return run("woaddoor-entry", "Takes callers' requests on an entry VM.", args, func(s *settings.Settings, set *keys.Set, log *zap.Logger) (service, error) {
+		return entry.New(&entry.Options{Settings: s, Keys: set, Clock: clock.NewSystem(), Log: log})
+	})
+}
+
+// Control runs woaddoor-control and returns its exit code.
+func Control(args []string) int {
+	return run("woaddoor-control", "Keeps an entry VM in step with the platform.", args, func(s *settings.Settings, set *keys.Set, log *zap.Logger) (service, error) {
+		client := platform.NewClient(&platform.Options{URL: s.Platform.URL})
+		return control.New(&control.Options{Settings: s, Keys: set, Clock: clock.NewSystem(), Log: log, Store: client, VMs: client})
+	})
+}
+
+func run(name, about string, args []string, begin start) int {
+	var a arguments
+	parser := kong.Must(&a, kong.Name(name), kong.Description(about), kong.UsageOnError())
+	_, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+	s, err := settings.Load(a.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	set, err := keys.Load(s.Keys.Pair, s.Keys.Pins, s.Keys.Signing)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if a.Check {
+		fmt.Printf("%s: settings of %s are good\n", a.Settings, s)
+		return exitOK
+	}
+	log := logs.New(os.Stderr, zap.String("process", name), zap.String("vm", string(s.VM)))
+	return serve(s, set, log, begin)
+}
+
+// serve runs until SIGTERM or SIGINT. Further signals are noted and change
+// nothing: a planned stop cuts off no request, however often it is asked for.
+func serve(s *settings.Settings, set *keys.Set, log *zap.Logger, begin start) int {
+	server, err := begin(s, set, log)
+	if err != nil {
+		log.Error("start-failed", logs.Failure(err)...)
+		return exitFailed
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		for got := range signals {
+			log.Info("signal", zap.String("signal", got.String()), zap.Bool("first", ctx.Err() == nil))
+			stop()
+		}
+	}()
+	if err := server.Run(ctx); err != nil {
+		log.Error("stopped-with-error", logs.Failure(err)...)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/document/patch.go
+++ b/document/patch.go
@@ -55,6 +55,9 @@
 // Apply returns the document that p leads to. It fails with ErrWrongBase or
 // ErrWrongHash and then changes nothing.
 func (p Patch) Apply(old *Document) (*Document, error) {
+	if p.From == 0 {
+		old = &Document{} // it carries the whole
+	}
 	if p.From != old.Revision || p.FromHash != old.Hash() {
 		return nil, ErrWrongBase
 	}
--- a/engine/call.go
+++ b/engine/call.go
@@ -26,6 +26,8 @@
 	Body    []byte
 	// ContentType of the body. Empty means JSON.
 	ContentType string
+	// AnyStatus takes an answer of any status for the upstream's own answer.
+	AnyStatus bool
 	// Permit is asked immediately before the first byte of the body is given
 	// out, and again after the last. An error stops the call. Nil permits.
 	Permit func() error
@@ -203,6 +205,9 @@
 	if got := resp.Header.Get(HeaderRequest); got != "" && got != string(call.RequestID) {
 		return fail(contract.Unknown, ErrCrossed)
 	}
+	if call.AnyStatus {
+		return nil
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -18,6 +18,7 @@
 // Plain sends a call to a plain service and returns its whole answer. A
 // service need not give the request id back; when it does, it has to fit.
 func (c *Client) Plain(ctx context.Context, call Call, method, path string) (*PlainAnswer, error) {
+	call.AnyStatus = true
 	x, failed := c.send(ctx, call, method, path)
 	if failed != nil {
 		return nil, failed
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -19,6 +19,8 @@
 	ID string
 	// Data is the event's data. It is valid until the next call of Next.
 	Data []byte
+	// Chunk is the data as it was read and checked.
+	Chunk Chunk
 	// End is true for the event that ends a whole stream.
 	End bool
 }
@@ -75,7 +77,7 @@
 		e.End = true
 		return e, nil
 	}
-	if err := s.check(e.Data); err != nil {
+	if err := s.check(e.Data, &e.Chunk); err != nil {
 		return Event{}, s.fail(err)
 	}
 	return e, nil
@@ -136,9 +138,8 @@
 }
 
 // check reads a chunk and compares it with the call and with the first chunk.
-func (s *Stream) check(data []byte) error {
-	var c Chunk
-	if err := json.Unmarshal(data, &c); err != nil {
+func (s *Stream) check(data []byte, c *Chunk) error {
+	if err := json.Unmarshal(data, c); err != nil {
 		return errors.Join(ErrMalformed, err)
 	}
 	if c.Model != string(s.call.Version) {
--- /dev/null
+++ b/entry/bills.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/bill"
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/engine"
+	"woaddoor/link"
+	"woaddoor/logs"
+	"woaddoor/protocol"
+	"woaddoor/vm"
+)
+
+// Timings of bills.
+const (
+	keepTimeout = 400 * time.Millisecond
+	fileEvery   = 250 * time.Millisecond
+	fileTimeout = 4 * time.Second
+	fileLimit   = 2000
+	// keptRecently is how long a kept record shows that the next can be kept.
+	keptRecently = 3 * time.Second
+	billRetry    = 2 * time.Second
+)
+
+// billable refuses a request before it runs when its bill could not be kept.
+// It goes by what was kept lately, and by a probe when that is long ago.
+func (s *Server) billable(w *config.Workspace) *contract.Refusal {
+	full, recent := false, false
+	s.locked(func() {
+		full = s.bills.Full()
+		recent = s.clock.Now().Sub(s.lastKept) < keptRecently
+	})
+	if full {
+		f := refusal(contract.RefusedBill, contract.NotRun, contract.StepBill, bill.ErrFull.Error())
+		return refusalAfter{f}.in(billRetry)
+	}
+	if recent || w.Bill == config.BillServe {
+		return nil
+	}
+	if err := s.copyOut(context.Background(), protocol.Records{}); err != nil {
+		f := refusal(contract.RefusedBill, contract.NotRun, contract.StepBill, "neither a peer nor the platform takes bill records, and the workspace is not served unbilled")
+		return refusalAfter{f}.in(billRetry)
+	}
+	return nil
+}
+
+// bill keeps the record of an answer before its end goes out: here, and at a
+// peer or with the platform. It refuses only when the workspace is not to be
+// served at the risk that this VM dies with the only record.
+func (s *Server) bill(ctx context.Context, j *job, u engine.Usage) *contract.Refusal {
+	return s.billRecord(ctx, j.chat.request, s.recordOf(j, u))
+}
+
+func (s *Server) billRecord(ctx context.Context, req *request, r bill.Record) *contract.Refusal {
+	var err error
+	s.locked(func() { err = s.bills.Keep(r, s.clock.Now()) })
+	if err == nil {
+		err = s.copyOut(ctx, protocol.Records{Records: []bill.Record{r}})
+	}
+	if err == nil {
+		s.locked(func() { s.bills.Copied(r) })
+		return nil
+	}
+	s.log.Warn("bill-at-risk", append(logs.Failure(err), zap.String("request", string(r.ID)), zap.Int64("amount", int64(r.Amount)))...)
+	if req.workspace.Bill == config.BillServe {
+		return nil
+	}
+	f := refusal(contract.RefusedBill, contract.Ran, contract.StepBill, "the bill could be kept neither by a peer nor by the platform")
+	return refusalAfter{f}.in(billRetry)
+}
+
+// copyOut has one peer hold the records, or the platform.
+func (s *Server) copyOut(ctx context.Context, records protocol.Records) error {
+	var err error = contract.Fail(contract.StepBill, "", bill.ErrFull)
+	for _, m := range s.keepers() {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
+		_, err = link.Call[protocol.Records, protocol.Done](call, s.endpoint, m.EntryLink, link.KindKeep, records)
+		cancel()
+		if err == nil {
+			s.kept()
+			return nil
+		}
+	}
+	if fileErr := s.file(context.WithoutCancel(ctx), records); fileErr != nil {
+		return fileErr
+	}
+	return nil
+}
+
+func (s *Server) kept() { s.locked(func() { s.lastKept = s.clock.Now() }) }
+
+// maxKeepers is how many peers are asked to hold a record before the platform
+// is.
+const maxKeepers = 2
+
+// keepers returns the peers to hold copies, those of other data centres first:
+// a whole data centre can be lost.
+func (s *Server) keepers() []vm.Member {
+	var far, near []vm.Member
+	for _, m := range s.view.Load().members {
+		if m.VM == s.origin.VM || m.EntryIncarnation == 0 || m.Leaving {
+			continue
+		}
+		if m.DataCentre == s.opts.Settings.DataCentre {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	s.locked(func() {
+		s.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	})
+	all := append(far, near...)
+	return all[:min(len(all), maxKeepers)]
+}
+
+// fileLoop has the records held here filed.
+func (s *Server) fileLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, fileEvery)
+		s.fileDue(ctx)
+	}
+}
+
+func (s *Server) fileDue(ctx context.Context) {
+	var due []bill.Record
+	s.locked(func() { due = s.bills.Due(s.clock.Now(), fileLimit) })
+	if len(due) == 0 {
+		return
+	}
+	records := protocol.Records{Records: due}
+	if err := s.file(ctx, records); err != nil {
+		s.log.Warn("filing-failed", logs.Failure(err)...)
+		return
+	}
+	s.locked(func() { s.bills.Filed(due) })
+	s.tellFiled(ctx, records)
+}
+
+// file has a control process write the records to the platform: the own one,
+// or, when it is dead or cut off, a peer's.
+func (s *Server) file(ctx context.Context, records protocol.Records) error {
+	var err error
+	for i, address := range s.sources() {
+		if i > maxKeepers {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, fileTimeout)
+		_, err = link.Call[protocol.Records, protocol.Done](call, s.endpoint, address, link.KindFile, records)
+		cancel()
+		if err == nil {
+			s.kept()
+			return nil
+		}
+	}
+	return err
+}
+
+// tellFiled lets the peers drop their copies. A lost word makes a peer file
+// the record again, which the union of records makes harmless.
+func (s *Server) tellFiled(ctx context.Context, records protocol.Records) {
+	for _, m := range s.view.Load().members {
+		if m.VM == s.origin.VM || m.EntryIncarnation == 0 {
+			continue
+		}
+		go func() {
+			call, cancel := context.WithTimeout(ctx, keepTimeout)
+			defer cancel()
+			_, _ = link.Call[protocol.Records, protocol.Done](call, s.endpoint, m.EntryLink, link.KindFiled, records)
+		}()
+	}
+}
+
+// settleBills sees the held records filed before a planned stop ends.
+func (s *Server) settleBills(ctx context.Context) {
+	for ctx.Err() == nil {
+		own := 0
+		s.locked(func() { own = len(s.bills.Due(s.clock.Now(), fileLimit)) })
+		if own == 0 {
+			return
+		}
+		s.fileDue(ctx)
+		pause(ctx, fileEvery)
+	}
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/document"
+	"woaddoor/link"
+	"woaddoor/logs"
+	"woaddoor/permit"
+	"woaddoor/protocol"
+	"woaddoor/vm"
+)
+
+// view is what this process knows of the world. It is not changed once stored.
+type view struct {
+	know     permit.Knowledge
+	revision contract.Revision
+	members  []vm.Member
+	// replica is used by the pull loop alone.
+	replica *document.Replica
+}
+
+func emptyView() *view {
+	return &view{know: permit.Knowledge{Config: &config.Config{}}, replica: document.NewReplica()}
+}
+
+// Timings of the pull.
+const (
+	pullWait  = 500 * time.Millisecond
+	pullPause = 100 * time.Millisecond
+	// pullTimeout bounds one pull, so that a frozen control process is passed
+	// over for a peer's within the time that a change has to be in force.
+	pullTimeout = pullWait + 500*time.Millisecond
+)
+
+// pullLoop keeps the view fresh. It asks its own control process first, then
+// those of its peers: a dead, frozen or cut-off one is passed over.
+func (s *Server) pullLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !s.pullOnce(ctx) {
+			pause(ctx, pullPause)
+		}
+	}
+}
+
+// staleAfter is the age of knowledge from which other sources are asked too.
+const staleAfter = 2 * time.Second
+
+func (s *Server) pullOnce(ctx context.Context) bool {
+	for _, address := range s.sources() {
+		fresh, err := s.pullFrom(ctx, address)
+		if err != nil {
+			s.metrics.pullFailures.Inc(1)
+			s.log.Warn("pull-failed", logs.Failure(err)...)
+			continue
+		}
+		if fresh {
+			return true
+		}
+	}
+	return false
+}
+
+// sources returns the control processes to ask, the own one first.
+func (s *Server) sources() []string {
+	own := s.opts.Settings.Control.Link
+	addresses := []string{own}
+	for _, m := range s.view.Load().members {
+		if m.VM != s.opts.Settings.VM {
+			addresses = append(addresses, m.ControlLink)
+		}
+	}
+	if len(addresses) > 1 {
+		return addresses
+	}
+	for _, p := range s.opts.Settings.Peers {
+		addresses = append(addresses, p.ControlLink)
+	}
+	return addresses
+}
+
+// pullFrom asks one control process, and tells whether what is now known is
+// fresh enough not to ask another.
+func (s *Server) pullFrom(ctx context.Context, address string) (bool, error) {
+	v := s.view.Load()
+	held := v.replica.Held()
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	asked := s.clock.Now()
+	req := protocol.PullRequest{Have: held.Revision, Hash: held.Hash(), Wait: pullWait}
+	if address == s.opts.Settings.Control.Link {
+		req.Entry = s.state()
+	}
+	got, err := link.Call[protocol.PullRequest, protocol.PullAnswer](ctx, s.endpoint, address, link.KindPull, req)
+	if err != nil {
+		return false, err
+	}
+	if err := s.learn(v, got, asked); err != nil {
+		return false, contract.Fail(contract.StepPull, address, err)
+	}
+	return s.view.Load().replica.Age(s.clock.Now()) < staleAfter, nil
+}
+
+// state is what this process tells its control process.
+func (s *Server) state() *protocol.EntryState {
+	st := &protocol.EntryState{
+		Incarnation: s.incarnation, Link: s.opts.Settings.Entry.Advertise,
+		Revision: s.view.Load().revision, Leaving: s.stopping.Load(),
+	}
+	s.locked(func() {
+		st.Evidence = s.monitor.Evidence()
+		for v := range s.monitor.Halted() {
+			st.Halts = append(st.Halts, v)
+		}
+	})
+	return st
+}
+
+var errBadDocument = errors.New("configuration does not pass its check")
+
+// learn takes in an answer and stores the view that follows from it.
+func (s *Server) learn(v *view, got protocol.PullAnswer, asked time.Time) error {
+	d := v.replica.Held()
+	if got.Patch != nil && got.Patch.To > d.Revision {
+		next, err := got.Patch.Apply(d)
+		if err != nil {
+			return err
+		}
+		d = next
+	}
+	behind := got.Patch != nil && got.Patch.To < d.Revision
+	if got.Known && !behind {
+		v.replica.Learn(d, asked.Add(-got.Age))
+	}
+	next := &view{replica: v.replica, revision: v.replica.Held().Revision, members: got.Members, know: v.know}
+	if next.revision != v.revision {
+		c, err := config.FromDocument(v.replica.Held())
+		if err != nil {
+			s.log.Error("configuration-unusable", logs.Failure(err)...)
+			return errors.Join(errBadDocument, err)
+		}
+		next.know.Config = c
+		s.log.Info("configuration-in-force", zap.Uint64("revision", uint64(next.revision)))
+	}
+	next.know.FreshAt = v.replica.FreshAt()
+	s.locked(func() {
+		for _, halted := range got.Halts {
+			s.monitor.Halt(halted)
+		}
+		next.know.Halted = s.monitor.Halted()
+		s.configure(next, next.revision != v.revision)
+		leaving := make(map[contract.UpstreamID]bool, len(got.Leaving))
+		for _, id := range got.Leaving {
+			leaving[id] = true
+		}
+		s.upstreams.Unlisted(leaving)
+		// Stored under mu, as haltHere does: a halt in between is not lost.
+		s.view.Store(next)
+	})
+	return nil
+}
+
+// configure hands a new configuration to the decision state, under mu.
+func (s *Server) configure(v *view, changed bool) {
+	if !changed {
+		return
+	}
+	c := v.know.Config
+	s.upstreams.Configure(c.Pools)
+	s.monitor.Forget(c.Progress)
+	total := 0
+	for _, w := range c.Workspaces {
+		total += max(w.Share, 1)
+	}
+	s.engines.SetTotalShare(total)
+	s.services.SetTotalShare(total)
+	s.engines.SetCapacity(s.capacity(c, config.EnginePool, v.members))
+	s.services.SetCapacity(s.capacity(c, config.ServicePool, v.members))
+}
+
+// headroom is how much more than the upstreams' places this VM admits: their
+// own queues keep them busy, and other VMs may be idle.
+const headroom = 1.5
+
+// capacity returns this VM's part of the places of its data centre's pools.
+func (s *Server) capacity(c *config.Config, kind config.PoolKind, members []vm.Member) int {
+	places := 0
+	for _, p := range c.Pools {
+		if p.Kind == kind && p.DataCentre == s.opts.Settings.DataCentre {
+			places += p.Slots * len(p.Upstreams)
+		}
+	}
+	if places == 0 { // served by other data centres: take part of them
+		for _, p := range c.Pools {
+			if p.Kind == kind {
+				places += p.Slots * len(p.Upstreams)
+			}
+		}
+	}
+	vms := 0
+	for _, m := range members {
+		if m.DataCentre == s.opts.Settings.DataCentre {
+			vms++
+		}
+	}
+	part := headroom * float64(places) / float64(max(vms, 1))
+	return min(max(int(part), 1), s.opts.Settings.Entry.MaxInFlight)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/fleet/caller.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Reply is an answer to a caller, whole.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+// Call sends a caller's request to a VM, with headers given as key, value.
+func (vm *VM) Call(ctx context.Context, key, method, path, body string, headers ...string) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, vm.Callers+path, bytes.NewBufferString(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: string(text)}, err
+}
+
+// Chat sends a chat request of one message.
+func (vm *VM) Chat(ctx context.Context, key, model, text string, headers ...string) (Reply, error) {
+	return vm.Call(ctx, key, http.MethodPost, "/v1/chat/completions", ChatBody(model, text, 8, false), headers...)
+}
+
+// ChatBody returns the body of a chat request.
+func ChatBody(model, text string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":%v}`, model, text, tokens, stream)
+}
+
+// pollEvery is how often Until looks.
+const pollEvery = 50 * time.Millisecond
+
+// Until waits until holds returns true, or ctx ends. Its verdict is that of
+// holds, not of the time it took.
+func Until(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Serving waits until every VM answers a chat.
+func (f *Fleet) Serving(ctx context.Context, model string) error {
+	for _, vm := range f.VMs {
+		err := Until(ctx, func() bool {
+			r, err := vm.Chat(ctx, KeyNorte, model, "are you there")
+			return err == nil && r.Status == http.StatusOK
+		})
+		if err != nil {
+			return fmt.Errorf("%s does not serve: %w", vm.Name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trial/main.go
@@ -0,0 +1,165 @@
+// Command trial starts a small fleet of the real programs on loopback, with
+// stand-ins for what is outside, applies a configuration, sends a chat, a
+// stream and a plain call, and stays up until it is interrupted.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/datacentre"
+	"woaddoor/history"
+	"woaddoor/internal/fleet"
+	"woaddoor/internal/standin/engine"
+)
+
+const startTimeout = 30 * time.Second
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	dir, err := filepath.Abs("trial")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	f, err := fleet.Start(&fleet.Options{
+		Dir: dir, BinDir: "bin", DataCentres: []contract.DataCentreID{"avellaneda", "palermo", "tigre"}, VMs: 2, Engines: 2,
+		Engine: engine.Options{Versions: []contract.VersionID{"chat-small@1", "chat-small@2", "chat-large@1"}, PerToken: 5 * time.Millisecond},
+	})
+	defer f.Stop()
+	if err != nil {
+		return err
+	}
+	if err := begin(ctx, dir, f); err != nil {
+		return err
+	}
+	hints(dir, f)
+	<-ctx.Done()
+	fmt.Println("stopping")
+	stopAll(f)
+	return nil
+}
+
+// begin applies the configuration and sends the first requests.
+func begin(ctx context.Context, dir string, f *fleet.Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	file := filepath.Join(dir, "site.ini")
+	text := f.Config("")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	op := f.Operator()
+	root, err := op.Apply(ctx, file, []byte(text), -1, history.Author{Who: "trial", Why: "first configuration", At: time.Now()})
+	if err != nil {
+		return err
+	}
+	if _, err := op.Wait(ctx, root, func(w datacentre.Force) {
+		fmt.Printf("revision %d: in force on %d VMs, pending on %d\n", w.Revision, len(w.InForce), len(w.Pending))
+	}); err != nil {
+		return err
+	}
+	if err := f.Serving(ctx, "chat-small"); err != nil {
+		return err
+	}
+	return requests(ctx, f)
+}
+
+// sent is the number of requests that requests sends, besides one a VM to see
+// that it serves.
+const sent = 3
+
+func requests(ctx context.Context, f *fleet.Fleet) error {
+	show := func(what string, r fleet.Reply) {
+		fmt.Printf("\n%s: status %d on VM %s, upstream %s, version %s\n%.300s\n", what, r.Status,
+			r.Header.Get("Woaddoor-Vm"), r.Header.Get("Woaddoor-Upstream"), r.Header.Get("Woaddoor-Version"), r.Body)
+	}
+	chat, err := f.VMs[0].Chat(ctx, fleet.KeyNorte, "chat-small", "milk is out, what else?", "Woaddoor-Session", "new")
+	if err != nil {
+		return err
+	}
+	show("chat", chat)
+	stream, err := f.VMs[2].Call(ctx, fleet.KeyMbio, http.MethodPost, "/v1/chat/completions", fleet.ChatBody("chat-large", "review this run", 4, true))
+	if err != nil {
+		return err
+	}
+	show("stream", stream)
+	plain, err := f.VMs[4].Call(ctx, fleet.KeyMbio, http.MethodGet, "/services/boards/scores", "")
+	if err != nil {
+		return err
+	}
+	show("plain call", plain)
+	return bills(ctx, f)
+}
+
+// bills shows the bills and the audit trail, once they are filed.
+func bills(ctx context.Context, f *fleet.Fleet) error {
+	op := f.Operator()
+	if err := fleet.Until(ctx, func() bool {
+		sums, err := op.Bills(ctx)
+		filed := 0
+		for _, b := range sums {
+			filed += b.Requests
+		}
+		return err == nil && filed == len(f.VMs)+sent
+	}); err != nil {
+		return err
+	}
+	sums, err := op.Bills(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Println()
+	for _, s := range sums {
+		fmt.Printf("bill of %s: %d requests, %d millionths\n", s.Workspace, s.Requests, s.Amount)
+	}
+	changes, err := op.History(ctx, 5)
+	if err != nil {
+		return err
+	}
+	for _, c := range changes {
+		fmt.Printf("audit: revision %d by %s: %s (%d sections)\n", c.ToRevision, c.Who, c.Why, len(c.Sections))
+	}
+	return nil
+}
+
+func hints(dir string, f *fleet.Fleet) {
+	fmt.Printf("\nThe fleet is up. Try:\n")
+	fmt.Printf("  export WOADDOOR_PLATFORM=%s\n", f.OperatorURL)
+	fmt.Printf("  bin/woaddoor status; bin/woaddoor history; bin/woaddoor bill; bin/woaddoor show\n")
+	fmt.Printf("  curl -s %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '%s'\n", f.VMs[1].Callers, fleet.KeyNorte, fleet.ChatBody("chat-small", "hello", 8, false))
+	fmt.Printf("  bin/woaddoor withdraw chat-small@1 --why trial\n")
+	fmt.Printf("  kill -9 %d   # the control process of %s; requests still are served\n", f.VMs[1].Control.PID(), f.VMs[1].Name)
+	fmt.Printf("Logs and settings are in %s. Interrupt once to stop.\n", dir)
+}
+
+// stopAll asks every process for a planned stop and waits for its end.
+func stopAll(f *fleet.Fleet) {
+	for _, vm := range f.VMs {
+		vm.Entry.Terminate()
+	}
+	for _, vm := range f.VMs {
+		<-vm.Entry.Done()
+		vm.Control.Terminate()
+	}
+	for _, vm := range f.VMs {
+		<-vm.Control.Done()
+	}
+}
--- /dev/null
+++ b/operator/bills.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"woaddoor/bill"
+	"woaddoor/contract"
+	"woaddoor/document"
+	"woaddoor/history"
+)
+
+// Bills returns what each workspace owes by the records filed so far. Records
+// that are filed more than once count once.
+func (o *Operator) Bills(ctx context.Context) ([]bill.Sum, error) {
+	var records []bill.Record
+	after := ""
+	for {
+		names, err := o.Store.List(ctx, bill.Prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		if len(names) == 0 {
+			return bill.Sums(records), nil
+		}
+		for _, name := range names {
+			obj, err := o.Store.Read(ctx, name)
+			if err != nil {
+				return nil, err
+			}
+			var b bill.Batch
+			if err := json.Unmarshal(obj.Value, &b); err != nil {
+				return nil, contract.Fail(contract.StepFile, name, err)
+			}
+			records = append(records, b.Records...)
+		}
+		after = names[len(names)-1]
+	}
+}
+
+// History returns the newest n audit records, the newest first.
+func (o *Operator) History(ctx context.Context, n int) ([]document.Change, error) {
+	var changes []document.Change
+	err := history.Walk(ctx, o.Store, func(c document.Change) bool {
+		changes = append(changes, c)
+		return len(changes) < n
+	})
+	return changes, err
+}
+
+func sortedLines(lines []string) []string {
+	slices.Sort(lines)
+	return lines
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,8 @@
 	Health string
 	// Link is the UDP address for other processes of the system.
 	Link string
+	// Advertise is the address that others are told. Empty means Link.
+	Advertise string
 	// MaxBody bounds a caller's body. Zero means 1 MiB.
 	MaxBody contract.Bytes
 	// MaxInFlight bounds the requests worked on at once. Zero means 4096.
@@ -56,6 +58,8 @@
 type Control struct {
 	Health string
 	Link   string
+	// Advertise is the link address that others are told. Empty means Link.
+	Advertise string
 	// Watchers is how many VMs of a data centre watch the platform. Zero: 2.
 	Watchers int
 	// WatchWait is how long one watch is held open. Zero means 1 s.
@@ -152,6 +156,7 @@
 func readEntry(s *Settings, r *config.Reader) {
 	s.Entry = Entry{
 		Callers: address(r, "callers"), Health: address(r, "health"), Link: address(r, "link"),
+		Advertise:   r.Text("advertise", r.Text("link", "")),
 		MaxBody:     contract.Bytes(r.Int("max-body-bytes", defaultMaxBody, 1, most)),
 		MaxInFlight: r.Int("max-in-flight", defaultMaxInFlight, 1, most),
 		MaxQueue:    r.Int("max-queue", defaultMaxQueue, 0, most),
@@ -165,6 +170,7 @@
 func readControl(s *Settings, r *config.Reader) {
 	s.Control = Control{
 		Health: address(r, "health"), Link: address(r, "link"),
+		Advertise: r.Text("advertise", r.Text("link", "")),
 		Watchers:  r.Int("watchers", defaultWatchers, 1, 100),
 		WatchWait: r.Duration("watch-wait", defaultWatchWait),
 		FileEvery: r.Duration("file-every", defaultFileEvery),
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -209,17 +209,13 @@
 	return ""
 }
 
-// All returns the upstreams of the pools in a data centre.
-func (t *Table) All(dc contract.DataCentreID) []config.Upstream {
-	var all []config.Upstream
-	for _, states := range t.pools {
-		for _, s := range states {
-			if s.pool.DataCentre == dc {
-				all = append(all, s.upstream)
-			}
-		}
+// Every returns all upstreams.
+func (t *Table) Every() []config.Upstream {
+	every := make([]config.Upstream, 0, len(t.states))
+	for _, s := range t.states {
+		every = append(every, s.upstream)
 	}
-	return all
+	return every
 }
 
 // usable tells whether an upstream may get new work.
