--- a/entry/health.go
+++ b/entry/health.go
@@ -20,10 +20,13 @@
 	return r
 }
 
-// serveReady answers 200 when requests are taken: a configuration is held and
-// no stop is under way. What a request needs besides is said to its caller.
+// serveReady answers 200 when requests are taken: a configuration is held, an
+// upstream has answered, and no stop is under way. What a request needs
+// besides is said to its caller.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.view.Load().revision == 0 {
+	heard := false
+	s.locked(func() { heard = s.upstreams.Heard() })
+	if s.stopping.Load() || s.view.Load().revision == 0 || !heard {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -36,11 +39,15 @@
 	Revision    uint64        `json:"revision"`
 	Age         time.Duration `json:"age_nanoseconds"`
 	Members     int           `json:"members"`
-	Waiting     int           `json:"waiting"`
-	BillsHeld   int           `json:"bills_held"`
-	BillsAtRisk int           `json:"bills_at_risk"`
-	Tickets     int           `json:"tickets"`
-	Stopping    bool          `json:"stopping"`
+	// Arbiters is how many entry processes a ticket issued now would name;
+	// Keepers how many may hold copies of bill records.
+	Arbiters    int  `json:"arbiters"`
+	Keepers     int  `json:"keepers"`
+	Waiting     int  `json:"waiting"`
+	BillsHeld   int  `json:"bills_held"`
+	BillsAtRisk int  `json:"bills_at_risk"`
+	Tickets     int  `json:"tickets"`
+	Stopping    bool `json:"stopping"`
 }
 
 func (s *Server) status() status {
@@ -53,6 +60,7 @@
 	if v.know.FreshAt.IsZero() {
 		st.Age = -1 // never known
 	}
+	st.Arbiters, st.Keepers = len(s.arbiters()), len(s.keepers())
 	s.locked(func() {
 		st.Waiting = s.engines.Waiting() + s.services.Waiting()
 		st.BillsHeld, st.BillsAtRisk = s.bills.Len(), s.bills.AtRisk()
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -23,7 +23,11 @@
 		for _, u := range all {
 			go s.report(ctx, u)
 		}
-		pause(ctx, reportEvery)
+		select {
+		case <-s.reconfigured: // new upstreams are asked at once
+		case <-time.After(reportEvery):
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -67,8 +67,9 @@
 	// view is what the last pull brought; it is replaced whole.
 	view     atomic.Pointer[view]
 	stopping atomic.Bool
-	inFlight sync.WaitGroup
 	requests atomic.Uint64
+	// reconfigured wakes the report loop when there may be new upstreams.
+	reconfigured chan struct{}
 
 	// mu guards the decision state below. It is held for one decision at a
 	// time and never across I/O, so no order of locks has to be kept.
@@ -106,8 +107,8 @@
 		streams: newStreamKeeper(opts.Keys.Signing), ratings: rating.NewClient(), metrics: newMeasures(metrics.NewRegistry()),
 		random:    rand.New(rand.NewPCG(seed, uint64(len(opts.Settings.VM)))),
 		upstreams: upstream.NewTable(upstream.Options{}),
-		waiters:   make(map[workspace.ID]chan bool),
-		budget:    retry.NewBudget(retry.Options{}),
+		waiters:   make(map[workspace.ID]chan bool), reconfigured: make(chan struct{}, 1),
+		budget: retry.NewBudget(retry.Options{}),
 	}
 	s.origin = bill.Origin{VM: opts.Settings.VM, Incarnation: s.incarnation}
 	s.arbiter = ticket.Arbiter{VM: opts.Settings.VM, Incarnation: s.incarnation, Link: opts.Settings.Entry.Advertise}
--- a/entry/streaming.go
+++ b/entry/streaming.go
@@ -278,6 +278,7 @@
 // begin sends the head: the session, and the token to take up the stream.
 func (r *relay) begin(now time.Time) error {
 	s, j := r.server, r.job
+	j.tried, j.outcome = true, contract.Ran // whatever fails from here on
 	if refused := s.giveSession(r.w, j); refused != nil {
 		return refused
 	}
@@ -340,6 +341,9 @@
 	Error problem `json:"error"`
 }
 
+// resumeBody goes with a request to resume, which the headers describe whole.
+var resumeBody = []byte("{}")
+
 // takeUp goes on with a stream that the caller has lost, from the place it
 // names, whichever VM it was on.
 func (s *Server) takeUp(ctx context.Context, w http.ResponseWriter, req *request) *contract.Refusal {
@@ -358,7 +362,9 @@
 	c.repeatable = false
 	c.session = ""
 	c.billAs = token.Bill
-	j := &job{chat: c, version: token.Version, upstream: token.Upstream, outcome: contract.Unknown}
+	// The token was given with the first event, so the request ran: no later
+	// failure makes that "not run".
+	j := &job{chat: c, version: token.Version, upstream: token.Upstream, body: resumeBody, tried: true, outcome: contract.Ran}
 	r := &relay{server: s, job: j, w: w, flush: w.(http.Flusher).Flush, lastID: req.lastEvent}
 	return r.run(ctx, req.lastEvent)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -180,6 +180,10 @@
 	}
 	s.engines.SetTotalShare(total)
 	s.services.SetTotalShare(total)
+	select {
+	case s.reconfigured <- struct{}{}:
+	default:
+	}
 	s.engines.SetCapacity(s.capacity(c, config.EnginePool, v.members))
 	s.services.SetCapacity(s.capacity(c, config.ServicePool, v.members))
 }
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"woaddoor/contract"
+	"woaddoor/ticket"
 )
 
 // Reply is an answer to a caller, whole.
@@ -61,6 +65,48 @@
 	return nil
 }
 
+// Acquainted waits until every VM knows the entry processes of its peers, so
+// that tickets have their arbiters and bill records their keepers.
+func (f *Fleet) Acquainted(ctx context.Context) error {
+	for _, vm := range f.VMs {
+		err := Until(ctx, func() bool {
+			st, err := vm.Status(ctx)
+			return err == nil && st.Arbiters == min(f.opts.VMs, ticket.MaxArbiters) && st.Keepers == min(len(f.VMs)-1, maxKeepers)
+		})
+		if err != nil {
+			return fmt.Errorf("%s does not know its peers: %w", vm.Name, err)
+		}
+	}
+	return nil
+}
+
+// maxKeepers is how many peers an entry process asks to keep a record.
+const maxKeepers = 2
+
+// Status is what an entry process's status page shows, as far as tests read it.
+type Status struct {
+	Revision    contract.Revision `json:"revision"`
+	Arbiters    int               `json:"arbiters"`
+	Keepers     int               `json:"keepers"`
+	BillsHeld   int               `json:"bills_held"`
+	BillsAtRisk int               `json:"bills_at_risk"`
+}
+
+// Status reads the status page of the VM's entry process.
+func (vm *VM) Status(ctx context.Context) (Status, error) {
+	var st Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, vm.Health+"/status", nil)
+	if err != nil {
+		return st, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	return st, json.NewDecoder(resp.Body).Decode(&st)
+}
+
 // Serving waits until every VM answers a chat.
 func (f *Fleet) Serving(ctx context.Context, model string) error {
 	for _, vm := range f.VMs {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/contract"
+	"woaddoor/history"
+	"woaddoor/internal/standin/engine"
+)
+
+// binDir holds the programs under test.
+var binDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "woaddoor")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if err := Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binDir = dir
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// patience bounds how long a test waits for something to come true. It is far
+// more than is needed, so that a busy machine changes no verdict.
+const patience = 60 * time.Second
+
+// start starts a fleet, applies its configuration and waits until it serves.
+func start(t *testing.T, dcs, vms int, perToken time.Duration) (*Fleet, context.Context) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*patience)
+	t.Cleanup(cancel)
+	opts := &Options{
+		Dir: t.TempDir(), BinDir: binDir, VMs: vms, Engines: 2,
+		Engine: engine.Options{Versions: []contract.VersionID{"chat-small@1", "chat-small@2", "chat-large@1"}, PerToken: perToken},
+	}
+	for i := range dcs {
+		opts.DataCentres = append(opts.DataCentres, contract.DataCentreID(fmt.Sprintf("dc%d", i+1)))
+	}
+	f, err := Start(opts)
+	t.Cleanup(func() {
+		f.Stop()
+		if t.Failed() {
+			f.dump(t)
+		}
+	})
+	is.NoErr(err)
+	f.apply(ctx, t, f.Config(""))
+	is.NoErr(f.Acquainted(ctx))
+	is.NoErr(f.Serving(ctx, "chat-small"))
+	return f, ctx
+}
+
+// apply makes a text the configuration, from whatever is accepted now.
+func (f *Fleet) apply(ctx context.Context, t *testing.T, text string) {
+	t.Helper()
+	is := is.New(t)
+	base, err := history.Load(ctx, f.Operator().Store)
+	is.NoErr(err)
+	_, err = f.Operator().Apply(ctx, "site.ini", []byte(text), int64(base.Root.Revision), history.Author{Who: "test", Why: "test", At: time.Now()})
+	is.NoErr(err)
+}
+
+// dump shows the ends of all logs of a failed test.
+func (f *Fleet) dump(t *testing.T) {
+	const tail = 3000
+	for _, vm := range f.VMs {
+		for _, program := range []string{"woaddoor-entry", "woaddoor-control"} {
+			raw, err := os.ReadFile(f.LogFile(program, vm))
+			if err == nil {
+				t.Logf("%s of %s:\n%s", program, vm.Name, raw[max(0, len(raw)-tail):])
+			}
+		}
+	}
+}
+
+// until fails the test when holds does not come true in time.
+func until(ctx context.Context, t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if err := Until(ctx, holds); err != nil {
+		t.Fatalf("never came true: %s", what)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -75,6 +75,7 @@
 	events   []engine.CacheEvent
 	streams  map[string]*generation
 	runs     map[contract.RequestID]int
+	runsOf   map[contract.VersionID]int
 	hits     int
 	history  []sample
 }
@@ -96,7 +97,7 @@
 	e := &Engine{
 		opts: opts, incarnation: contract.NewIncarnation(time.Now()),
 		held: make(map[contract.VersionID]bool), streams: make(map[string]*generation),
-		runs: make(map[contract.RequestID]int),
+		runs: make(map[contract.RequestID]int), runsOf: make(map[contract.VersionID]int),
 	}
 	for _, v := range opts.Versions {
 		e.held[v] = true
@@ -136,6 +137,20 @@
 	return n
 }
 
+// Forget drops every generation, so that no stream can be resumed.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.streams)
+}
+
+// RunsOf returns how many runs there were on a version.
+func (e *Engine) RunsOf(v contract.VersionID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runsOf[v]
+}
+
 // PrefixHits returns how many requests found their prefix cached.
 func (e *Engine) PrefixHits() int {
 	e.mu.Lock()
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -40,6 +40,7 @@
 	defer e.mu.Unlock()
 	e.streams[id] = g
 	e.runs[contract.RequestID(id)]++
+	e.runsOf[contract.VersionID(version)]++
 	return g
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -218,6 +218,16 @@
 	return every
 }
 
+// Heard tells whether any upstream has ever answered.
+func (t *Table) Heard() bool {
+	for _, s := range t.states {
+		if !s.heardAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // usable tells whether an upstream may get new work.
 //
 // The platform's list may lag, and the platform may be out, so silence alone
