--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each needs Go alone.
-.PHONY: build run test check bench plots
+.PHONY: build run test check race fuzz examples bench plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,3 +14,26 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 	go tool staticcheck ./...
+
+# The packages with goroutines of their own.
+race:
+	go test -race ./clock ./link ./engine ./entry ./control ./history ./operator ./internal/standin/...
+
+# A fixed number of inputs on top of the committed corpus.
+fuzz:
+	go test ./session -run '^$$' -fuzz FuzzOpen -fuzztime 20000x
+	go test ./engine -run '^$$' -fuzz FuzzStream -fuzztime 2000x
+	go test ./link -run '^$$' -fuzz FuzzDecode -fuzztime 20000x
+	go test ./config -run '^$$' -fuzz FuzzParse -fuzztime 20000x
+
+examples: build
+	bin/woaddoor check examples/consorcio.ini
+	bin/woaddoor check examples/kasuku.ini
+
+# Prints every figure of docs/MEASURES.md and docs/CAPACITY.md.
+bench:
+	go test ./measure -run '^$$' -bench . -benchtime 1x
+	go test ./internal/bench -run '^$$' -bench . -benchtime 1x -timeout 30m
+
+plots:
+	go run ./internal/plots docs/plots
