--- /dev/null
+++ b/internal/measure/cascades.go
@@ -0,0 +1,3 @@
+package main
+
+func cascades(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/choice.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/engine"
+	"woaddoor/internal/measure/model"
+	"woaddoor/upstream"
+)
+
+// Sizes of the choice measurement: those of the Consorcio.
+const (
+	engines      = 20
+	vms          = 7
+	slots        = 8
+	perToken     = 20 * time.Millisecond
+	prefillCold  = 300 * time.Millisecond
+	prefillWarm  = 30 * time.Millisecond
+	meanTokens   = 40
+	prefixKinds  = 400
+	prefixesHeld = 24
+	runFor       = 120 * time.Second
+	warmUp       = 20 * time.Second
+	reportEvery  = 500 * time.Millisecond
+	version      = contract.VersionID("m@1")
+)
+
+func engineOptions() model.EngineOptions {
+	return model.EngineOptions{Slots: slots, PerToken: perToken, Prefill: prefillCold, Cached: prefillWarm, Prefixes: prefixesHeld}
+}
+
+// coldService is the mean time of a request whose prefix is not cached; a load
+// of 100% is what the engines carry at that.
+const coldService = prefillCold + meanTokens*perToken
+
+// site is engines, and VMs that choose among them.
+type site struct {
+	clock   *model.Clock
+	random  *rand.Rand
+	engines []*model.Engine
+	vms     []chooser
+}
+
+// chooser is one VM's way to choose.
+type chooser interface {
+	pick(now time.Time, prefix uint64) int
+	sent(i int, prefix uint64)
+	done(i int, took time.Duration, failed bool, now time.Time)
+	report(i, running, waiting int, age time.Duration, now time.Time)
+}
+
+// ours chooses by upstream.Table.
+type ours struct {
+	table  *upstream.Table
+	random *rand.Rand
+	index  map[contract.UpstreamID]int
+}
+
+func newOurs(n int, random *rand.Rand) chooser {
+	p := &config.Pool{ID: "p", Kind: config.EnginePool, DataCentre: "d", Slots: slots}
+	o := &ours{table: upstream.NewTable(upstream.Options{}), random: random, index: make(map[contract.UpstreamID]int)}
+	for i := range n {
+		id := model.UpstreamName(i)
+		o.index[id] = i
+		p.Upstreams = append(p.Upstreams, config.Upstream{ID: id, URL: "http://" + string(id)})
+	}
+	o.table.Configure(map[contract.PoolID]*config.Pool{"p": p})
+	return o
+}
+
+func (o *ours) pick(now time.Time, prefix uint64) int {
+	id, err := o.table.Pick(upstream.Query{Kind: config.EnginePool, DataCentre: "d", Version: version, Prefix: prefix}, now, o.random)
+	if err != nil {
+		return -1
+	}
+	return o.index[id]
+}
+
+func (o *ours) sent(i int, prefix uint64) { o.table.Sent(model.UpstreamName(i), prefix) }
+
+func (o *ours) done(i int, took time.Duration, failed bool, now time.Time) {
+	result := upstream.Good
+	if failed {
+		result = upstream.Failed
+	}
+	o.table.Done(model.UpstreamName(i), result, took, now)
+}
+
+func (o *ours) report(i, running, waiting int, age time.Duration, now time.Time) {
+	o.table.Reported(model.UpstreamName(i), engine.Load{
+		Incarnation: 1, Running: running, Waiting: waiting, AgeMillis: age.Milliseconds(), Versions: []contract.VersionID{version},
+	}, now)
+}
+
+// roundRobin takes the engines in turn.
+type roundRobin struct{ n, next int }
+
+func (r *roundRobin) pick(time.Time, uint64) int {
+	r.next = (r.next + 1) % r.n
+	return r.next
+}
+func (*roundRobin) sent(int, uint64)                               {}
+func (*roundRobin) done(int, time.Duration, bool, time.Time)       {}
+func (*roundRobin) report(int, int, int, time.Duration, time.Time) {}
+
+// leastInFlight takes the engine with the fewest own requests.
+type leastInFlight struct {
+	flight []int
+	random *rand.Rand
+}
+
+func (l *leastInFlight) pick(time.Time, uint64) int {
+	best, start := -1, l.random.IntN(len(l.flight))
+	for k := range l.flight {
+		i := (start + k) % len(l.flight)
+		if best < 0 || l.flight[i] < l.flight[best] {
+			best = i
+		}
+	}
+	return best
+}
+func (l *leastInFlight) sent(i int, _ uint64)                             { l.flight[i]++ }
+func (l *leastInFlight) done(i int, _ time.Duration, _ bool, _ time.Time) { l.flight[i]-- }
+func (*leastInFlight) report(int, int, int, time.Duration, time.Time)     {}
+
+// leastReported takes the engine that last reported the shortest line.
+type leastReported struct{ line []int }
+
+func (l *leastReported) pick(time.Time, uint64) int {
+	best := 0
+	for i := range l.line {
+		if l.line[i] < l.line[best] {
+			best = i
+		}
+	}
+	return best
+}
+func (*leastReported) sent(int, uint64)                         {}
+func (*leastReported) done(int, time.Duration, bool, time.Time) {}
+func (l *leastReported) report(i, running, waiting int, _ time.Duration, _ time.Time) {
+	l.line[i] = running + waiting
+}
+
+// newSite returns a site of n engines and m VMs. slow makes the first engine
+// slower by that factor.
+func newSite(seed uint64, n, m, slow int, lag time.Duration, make func(n int, r *rand.Rand) chooser) *site {
+	s := &site{clock: model.NewClock(), random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range n {
+		opts := engineOptions()
+		if i == 0 {
+			opts.Speed = slow
+		}
+		s.engines = append(s.engines, model.NewEngine(s.clock, opts))
+	}
+	for i := range m {
+		s.vms = append(s.vms, make(n, rand.New(rand.NewPCG(seed, uint64(i)+2))))
+	}
+	s.reports(lag)
+	s.clock.Every(reportEvery, func() bool { s.reports(lag); return true })
+	return s
+}
+
+func (s *site) reports(lag time.Duration) {
+	for i, e := range s.engines {
+		running, waiting := e.Load(lag)
+		for _, vm := range s.vms {
+			vm.report(i, running, waiting, lag, s.clock.Now())
+		}
+	}
+}
+
+// one sends a request through a VM and calls done with its answer.
+func (s *site) one(vm chooser, done func(first, whole time.Duration, a model.Answer)) {
+	// A few prefixes are common, most are rare.
+	prefix := uint64(float64(prefixKinds)*s.random.Float64()*s.random.Float64()) + 1
+	w := model.Work{Prefix: prefix, Tokens: 1 + s.random.IntN(2*meanTokens-1)}
+	began := s.clock.Now()
+	i := vm.pick(began, prefix)
+	if i < 0 {
+		done(0, 0, model.Answer{Failed: true, Done: began})
+		return
+	}
+	vm.sent(i, prefix)
+	s.engines[i].Do(w, func(a model.Answer) {
+		now := s.clock.Now()
+		vm.done(i, now.Sub(began), a.Failed, now)
+		done(a.FirstToken.Sub(began), now.Sub(began), a)
+	})
+}
+
+// load offers requests at a rate and returns what came of those that began
+// after the warm-up.
+func (s *site) load(rate float64) (first, whole []time.Duration, hits float64) {
+	begin := s.clock.Now().Add(warmUp)
+	count, cached := 0, 0
+	model.Arrivals(s.clock, s.random, rate, runFor, func() {
+		counts := s.clock.Now().After(begin)
+		s.one(s.vms[s.random.IntN(len(s.vms))], func(f, w time.Duration, a model.Answer) {
+			if !counts {
+				return
+			}
+			first, whole = append(first, f), append(whole, w)
+			count++
+			if a.Cached {
+				cached++
+			}
+		})
+	})
+	s.clock.Run(runFor + time.Minute)
+	return first, whole, float64(cached) / float64(max(count, 1))
+}
+
+// fullRate is the rate at which the engines are full when no prefix is cached.
+func fullRate(n int) float64 { return float64(n*slots) / coldService.Seconds() }
+
+var ways = []struct {
+	name string
+	make func(n int, r *rand.Rand) chooser
+}{
+	{"round robin", func(n int, r *rand.Rand) chooser { return &roundRobin{n: n, next: r.IntN(n)} }},
+	{"least in flight", func(n int, r *rand.Rand) chooser { return &leastInFlight{make([]int, n), r} }},
+	{"least reported", func(n int, _ *rand.Rand) chooser { return &leastReported{make([]int, n)} }},
+	{"woaddoor", newOurs},
+}
+
+// choice measures the choice of upstream.
+func choice(seed uint64) []*table {
+	head := []string{"way", "first token p50 ms", "p95", "p99", "whole p95 ms", "prefix hits", "worst queue"}
+	var tables []*table
+	measure := func(title string, load float64, slow int, lag time.Duration) {
+		t := &table{title: title, head: head, about: fmt.Sprintf("%d engines of %d places, %d VMs, load %.0f%% of the rate that is carried uncached, reports %v old, slow engine x%d, seed %d.", engines, slots, vms, load*100, lag, slow, seed)}
+		for _, w := range ways {
+			s := newSite(seed, engines, vms, slow, lag, w.make)
+			first, whole, hits := s.load(load * fullRate(engines))
+			worst := 0
+			for _, e := range s.engines {
+				worst = max(worst, e.Worst)
+			}
+			q := model.QuantilesOf(first)
+			t.add(w.name, q.P50, q.P95, q.P99, model.QuantilesOf(whole).P95, fmt.Sprintf("%.0f%%", hits*100), worst)
+		}
+		tables = append(tables, t)
+	}
+	for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
+		measure(fmt.Sprintf("Choice of upstream at %.0f%%", load*100), load, 1, time.Second)
+	}
+	for _, lag := range []time.Duration{0, 5 * time.Second} {
+		measure(fmt.Sprintf("Choice of upstream, reports %v old", lag), 0.8, 1, lag)
+	}
+	measure("Choice of upstream, one engine at a tenth of its speed", 0.8, 10, time.Second)
+	return tables
+}
--- /dev/null
+++ b/internal/measure/fairness.go
@@ -0,0 +1,3 @@
+package main
+
+func fairness(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/lookup.go
@@ -0,0 +1,3 @@
+package main
+
+func lookup(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/loss.go
@@ -0,0 +1,3 @@
+package main
+
+func loss(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/main.go
@@ -0,0 +1,40 @@
+// Command measure prints the measurements of the policy, as Markdown. They run
+// the decision packages against a queue model, on seeded arrivals, so the same
+// build prints the same figures each time.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+type arguments struct {
+	Only string `help:"Run one measurement: choice, fairness, retries, stalls, cascades, rollouts, loss, lookup."`
+	Seed uint64 `help:"Seed of arrivals and choices." default:"20261"`
+}
+
+type measurement struct {
+	name string
+	run  func(seed uint64) []*table
+}
+
+var measurements = []measurement{
+	{"choice", choice}, {"fairness", fairness}, {"retries", retries}, {"stalls", stalls},
+	{"cascades", cascades}, {"rollouts", rollouts}, {"loss", loss}, {"lookup", lookup},
+}
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("measure"), kong.Description("Prints the measurements of the policy."))
+	for _, m := range measurements {
+		if a.Only != "" && a.Only != m.name {
+			continue
+		}
+		for _, t := range m.run(a.Seed) {
+			t.print(os.Stdout)
+		}
+	}
+	fmt.Printf("seed %d\n", a.Seed)
+}
--- /dev/null
+++ b/internal/measure/retries.go
@@ -0,0 +1,3 @@
+package main
+
+func retries(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/rollouts.go
@@ -0,0 +1,3 @@
+package main
+
+func rollouts(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/stalls.go
@@ -0,0 +1,3 @@
+package main
+
+func stalls(seed uint64) []*table { return nil }
--- /dev/null
+++ b/internal/measure/table.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// table is one measurement's result.
+type table struct {
+	title string
+	// about says what was varied, with the seed.
+	about string
+	head  []string
+	rows  [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		switch v := c.(type) {
+		case float64:
+			row[i] = fmt.Sprintf("%.3g", v)
+			if v >= 100 {
+				row[i] = fmt.Sprintf("%.0f", v)
+			}
+		default:
+			row[i] = fmt.Sprint(v)
+		}
+	}
+	t.rows = append(t.rows, row)
+}
+
+// print writes the table in Markdown.
+func (t *table) print(w io.Writer) {
+	fmt.Fprintf(w, "### %s\n\n%s\n\n| %s |\n|%s\n", t.title, t.about, strings.Join(t.head, " | "), strings.Repeat("---|", len(t.head)))
+	for _, row := range t.rows {
+		fmt.Fprintf(w, "| %s |\n", strings.Join(row, " | "))
+	}
+	fmt.Fprintln(w)
+}
