upstream: homes for prefixes with bounded load; own requests before reports

Cause: the worse p95 had three causes. A prefix followed the VM's last choice, so seven VMs cached each prefix in seven places; the bonus for it ignored whether the upstream was full; and reports of others' requests, lagging and known to all alike, made all VMs run to the same upstream. Change: two homes a prefix by rendezvous hashing, taken while their line is below 0.9 of their places or 1.25 of the mean line; else the least of own requests, which count four times what others are expected to have.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -54,7 +54,7 @@
 			j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random)
 		}
 		if err == nil {
-			s.upstreams.Sent(j.upstream, j.chat.prefix)
+			s.upstreams.Sent(j.upstream)
 			url = s.upstreams.URL(j.upstream)
 		}
 	})
--- a/entry/service.go
+++ b/entry/service.go
@@ -116,7 +116,7 @@
 		q := upstream.Query{Kind: config.ServicePool, Pools: c.service.Pools, DataCentre: s.opts.Settings.DataCentre, Exclude: j.exclude}
 		j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random)
 		if err == nil {
-			s.upstreams.Sent(j.upstream, 0)
+			s.upstreams.Sent(j.upstream)
 			url = s.upstreams.URL(j.upstream)
 		}
 	})
--- a/entry/streaming.go
+++ b/entry/streaming.go
@@ -168,7 +168,7 @@
 	url := ""
 	s.locked(func() {
 		url = s.upstreams.URL(r.job.upstream)
-		s.upstreams.Sent(r.job.upstream, 0)
+		s.upstreams.Sent(r.job.upstream)
 	})
 	if url == "" {
 		return "", errors.New("the engine of the stream is no longer configured")
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -25,6 +25,7 @@
 	prefixesHeld = 24
 	runFor       = 120 * time.Second
 	warmUp       = 20 * time.Second
+	drainFor     = 20 * time.Minute // until the last request has ended
 	reportEvery  = 500 * time.Millisecond
 	version      = contract.VersionID("m@1")
 )
@@ -80,7 +81,7 @@
 	return o.index[id]
 }
 
-func (o *ours) sent(i int, prefix uint64) { o.table.Sent(model.UpstreamName(i), prefix) }
+func (o *ours) sent(i int, _ uint64) { o.table.Sent(model.UpstreamName(i)) }
 
 func (o *ours) done(i int, took time.Duration, failed bool, now time.Time) {
 	result := upstream.Good
@@ -210,7 +211,7 @@
 			}
 		})
 	})
-	s.clock.Run(runFor + time.Minute)
+	s.clock.Run(runFor + drainFor)
 	return first, whole, float64(cached) / float64(max(count, 1))
 }
 
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -1,12 +1,18 @@
 package upstream
 
 import (
+	"cmp"
+	"encoding/binary"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"woaddoor/config"
 	"woaddoor/contract"
+	"woaddoor/engine"
 )
 
 // Query is what a request needs of its upstream.
@@ -26,25 +32,18 @@
 
 // Pick returns the upstream for a request. It fails with ErrNone.
 //
-// A few upstreams are drawn at random, together with the one that most likely
-// has the prefix cached, and the one with the least expected wait wins. The
-// draw keeps VMs that know the same reports from running to the same upstream.
+// A prompt's prefix has two homes, the same for every VM without a word
+// between them (rendezvous hashing), so that it is cached there and not
+// everywhere. A home is taken while it has room; else the upstream with the
+// least expected wait is.
 func (t *Table) Pick(q Query, now time.Time, random *rand.Rand) (contract.UpstreamID, error) {
 	usable := t.candidates(q, now)
 	if len(usable) == 0 {
 		return "", ErrNone
 	}
-	holder := t.prefixes.holder(q.Prefix)
-	var best *state
-	bestScore := 0.0
-	for _, s := range t.draw(usable, holder, random) {
-		score := t.score(s, now)
-		if s.upstream.ID == holder {
-			score -= t.opts.PrefixWorth / float64(s.pool.Slots)
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = s, score
-		}
+	best := t.home(usable, q.Prefix)
+	if best == nil {
+		best = least(usable, random)
 	}
 	if best.failures >= breakAfter {
 		best.probing = true
@@ -77,52 +76,130 @@
 	return sorted(far)
 }
 
-// sorted makes the draw depend on the random source alone, not on map order.
+// sorted makes the choice depend on the random source alone, not on map order.
 func sorted(states []*state) []*state {
-	slices.SortFunc(states, func(a, b *state) int {
-		if a.upstream.ID < b.upstream.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	return states
 }
 
-func (t *Table) draw(usable []*state, holder contract.UpstreamID, random *rand.Rand) []*state {
-	n := min(t.opts.Choices, len(usable))
-	for i := range n {
-		j := i + random.IntN(len(usable)-i)
-		usable[i], usable[j] = usable[j], usable[i]
+// home returns the home of a prefix that has room, or nil.
+func (t *Table) home(usable []*state, prefix uint64) *state {
+	if prefix == 0 {
+		return nil
 	}
-	drawn := usable[:n]
-	for _, s := range usable[n:] {
-		if s.upstream.ID == holder {
-			drawn = append(drawn, s)
+	var first, second *state
+	var firstRank, secondRank uint64
+	for _, s := range usable {
+		rank := s.rank(prefix)
+		switch {
+		case first == nil || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = s, rank
+		case second == nil || rank > secondRank:
+			second, secondRank = s, rank
+		}
+	}
+	mean := meanLine(usable)
+	for _, s := range []*state{first, second} {
+		if s == nil || s.failures > 0 || slow(s, usable) {
+			continue
+		}
+		room := max(t.opts.HomeFull*float64(s.pool.Slots), overMean*mean)
+		if s.line()+1 <= room {
+			return s
 		}
 	}
-	return drawn
+	return nil
 }
 
-// reportHalfLife is the age at which a report counts half.
-const reportHalfLife = 2 * time.Second
+// overMean is how much longer than the mean line a home's line may be when
+// every upstream is full: sending a prompt elsewhere then only adds the work
+// of reading its prefix anew.
+const overMean = 1.25
+
+func meanLine(usable []*state) float64 {
+	total := 0.0
+	for _, s := range usable {
+		total += s.line()
+	}
+	return total / float64(len(usable))
+}
+
+// rank orders upstreams as homes of a prefix.
+func (s *state) rank(prefix uint64) uint64 {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], prefix)
+	d := xxhash.NewWithSeed(s.seed)
+	_, _ = d.Write(key[:])
+	return d.Sum64()
+}
+
+// slowFactor is how much longer than the others' median an upstream's requests
+// take before it counts as slow.
+const slowFactor = 2
+
+// slow tells whether an upstream takes much longer than the others.
+func slow(s *state, usable []*state) bool {
+	total, n := time.Duration(0), 0
+	for _, other := range usable {
+		if other != s && other.service > 0 {
+			total += other.service
+			n++
+		}
+	}
+	return n > 0 && s.service > slowFactor*total/time.Duration(n)
+}
+
+// least returns the upstream with the least expected wait; equals are drawn.
+func least(usable []*state, random *rand.Rand) *state {
+	var best *state
+	bestScore, ties := 0.0, 0
+	for _, s := range usable {
+		score := s.score()
+		switch {
+		case best == nil || score < bestScore:
+			best, bestScore, ties = s, score, 1
+		case score == bestScore:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
 
 // defaultService stands in for a service time that was never seen.
 const defaultService = 100 * time.Millisecond
 
-// score returns the expected wait at an upstream, in seconds.
-//
-// Its line is what this VM has there now, plus what the report told of others:
-// the reported line less our own part in it, worn by its age towards zero.
-func (t *Table) score(s *state, now time.Time) float64 {
-	age := now.Sub(s.heardAt) + time.Duration(s.load.AgeMillis)*time.Millisecond
-	reported := float64(s.load.Running + s.load.Waiting)
-	ownThen := float64(s.inFlight - s.sentAfter + s.doneAfter)
-	others := max(reported-ownThen, 0)
-	weight := float64(reportHalfLife) / float64(reportHalfLife+age)
-	line := float64(s.inFlight) + others*weight
+// line returns how many requests an upstream is expected to have: this VM's
+// own, which are known, and those of others, by reports averaged over time.
+func (s *state) line() float64 { return float64(s.inFlight) + s.others }
+
+// ownWeight is how much more this VM's own requests count than those that
+// others are expected to have. What others have is known late and by all
+// alike: going by it, all VMs run to one upstream; see docs/MEASURES.md.
+const ownWeight = 4.0
+
+// score orders upstreams by expected wait, in seconds times a constant.
+func (s *state) score() float64 {
 	service := s.service
 	if service == 0 {
 		service = defaultService
 	}
-	return (line + 1) / float64(s.pool.Slots) * service.Seconds()
+	return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * service.Seconds()
+}
+
+// averageOver is the time over which reports of others' requests are averaged.
+// A shorter time makes all VMs run to whichever upstream was idle when the
+// reports were made; see docs/MEASURES.md.
+const averageOver = 5 * time.Second
+
+// average takes a report into the expectation of others' requests.
+func (s *state) average(l engine.Load, passed time.Duration) {
+	ownThen := float64(s.inFlight - s.sentAfter + s.doneAfter)
+	others := max(float64(l.Running+l.Waiting)-ownThen, 0)
+	age := time.Duration(l.AgeMillis) * time.Millisecond
+	weight := 1 - math.Exp(-float64(passed)/float64(averageOver+2*age))
+	s.others += weight * (others - s.others)
 }
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
@@ -23,45 +25,36 @@
 	// SilentAfter is how long an upstream may go without a report before it
 	// gets no new work. Zero means 3 s.
 	SilentAfter time.Duration
-	// Choices is how many upstreams are compared for one request. Zero means
-	// 3: enough to avoid a slow one, too few for all VMs to run to one.
-	Choices int
-	// PrefixWorth is how many requests in line a cached prefix outweighs.
-	// Zero means 2.
-	PrefixWorth float64
-	// MaxPrefixes bounds the prefixes remembered. Zero means 8192.
-	MaxPrefixes int
+	// HomeFull is the part of an upstream's places up to which it takes
+	// requests because their prefix is at home there. Zero means 0.9.
+	HomeFull float64
 }
 
 // Defaults of Options.
 const (
 	defaultSilentAfter = 3 * time.Second
-	defaultChoices     = 3
-	defaultPrefixWorth = 2.0
-	defaultMaxPrefixes = 8192
+	defaultHomeFull    = 0.9
 )
 
 func (o Options) withDefaults() Options {
 	return Options{
 		SilentAfter: cmp.Or(o.SilentAfter, defaultSilentAfter),
-		Choices:     cmp.Or(o.Choices, defaultChoices),
-		PrefixWorth: cmp.Or(o.PrefixWorth, defaultPrefixWorth),
-		MaxPrefixes: cmp.Or(o.MaxPrefixes, defaultMaxPrefixes),
+		HomeFull:    cmp.Or(o.HomeFull, defaultHomeFull),
 	}
 }
 
 // Table is what one VM knows of the upstreams. Its owner locks it.
 type Table struct {
-	opts     Options
-	states   map[contract.UpstreamID]*state
-	pools    map[contract.PoolID][]*state
-	prefixes *prefixes
+	opts   Options
+	states map[contract.UpstreamID]*state
+	pools  map[contract.PoolID][]*state
 }
 
 // state is what is known of one upstream.
 type state struct {
 	upstream config.Upstream
 	pool     *config.Pool
+	seed     uint64 // of its rank as a home of prefixes
 
 	incarnation contract.Incarnation
 	load        engine.Load
@@ -72,8 +65,9 @@
 	leaving    contract.Incarnation
 	unlisted   bool
 	inFlight   int
-	sentAfter  int // requests sent since the last report was asked for
-	doneAfter  int // requests ended since then
+	sentAfter  int     // requests sent since the last report was asked for
+	doneAfter  int     // requests ended since then
+	others     float64 // requests of other VMs, as expected from reports
 	service    time.Duration
 	failures   int
 	openUntil  time.Time
@@ -85,8 +79,7 @@
 func NewTable(opts Options) *Table {
 	o := opts.withDefaults()
 	return &Table{
-		opts: o, states: make(map[contract.UpstreamID]*state),
-		pools: make(map[contract.PoolID][]*state), prefixes: newPrefixes(o.MaxPrefixes),
+		opts: o, states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
 	}
 }
 
@@ -99,7 +92,7 @@
 		for _, u := range p.Upstreams {
 			s, had := t.states[u.ID]
 			if !had || s.upstream.URL != u.URL {
-				s = &state{}
+				s = &state{seed: xxhash.Sum64String(string(u.ID))}
 			}
 			s.upstream, s.pool = u, p
 			states[u.ID] = s
@@ -120,12 +113,12 @@
 	if l.Incarnation > s.incarnation {
 		// Another life under the same address: nothing known of the former
 		// one holds, but for the requests still in flight.
-		s.incarnation, s.failures, s.openUntil, s.service = l.Incarnation, 0, time.Time{}, 0
-		t.prefixes.drop(id)
+		s.incarnation, s.failures, s.openUntil, s.service, s.others = l.Incarnation, 0, time.Time{}, 0, 0
 	}
 	if l.Draining {
 		s.leaving = l.Incarnation
 	}
+	s.average(l, askedAt.Sub(s.heardAt))
 	s.load, s.heardAt = l, askedAt
 	s.sentAfter, s.doneAfter = 0, 0
 }
@@ -142,11 +135,10 @@
 }
 
 // Sent notes that a request goes to an upstream.
-func (t *Table) Sent(id contract.UpstreamID, prefix uint64) {
+func (t *Table) Sent(id contract.UpstreamID) {
 	if s, ok := t.states[id]; ok {
 		s.inFlight++
 		s.sentAfter++
-		t.prefixes.note(prefix, id)
 	}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -95,7 +95,7 @@
 	tb := table("a")
 	tb.Reported("a", report(1), now)
 	for range breakAfter {
-		tb.Sent("a", 0)
+		tb.Sent("a")
 		tb.Done("a", Failed, 0, now)
 	}
 	_, err := tb.Pick(query, now, random())
@@ -103,7 +103,7 @@
 	now = now.Add(breakBase)
 	_, err = tb.Pick(query, now, random())
 	is.NoErr(err) // the probe
-	tb.Sent("a", 0)
+	tb.Sent("a")
 	_, err = tb.Pick(query, now, random())
 	is.Equal(err, ErrNone) // no second while it runs
 	tb.Done("a", Good, time.Millisecond, now)
@@ -140,7 +140,7 @@
 				if got == id || gone[got] || now.Sub(tb.states[got].heardAt) >= defaultSilentAfter {
 					t.Fatalf("picked %s", got)
 				}
-				tb.Sent(got, 1)
+				tb.Sent(got)
 				tb.Done(got, Good, time.Millisecond, now)
 			}
 		}
