workspace: refuse what cannot end in time; a reserve of half; priorities at engines

Requests waited until just before their deadline and then ran for nothing: a wait was held against the deadline without the time that the request takes to run. Change: waits are refused or expired at once when wait and twice the mean service pass the deadline; the reserve for workspaces within their share is half of the capacity; engines are asked to queue those requests first.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -15,6 +15,7 @@
 	"woaddoor/engine"
 	"woaddoor/permit"
 	"woaddoor/session"
+	"woaddoor/workspace"
 )
 
 // chatRequest is a chat request, as far as the router reads it.
@@ -28,6 +29,28 @@
 	token *session.Token
 	// claim is held by a request that may not be repeated.
 	claim *claim
+	// priority is what engines are asked to queue it by; lower goes first.
+	priority byte
+}
+
+// Priorities of requests at engines: those of workspaces within their share go
+// before those beyond it, and interactive before bulk.
+const (
+	beyondShare byte = 1
+	bulkClass   byte = 2
+)
+
+func (s *Server) priorityOf(req *request) byte {
+	priority := byte(0)
+	s.locked(func() {
+		if !s.engines.Within(req.workspace.ID) {
+			priority += beyondShare
+		}
+	})
+	if req.class == workspace.Bulk {
+		priority += bulkClass
+	}
+	return priority
 }
 
 // chat serves the chat-completions call.
@@ -50,6 +73,7 @@
 		return refused
 	}
 	defer p.done()
+	c.priority = s.priorityOf(req)
 	if !req.repeatable {
 		held, refused := s.claimTicket(ctx, w, req)
 		if held == nil {
@@ -171,7 +195,7 @@
 		fields[k] = f
 	}
 	fields["model"] = quote(string(v))
-	fields["priority"] = json.RawMessage{'0' + byte(c.class)}
+	fields["priority"] = json.RawMessage{'0' + c.priority}
 	if c.Stream {
 		fields["stream_options"] = streamOptions
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -188,8 +188,8 @@
 	s.services.SetCapacity(s.capacity(c, config.ServicePool, v.members))
 }
 
-// headroom is how much more than the upstreams' places this VM admits: their
-// own queues keep them busy, and other VMs may be idle.
+// headroom is how much more than the upstreams' places the VMs admit together:
+// the upstreams' own queues keep them busy. docs/MEASURES.md has the figures.
 const headroom = 1.5
 
 // capacity returns this VM's part of the places of its data centre's pools.
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -175,10 +175,13 @@
 }
 
 // one sends a request through a VM and calls done with its answer.
-func (s *site) one(vm chooser, done func(first, whole time.Duration, a model.Answer)) {
+func (s *site) one(vm chooser, preferred bool, done func(first, whole time.Duration, a model.Answer)) {
 	// A few prefixes are common, most are rare.
 	prefix := uint64(float64(prefixKinds)*s.random.Float64()*s.random.Float64()) + 1
-	w := model.Work{Prefix: prefix, Tokens: 1 + s.random.IntN(2*meanTokens-1)}
+	w := model.Work{Prefix: prefix, Tokens: 1 + s.random.IntN(2*meanTokens-1), Priority: 1}
+	if preferred {
+		w.Priority = 0
+	}
 	began := s.clock.Now()
 	i := vm.pick(began, prefix)
 	if i < 0 {
@@ -200,7 +203,7 @@
 	count, cached := 0, 0
 	model.Arrivals(s.clock, s.random, rate, runFor, func() {
 		counts := s.clock.Now().After(begin)
-		s.one(s.vms[s.random.IntN(len(s.vms))], func(f, w time.Duration, a model.Answer) {
+		s.one(s.vms[s.random.IntN(len(s.vms))], false, func(f, w time.Duration, a model.Answer) {
 			if !counts {
 				return
 			}
--- a/internal/measure/model/model.go
+++ b/internal/measure/model/model.go
@@ -84,6 +84,8 @@
 type Work struct {
 	Prefix uint64
 	Tokens int
+	// Priority orders the queue: lower goes first.
+	Priority int
 }
 
 // Answer says how an engine dealt with a work.
@@ -166,15 +168,26 @@
 		a.Done = e.clock.Now()
 		e.running--
 		if len(e.queue) > 0 {
-			next := e.queue[0]
-			e.queue = e.queue[1:]
-			e.start(next)
+			e.start(e.next())
 		}
 		e.note()
 		p.done(a)
 	})
 }
 
+// next takes the first of the lowest priority out of the queue.
+func (e *Engine) next() pending {
+	best := 0
+	for i, p := range e.queue {
+		if p.work.Priority < e.queue[best].work.Priority {
+			best = i
+		}
+	}
+	p := e.queue[best]
+	e.queue = slices.Delete(e.queue, best, best+1)
+	return p
+}
+
 func (e *Engine) cached(prefix uint64) bool {
 	if i := slices.Index(e.prefixes, prefix); i >= 0 {
 		e.prefixes = append(slices.Delete(e.prefixes, i, i+1), prefix)
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -36,7 +36,7 @@
 	// MaxQueue bounds the requests that wait. Zero means 1024.
 	MaxQueue int
 	// Reserve is the part of the capacity that is kept for workspaces below
-	// their share. Zero means 0.15.
+	// their share. Zero means 0.5.
 	Reserve float64
 	// TotalShare is the sum of the weights of all workspaces. Zero means 10.
 	TotalShare int
@@ -46,7 +46,7 @@
 const (
 	defaultCapacity = 64
 	defaultMaxQueue = 1024
-	defaultReserve  = 0.15
+	defaultReserve  = 0.5
 	defaultTotal    = 10
 )
 
@@ -134,7 +134,7 @@
 		return Run, 0
 	}
 	wait := q.expectedWait(f, item.Class)
-	if q.waiting >= q.opts.MaxQueue || now.Add(wait).After(item.Deadline) || q.overQueueShare(f) {
+	if q.waiting >= q.opts.MaxQueue || now.Add(q.latest(wait)).After(item.Deadline) || q.overQueueShare(f) {
 		return Refuse, spread(wait, random)
 	}
 	f.waiting[item.Class] = append(f.waiting[item.Class], waiting{item, now})
@@ -173,8 +173,21 @@
 	if q.running < q.opts.Capacity-q.reserve() {
 		return true
 	}
-	floor := float64(q.opts.Capacity) * f.share / float64(q.opts.TotalShare)
-	return q.running < q.opts.Capacity && float64(f.running+1) <= max(floor, 1)
+	return q.running < q.opts.Capacity && float64(f.running+1) <= q.floor(f)
+}
+
+// floor returns a flow's part of the capacity among all workspaces, at least
+// one place.
+func (q *Queue) floor(f *flow) float64 {
+	return max(float64(q.opts.Capacity)*f.share/float64(q.opts.TotalShare), 1)
+}
+
+// Within tells whether a workspace runs no more than its part among all
+// workspaces. Engines are asked to prefer the requests of those that do: their
+// own queues would otherwise make everyone wait behind a large neighbour.
+func (q *Queue) Within(w contract.WorkspaceID) bool {
+	f, ok := q.flows[w]
+	return !ok || float64(f.running) <= q.floor(f)
 }
 
 func (q *Queue) reserve() int { return int(q.opts.Reserve * float64(q.opts.Capacity)) }
@@ -204,6 +217,13 @@
 	return time.Duration(line / places * float64(q.service))
 }
 
+// serviceMargin is how many mean times a request is given to run in: one that
+// starts with less left is likely to be work for nothing.
+const serviceMargin = 2
+
+// latest returns by when, from now, a request that waits for wait has ended.
+func (q *Queue) latest(wait time.Duration) time.Duration { return wait + serviceMargin*q.service }
+
 // minRetryAfter keeps refused callers from returning within the same moment.
 const minRetryAfter = 200 * time.Millisecond
 
@@ -275,9 +295,11 @@
 	return best
 }
 
-// Expire takes out the requests whose deadline has come, and returns them.
+// Expire takes out the requests that can no longer end by their deadline, and
+// returns them: they get their final answer now and not at the deadline.
 func (q *Queue) Expire(now time.Time) []Item {
-	return q.remove(func(w waiting) bool { return !now.Before(w.item.Deadline) })
+	latest := now.Add(q.latest(0))
+	return q.remove(func(w waiting) bool { return latest.After(w.item.Deadline) })
 }
 
 // Abandon takes out a waiting request whose caller is gone. It returns false
