--- a/internal/measure/model/model.go
+++ b/internal/measure/model/model.go
@@ -86,6 +86,9 @@
 	Tokens int
 	// Priority orders the queue: lower goes first.
 	Priority int
+	// Gone tells, when the work's turn comes, that nobody waits for it any more.
+	// Nil means that the engine is never told.
+	Gone func() bool
 }
 
 // Answer says how an engine dealt with a work.
@@ -167,16 +170,21 @@
 	e.clock.After(total, func() {
 		a.Done = e.clock.Now()
 		e.running--
-		if len(e.queue) > 0 {
-			e.start(e.next())
+		if next, ok := e.next(); ok {
+			e.start(next)
 		}
 		e.note()
 		p.done(a)
 	})
 }
 
-// next takes the first of the lowest priority out of the queue.
-func (e *Engine) next() pending {
+// next takes the first of the lowest priority out of the queue, and drops the
+// works that nobody waits for.
+func (e *Engine) next() (pending, bool) {
+	e.queue = slices.DeleteFunc(e.queue, func(p pending) bool { return p.work.Gone != nil && p.work.Gone() })
+	if len(e.queue) == 0 {
+		return pending{}, false
+	}
 	best := 0
 	for i, p := range e.queue {
 		if p.work.Priority < e.queue[best].work.Priority {
@@ -185,7 +193,7 @@
 	}
 	p := e.queue[best]
 	e.queue = slices.Delete(e.queue, best, best+1)
-	return p
+	return p, true
 }
 
 func (e *Engine) cached(prefix uint64) bool {
@@ -266,3 +274,6 @@
 func UpstreamName(i int) contract.UpstreamID {
 	return contract.UpstreamID("e" + string(rune('0'+i/100)) + string(rune('0'+i/10%10)) + string(rune('0'+i%10)))
 }
+
+// SetSpeed divides the engine's speed by factor from now on.
+func (e *Engine) SetSpeed(factor int) { e.opts.Speed = factor }
