rollout, stream: one false-alarm rate for a whole roll-out; fewer false stalls

Cause: 3.0% of good versions were halted at a stated 1%: each of four steps spent the whole rate. 161 of 1000 healthy streams were taken for stalled: a gap of four times the mean is common where gaps vary by half and streams have 200 chunks. Ruled out: the alarms (their share is bounded over 10,000 answers); a fixed gap of 2 s (334 of 1000). Change: half of the rate is shared by the steps' tests, half by the alarms; a gap has to be eight times the mean and 16 deviations.

--- a/rollout/test.go
+++ b/rollout/test.go
@@ -16,21 +16,27 @@
 
 // Test is Wald's sequential probability ratio test between a good and a bad
 // share of bad answers (A. Wald, Sequential Tests of Statistical Hypotheses,
-// 1945). Its chance of halting a version whose share is GoodRate is at most
-// FalseAlarm, and of passing one whose share is BadRate at most Miss, both up
-// to the factor 1/(1-Miss) and 1/(1-FalseAlarm) of Wald's bounds.
+// 1945). FalseAlarm and Miss are for the whole roll-out: half of FalseAlarm is
+// shared by the tests of the steps, half by the alarms. The chance of passing a
+// version whose share is BadRate is at most Miss at each step. Both hold up to
+// the factors 1/(1-Miss) and 1/(1-FalseAlarm) of Wald's bounds.
 type Test struct {
 	onBad, onGood float64 // what one answer adds
 	halt, pass    float64 // bounds
 }
 
+// alarmKinds is how many kinds of checks share the false-alarm rate: the test
+// of each step, and the alarms.
+const alarmKinds = 2
+
 // NewTest returns the test of a roll-out.
 func NewTest(ro *config.Rollout) Test {
+	alarm := ro.FalseAlarm / alarmKinds / float64(max(len(ro.Steps), 1))
 	return Test{
 		onBad:  math.Log(ro.BadRate / ro.GoodRate),
 		onGood: math.Log((1 - ro.BadRate) / (1 - ro.GoodRate)),
-		halt:   math.Log((1 - ro.Miss) / ro.FalseAlarm),
-		pass:   math.Log(ro.Miss / (1 - ro.FalseAlarm)),
+		halt:   math.Log((1 - ro.Miss) / alarm),
+		pass:   math.Log(ro.Miss / (1 - alarm)),
 	}
 }
 
@@ -82,7 +88,7 @@
 // NewAlarm returns an alarm; parts is how many alarms share the roll-out's
 // false-alarm rate (one a workspace, and one over all).
 func NewAlarm(ro *config.Rollout, parts int) *Alarm {
-	return &Alarm{test: NewTest(ro), height: math.Log(horizon * float64(parts) / ro.FalseAlarm)}
+	return &Alarm{test: NewTest(ro), height: math.Log(horizon * alarmKinds * float64(parts) / ro.FalseAlarm)}
 }
 
 // Observe takes in an answer and tells whether to halt.
--- a/stream/stall.go
+++ b/stream/stall.go
@@ -15,7 +15,7 @@
 	// Shortest is the gap below which none does. Zero means 400 ms.
 	Shortest time.Duration
 	// Deviations is how many mean deviations above the mean gap a gap has to
-	// be. Zero means 8.
+	// be. Zero means 16.
 	Deviations float64
 	// First is how long the first chunk may take. Zero means Longest.
 	First time.Duration
@@ -25,9 +25,11 @@
 const (
 	defaultLongest    = 10 * time.Second
 	defaultShortest   = 400 * time.Millisecond
-	defaultDeviations = 8.0
+	defaultDeviations = 16.0
 	minGaps           = 4
-	gapWeight         = 0.15
+	// meanFactor is how many times the mean gap a gap has to be at least.
+	meanFactor = 8
+	gapWeight  = 0.15
 )
 
 // Pace learns the gaps between the chunks of one stream and tells by when the
@@ -75,5 +77,5 @@
 		return p.last.Add(p.opts.Longest)
 	}
 	allowed := time.Duration((p.mean + p.opts.Deviations*p.deviation) * float64(time.Second))
-	return p.last.Add(min(max(allowed, 4*time.Duration(p.mean*float64(time.Second)), p.opts.Shortest), p.opts.Longest))
+	return p.last.Add(min(max(allowed, time.Duration(meanFactor*p.mean*float64(time.Second)), p.opts.Shortest), p.opts.Longest))
 }
