workspace, entry: admit by usable places; Retry-After grows with what is refused

Cause: with two thirds of the engines lost, the VMs went on admitting for all of them, so requests waited in the engines; and refused callers were told to come back within a second, used up their tries and were lost. Change: a VM's capacity follows the upstreams that can be used now; Retry-After is divided by the part that was let in of late.

--- a/entry/reports.go
+++ b/entry/reports.go
@@ -19,7 +19,10 @@
 func (s *Server) reportLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		var all []config.Upstream
-		s.locked(func() { all = s.upstreams.Every() })
+		s.locked(func() {
+			s.size()
+			all = s.upstreams.Every()
+		})
 		for _, u := range all {
 			go s.report(ctx, u)
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -184,35 +184,30 @@
 	case s.reconfigured <- struct{}{}:
 	default:
 	}
-	s.engines.SetCapacity(s.capacity(c, config.EnginePool, v.members))
-	s.services.SetCapacity(s.capacity(c, config.ServicePool, v.members))
 }
 
 // headroom is how much more than the upstreams' places the VMs admit together:
 // the upstreams' own queues keep them busy. docs/MEASURES.md has the figures.
 const headroom = 1.5
 
+// size fits what this VM admits to the upstreams that can be used now. The
+// caller holds mu.
+func (s *Server) size() {
+	members := s.view.Load().members
+	s.engines.SetCapacity(s.capacity(config.EnginePool, members))
+	s.services.SetCapacity(s.capacity(config.ServicePool, members))
+}
+
 // capacity returns this VM's part of the places of its data centre's pools.
-func (s *Server) capacity(c *config.Config, kind config.PoolKind, members []vm.Member) int {
-	places := 0
-	for _, p := range c.Pools {
-		if p.Kind == kind && p.DataCentre == s.opts.Settings.DataCentre {
-			places += p.Slots * len(p.Upstreams)
-		}
-	}
-	if places == 0 { // served by other data centres: take part of them
-		for _, p := range c.Pools {
-			if p.Kind == kind {
-				places += p.Slots * len(p.Upstreams)
-			}
-		}
-	}
+func (s *Server) capacity(kind config.PoolKind, members []vm.Member) int {
+	dc := s.opts.Settings.DataCentre
 	vms := 0
 	for _, m := range members {
-		if m.DataCentre == s.opts.Settings.DataCentre {
+		if m.DataCentre == dc && !m.Leaving {
 			vms++
 		}
 	}
+	places := s.upstreams.Places(kind, dc, s.clock.Now())
 	part := headroom * float64(places) / float64(max(vms, 1))
 	return min(max(int(part), 1), s.opts.Settings.Entry.MaxInFlight)
 }
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -44,6 +44,8 @@
 	random  *rand.Rand
 	engines []*model.Engine
 	vms     []chooser
+	// silent is how many engines, the first ones, send no reports.
+	silent int
 }
 
 // chooser is one VM's way to choose.
@@ -167,6 +169,9 @@
 
 func (s *site) reports(lag time.Duration) {
 	for i, e := range s.engines {
+		if i < s.silent {
+			continue
+		}
 		running, waiting := e.Load(lag)
 		for _, vm := range s.vms {
 			vm.report(i, running, waiting, lag, s.clock.Now())
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -7,6 +7,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/internal/measure/model"
+	"woaddoor/workspace"
 )
 
 // Settings of the fairness measurements.
@@ -34,7 +35,7 @@
 	offer := func(w contract.WorkspaceID, rate float64, quiet bool) {
 		model.Arrivals(s.clock, random, rate, runFor, func() {
 			counts := quiet && s.clock.Now().After(begin)
-			fronts[random.IntN(len(fronts))].offer(w, 1, fairDeadline, func(e ended) {
+			fronts[random.IntN(len(fronts))].offer(w, workspace.Interactive, fairDeadline, func(e ended) {
 				if counts && !e.refused {
 					took = append(took, e.took)
 				}
@@ -62,7 +63,7 @@
 	var try func(w contract.WorkspaceID, left int)
 	try = func(w contract.WorkspaceID, left int) {
 		offers++
-		fronts[random.IntN(len(fronts))].offer(w, 1, fairDeadline, func(e ended) {
+		fronts[random.IntN(len(fronts))].offer(w, workspace.Interactive, fairDeadline, func(e ended) {
 			if e.refused {
 				refusals++
 				if left > 0 {
--- a/internal/measure/front.go
+++ b/internal/measure/front.go
@@ -41,6 +41,11 @@
 		if capacity > 0 {
 			f.queue = workspace.NewQueue(workspace.Options{Capacity: capacity, TotalShare: totalShare})
 			s.clock.Every(20*time.Millisecond, func() bool { f.expire(); return true })
+			s.clock.Every(reportEvery, func() bool {
+				usable := len(s.engines) - s.silent // as entry sizes its queue
+				f.queue.SetCapacity(max(capacity*usable/len(s.engines), 1))
+				return true
+			})
 		}
 		fronts = append(fronts, f)
 	}
@@ -56,7 +61,7 @@
 }
 
 // offer brings one request of a workspace.
-func (f *front) offer(w contract.WorkspaceID, share int, deadline time.Duration, done func(ended)) {
+func (f *front) offer(w contract.WorkspaceID, class workspace.Class, deadline time.Duration, done func(ended)) {
 	began := f.site.clock.Now()
 	f.next++
 	id := f.next
@@ -64,7 +69,7 @@
 		f.run(began, w, func(e ended) { done(e) })
 		return
 	}
-	item := workspace.Item{ID: id, Workspace: w, Share: share, Deadline: began.Add(deadline)}
+	item := workspace.Item{ID: id, Workspace: w, Class: class, Deadline: began.Add(deadline)}
 	verdict, after := f.queue.Offer(item, began, f.random)
 	switch verdict {
 	case workspace.Refuse:
--- a/internal/measure/lookup.go
+++ b/internal/measure/lookup.go
@@ -1,3 +1,48 @@
 package main
 
-func lookup(seed uint64) []*table { return nil }
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+)
+
+// lookup weighs Chord# (Schütt, Schintke, Reinefeld, "Chord#: Structured
+// Overlay Network for Non-Uniform Load-Distribution", 2005) against full
+// membership with rendezvous hashing, for finding the owner of a key.
+//
+// In Chord# a node's i-th pointer leads to the node 2^i places further on the
+// ring: the first is its successor, and each next one is the pointer before it
+// of the node that the pointer before it leads to.
+func lookup(seed uint64) []*table {
+	t := &table{
+		title: "Finding the owner of a key",
+		about: fmt.Sprintf("10,000 keys from random nodes; a hop is a message between data centres, taken as 1 ms within a region; seed %d.", seed),
+		head:  []string{"nodes", "way", "mean hops", "most hops", "entries a node", "messages when a node is replaced"},
+	}
+	for _, n := range []int{7, 39, 750} {
+		mean, most := chordHops(n, rand.New(rand.NewPCG(seed, 99)))
+		pointers := int(math.Ceil(math.Log2(float64(n))))
+		t.add(n, "Chord#", mean, most, pointers, pointers*2)
+		t.add(n, "full membership, rendezvous", 1.0, 1, n, n-1)
+		t.add(n, "addresses carried in the ticket", 1.0, 1, 0, 0)
+	}
+	return []*table{t}
+}
+
+// chordHops returns the mean and the largest number of hops of random lookups.
+func chordHops(n int, r *rand.Rand) (mean float64, most int) {
+	const keys = 10_000
+	total := 0
+	for range keys {
+		from, to := r.IntN(n), r.IntN(n)
+		hops := 0
+		for left := (to - from + n) % n; left > 0; {
+			// The longest pointer that does not pass the owner.
+			left -= 1 << int(math.Log2(float64(left)))
+			hops++
+		}
+		total += hops
+		most = max(most, hops)
+	}
+	return float64(total) / keys, most
+}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -210,6 +210,25 @@
 	return every
 }
 
+// Places returns how many requests the usable upstreams of a kind work on at
+// once: in a data centre, or in all when that has none.
+func (t *Table) Places(kind config.PoolKind, dc contract.DataCentreID, now time.Time) int {
+	near, all := 0, 0
+	for _, s := range t.states {
+		if s.pool.Kind != kind || !t.usable(s, "", now) {
+			continue
+		}
+		all += s.pool.Slots
+		if s.pool.DataCentre == dc {
+			near += s.pool.Slots
+		}
+	}
+	if near > 0 {
+		return near
+	}
+	return all
+}
+
 // Heard tells whether any upstream has ever answered.
 func (t *Table) Heard() bool {
 	for _, s := range t.states {
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -85,6 +85,8 @@
 	waiting int
 	virtual float64
 	service time.Duration // mean time that a request holds its place
+	// refused is the part of late offers that was refused, 0 to 1.
+	refused float64
 }
 
 // flow is one workspace's part of the queue.
@@ -131,12 +133,15 @@
 	f := q.flow(item)
 	if q.waitingAhead(f, item.Class) == 0 && q.fits(f) {
 		q.start(f)
+		q.pressure(false)
 		return Run, 0
 	}
 	wait := q.expectedWait(f, item.Class)
 	if q.waiting >= q.opts.MaxQueue || now.Add(q.latest(wait)).After(item.Deadline) || q.overQueueShare(f) {
-		return Refuse, spread(wait, random)
+		q.pressure(true)
+		return Refuse, q.retryAfter(wait, random)
 	}
+	q.pressure(false)
 	f.waiting[item.Class] = append(f.waiting[item.Class], waiting{item, now})
 	q.waiting++
 	return Wait, 0
@@ -224,13 +229,29 @@
 // latest returns by when, from now, a request that waits for wait has ended.
 func (q *Queue) latest(wait time.Duration) time.Duration { return wait + serviceMargin*q.service }
 
-// minRetryAfter keeps refused callers from returning within the same moment.
-const minRetryAfter = 200 * time.Millisecond
+// Bounds of Retry-After, and how quickly the part refused is followed.
+const (
+	minRetryAfter  = time.Second
+	maxRetryAfter  = time.Minute
+	pressureWeight = 0.02
+)
+
+// pressure takes an offer into the part refused of late.
+func (q *Queue) pressure(refused bool) {
+	target := 0.0
+	if refused {
+		target = 1
+	}
+	q.refused += pressureWeight * (target - q.refused)
+}
 
-// spread returns a time between wait and three times wait.
-func spread(wait time.Duration, random *rand.Rand) time.Duration {
-	wait = max(wait, minRetryAfter)
-	return wait + time.Duration(random.Float64()*2*float64(wait))
+// retryAfter returns when a refused caller may come back: the longer, the
+// larger the part refused, since that many have to share what is free. It is
+// spread over a factor of three, so that they do not come back together.
+func (q *Queue) retryAfter(wait time.Duration, random *rand.Rand) time.Duration {
+	mean := float64(max(wait, minRetryAfter)) / max(1-q.refused, float64(minRetryAfter)/float64(maxRetryAfter))
+	after := time.Duration(mean * (1 + 2*random.Float64()))
+	return min(after, maxRetryAfter)
 }
 
 // start notes that a request of the flow runs.
