control: heartbeats whose size does not grow with the fleet

Cause: each heartbeat carried the whole table of members and all evidence: 80 bytes a member, 60 KB a heartbeat at 750 VMs, thousands of times over the budget of 18 KB/s. Change: within a data centre a heartbeat carries its sender alone, and one of two asks while the other answers; between data centres the watchers tell of three delegates and of the sum of their evidence; the rest ask for members every 5 s.

--- a/control/links.go
+++ b/control/links.go
@@ -13,9 +13,7 @@
 		return s.pull(ctx, req), nil
 	})
 	link.Handle(s.endpoint, link.KindHeartbeat, func(_ context.Context, _ string, b protocol.Heartbeat) (protocol.Heartbeat, error) {
-		s.takeBeat(b)
-		answer, _ := s.beat()
-		return answer, nil
+		return s.answerBeat(b), nil
 	})
 	link.Handle(s.endpoint, link.KindFile, func(ctx context.Context, _ string, req protocol.Records) (protocol.Done, error) {
 		return protocol.Done{}, s.filing.file(ctx, req.Records)
--- a/control/members.go
+++ b/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"woaddoor/config"
@@ -16,15 +17,18 @@
 
 // Timings of membership.
 const (
-	heartbeatEvery   = time.Second
-	heartbeatTimeout = 900 * time.Millisecond
+	heartbeatEvery   = 2 * time.Second
+	heartbeatTimeout = 1500 * time.Millisecond
+	askAfter         = 3 * time.Second
 	listEvery        = 2 * time.Second
 	listTimeout      = 2 * time.Second
 	// entryDeadAfter is how long the entry process may be silent before its
 	// incarnation is no longer told.
 	entryDeadAfter = 4 * time.Second
-	// farHeartbeats is how many VMs of each other data centre are told.
-	farHeartbeats = 2
+	// farBeats is how many VMs of each other data centre a watcher tells, and
+	// delegates how many of its own it tells of.
+	farBeats  = 1
+	delegates = 3
 )
 
 // self returns what this VM tells of itself. The caller holds mu.
@@ -57,61 +61,97 @@
 	}
 }
 
-// heartbeatLoop tells peers who lives: all of the own data centre, and some of
-// each other one, so that the messages of a VM do not grow with the regions.
+// heartbeatLoop tells peers that this VM lives: those of its own data centre,
+// and, while it is one of the watchers, a few of each other data centre.
 func (s *Server) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		beat, addresses := s.beat()
-		for _, address := range addresses {
-			go s.sendBeat(ctx, address, beat)
+		for _, b := range s.beats() {
+			go s.sendBeat(ctx, b)
 		}
 		pause(ctx, heartbeatEvery)
 	}
 }
 
-func (s *Server) beat() (protocol.Heartbeat, []string) {
+// beat is a heartbeat and whom it is for.
+type beat struct {
+	address string
+	message protocol.Heartbeat
+}
+
+func (s *Server) beats() []beat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	s.table.SetSelf(s.self())
-	live := s.table.Live(now)
-	beat := protocol.Heartbeat{Members: live, Evidence: s.seen}
-	for v := range s.halts {
-		beat.Halts = append(beat.Halts, v)
-	}
-	return beat, s.beatTargets(live)
-}
-
-// beatTargets returns whom to tell: those known to live, and those of the
-// settings that are not known, which may have just been started.
-func (s *Server) beatTargets(live []vm.Member) []string {
-	known := make(map[contract.VMID]bool, len(live))
-	var addresses []string
-	far := make(map[contract.DataCentreID]int)
-	for _, m := range live {
+	near, far := s.nearBeat(), s.farBeat(now)
+	var beats []beat
+	known := map[contract.VMID]bool{s.opts.Settings.VM: true}
+	for _, m := range s.table.Near(now) {
 		known[m.VM] = true
-		if m.VM == s.opts.Settings.VM {
-			continue
+		// One of two asks and the other answers: the one whose name is first,
+		// and the other too when it has not heard for a while.
+		if s.opts.Settings.VM < m.VM || m.Age > askAfter {
+			beats = append(beats, beat{m.ControlLink, near})
 		}
-		if m.DataCentre != s.opts.Settings.DataCentre {
-			if far[m.DataCentre]++; far[m.DataCentre] > farHeartbeats {
-				continue
-			}
+	}
+	watches := s.table.Watches(s.opts.Settings.Control.Watchers, now)
+	heard := make(map[contract.DataCentreID]bool)
+	for _, m := range s.table.Far(farBeats, now) {
+		known[m.VM], heard[m.DataCentre] = true, true
+		if watches {
+			beats = append(beats, beat{m.ControlLink, far})
 		}
-		addresses = append(addresses, m.ControlLink)
 	}
 	for _, p := range s.opts.Settings.Peers {
-		if !known[p.VM] {
-			addresses = append(addresses, p.ControlLink)
+		isNear := p.DataCentre == s.opts.Settings.DataCentre
+		switch {
+		case known[p.VM], !isNear && (heard[p.DataCentre] || !watches):
+		case isNear:
+			beats = append(beats, beat{p.ControlLink, near})
+		default:
+			beats = append(beats, beat{p.ControlLink, far})
 		}
 	}
-	return addresses
+	return beats
+}
+
+// nearBeat is the heartbeat within the data centre. The caller holds mu.
+func (s *Server) nearBeat() protocol.Heartbeat {
+	s.table.SetSelf(s.self())
+	own := s.seen.Of(func(o rollout.Observer) bool { return o.VM == s.opts.Settings.VM })
+	return protocol.Heartbeat{Members: []vm.Member{s.table.Self()}, Halts: s.haltList(), Evidence: own}
+}
+
+// farBeat is the heartbeat to other data centres. The caller holds mu.
+func (s *Server) farBeat(now time.Time) protocol.Heartbeat {
+	s.table.SetSelf(s.self())
+	home := s.opts.Settings.DataCentre
+	here := s.seen.Of(func(o rollout.Observer) bool { return !isTotal(o) })
+	return protocol.Heartbeat{Members: s.table.Delegates(delegates, now), Halts: s.haltList(), Evidence: here.Total(totalOf(home))}
 }
 
-func (s *Server) sendBeat(ctx context.Context, address string, beat protocol.Heartbeat) {
+// totalPrefix marks the observer that stands for a whole data centre. It is no
+// name of a VM, which has no slash.
+const totalPrefix = "total/"
+
+func totalOf(dc contract.DataCentreID) rollout.Observer {
+	return rollout.Observer{VM: contract.VMID(totalPrefix + string(dc))}
+}
+
+func isTotal(o rollout.Observer) bool { return strings.HasPrefix(string(o.VM), totalPrefix) }
+
+// haltList returns the halted versions. The caller holds mu.
+func (s *Server) haltList() []contract.VersionID {
+	var halts []contract.VersionID
+	for v := range s.halts {
+		halts = append(halts, v)
+	}
+	return halts
+}
+
+func (s *Server) sendBeat(ctx context.Context, b beat) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	got, err := link.Call[protocol.Heartbeat, protocol.Heartbeat](ctx, s.endpoint, address, link.KindHeartbeat, beat)
+	got, err := link.Call[protocol.Heartbeat, protocol.Heartbeat](ctx, s.endpoint, b.address, link.KindHeartbeat, b.message)
 	if err != nil {
 		s.metrics.beatFailures.Inc(1)
 		s.log.Debug("heartbeat-failed", logs.Failure(err)...)
@@ -120,9 +160,25 @@
 	s.takeBeat(got)
 }
 
+// answerBeat answers a heartbeat in kind: to one of the own data centre with
+// this VM, to one of another with those that stand for it.
+func (s *Server) answerBeat(b protocol.Heartbeat) protocol.Heartbeat {
+	s.takeBeat(b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(b.Members) > 0 && b.Members[0].DataCentre == s.opts.Settings.DataCentre {
+		return s.nearBeat()
+	}
+	return s.farBeat(s.clock.Now())
+}
+
 func (s *Server) takeBeat(b protocol.Heartbeat) {
 	s.heard(b.Members, b.Halts)
-	s.locked(func() { s.seen = rollout.Merge(s.seen, b.Evidence).Prune(s.config.Progress) })
+	home := totalOf(s.opts.Settings.DataCentre)
+	s.locked(func() {
+		fresh := b.Evidence.Of(func(o rollout.Observer) bool { return o != home })
+		s.seen = rollout.Merge(s.seen, fresh).Prune(s.config.Progress)
+	})
 }
 
 // heard takes in who lives and what is halted.
--- a/control/server.go
+++ b/control/server.go
@@ -71,6 +71,8 @@
 	seen         rollout.Evidence
 	leaving      map[contract.UpstreamID]bool
 	ramps        map[contract.ModelID]ramp
+	// askedMembers is when the VMs of other data centres were last asked for.
+	askedMembers time.Time
 	orders       *lease.Holder
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -170,7 +170,7 @@
 	s.locked(func() { held = s.replica.Held() })
 	asked := s.clock.Now()
 	got, err := link.Call[protocol.PullRequest, protocol.PullAnswer](ctx, s.endpoint, address, link.KindPull,
-		protocol.PullRequest{Have: held.Revision, Hash: held.Hash(), Wait: relayWait})
+		protocol.PullRequest{Have: held.Revision, Hash: held.Hash(), Wait: relayWait, Members: s.wantMembers()})
 	if err != nil {
 		return err
 	}
@@ -196,6 +196,21 @@
 	return s.learn(d, freshAt, 0)
 }
 
+// membersEvery is how often a VM that is not a watcher asks for the VMs of
+// other data centres, which it is not told by heartbeats.
+const membersEvery = 5 * time.Second
+
+func (s *Server) wantMembers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if now.Sub(s.askedMembers) < membersEvery {
+		return false
+	}
+	s.askedMembers = now
+	return true
+}
+
 // pull answers an entry process or a peer.
 func (s *Server) pull(ctx context.Context, req protocol.PullRequest) protocol.PullAnswer {
 	s.takeEntry(req.Entry)
@@ -227,12 +242,13 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	held := s.replica.Held()
-	a := protocol.PullAnswer{Known: !s.replica.FreshAt().IsZero(), Members: s.table.Live(now)}
+	a := protocol.PullAnswer{Known: !s.replica.FreshAt().IsZero(), Halts: s.haltList()}
 	if a.Known {
 		a.Age = s.replica.Age(now)
 	}
-	for v := range s.halts {
-		a.Halts = append(a.Halts, v)
+	if req.Members {
+		a.Members = append(s.table.Near(now), s.table.Far(delegates, now)...)
+		a.Members = append(a.Members, s.table.Self())
 	}
 	for id := range s.leaving {
 		a.Leaving = append(a.Leaving, id)
--- a/entry/view.go
+++ b/entry/view.go
@@ -22,6 +22,8 @@
 	know     permit.Knowledge
 	revision contract.Revision
 	members  []vm.Member
+	// askedMembers is when members were last brought.
+	askedMembers time.Time
 	// replica is used by the pull loop alone.
 	replica *document.Replica
 }
@@ -49,6 +51,9 @@
 	}
 }
 
+// membersEvery is how often the VMs known to live are asked for.
+const membersEvery = time.Second
+
 // staleAfter is the age of knowledge from which other sources are asked too.
 const staleAfter = 2 * time.Second
 
@@ -93,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	asked := s.clock.Now()
-	req := protocol.PullRequest{Have: held.Revision, Hash: held.Hash(), Wait: pullWait}
+	req := protocol.PullRequest{Have: held.Revision, Hash: held.Hash(), Wait: pullWait, Members: asked.Sub(v.askedMembers) >= membersEvery}
 	if address == s.opts.Settings.Control.Link {
 		req.Entry = s.state()
 	}
@@ -138,7 +143,11 @@
 	if got.Known && !behind {
 		v.replica.Learn(d, asked.Add(-got.Age))
 	}
-	next := &view{replica: v.replica, revision: v.replica.Held().Revision, members: got.Members, know: v.know}
+	next := *v
+	next.revision = v.replica.Held().Revision
+	if got.Members != nil {
+		next.members, next.askedMembers = got.Members, asked
+	}
 	if next.revision != v.revision {
 		c, err := config.FromDocument(v.replica.Held())
 		if err != nil {
@@ -154,14 +163,14 @@
 			s.monitor.Halt(halted)
 		}
 		next.know.Halted = s.monitor.Halted()
-		s.configure(next, next.revision != v.revision)
+		s.configure(&next, next.revision != v.revision)
 		leaving := make(map[contract.UpstreamID]bool, len(got.Leaving))
 		for _, id := range got.Leaving {
 			leaving[id] = true
 		}
 		s.upstreams.Unlisted(leaving)
 		// Stored under mu, as haltHere does: a halt in between is not lost.
-		s.view.Store(next)
+		s.view.Store(&next)
 	})
 	return nil
 }
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -21,7 +21,9 @@
 	// Wait is how long the answer may wait for something newer.
 	Wait time.Duration `cbor:"3,keyasint"`
 	// Entry is set when an entry process asks its own VM's control process.
-	Entry *EntryState `cbor:"4,keyasint"`
+	Entry *EntryState `cbor:"4,keyasint,omitempty"`
+	// Members asks for the VMs known to live.
+	Members bool `cbor:"5,keyasint,omitempty"`
 }
 
 // EntryState is what an entry process tells its control process of itself. A
@@ -48,20 +50,25 @@
 	Known bool `cbor:"2,keyasint"`
 	// Age is how old its knowledge was when it answered.
 	Age time.Duration `cbor:"3,keyasint"`
-	// Members are the VMs it knows to live.
-	Members []vm.Member `cbor:"4,keyasint"`
+	// Members are the VMs it knows to live, when they were asked for.
+	Members []vm.Member `cbor:"4,keyasint,omitempty"`
 	// Halts are versions halted anywhere.
 	Halts []contract.VersionID `cbor:"5,keyasint"`
 	// Leaving are the upstreams that the platform lists as leaving.
 	Leaving []contract.UpstreamID `cbor:"6,keyasint"`
 }
 
-// Heartbeat tells a peer's control process who lives. Lost ones are made up
-// for by the next; late ones are told by incarnation and age.
+// Heartbeat tells a peer's control process that the sender lives. Lost ones
+// are made up for by the next; late ones are told by incarnation and age.
+//
+// Its size does not grow with the fleet: within a data centre it carries the
+// sender alone, to another data centre the few VMs that stand for its own.
 type Heartbeat struct {
-	Members  []vm.Member          `cbor:"1,keyasint"`
-	Halts    []contract.VersionID `cbor:"2,keyasint"`
-	Evidence rollout.Evidence     `cbor:"3,keyasint"`
+	Members []vm.Member          `cbor:"1,keyasint"`
+	Halts   []contract.VersionID `cbor:"2,keyasint,omitempty"`
+	// Evidence is what the sender's entry process has seen; to another data
+	// centre, the sum of what is known of the sender's own.
+	Evidence rollout.Evidence `cbor:"3,keyasint,omitempty"`
 }
 
 // VoteRequest asks an arbiter for its vote. Repeated ones get the same vote; a
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -63,6 +63,40 @@
 	return sum
 }
 
+// Of returns the counts of the observers that own tells of.
+func (e Evidence) Of(own func(Observer) bool) Evidence {
+	var kept Evidence
+	for _, c := range e {
+		if own(c.Observer) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// Total returns the sum over all observers as the counts of one. Two VMs that
+// know different parts of the same observers may make totals under the same
+// name: merging takes the larger, which is never more than there was.
+func (e Evidence) Total(as Observer) Evidence {
+	sums := make(map[countKey]Counts)
+	var order []countKey
+	for _, c := range e {
+		k := countKey{as, c.Version, c.Step}
+		sum, had := sums[k]
+		if !had {
+			order = append(order, k)
+		}
+		sum.Good += c.Counts.Good
+		sum.Bad += c.Counts.Bad
+		sums[k] = sum
+	}
+	total := make(Evidence, 0, len(order))
+	for _, k := range order {
+		total = append(total, Count{as, k.version, k.step, sums[k]})
+	}
+	return total
+}
+
 // Prune keeps the evidence of the roll-outs that are under way.
 func (e Evidence) Prune(progress map[contract.ModelID]*config.Progress) Evidence {
 	var kept Evidence
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -30,8 +30,12 @@
 	Age time.Duration `cbor:"9,keyasint"`
 }
 
-// DeadAfter is how long a VM may be silent before it counts as gone.
-const DeadAfter = 5 * time.Second
+// How long a VM may be silent before it counts as gone. Those of other data
+// centres are heard of through a few, so they are given longer.
+const (
+	DeadAfter    = 6 * time.Second
+	FarDeadAfter = 20 * time.Second
+)
 
 // forgetAfter is how long a silent VM is remembered, so that a late word of an
 // earlier life is told from a new VM.
@@ -103,7 +107,7 @@
 			delete(t.members, id)
 			continue
 		}
-		if now.Sub(s.at) > DeadAfter {
+		if now.Sub(s.at) > t.deadAfter(s.member) {
 			continue
 		}
 		m := s.member
@@ -115,6 +119,46 @@
 	return live
 }
 
+func (t *Table) deadAfter(m Member) time.Duration {
+	if m.DataCentre == t.self.DataCentre {
+		return DeadAfter
+	}
+	return FarDeadAfter
+}
+
+// Delegates returns the n VMs that stand for this data centre towards others:
+// its watchers and the next in rank, as far as they are known.
+func (t *Table) Delegates(n int, now time.Time) []Member {
+	ranked := Rank(t.Live(now), t.self.DataCentre, watchKey)
+	return ranked[:min(n, len(ranked))]
+}
+
+// Near returns the other live VMs of this data centre.
+func (t *Table) Near(now time.Time) []Member {
+	var near []Member
+	for _, m := range t.Live(now) {
+		if m.DataCentre == t.self.DataCentre && m.VM != t.self.VM {
+			near = append(near, m)
+		}
+	}
+	return near
+}
+
+// Far returns up to n live VMs of each other data centre, in the order of
+// their rank.
+func (t *Table) Far(n int, now time.Time) []Member {
+	var far []Member
+	live := t.Live(now)
+	for _, dc := range dataCentres(live) {
+		if dc == t.self.DataCentre {
+			continue
+		}
+		ranked := Rank(live, dc, watchKey)
+		far = append(far, ranked[:min(n, len(ranked))]...)
+	}
+	return far
+}
+
 // Gone tells whether a life of a VM is known to have ended: a later life was
 // heard of. Silence alone proves nothing.
 func (t *Table) Gone(id contract.VMID, inc contract.Incarnation) bool {
