--- a/control/health.go
+++ b/control/health.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"woaddoor/contract"
 	"woaddoor/vm"
 )
 
@@ -73,3 +74,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(s.metrics.registry, w)
 }
+
+// Traffic returns the bytes of messages sent and received so far.
+func (s *Server) Traffic() (sent, received int64) { return s.endpoint.Traffic() }
+
+// Revision returns the revision held.
+func (s *Server) Revision() contract.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.Held().Revision
+}
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"woaddoor/clock"
+	"woaddoor/contract"
+	"woaddoor/control"
+	"woaddoor/history"
+	standin "woaddoor/internal/standin/platform"
+	"woaddoor/keys"
+	"woaddoor/link"
+	"woaddoor/logs"
+	"woaddoor/protocol"
+	"woaddoor/settings"
+)
+
+// cores is a fleet of control processes' servers in this one process, over
+// real links on loopback, with stand-ins for their entry processes.
+type cores struct {
+	store   *standin.Store
+	servers []*control.Server
+	entries []*link.Endpoint
+	own     []settings.Settings
+	cancel  context.CancelFunc
+	dir     string
+}
+
+// settle is how long a fleet runs before it is measured, and observe for how
+// long it is.
+const (
+	settleFor  = 8 * time.Second
+	observeFor = 12 * time.Second
+)
+
+func newCores(ctx context.Context, dcs, vms int) (*cores, error) {
+	c := &cores{store: standin.New()}
+	var err error
+	if c.dir, err = os.MkdirTemp("", "woaddoor-cores"); err != nil {
+		return nil, err
+	}
+	var names []string
+	var peers []settings.Peer
+	for d := range dcs {
+		for v := range vms {
+			name := fmt.Sprintf("dc%d-%d", d, v)
+			address := fmt.Sprintf("127.0.0.1:%d", firstPort+len(names))
+			names = append(names, name)
+			peers = append(peers, settings.Peer{VM: contract.VMID(name), DataCentre: contract.DataCentreID(fmt.Sprintf("dc%d", d)), EntryLink: address, ControlLink: address})
+		}
+	}
+	if err := keys.Make(c.dir, names); err != nil {
+		return nil, err
+	}
+	ctx, c.cancel = context.WithCancel(ctx)
+	for i, name := range names {
+		if err := c.add(ctx, name, peers, i); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// firstPort begins the UDP ports of the cores.
+const firstPort = 21_000
+
+func (c *cores) add(ctx context.Context, name string, peers []settings.Peer, i int) error {
+	set, err := keys.Load(filepath.Join(c.dir, name+".pem"), filepath.Join(c.dir, keys.PinsFile), filepath.Join(c.dir, keys.SigningFile))
+	if err != nil {
+		return err
+	}
+	s := settings.Settings{VM: peers[i].VM, DataCentre: peers[i].DataCentre}
+	s.Control = settings.Control{Health: "127.0.0.1:0", Link: peers[i].ControlLink, Advertise: peers[i].ControlLink, Watchers: 2, WatchWait: time.Second, FileEvery: time.Second}
+	s.Entry.Link, s.Entry.Advertise = peers[i].EntryLink, peers[i].EntryLink
+	for j, p := range peers {
+		// A VM's settings name a few of each data centre, not the fleet.
+		if j != i && (near(peers, i, j) || strings.HasSuffix(string(p.VM), "-0")) {
+			s.Peers = append(s.Peers, p)
+		}
+	}
+	view := c.store.View(name)
+	server, err := control.New(&control.Options{Settings: &s, Keys: set, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Store: view, VMs: view})
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, server)
+	c.own = append(c.own, s)
+	go func() { _ = server.Run(ctx) }()
+	endpoint, err := link.Listen("127.0.0.1:0", set)
+	if err != nil {
+		return err
+	}
+	c.entries = append(c.entries, endpoint)
+	go c.entry(ctx, endpoint, &s)
+	return nil
+}
+
+// near tells whether VM j is among the first four of VM i's data centre.
+func near(peers []settings.Peer, i, j int) bool {
+	rank := 0
+	for k := range j {
+		if peers[k].DataCentre == peers[i].DataCentre {
+			rank++
+		}
+	}
+	return peers[j].DataCentre == peers[i].DataCentre && rank < 4
+}
+
+// entry stands in for a VM's entry process: it pulls as one does.
+func (c *cores) entry(ctx context.Context, e *link.Endpoint, s *settings.Settings) {
+	have := contract.Revision(0)
+	for ctx.Err() == nil {
+		got, err := link.Call[protocol.PullRequest, protocol.PullAnswer](ctx, e, s.Control.Link, link.KindPull, protocol.PullRequest{
+			Have: have, Wait: 500 * time.Millisecond,
+			Entry: &protocol.EntryState{Incarnation: 1, Link: s.Entry.Link, Revision: have},
+		})
+		if err == nil && got.Patch != nil {
+			have = got.Patch.To
+		}
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func (c *cores) stop() {
+	c.cancel()
+	for _, e := range c.entries {
+		_ = e.Close()
+	}
+	time.Sleep(time.Second)
+	os.RemoveAll(c.dir)
+}
+
+// traffic returns the bytes of messages that all control servers have sent and
+// received.
+func (c *cores) traffic() int64 {
+	total := int64(0)
+	for _, s := range c.servers {
+		sent, received := s.Traffic()
+		total += sent + received
+	}
+	return total
+}
+
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse+m.StackInuse) / (1 << 20)
+}
+
+const coreConfig = "[workspace w]\nkey-hash = 0000000000000000000000000000000000000000000000000000000000000000\nallow = m@1\n\n[model m]\nserve = m@1\n\n[version m@1]\nserve-without-word = %ds\n"
+
+// apply makes a change and returns how long it took until every control server
+// held it.
+func (c *cores) apply(ctx context.Context, n int) (time.Duration, error) {
+	op := c.operator()
+	base, err := history.Load(ctx, op.Store)
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	root, err := op.Apply(ctx, "site.ini", fmt.Appendf(nil, coreConfig, 30+n), int64(base.Root.Revision), history.Author{Who: "bench", Why: "bench", At: began})
+	if err != nil {
+		return 0, err
+	}
+	for _, s := range c.servers {
+		for s.Revision() < root.Revision {
+			if time.Since(began) > time.Minute {
+				return 0, fmt.Errorf("revision %d not everywhere after a minute", root.Revision)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began), nil
+}
+
+// changes is how many changes are made at each size.
+const changes = 10
+
+// controlSlope measures the control's cost at several sizes of the fleet.
+func controlSlope(ctx context.Context, _ string) error {
+	fmt.Printf("### Control, by the size of the fleet\n\nControl servers in one process, over real links, at rest for %v; processor time includes both ends of each link and the stand-ins for entry processes; heap holds all of them.\n\n", observeFor)
+	fmt.Printf("| data centres x VMs | processor, %% of a core a VM | message bytes/s a VM | heap and stacks a VM, MiB | platform calls/s: reads | watches | lists | writes | change everywhere, median | longest | platform calls a change |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, size := range [][2]int{{3, 2}, {4, 6}, {5, 10}, {8, 12}, {8, 25}} {
+		if err := slopeRow(ctx, size[0], size[1]); err != nil {
+			return err
+		}
+	}
+	fmt.Println()
+	return nil
+}
+
+func slopeRow(ctx context.Context, dcs, vms int) error {
+	c, err := newCores(ctx, dcs, vms)
+	if err != nil {
+		return err
+	}
+	defer c.stop()
+	if _, err := c.apply(ctx, 0); err != nil {
+		return err
+	}
+	time.Sleep(settleFor)
+	n := float64(dcs * vms)
+	cpu0, bytes0, calls0, began := processCPU(), c.traffic(), c.store.Counts(), time.Now()
+	time.Sleep(observeFor)
+	seconds := time.Since(began).Seconds()
+	cpu1, bytes1, calls1 := processCPU(), c.traffic(), c.store.Counts()
+	var took []time.Duration
+	for i := range changes {
+		d, err := c.apply(ctx, i+1)
+		if err != nil {
+			return err
+		}
+		took = append(took, d)
+		time.Sleep(time.Second)
+	}
+	calls2 := c.store.Counts()
+	rest := rate(calls0, calls1, seconds)
+	// What changes cost beyond the calls at rest, which go on meanwhile.
+	busy := total(calls1, calls2) - rest.total*(float64(changes)+sumOf(took).Seconds())
+	fmt.Printf("| %d x %d | %.2f | %.0f | %.2f | %.1f | %.1f | %.1f | %.2f | %v | %v | %.1f |\n", dcs, vms,
+		100*(cpu1-cpu0).Seconds()/seconds/n, float64(bytes1-bytes0)/seconds/n, heap()/n,
+		rest.reads, rest.watches, rest.lists, rest.writes, median(took).Round(time.Millisecond), at(took, 1).Round(time.Millisecond), busy/changes)
+	return nil
+}
+
+func sumOf(d []time.Duration) time.Duration {
+	total := time.Duration(0)
+	for _, x := range d {
+		total += x
+	}
+	return total
+}
+
+type rates struct{ reads, watches, lists, writes, total float64 }
+
+func rate(a, b standin.Counts, seconds float64) rates {
+	return rates{
+		float64(b.Reads-a.Reads) / seconds, float64(b.Watches-a.Watches) / seconds, float64(b.Lists-a.Lists) / seconds,
+		float64(b.Writes-a.Writes) / seconds, total(a, b) / seconds,
+	}
+}
+
+func total(a, b standin.Counts) float64 {
+	return float64(b.Reads - a.Reads + b.Watches - a.Watches + b.Lists - a.Lists + b.Writes - a.Writes)
+}
--- /dev/null
+++ b/internal/bench/entry.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"woaddoor/engine"
+	"woaddoor/internal/fleet"
+)
+
+// Sizes of the entry's measurements.
+const (
+	pairs        = 2000
+	cpuRequests  = 20_000
+	chunkStreams = 40
+	chunkTokens  = 4000
+	openStreams  = 1000
+)
+
+func median(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
+func at(d []time.Duration, p float64) time.Duration {
+	slices.Sort(d)
+	return d[min(int(p*float64(len(d))), len(d)-1)]
+}
+
+// caller sends requests either to a VM or straight to an engine.
+type caller struct {
+	url, key, model string
+	client          *http.Client
+}
+
+func (c caller) post(ctx context.Context, tokens int, stream bool) (*http.Response, error) {
+	body := fleet.ChatBody(c.model, "hello", tokens, stream)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+engine.PathChat, bytes.NewBufferString(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set(engine.HeaderRequest, "direct")
+	return c.client.Do(req)
+}
+
+// whole sends a request and reads its whole answer.
+func (c caller) whole(ctx context.Context, tokens int, stream bool) (time.Duration, int64, error) {
+	began := time.Now()
+	resp, err := c.post(ctx, tokens, stream)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return 0, 0, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return time.Since(began), n, err
+}
+
+func callers(f *fleet.Fleet) (direct, routed caller) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000}}
+	direct = caller{f.EngineURL("dc1-engine-1"), "", "chat-small@1", client}
+	routed = caller{f.VMs[0].Callers, fleet.KeyNorte, "chat-small", client}
+	return direct, routed
+}
+
+// added measures what the entry adds to a request, pair by pair.
+func added(ctx context.Context, binDir string) error {
+	f, stop, err := start(ctx, binDir, 2, 1, 0)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	direct, routed := callers(f)
+	var d, r, diff []time.Duration
+	for range pairs {
+		a, _, err := direct.whole(ctx, 8, false)
+		if err != nil {
+			return err
+		}
+		b, _, err := routed.whole(ctx, 8, false)
+		if err != nil {
+			return err
+		}
+		d, r, diff = append(d, a), append(r, b), append(diff, b-a)
+	}
+	pid := f.VMs[0].Entry.PID()
+	before := cpu(pid)
+	began := time.Now()
+	if err := parallel(8, cpuRequests, func() error { _, _, err := routed.whole(ctx, 8, false); return err }); err != nil {
+		return err
+	}
+	used, wall := cpu(pid)-before, time.Since(began)
+	fmt.Printf("### What the entry adds to a request\n\n%d pairs, one after the other; processor time over %d requests by 8 callers.\n\n", pairs, cpuRequests)
+	fmt.Printf("| | p50 | p95 | p99 |\n|---|---|---|---|\n")
+	for _, row := range []struct {
+		name string
+		d    []time.Duration
+	}{{"direct", d}, {"through the entry", r}, {"added, pair by pair", diff}} {
+		fmt.Printf("| %s | %v | %v | %v |\n", row.name, median(row.d).Round(time.Microsecond), at(row.d, 0.95).Round(time.Microsecond), at(row.d, 0.99).Round(time.Microsecond))
+	}
+	fmt.Printf("\nprocessor time of the entry a request: %v; %.0f requests/s\n\n", (used / cpuRequests).Round(time.Microsecond), cpuRequests/wall.Seconds())
+	return nil
+}
+
+func parallel(callers, n int, do func() error) error {
+	var wg sync.WaitGroup
+	errs := make(chan error, callers)
+	for range callers {
+		wg.Go(func() {
+			for range n / callers {
+				if err := do(); err != nil {
+					errs <- err
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+	return <-errs
+}
+
+// chunks measures what the entry adds to a chunk of a stream, at several
+// numbers of streams at once.
+func chunks(ctx context.Context, binDir string) error {
+	f, stop, err := start(ctx, binDir, 2, 1, 0)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	direct, routed := callers(f)
+	pid := f.VMs[0].Entry.PID()
+	fmt.Printf("### What the entry adds to a chunk\n\n%d streams of %d chunks for each row.\n\n| streams at once | processor time a chunk | wall time a chunk, direct | through the entry | chunks/s |\n|---|---|---|---|---|\n", chunkStreams, chunkTokens)
+	for _, width := range []int{1, 4, 8, 20} {
+		began := time.Now()
+		if err := parallel(width, chunkStreams, func() error { _, _, err := direct.whole(ctx, chunkTokens, true); return err }); err != nil {
+			return err
+		}
+		straight := time.Since(began)
+		before := cpu(pid)
+		began = time.Now()
+		if err := parallel(width, chunkStreams, func() error { _, _, err := routed.whole(ctx, chunkTokens, true); return err }); err != nil {
+			return err
+		}
+		wall, used := time.Since(began), cpu(pid)-before
+		n := chunkStreams / width * width * chunkTokens
+		fmt.Printf("| %d | %.1f us | %.1f us | %.1f us | %.0f |\n", width, us(used, n), us(straight, n), us(wall, n), float64(n)/wall.Seconds())
+	}
+	fmt.Println()
+	return nil
+}
+
+func us(d time.Duration, n int) float64 { return float64(d.Microseconds()) / float64(n) }
+
+// memory measures the entry's memory at rest and with many streams open.
+func memory(ctx context.Context, binDir string) error {
+	f, stop, err := start(ctx, binDir, 2, 1, 100*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	_, routed := callers(f)
+	pid, control := f.VMs[0].Entry.PID(), f.VMs[0].Control.PID()
+	fmt.Printf("### Memory\n\n| streams open | entry, MiB | control, MiB |\n|---|---|---|\n")
+	row := func(n int) {
+		fmt.Printf("| %d | %.1f | %.1f |\n", n, mib(pid), mib(control))
+	}
+	row(0)
+	var open []*http.Response
+	defer func() {
+		for _, r := range open {
+			r.Body.Close()
+		}
+	}()
+	for _, n := range []int{250, 500, openStreams} {
+		for len(open) < n {
+			resp, err := routed.post(ctx, 100_000, true)
+			if err != nil {
+				return err
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, 64)); err != nil {
+				return err
+			}
+			open = append(open, resp)
+		}
+		row(n)
+	}
+	fmt.Println()
+	return nil
+}
+
+func mib(pid int) float64 { return float64(resident(pid)) / float64(1<<20) }
--- /dev/null
+++ b/internal/bench/main.go
@@ -0,0 +1,62 @@
+// Command bench measures the programs themselves: what the entry adds to a
+// request and to a chunk, what it holds, and how the control processes' cost
+// grows with the fleet. Load goes to loopback only and is bounded.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"woaddoor/internal/fleet"
+)
+
+type arguments struct {
+	Only string `help:"Run one measurement: added, chunks, memory, control, writes."`
+}
+
+// limit bounds a whole run.
+const limit = 20 * time.Minute
+
+type measurement struct {
+	name string
+	run  func(ctx context.Context, binDir string) error
+}
+
+var measurements = []measurement{
+	{"added", added}, {"chunks", chunks}, {"memory", memory}, {"control", controlSlope}, {"writes", writes},
+}
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("bench"), kong.Description("Measures the programs."))
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	binDir, err := os.MkdirTemp("", "woaddoor-bench")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(binDir)
+	if err := fleet.Build(ctx, binDir); err != nil {
+		return err
+	}
+	for _, m := range measurements {
+		if a.Only != "" && a.Only != m.name {
+			continue
+		}
+		if err := m.run(ctx, binDir); err != nil {
+			return fmt.Errorf("%s: %w", m.name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/writes.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"woaddoor/internal/standin/platform"
+	"woaddoor/operator"
+)
+
+func (c *cores) operator() *operator.Operator {
+	view := c.store.View("operator")
+	return &operator.Operator{Store: view, VMs: view, Now: time.Now}
+}
+
+// writes measures the calls to the platform by a running fleet of six VMs: at
+// rest, for requests, and for a replaced VM.
+func writes(ctx context.Context, binDir string) error {
+	f, stop, err := start(ctx, binDir, 3, 2, 0)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Printf("### Calls to the platform, six VMs in three data centres, real processes\n\n| what | reads | watches | lists | writes | requests |\n|---|---|---|---|---|---|\n")
+	row := func(what string, a, b platform.Counts, seconds float64, requests int) {
+		r := rate(a, b, seconds)
+		fmt.Printf("| %s, a second | %.1f | %.1f | %.1f | %.2f | %.0f/s |\n", what, r.reads, r.watches, r.lists, r.writes, float64(requests)/seconds)
+	}
+	time.Sleep(settleFor)
+	a, began := f.Platform.Counts(), time.Now()
+	time.Sleep(observeFor)
+	row("at rest", a, f.Platform.Counts(), time.Since(began).Seconds(), 0)
+	_, routed := callers(f)
+	for _, n := range []int{500, 2000, 8000} {
+		a, began = f.Platform.Counts(), time.Now()
+		if err := parallel(4, n, func() error { _, _, err := routed.whole(ctx, 4, false); return err }); err != nil {
+			return err
+		}
+		row(fmt.Sprintf("%d requests", n), a, f.Platform.Counts(), time.Since(began).Seconds(), n)
+	}
+	time.Sleep(settleFor)
+	a, began = f.Platform.Counts(), time.Now()
+	f.VMs[5].Entry.Kill()
+	f.VMs[5].Control.Kill()
+	if err := f.StartVM(f.VMs[5]); err != nil {
+		return err
+	}
+	time.Sleep(observeFor)
+	row("a VM replaced", a, f.Platform.Counts(), time.Since(began).Seconds(), 0)
+	fmt.Println()
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -152,6 +152,9 @@
 	return l.Addr().String(), nil
 }
 
+// EngineURL returns the address of an engine.
+func (f *Fleet) EngineURL(id contract.UpstreamID) string { return f.urls[id] }
+
 // Operator returns an operator of the fleet's platform.
 func (f *Fleet) Operator() *operator.Operator {
 	client := platform.NewClient(&platform.Options{URL: f.OperatorURL})
