entry: bill copies stay near when all else is cut off; a stop ends without the platform

Cause: a data centre cut off from the platform and from its peers refused with bill-not-kept though its second VM could hold the copy: only two peers were asked, both far. A planned stop waited an hour for a platform that was out. Ruled out: the freshness of the configuration (the version was permitted). Change: one far and one near peer are asked, one that failed lately last; a stop ends when its records are filed or held by peers; a withheld answer is not billed.

--- a/entry/bills.go
+++ b/entry/bills.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,6 +73,8 @@
 	if req.workspace.Bill == config.BillServe {
 		return nil
 	}
+	// The answer is withheld, so it is not billed either.
+	s.locked(func() { s.bills.Filed([]bill.Record{r}) })
 	f := refusal(contract.RefusedBill, contract.Ran, contract.StepBill, "the bill could be kept neither by a peer nor by the platform")
 	return refusalAfter{f}.in(billRetry)
 }
@@ -85,6 +90,7 @@
 			s.kept()
 			return nil
 		}
+		s.locked(func() { s.keeperFailed[m.VM] = s.clock.Now() })
 	}
 	if fileErr := s.file(context.WithoutCancel(ctx), records); fileErr != nil {
 		return fileErr
@@ -94,12 +100,17 @@
 
 func (s *Server) kept() { s.locked(func() { s.lastKept = s.clock.Now() }) }
 
-// maxKeepers is how many peers are asked to hold a record before the platform
-// is.
-const maxKeepers = 2
+// How peers are chosen to hold records.
+const (
+	maxKeepers = 2
+	// avoidFailed is how long a peer that did not answer is asked last.
+	avoidFailed = 5 * time.Second
+)
 
-// keepers returns the peers to hold copies, those of other data centres first:
-// a whole data centre can be lost.
+// keepers returns the peers to ask to hold a copy, one after another: first one
+// of another data centre, since a whole data centre can be lost, then one of
+// the own, since all others can be cut off. One that did not answer lately is
+// passed over while there is another of its kind.
 func (s *Server) keepers() []vm.Member {
 	var far, near []vm.Member
 	for _, m := range s.view.Load().members {
@@ -112,11 +123,30 @@
 			far = append(far, m)
 		}
 	}
-	s.locked(func() {
-		s.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	})
-	all := append(far, near...)
-	return all[:min(len(all), maxKeepers)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	maps.DeleteFunc(s.keeperFailed, func(_ contract.VMID, at time.Time) bool { return now.Sub(at) >= avoidFailed })
+	failed := func(m vm.Member) bool { return now.Sub(s.keeperFailed[m.VM]) < avoidFailed }
+	var chosen []vm.Member
+	for _, peers := range [][]vm.Member{far, near} {
+		s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		slices.SortStableFunc(peers, func(a, b vm.Member) int { return cmp.Compare(btoi(failed(a)), btoi(failed(b))) })
+		if len(peers) > 0 {
+			chosen = append(chosen, peers[0])
+		}
+	}
+	if len(chosen) == maxKeepers && failed(chosen[0]) && !failed(chosen[1]) {
+		chosen[0], chosen[1] = chosen[1], chosen[0]
+	}
+	return chosen
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // fileLoop has the records held here filed.
@@ -176,15 +206,16 @@
 	}
 }
 
-// settleBills sees the held records filed before a planned stop ends.
+// settleBills sees the held records filed before a planned stop ends, or, when
+// the platform does not answer, held by peers, which file them.
 func (s *Server) settleBills(ctx context.Context) {
 	for ctx.Err() == nil {
-		own := 0
-		s.locked(func() { own = len(s.bills.Due(s.clock.Now(), fileLimit)) })
-		if own == 0 {
+		s.fileDue(ctx)
+		due, atRisk := 0, 0
+		s.locked(func() { due, atRisk = len(s.bills.Due(s.clock.Now(), fileLimit)), s.bills.AtRisk() })
+		if due == 0 || atRisk == 0 {
 			return
 		}
-		s.fileDue(ctx)
 		pause(ctx, fileEvery)
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -84,6 +84,8 @@
 	bills     *bill.Holder
 	monitor   *rollout.Monitor
 	cascades  *cascade.Learner
+	// keeperFailed is when a peer last did not take a record.
+	keeperFailed map[contract.VMID]time.Time
 	// lastKept is when a peer or the platform last took a bill record.
 	lastKept time.Time
 }
@@ -108,7 +110,8 @@
 		random:    rand.New(rand.NewPCG(seed, uint64(len(opts.Settings.VM)))),
 		upstreams: upstream.NewTable(upstream.Options{}),
 		waiters:   make(map[workspace.ID]chan bool), reconfigured: make(chan struct{}, 1),
-		budget: retry.NewBudget(retry.Options{}),
+		keeperFailed: make(map[contract.VMID]time.Time),
+		budget:       retry.NewBudget(retry.Options{}),
 	}
 	s.origin = bill.Origin{VM: opts.Settings.VM, Incarnation: s.incarnation}
 	s.arbiter = ticket.Arbiter{VM: opts.Settings.VM, Incarnation: s.incarnation, Link: opts.Settings.Entry.Advertise}
--- a/entry/tickets.go
+++ b/entry/tickets.go
@@ -162,6 +162,9 @@
 
 // replay answers with what a former attempt has left.
 func (s *Server) replay(w http.ResponseWriter, req *request, result *ticket.Result) *contract.Refusal {
+	if result.Outcome == contract.NotRun {
+		return refusal(contract.RefusedClaimed, contract.NotRun, contract.StepClaim, "the attempt that held the ticket did not run: take a new ticket")
+	}
 	if !result.Whole {
 		return refusal(contract.RefusedClaimed, result.Outcome, contract.StepClaim, "the request was answered before; its answer is not kept")
 	}
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -71,7 +71,7 @@
 	for _, vm := range f.VMs {
 		err := Until(ctx, func() bool {
 			st, err := vm.Status(ctx)
-			return err == nil && st.Arbiters == min(f.opts.VMs, ticket.MaxArbiters) && st.Keepers == min(len(f.VMs)-1, maxKeepers)
+			return err == nil && st.Arbiters == min(f.opts.VMs, ticket.MaxArbiters) && st.Keepers == f.keepers()
 		})
 		if err != nil {
 			return fmt.Errorf("%s does not know its peers: %w", vm.Name, err)
@@ -80,14 +80,25 @@
 	return nil
 }
 
-// maxKeepers is how many peers an entry process asks to keep a record.
-const maxKeepers = 2
+// keepers returns how many peers an entry process asks to keep a record, once
+// it knows them: one of its own data centre and one of another.
+func (f *Fleet) keepers() int {
+	n := 0
+	if f.opts.VMs > 1 {
+		n++
+	}
+	if len(f.opts.DataCentres) > 1 {
+		n++
+	}
+	return n
+}
 
 // Status is what an entry process's status page shows, as far as tests read it.
 type Status struct {
 	Revision    contract.Revision `json:"revision"`
 	Arbiters    int               `json:"arbiters"`
 	Keepers     int               `json:"keepers"`
+	Age         time.Duration     `json:"age_nanoseconds"`
 	BillsHeld   int               `json:"bills_held"`
 	BillsAtRisk int               `json:"bills_at_risk"`
 }
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -286,6 +286,57 @@
 	})
 }
 
+// TestStopWithPlatformOut stops a VM while the platform is out: it ends though
+// its records cannot be filed, since a peer holds them, and the peer files them.
+func TestStopWithPlatformOut(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ctx := start(t, 1, 2, 0)
+	f.Platform.SetFaults(platform.Faults{Down: true})
+	r, err := f.VMs[0].Chat(ctx, KeyMbio, "chat-large", "hello")
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusOK)
+	f.VMs[0].Entry.Terminate()
+	<-f.VMs[0].Entry.Done()
+	is.NoErr(f.VMs[0].Entry.Err())
+	f.VMs[0].Control.Kill()
+	f.Platform.SetFaults(platform.Faults{})
+	until(ctx, t, "the peer has filed it", func() bool {
+		sums, err := f.Operator().Bills(ctx)
+		return err == nil && len(sums) == 2 && sums[0].Workspace == "mbio" && sums[0].Requests == 1
+	})
+}
+
+// TestUnbilledIsRefused cuts the only VM off from the platform: a workspace
+// that is not served at risk is refused before anything runs, another is
+// served and the amount at risk is counted.
+func TestUnbilledIsRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ctx := start(t, 1, 1, 0)
+	f.Platform.SetFaults(platform.Faults{Down: true})
+	until(ctx, t, "what was kept lately no longer counts", func() bool {
+		r, err := f.VMs[0].Chat(ctx, KeyNorte, "chat-large", "hello")
+		return err == nil && r.Status == http.StatusServiceUnavailable && refused(t, r) == refusal{string(contract.RefusedBill), "not run"}
+	})
+	before := f.Engines["dc1-engine-1"].TotalRuns() + f.Engines["dc1-engine-2"].TotalRuns()
+	r, err := f.VMs[0].Chat(ctx, KeyNorte, "chat-large", "hello")
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusServiceUnavailable)
+	is.Equal(f.Engines["dc1-engine-1"].TotalRuns()+f.Engines["dc1-engine-2"].TotalRuns(), before)
+	r, err = f.VMs[0].Chat(ctx, KeyMbio, "chat-large", "hello")
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusOK)
+	st, err := f.VMs[0].Status(ctx)
+	is.NoErr(err)
+	is.True(st.BillsAtRisk >= 1)
+	f.Platform.SetFaults(platform.Faults{})
+	until(ctx, t, "nothing is at risk any more", func() bool {
+		st, err := f.VMs[0].Status(ctx)
+		return err == nil && st.BillsAtRisk == 0
+	})
+}
+
 // streamLines opens a stream and returns its lines, one at a time.
 func streamLines(ctx context.Context, t *testing.T, vm *VM, body string, headers ...string) (*http.Response, *bufio.Scanner) {
 	t.Helper()
