entry, fleet, history: copies are hedged; lost replies to the root are drawn

Cause: under load a cut-off data centre refused with bill-not-kept: the one near keeper had 400 ms. The mutant "a lost reply is settled by reading" survived: the draws lost the replies to content and record, never to the root. A test froze a VM after its request had been answered. sureAt left out a configuration that could not be read, which makes its end too early. Ruled out: the permission after the freeze (the answer's time is before it). Change: the next keeper is asked after 100 ms, the first to answer will do; replies are lost by object; Freeze waits for the kernel; sureAt fails instead; serve-without-word is at most 48 h.

--- a/config/build.go
+++ b/config/build.go
@@ -166,10 +166,14 @@
 	if !contract.IsVersion(string(id)) {
 		r.Fault("", `is not a version: expected "model@number"`)
 	}
+	without := r.Duration("serve-without-word", 0)
+	if without > MaxServeWithoutWord {
+		r.Fault("serve-without-word", "is %v: expected at most %v", without, MaxServeWithoutWord)
+	}
 	c.Versions[id] = &Version{
 		ID:               id,
 		State:            VersionState(r.OneOf("state", string(Serving), string(Serving), string(Draining), string(Withdrawn))),
-		ServeWithoutWord: r.Duration("serve-without-word", 0),
+		ServeWithoutWord: without,
 	}
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -87,6 +87,10 @@
 	ServeWithoutWord time.Duration
 }
 
+// MaxServeWithoutWord bounds how long a version may be served without word, so
+// that the end of a withdrawal can be worked out from the changes of that time.
+const MaxServeWithoutWord = 48 * time.Hour
+
 // DefaultServeWithoutWord is used where a version does not say. It bounds both
 // how long a cut-off data centre serves and how long a withdrawal may pend.
 const DefaultServeWithoutWord = 2 * time.Minute
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -48,6 +48,7 @@
 	for name, c := range map[string]struct{ old, new, want string }{
 		"unknown key":         {"serve = m@1", "serve = m@1\nserv = m@1", "site.ini:7: [model m] serv: is not known here"},
 		"wrong unit":          {"30s", "30", "site.ini:12: [version m@2] serve-without-word: is \"30\": expected a duration with a unit"},
+		"too long":            {"30s", "72h", "site.ini:12: [version m@2] serve-without-word: is 72h0m0s: expected at most 48h0m0s"},
 		"no such version":     {"serve = m@1", "serve = m@9", "site.ini:6: [model m] serve: names m@9, which has no section"},
 		"empty permission":    {"allow = m@1, m@2", "allow =", "site.ini:3: [workspace norte] allow: is missing or empty"},
 		"unknown section":     {"[model m]", "[modle m]", "site.ini:5: [modle m] is not known"},
--- a/entry/bills.go
+++ b/entry/bills.go
@@ -21,7 +21,9 @@
 
 // Timings of bills.
 const (
-	keepTimeout = 400 * time.Millisecond
+	keepTimeout = 3 * time.Second
+	// hedgeAfter is how long a keeper may take before the next is asked too.
+	hedgeAfter  = 100 * time.Millisecond
 	fileEvery   = 250 * time.Millisecond
 	fileTimeout = 4 * time.Second
 	fileLimit   = 2000
@@ -79,23 +81,49 @@
 	return f.WithRetryAfter(billRetry)
 }
 
-// copyOut has one peer hold the records, or the platform.
+// copyOut has one peer hold the records, or the platform. The next in line is
+// asked as well when one has not answered soon; the first to answer will do.
 func (s *Server) copyOut(ctx context.Context, records protocol.Records) error {
-	var err error = contract.Fail(contract.StepBill, "", bill.ErrFull)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
+	defer cancel()
+	var ways []func() error
 	for _, m := range s.keepers() {
-		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
-		_, err = link.Call[protocol.Records, protocol.Done](call, s.endpoint, m.EntryLink, link.KindKeep, records)
-		cancel()
-		if err == nil {
-			s.kept()
-			return nil
+		ways = append(ways, func() error { return s.copyTo(ctx, m, records) })
+	}
+	ways = append(ways, func() error { return s.file(ctx, records) })
+	answers := make(chan error, len(ways))
+	asked, answered := 0, 0
+	hedge := time.NewTimer(0)
+	defer hedge.Stop()
+	var failed error
+	for answered < len(ways) {
+		select {
+		case <-hedge.C:
+			if asked < len(ways) {
+				way := ways[asked]
+				asked++
+				go func() { answers <- way() }()
+				hedge.Reset(hedgeAfter)
+			}
+		case err := <-answers:
+			if err == nil {
+				s.kept()
+				return nil
+			}
+			answered++
+			failed = err
+			hedge.Reset(0)
 		}
-		s.locked(func() { s.keeperFailed[m.VM] = s.clock.Now() })
 	}
-	if fileErr := s.file(context.WithoutCancel(ctx), records); fileErr != nil {
-		return fileErr
+	return failed
+}
+
+func (s *Server) copyTo(ctx context.Context, m vm.Member, records protocol.Records) error {
+	_, err := link.Call[protocol.Records, protocol.Done](ctx, s.endpoint, m.EntryLink, link.KindKeep, records)
+	if err != nil {
+		s.locked(func() { s.keeperFailed[m.VM] = s.clock.Now() })
 	}
-	return nil
+	return err
 }
 
 func (s *Server) kept() { s.locked(func() { s.lastKept = s.clock.Now() }) }
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -77,7 +77,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			s.SetFaults(standin.Faults{LoseReplies: rapid.IntRange(0, 4).Draw(t, "lost")})
+			s.SetFaults(standin.Faults{
+				LoseReplies:   rapid.IntRange(0, 4).Draw(t, "lost"),
+				LoseRepliesTo: rapid.SampledFrom([]string{"", document.RootName, document.ChangeName("")}).Draw(t, "of"),
+			})
 			root, err := Publish(t.Context(), store, base, section(i), author)
 			s.SetFaults(standin.Faults{})
 			now, loadErr := Load(t.Context(), store)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"woaddoor/contract"
@@ -142,22 +144,46 @@
 	return err
 }
 
+// Ports are given out from a range below that of the system, in an order that
+// depends on the process, so that neither another fleet nor an outgoing
+// connection takes one between its choice and the start of its program.
+const (
+	portsFrom = 10_000
+	portsTo   = 20_000
+)
+
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: os.Getpid() * 131 % (portsTo - portsFrom)}
+
 // freeAddress returns a loopback address that nothing listens at just now.
 func freeAddress(network string) (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	for range portsTo - portsFrom {
+		ports.next = (ports.next + 1) % (portsTo - portsFrom)
+		address := fmt.Sprintf("127.0.0.1:%d", portsFrom+ports.next)
+		if free(network, address) {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port on loopback")
+}
+
+func free(network, address string) bool {
 	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		c, err := net.ListenPacket("udp", address)
 		if err != nil {
-			return "", err
+			return false
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
+		return c.Close() == nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return false
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return l.Close() == nil
 }
 
 // EngineURL returns the address of an engine.
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
+	"time"
 )
 
 // Process is one running program.
@@ -45,8 +48,23 @@
 // Terminate asks for a planned stop.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
-// Freeze stops the process in its tracks; Wake lets it go on.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze stops the process in its tracks, and returns once it stands still.
+func (p *Process) Freeze() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for !p.stopped() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// stopped tells whether the kernel has stopped the process, or it has ended.
+func (p *Process) stopped() bool {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return true
+	}
+	_, state, _ := strings.Cut(string(raw), ") ")
+	return strings.HasPrefix(state, "T")
+}
 
 // Wake lets a frozen process go on.
 func (p *Process) Wake() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"woaddoor/contract"
+	"woaddoor/datacentre"
 	"woaddoor/history"
 	standin "woaddoor/internal/standin/engine"
 	platform "woaddoor/internal/standin/platform"
@@ -76,8 +78,11 @@
 		r, err := near.Chat(ctx, KeyNorte, "chat-small@2", "hello")
 		return err == nil && r.Status == http.StatusGone
 	})
-	force, err := f.Operator().Force(ctx, root)
-	is.NoErr(err)
+	var force datacentre.Force
+	until(ctx, t, "near VM is told in force", func() bool {
+		force, err = f.Operator().Force(ctx, root)
+		return err == nil && slices.Contains(force.InForce, near.Name)
+	})
 	is.Equal(len(force.Pending), 1)
 	is.Equal(force.Pending[0].VM, far.Name)
 	is.True(!force.Everywhere(time.Now())) // truthfully pending
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -21,6 +21,8 @@
 	Down bool
 	// LoseReplies makes that many writes take effect and then fail.
 	LoseReplies int
+	// LoseRepliesTo limits LoseReplies to objects whose name begins so.
+	LoseRepliesTo string
 	// Slow delays each call.
 	Slow time.Duration
 	// StaleReads answers reads and watches from the state at the time the
@@ -207,7 +209,7 @@
 	s.version++
 	s.objects[name] = platform.Object{Name: name, Version: s.version, Value: slices.Clone(value)}
 	s.wake()
-	if s.faults.LoseReplies > 0 {
+	if s.faults.LoseReplies > 0 && strings.HasPrefix(name, s.faults.LoseRepliesTo) {
 		s.faults.LoseReplies--
 		return 0, errDown
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -258,12 +258,16 @@
 func (o *Operator) sureAt(ctx context.Context, root document.Root) (time.Time, error) {
 	sure := time.Time{}
 	acceptedNext := time.Time{}
+	var failed error
 	err := history.Walk(ctx, o.Store, func(c document.Change) bool {
 		if c.ToRevision < root.Revision && !acceptedNext.IsZero() {
-			if longest, err := o.longest(ctx, c); err == nil {
-				if end := acceptedNext.Add(longest + clockSlack); end.After(sure) {
-					sure = end
-				}
+			longest, err := o.longest(ctx, c)
+			if err != nil {
+				failed = err // an end that leaves one out would be too early
+				return false
+			}
+			if end := acceptedNext.Add(longest + clockSlack); end.After(sure) {
+				sure = end
 			}
 		}
 		if c.ToRevision <= root.Revision {
@@ -271,12 +275,12 @@
 		}
 		return o.Now().Sub(c.At) < historyWindow
 	})
-	return sure, err
+	return sure, errors.Join(err, failed)
 }
 
-// historyWindow is how far back configurations are looked at; no version may
-// be served without word for longer.
-const historyWindow = 48 * time.Hour
+// historyWindow is how far back configurations are looked at: no VM can act on
+// one that was replaced longer ago.
+const historyWindow = config.MaxServeWithoutWord + time.Hour
 
 func (o *Operator) longest(ctx context.Context, c document.Change) (time.Duration, error) {
 	obj, err := o.Store.Read(ctx, document.ContentName(c.Hash))
