entry: the near peers stay known while cut off; own control asked on its own

Found by CutOff/both; the log of each failed keeper, which was missing, showed that the near one was never asked. Ruled out: slow keepers (hedging did not help), heartbeats within the data centre (both VMs listed each other). Change: a pull says which members it asks for; the own control process is asked by a loop of its own, so that cut-off peers do not make it seem dead.

--- a/control/members.go
+++ b/control/members.go
@@ -25,7 +25,7 @@
 	listTimeout      = 2 * time.Second
 	// entryDeadAfter is how long the entry process may be silent before its
 	// incarnation is no longer told.
-	entryDeadAfter = 4 * time.Second
+	entryDeadAfter = 6 * time.Second
 	// farBeats is how many VMs of each other data centre a watcher tells, and
 	// delegates how many of its own it tells of.
 	farBeats  = 1
--- a/control/watch.go
+++ b/control/watch.go
@@ -210,15 +210,15 @@
 // other data centres, which it is not told by heartbeats.
 const membersEvery = 15 * time.Second
 
-func (s *Server) wantMembers() bool {
+func (s *Server) wantMembers() protocol.MemberScope {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	if now.Sub(s.askedMembers) < membersEvery {
-		return false
+		return protocol.NoMembers
 	}
 	s.askedMembers = now
-	return true
+	return protocol.FarMembers
 }
 
 // pull answers an entry process or a peer.
@@ -256,10 +256,10 @@
 	if a.Known {
 		a.Age = s.replica.Age(now)
 	}
-	if req.Members {
+	if req.Members != protocol.NoMembers {
 		a.Members = s.table.Far(delegates, now)
 	}
-	if req.Members && req.Entry != nil { // it hears no heartbeats of its own
+	if req.Members == protocol.AllMembers {
 		a.Members = append(a.Members, s.table.Near(now)...)
 		a.Members = append(a.Members, s.table.Self())
 	}
--- a/entry/bills.go
+++ b/entry/bills.go
@@ -121,6 +121,7 @@
 func (s *Server) copyTo(ctx context.Context, m vm.Member, records protocol.Records) error {
 	_, err := link.Call[protocol.Records, protocol.Done](ctx, s.endpoint, m.EntryLink, link.KindKeep, records)
 	if err != nil {
+		s.log.Warn("keep-failed", append(logs.Failure(err), zap.String("keeper", string(m.VM)))...)
 		s.locked(func() { s.keeperFailed[m.VM] = s.clock.Now() })
 	}
 	return err
--- a/entry/server.go
+++ b/entry/server.go
@@ -65,7 +65,10 @@
 	metrics  *measures
 
 	// view is what the last pull brought; it is replaced whole.
-	view     atomic.Pointer[view]
+	view atomic.Pointer[view]
+	// learning is held while a pull's answer becomes a view. It is taken before
+	// mu, never after.
+	learning sync.Mutex
 	stopping atomic.Bool
 	requests atomic.Uint64
 	// reconfigured wakes the report loop when there may be new upstreams.
@@ -150,7 +153,7 @@
 		go s.serveHTTP(servers[i], l)
 	}
 	go func() { _ = s.endpoint.Serve(work) }()
-	for _, loop := range []func(context.Context){s.pullLoop, s.reportLoop, s.fileLoop, s.expireLoop} {
+	for _, loop := range []func(context.Context){s.pullLoop, s.peerLoop, s.reportLoop, s.fileLoop, s.expireLoop} {
 		go loop(work)
 	}
 	s.log.Info("started", zap.String("callers", callers.Addr().String()), zap.Uint64("incarnation", uint64(s.incarnation)))
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -23,10 +23,24 @@
 	Wait time.Duration `cbor:"3,keyasint"`
 	// Entry is set when an entry process asks its own VM's control process.
 	Entry *EntryState `cbor:"4,keyasint,omitempty"`
-	// Members asks for the VMs known to live.
-	Members bool `cbor:"5,keyasint,omitempty"`
+	// Members says which of the VMs known to live to tell of.
+	Members MemberScope `cbor:"5,keyasint,omitempty"`
 }
 
+// MemberScope is which VMs a pull asks for.
+type MemberScope uint8
+
+// The scopes.
+const (
+	// NoMembers asks for none.
+	NoMembers MemberScope = iota
+	// FarMembers asks for those of other data centres: a control process hears
+	// of the near ones by heartbeats.
+	FarMembers
+	// AllMembers asks for all: an entry process hears no heartbeats.
+	AllMembers
+)
+
 // EntryState is what an entry process tells its control process of itself. A
 // later one replaces an earlier one of the same incarnation.
 type EntryState struct {
