control: heartbeats carry all near VMs only while digests differ

Ruled out: VMs taken for dead (no gaps in heartbeats). Change: a digest of the VMs known; while two differ they tell each other all. TestPeersFound passes.

--- a/control/members.go
+++ b/control/members.go
@@ -78,6 +78,7 @@
 
 // beat is a heartbeat and whom it is for.
 type beat struct {
+	vm      contract.VMID
 	address string
 	message protocol.Heartbeat
 }
@@ -88,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	near, far := s.nearBeat(), s.farBeat(now)
+	near, whole, far := s.nearBeat(now, false), s.nearBeat(now, true), s.farBeat(now)
 	var beats []beat
 	known := map[contract.VMID]bool{s.opts.Settings.VM: true}
 	for _, m := range s.table.Near(now) {
@@ -96,7 +97,11 @@
 		// One of two asks and the other answers: the one whose name is first,
 		// and the other too when it has not heard for a while.
 		if s.opts.Settings.VM < m.VM || m.Age > askAfter {
-			beats = append(beats, beat{m.ControlLink, near})
+			message := near
+			if s.differs[m.VM] {
+				message = whole
+			}
+			beats = append(beats, beat{m.VM, m.ControlLink, message})
 		}
 	}
 	watches := toFar && s.table.Watches(s.opts.Settings.Control.Watchers, now)
@@ -104,7 +109,7 @@
 	for _, m := range s.table.Far(farBeats, now) {
 		known[m.VM], heard[m.DataCentre] = true, true
 		if watches && (s.opts.Settings.DataCentre < m.DataCentre || m.Age > askFarAfter) {
-			beats = append(beats, beat{m.ControlLink, far})
+			beats = append(beats, beat{m.VM, m.ControlLink, far})
 		}
 	}
 	for _, p := range s.opts.Settings.Peers {
@@ -112,19 +117,24 @@
 		switch {
 		case known[p.VM], !isNear && (heard[p.DataCentre] || !watches):
 		case isNear:
-			beats = append(beats, beat{p.ControlLink, near})
+			beats = append(beats, beat{p.VM, p.ControlLink, whole})
 		default:
-			beats = append(beats, beat{p.ControlLink, far})
+			beats = append(beats, beat{p.VM, p.ControlLink, far})
 		}
 	}
 	return beats
 }
 
-// nearBeat is the heartbeat within the data centre. The caller holds mu.
-func (s *Server) nearBeat() protocol.Heartbeat {
+// nearBeat is the heartbeat within the data centre: of this VM, or of all that
+// it knows of there. The caller holds mu.
+func (s *Server) nearBeat(now time.Time, all bool) protocol.Heartbeat {
 	s.table.SetSelf(s.self())
+	members := []vm.Member{s.table.Self()}
+	if all {
+		members = append(members, s.table.Near(now)...)
+	}
 	own := s.seen.Of(func(o rollout.Observer) bool { return o.VM == s.opts.Settings.VM })
-	return protocol.Heartbeat{Members: []vm.Member{s.table.Self()}, Halts: s.haltList(), Evidence: own}
+	return protocol.Heartbeat{Members: members, Halts: s.haltList(), Evidence: own, Digest: s.table.Digest(now)}
 }
 
 // farBeat is the heartbeat to other data centres. The caller holds mu.
@@ -164,6 +174,13 @@
 		return
 	}
 	s.takeBeat(got)
+	s.locked(func() {
+		if got.Digest == 0 || got.Digest == s.table.Digest(s.clock.Now()) {
+			delete(s.differs, b.vm)
+		} else {
+			s.differs[b.vm] = true
+		}
+	})
 }
 
 // answerBeat answers a heartbeat in kind: to one of the own data centre with
@@ -172,10 +189,11 @@
 	s.takeBeat(b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
 	if len(b.Members) > 0 && b.Members[0].DataCentre == s.opts.Settings.DataCentre {
-		return s.nearBeat()
+		return s.nearBeat(now, b.Digest != s.table.Digest(now))
 	}
-	return s.farBeat(s.clock.Now())
+	return s.farBeat(now)
 }
 
 func (s *Server) takeBeat(b protocol.Heartbeat) {
--- a/control/server.go
+++ b/control/server.go
@@ -74,6 +74,8 @@
 	seen         rollout.Evidence
 	leaving      map[contract.UpstreamID]bool
 	ramps        map[contract.ModelID]ramp
+	// differs holds near VMs that know of others than this one does.
+	differs map[contract.VMID]bool
 	// askedMembers is when the VMs of other data centres were last asked for.
 	askedMembers time.Time
 	orders       *lease.Holder
@@ -107,7 +109,7 @@
 		incarnation: contract.NewIncarnation(now), endpoint: endpoint, engine: engine.NewClient(),
 		metrics: newMeasures(metrics.NewRegistry()),
 		replica: document.NewReplica(), config: &config.Config{}, changed: make(chan struct{}),
-		halts: make(map[contract.VersionID]bool), leaving: make(map[contract.UpstreamID]bool), ramps: make(map[contract.ModelID]ramp),
+		halts: make(map[contract.VersionID]bool), differs: make(map[contract.VMID]bool), leaving: make(map[contract.UpstreamID]bool), ramps: make(map[contract.ModelID]ramp),
 	}
 	s.filing = newFiler(opts.Store, bill.Origin{VM: opts.Settings.VM, Incarnation: s.incarnation}, opts.Settings.Control.FileEvery, s.log)
 	s.table = vm.NewTable(vm.Member{
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -208,7 +208,7 @@
 func controlSlope(ctx context.Context, _ string) error {
 	fmt.Printf("### Control, by the size of the fleet\n\nControl servers in one process, over real links, at rest for %v; processor time includes both ends of each link and the stand-ins for entry processes; heap holds all of them.\n\n", observeFor)
 	fmt.Printf("| data centres x VMs | processor, %% of a core a VM | message bytes/s a VM | of the busiest VM | heap and stacks a VM, MiB | platform calls/s: reads | watches | lists | writes | change everywhere, median | longest | platform calls a change |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n")
-	for _, size := range [][2]int{{3, 2}, {4, 6}, {8, 6}, {8, 12}, {8, 25}, {16, 12}} {
+	for _, size := range [][2]int{{3, 2}, {4, 6}, {8, 6}, {8, 12}, {16, 12}, {8, 25}} {
 		if err := slopeRow(ctx, size[0], size[1]); err != nil {
 			return err
 		}
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -96,6 +96,7 @@
 // Status is what an entry process's status page shows, as far as tests read it.
 type Status struct {
 	Revision    contract.Revision `json:"revision"`
+	Members     int               `json:"members"`
 	Arbiters    int               `json:"arbiters"`
 	Keepers     int               `json:"keepers"`
 	Age         time.Duration     `json:"age_nanoseconds"`
--- a/internal/fleet/cutoff_test.go
+++ b/internal/fleet/cutoff_test.go
@@ -84,6 +84,26 @@
 	return r.Status
 }
 
+// TestPeersFound starts VMs whose settings name the first alone: they find each
+// other through it, as a replacement that no settings name has to.
+func TestPeersFound(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	f, err := Start(&Options{Dir: t.TempDir(), BinDir: binDir, VMs: 4, Engines: 1, DataCentres: []contract.DataCentreID{"dc1"}, Peers: 1})
+	t.Cleanup(func() { f.end(t) })
+	is.NoErr(err)
+	f.apply(ctx, t, f.Config(""))
+	is.NoErr(f.Acquainted(ctx)) // each knows two more arbiters than itself
+	f.VMs[0].Entry.Kill()
+	f.VMs[0].Control.Kill()
+	until(ctx, t, "the others go on without it", func() bool {
+		st, err := f.VMs[3].Status(ctx)
+		return err == nil && st.Arbiters == 3 && st.Members == 3
+	})
+}
+
 // TestBothSidesChange cuts a data centre off from its peers, not from the
 // platform, and changes the configuration twice, racing: after healing every
 // VM has the winner's, and none went back on the way.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,8 @@
 	Engines     int
 	// Engine sets up each engine.
 	Engine engine.Options
+	// Peers is how many VMs the settings name; zero means all.
+	Peers int
 	// Entry holds further lines for the [entry] section of the settings.
 	Entry string
 }
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -87,6 +87,9 @@
 	fmt.Fprintf(&b, "[keys]\npair = keys/%s.pem\npins = keys/%s\nsigning = keys/%s\n\n", vm.Name, keys.PinsFile, keys.SigningFile)
 	fmt.Fprintf(&b, "[platform]\nurl = %s\n\n[peers]\n", a.platform)
 	for j, peer := range f.VMs {
+		if f.opts.Peers > 0 && j >= f.opts.Peers {
+			break
+		}
 		fmt.Fprintf(&b, "%s = %s %s %s\n", peer.Name, peer.DataCentre, all[j].entryAdvertised, all[j].controlAdvertised)
 	}
 	return b.String()
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -77,13 +77,17 @@
 // are made up for by the next; late ones are told by incarnation and age.
 //
 // Its size does not grow with the fleet: within a data centre it carries the
-// sender alone, to another data centre the few VMs that stand for its own.
+// sender alone, once both know of the same VMs; to another data centre the few
+// VMs that stand for its own.
 type Heartbeat struct {
 	Members []vm.Member          `cbor:"1,keyasint"`
 	Halts   []contract.VersionID `cbor:"2,keyasint,omitempty"`
 	// Evidence is what the sender's entry process has seen; to another data
 	// centre, the sum of what is known of the sender's own.
 	Evidence rollout.Evidence `cbor:"3,keyasint,omitempty"`
+	// Digest is over the VMs that the sender knows of in its data centre. Only
+	// while two VMs' digests differ do their heartbeats carry all of them.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // VoteRequest asks an arbiter for its vote. Repeated ones get the same vote; a
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -144,6 +145,17 @@
 	return near
 }
 
+// Digest tells two VMs of a data centre whether they know of the same VMs there.
+func (t *Table) Digest(now time.Time) uint64 {
+	d := xxhash.New()
+	for _, m := range t.Live(now) {
+		if m.DataCentre == t.self.DataCentre {
+			_, _ = fmt.Fprintf(d, "%s %d\n", m.VM, m.Incarnation)
+		}
+	}
+	return d.Sum64()
+}
+
 // Far returns up to n live VMs of each other data centre, in the order of
 // their rank.
 func (t *Table) Far(n int, now time.Time) []Member {
