engine: an answer is not used before the check after the write has run

It is a fault of the client, not of the test. Ruled out: the cancel (it came, after the answer). Change: the answer waits for the check.

--- a/contract/errors.go
+++ b/contract/errors.go
@@ -34,6 +34,10 @@
 	StepLink     Step = "link"
 	StepSettings Step = "settings"
 	StepRollout  Step = "rollout"
+	StepPlatform Step = "platform"
+	StepLoad     Step = "load"
+	StepCancel   Step = "cancel"
+	StepRate     Step = "rate"
 )
 
 // StepError is an error with the step and the peer at which it arose.
--- a/engine/call.go
+++ b/engine/call.go
@@ -135,22 +135,38 @@
 func (c *Client) send(ctx context.Context, call Call, method, path string) (*exchange, *CallError) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	body := &gatedBody{permit: call.Permit, rest: bytes.NewReader(call.Body)}
+	wrote := make(chan error, 1)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
-		// A VM that was paused between the check and the write finds out here:
-		// the call is cancelled and its answer not used.
-		if call.Permit == nil {
-			return
+		// A VM that was paused between the check and the write finds out here.
+		var err error
+		if call.Permit != nil {
+			err = call.Permit()
 		}
-		if err := call.Permit(); err != nil {
+		if err != nil {
 			cancel(err)
 		}
+		select {
+		case wrote <- err:
+		default: // a connection was tried anew
+		}
 	}})
 	x, failed := c.do(ctx, call, body, method, path)
 	if failed != nil {
 		cancel(nil)
 		return nil, failed
 	}
-	return &exchange{x, cancel}, nil
+	// The answer may come before the check after the write has run; it is not
+	// used until it has.
+	select {
+	case err := <-wrote:
+		if err == nil {
+			return &exchange{x, cancel}, nil
+		}
+	case <-ctx.Done():
+	}
+	x.Body.Close()
+	cancel(nil)
+	return nil, &CallError{Outcome: contract.Unknown, Err: contract.Fail(contract.StepSend, string(call.Upstream), context.Cause(ctx))}
 }
 
 func (c *Client) do(ctx context.Context, call Call, body *gatedBody, method, path string) (*http.Response, *CallError) {
--- a/engine/control.go
+++ b/engine/control.go
@@ -23,9 +23,9 @@
 	}
 	raw, err := c.ask(req)
 	if err != nil {
-		return l, contract.Fail("load", url, err)
+		return l, contract.Fail(contract.StepLoad, url, err)
 	}
-	return l, contract.Fail("load", url, json.Unmarshal(raw, &l))
+	return l, contract.Fail(contract.StepLoad, url, json.Unmarshal(raw, &l))
 }
 
 // Order gives an order to an engine. When it fails, the engine may still have
@@ -52,7 +52,7 @@
 	}
 	req.Header.Set(HeaderRequest, string(id))
 	_, err = c.ask(req)
-	return contract.Fail("cancel", url, err)
+	return contract.Fail(contract.StepCancel, url, err)
 }
 
 func (c *Client) ask(req *http.Request) ([]byte, error) {
--- a/rating/rating.go
+++ b/rating/rating.go
@@ -54,15 +54,15 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return r, contract.Fail("rate", url, err)
+		return r, contract.Fail(contract.StepRate, url, err)
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxRating)))
 	if err != nil {
-		return r, contract.Fail("rate", url, err)
+		return r, contract.Fail(contract.StepRate, url, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return r, contract.Fail("rate", url, fmt.Errorf("status %d", resp.StatusCode))
+		return r, contract.Fail(contract.StepRate, url, fmt.Errorf("status %d", resp.StatusCode))
 	}
-	return r, contract.Fail("rate", url, json.Unmarshal(raw, &r))
+	return r, contract.Fail(contract.StepRate, url, json.Unmarshal(raw, &r))
 }
