--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	go run ./internal/bench --only memory
 	go run ./internal/bench --only control
 	go run ./internal/bench --only writes
+	go test ./engine -run '^$$' -bench Chunk
 
 # Takes out each safety rule in turn; its test has to fail without it.
 mutants:
