command: say it when a VM does not tell what it has

Cause: with its control process killed a VM was shown as pending at revision 0, though its entry process has the newest from a peer: nobody tells of it. Change: the line says that it does not tell. It still counts as pending.

--- a/command/command.go
+++ b/command/command.go
@@ -94,11 +94,24 @@
 func (e *pendingError) Error() string {
 	text := fmt.Sprintf("revision %d is accepted; pending:", e.force.Revision)
 	for _, p := range e.force.Pending {
-		text += fmt.Sprintf("\n  %s in %s has revision %d; it may act on it until %s", p.VM, p.DataCentre, p.Revision, p.Until.Format(time.RFC3339))
+		text += "\n  " + pendingLine(p)
 	}
 	return text
 }
 
+// pendingLine says what is known of a VM that has not acknowledged a revision.
+func pendingLine(p datacentre.PendingVM) string {
+	has := fmt.Sprintf("has revision %d", p.Revision)
+	if p.Revision == 0 {
+		has = "does not tell what it has"
+	}
+	until := "; there is no older one to act on"
+	if !p.Until.IsZero() {
+		until = "; it may act on an older one until " + p.Until.Format(time.RFC3339)
+	}
+	return fmt.Sprintf("%s in %s %s%s", p.VM, p.DataCentre, has, until)
+}
+
 func exitCode(err error) int {
 	var faults config.Faults
 	var conflict *history.Conflict
@@ -267,7 +280,7 @@
 	return s.print(f, func() {
 		fmt.Fprintf(s.out, "revision %d, in force on %v\n", f.Revision, f.InForce)
 		for _, p := range f.Pending {
-			fmt.Fprintf(s.out, "pending: %s in %s, at revision %d, until %s\n", p.VM, p.DataCentre, p.Revision, p.Until.Format(time.RFC3339))
+			fmt.Fprintln(s.out, "pending: "+pendingLine(p))
 		}
 	})
 }
