clean: unused message kind, field, constants; engines are told when nobody waits

Cause: read as a newcomer: names that nothing used, and a cancel that the engine client offered and the entry never sent. Change: they are gone; an attempt whose caller is gone or whose deadline has come is cancelled at its engine, which proves nothing.

--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -13,7 +13,6 @@
 const (
 	PathChat   = "/v1/chat/completions"
 	PathCancel = "/v1/cancel"
-	PathModels = "/v1/models"
 	PathLoad   = "/load"
 	PathOrders = "/orders"
 	PathCache  = "/cache-events"
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,7 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
+	"woaddoor/logs"
 	"woaddoor/permit"
 	"woaddoor/retry"
 	"woaddoor/upstream"
@@ -105,12 +106,28 @@
 		if err == nil {
 			return a, nil
 		}
+		if ctx.Err() != nil {
+			go s.cancelWork(url, j.chat.id)
+		}
 		if refused := s.again(ctx, j, n, err, s.clock.Now().Sub(began)); refused != nil {
 			return nil, refused
 		}
 	}
 }
 
+// cancelTimeout bounds a word to an engine that nobody waits any more.
+const cancelTimeout = time.Second
+
+// cancelWork tells an engine that nobody waits for a request any more. It
+// proves nothing, and when it is lost the engine has worked for nothing.
+func (s *Server) cancelWork(url string, id contract.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := s.engine.Cancel(ctx, url, id); err != nil {
+		s.log.Debug("cancel-failed", logs.Failure(err)...)
+	}
+}
+
 // again decides on another attempt after err, and waits out its pause. It
 // returns the final answer when there is none.
 func (s *Server) again(ctx context.Context, j *job, n int, err error, took time.Duration) *contract.Refusal {
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -217,7 +217,7 @@
 	c := s.view.Load().know.Config
 	ro, p := c.Rollouts[j.version.Model()], c.Progress[j.version.Model()]
 	s.locked(func() {
-		if s.monitor.Observe(ro, p.Step, len(c.Workspaces), j.chat.workspace.ID, bad, s.clock.Now()) {
+		if s.monitor.Observe(ro, p.Step, len(c.Workspaces), j.chat.workspace.ID, bad) {
 			s.haltHere(ro.To)
 		}
 	})
--- a/internal/measure/rollouts.go
+++ b/internal/measure/rollouts.go
@@ -112,7 +112,7 @@
 			}
 			last = now
 			m := monitors[r.IntN(len(monitors))]
-			halted = m.Observe(ramp, p.Step, workspaces, contract.WorkspaceID(fmt.Sprint(w)), bad, now) || halted
+			halted = m.Observe(ramp, p.Step, workspaces, contract.WorkspaceID(fmt.Sprint(w)), bad) || halted
 		}
 		var e rollout.Evidence
 		for _, m := range monitors {
--- a/link/message.go
+++ b/link/message.go
@@ -32,8 +32,6 @@
 	KindFile
 	// KindFiled tells an entry process that records are filed.
 	KindFiled
-	// KindHalt tells a control process of a roll-out's evidence and halts.
-	KindHalt
 	// KindSettled asks an entry process what became of a ticket.
 	KindSettled
 )
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -79,14 +79,15 @@
 
 // The reasons.
 const (
-	MayHaveRun  Reason = "may have run"
-	Attempts    Reason = "attempts used up"
-	TooLate     Reason = "cannot end by the deadline"
-	OverBudget  Reason = "retry budget used up"
-	NotDecided  Reason = ""
-	pauseFactor        = 2
+	MayHaveRun Reason = "may have run"
+	Attempts   Reason = "attempts used up"
+	TooLate    Reason = "cannot end by the deadline"
+	OverBudget Reason = "retry budget used up"
 )
 
+// pauseFactor makes the mean of the drawn pause the backoff.
+const pauseFactor = 2
+
 // Decide takes one retry out of the budget, or says why there is none.
 //
 // A request that may not be repeated is tried again only when its attempt is
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -1,8 +1,6 @@
 package rollout
 
 import (
-	"time"
-
 	"woaddoor/config"
 	"woaddoor/contract"
 )
@@ -116,7 +114,6 @@
 	counts map[countKey]Counts
 	alarms map[alarmKey]*Alarm
 	halted map[contract.VersionID]bool
-	last   map[contract.VersionID]time.Time
 }
 
 type alarmKey struct {
@@ -128,14 +125,14 @@
 func NewMonitor(self Observer) *Monitor {
 	return &Monitor{
 		self: self, counts: make(map[countKey]Counts), alarms: make(map[alarmKey]*Alarm),
-		halted: make(map[contract.VersionID]bool), last: make(map[contract.VersionID]time.Time),
+		halted: make(map[contract.VersionID]bool),
 	}
 }
 
 // Observe takes in an answer of a version in roll-out: whether it was bad by
 // its rating, by failing or by being too slow. It returns whether the version
 // is halted here from now on.
-func (m *Monitor) Observe(ro *config.Rollout, step int, workspaces int, w contract.WorkspaceID, bad bool, now time.Time) bool {
+func (m *Monitor) Observe(ro *config.Rollout, step int, workspaces int, w contract.WorkspaceID, bad bool) bool {
 	k := countKey{m.self, ro.To, step}
 	c := m.counts[k]
 	if bad {
@@ -144,7 +141,6 @@
 		c.Good++
 	}
 	m.counts[k] = c
-	m.last[ro.To] = now
 	overall := m.alarm(ro, workspaces, "").Observe(bad)
 	own := m.alarm(ro, workspaces, w).Observe(bad)
 	if overall || own || NewTest(ro).Judge(c) == Bad {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -175,11 +175,10 @@
 	r := rand.New(rand.NewPCG(3, 3))
 	m := NewMonitor(Observer{VM: "a"})
 	ro := plan()
-	now := time.Unix(0, 0)
 	var sum Counts
 	for range 2000 {
 		bad := r.Float64() < ro.GoodRate
-		is.True(!m.Observe(ro, 3, 10, "w", bad, now)) // no false alarm
+		is.True(!m.Observe(ro, 3, 10, "w", bad)) // no false alarm
 		if bad {
 			sum.Bad++
 		} else {
@@ -189,7 +188,7 @@
 	alarmAt, naiveAt := 0, 0
 	for n := 1; n <= 3000 && (alarmAt == 0 || naiveAt == 0); n++ {
 		bad := r.Float64() < 0.3
-		if m.Observe(ro, 3, 10, "w", bad, now) && alarmAt == 0 {
+		if m.Observe(ro, 3, 10, "w", bad) && alarmAt == 0 {
 			alarmAt = n
 		}
 		if bad {
