--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -33,6 +33,7 @@
 	{"a token is of its workspace", "session/session.go", "if t.Workspace != w {", "if false {", "./session", "TestForged"},
 	{"a signature has to fit", "sign/sign.go", "err != nil || !hmac.Equal(got, k.mac(content))", "err != nil || len(got) == 0", "./session", "TestForged"},
 	{"a replaced arbiter has no vote", "ticket/register.go", "a.VM == r.self.VM && a.Incarnation == r.self.Incarnation", "a.VM == r.self.VM", "./ticket", "TestOwnerReplaced"},
+	{"a ticket is of its workspace", "ticket/ticket.go", "if t.Workspace != w {", "if false {", "./ticket", "TestTicketOfOtherWorkspace"},
 	{"an arbiter votes once", "ticket/register.go", "return Vote{For: e.vote, Result: e.result}, nil", "e.vote = c\n\t\treturn Vote{For: e.vote, Result: e.result}, nil", "./ticket", "TestAtMostOnce"},
 	{"a majority runs", "ticket/ticket.go", "return len(t.Arbiters)/2 + 1 }", "return max(len(t.Arbiters)/2, 1) }", "./ticket", "TestAtMostOnce"},
 	{"not run needs its proof", "ticket/claim.go", "if c.votes[Nobody] >= c.ticket.Blocking() {", "if c.votes[Nobody] >= 1 {", "./ticket", "TestNotRunNeedsItsProof"},
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"woaddoor/contract"
+	"woaddoor/sign"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -182,6 +183,24 @@
 	is.Equal(late.For, Nobody) // a late claim is refused for ever
 }
 
+// TestTicketOfOtherWorkspace shows that a ticket opens for its workspace alone,
+// and that no altered one opens.
+func TestTicketOfOtherWorkspace(t *testing.T) {
+	is := is.New(t)
+	office := NewOffice([]byte("0123456789abcdef0123456789abcdef"))
+	text, err := office.Issue(Ticket{ID: "t", Workspace: "w", Arbiters: arbiters(2)}, start)
+	is.NoErr(err)
+	got, err := office.Open(text, "w")
+	is.NoErr(err)
+	is.Equal(got.Expires, start.Add(Lifetime).Unix())
+	_, err = office.Open(text, "other")
+	is.Equal(err, ErrOtherWorkspace)
+	_, err = office.Open("x"+text, "w")
+	is.Equal(err, sign.ErrForged)
+	_, err = NewOffice([]byte("another key of another fleet....")).Open(text, "w")
+	is.Equal(err, sign.ErrForged)
+}
+
 // TestNotRunNeedsItsProof shows that one vote for nobody of three proves
 // nothing: another attempt has the other two, and runs.
 func TestNotRunNeedsItsProof(t *testing.T) {
