ticket: split votes, told vote by vote

Cause: a full run of the mutants had one survivor: the majority rule, of which 100 drawn schedules did not always reach two claims that both win.

--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -183,6 +183,29 @@
 	is.Equal(late.For, Nobody) // a late claim is refused for ever
 }
 
+// TestSplitVotesRunNothing shows that of two claims with a vote each neither
+// runs, and that an arbiter's second answer is its first vote.
+func TestSplitVotesRunNothing(t *testing.T) {
+	is := is.New(t)
+	tk := Ticket{ID: "t", Arbiters: arbiters(2), Expires: start.Add(Lifetime).Unix()}
+	x, y := Claimant{VM: "x"}, Claimant{VM: "y"}
+	cx, cy := NewClaim(tk, x), NewClaim(tk, y)
+	registers := []*Register{NewRegister(tk.Arbiters[0], 10), NewRegister(tk.Arbiters[1], 10)}
+	ask := func(c *Claim, who Claimant, i int) Vote {
+		vote, err := registers[i].Vote(tk, who, start)
+		is.NoErr(err)
+		c.Voted(tk.Arbiters[i].VM, vote)
+		return vote
+	}
+	is.Equal(ask(cx, x, 0).For, x)
+	is.Equal(ask(cy, y, 1).For, y)
+	is.Equal(ask(cx, x, 1).For, y)
+	is.Equal(ask(cy, y, 0).For, x)
+	is.Equal(cx.State(), Lost)
+	is.Equal(cy.State(), Lost)
+	is.Equal(cx.Outcome(), contract.Unknown)
+}
+
 // TestTicketOfOtherWorkspace shows that a ticket opens for its workspace alone,
 // and that no altered one opens.
 func TestTicketOfOtherWorkspace(t *testing.T) {
