read once more: one way to pick, one pause, no dead state; a pull confirms what it asked about

Cause: the choice of an upstream stood twice in entry, pause in entry and control; two fields of upstream and one of workspace were written and never read. And an answer without a patch was taken as word of the revision held now, though the other pull loop may have been first: harmless, since a source that knew an older revision is less fresh, but said in the wrong place. Ruled out: one function for the pulls of entry and control (they check and store in different orders; the shared part is document.Replica). Change: Server.choose, clock.Pause; the fields are gone; the answer confirms the revision that was asked about, as control does. Behaviour is otherwise the same.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -8,6 +8,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -76,3 +77,13 @@
 	defer f.mu.Unlock()
 	f.now = f.now.Add(d)
 }
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/control/filer.go
+++ b/control/filer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/bill"
+	"woaddoor/clock"
 	"woaddoor/contract"
 	"woaddoor/logs"
 	"woaddoor/platform"
@@ -98,7 +99,7 @@
 		select {
 		case <-f.wake:
 			f.flush()
-			pause(ctx, f.every)
+			clock.Pause(ctx, f.every)
 		case <-ctx.Done():
 			f.flush()
 			return
--- a/control/members.go
+++ b/control/members.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/link"
@@ -72,7 +73,7 @@
 		for _, b := range s.beats(tick%farEvery == 0) {
 			go s.sendBeat(ctx, b)
 		}
-		pause(ctx, heartbeatEvery)
+		clock.Pause(ctx, heartbeatEvery)
 	}
 }
 
@@ -226,7 +227,7 @@
 		if watches {
 			s.listOnce(ctx)
 		}
-		pause(ctx, listEvery)
+		clock.Pause(ctx, listEvery)
 	}
 }
 
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/document"
@@ -26,7 +27,7 @@
 // once: the conditional write lets one of them make the step.
 func (s *Server) rolloutLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, rolloutEvery)
+		clock.Pause(ctx, rolloutEvery)
 		watches := false
 		s.locked(func() { watches = s.table.Watches(s.opts.Settings.Control.Watchers, s.clock.Now()) })
 		if !watches {
--- a/control/server.go
+++ b/control/server.go
@@ -155,12 +155,3 @@
 	defer s.mu.Unlock()
 	decide()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/status.go
+++ b/control/status.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"woaddoor/clock"
 	"woaddoor/datacentre"
 	"woaddoor/logs"
 	"woaddoor/platform"
@@ -26,7 +27,7 @@
 func (s *Server) statusLoop(ctx context.Context) {
 	w := statusWriter{store: s.store}
 	for ctx.Err() == nil {
-		pause(ctx, statusEvery)
+		clock.Pause(ctx, statusEvery)
 		st, first := s.dataCentreStatus()
 		if !first {
 			continue
--- a/control/watch.go
+++ b/control/watch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/document"
@@ -40,13 +41,13 @@
 		watches := false
 		s.locked(func() { watches = s.table.Watches(s.opts.Settings.Control.Watchers, s.clock.Now()) })
 		if !watches {
-			pause(ctx, watchPause)
+			clock.Pause(ctx, watchPause)
 			continue
 		}
 		if err := s.watchOnce(ctx); err != nil {
 			s.metrics.watchFailures.Inc(1)
 			s.log.Warn("watch-failed", logs.Failure(err)...)
-			pause(ctx, watchPause)
+			clock.Pause(ctx, watchPause)
 		}
 	}
 }
@@ -111,11 +112,11 @@
 func (s *Server) relayLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !s.needsRelay() {
-			pause(ctx, relayPause)
+			clock.Pause(ctx, relayPause)
 			continue
 		}
 		if !s.relayOnce(ctx) {
-			pause(ctx, relayPause)
+			clock.Pause(ctx, relayPause)
 		}
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
@@ -40,27 +41,33 @@
 	}
 }
 
-// pick chooses an upstream for a job and counts the request there.
+// pick chooses an engine for a job and counts the request there.
 func (s *Server) pick(j *job) (string, *contract.Refusal) {
+	q := upstream.Query{
+		Kind: config.EnginePool, DataCentre: s.opts.Settings.DataCentre,
+		Version: j.version, Prefix: j.chat.prefix, Exclude: j.exclude,
+	}
+	anyOne := q
+	anyOne.Exclude = nil // better one that failed once than none
+	return s.choose(j, fmt.Sprintf("no upstream holds %s and answers", j.version), q, anyOne)
+}
+
+// choose picks the upstream by the first query that finds one, and counts the
+// job's request there.
+func (s *Server) choose(j *job, none string, queries ...upstream.Query) (string, *contract.Refusal) {
 	url := ""
-	var err error
+	err := upstream.ErrNone
 	s.locked(func() {
-		q := upstream.Query{
-			Kind: config.EnginePool, DataCentre: s.opts.Settings.DataCentre,
-			Version: j.version, Prefix: j.chat.prefix, Exclude: j.exclude,
-		}
-		j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random)
-		if errors.Is(err, upstream.ErrNone) && len(j.exclude) > 0 {
-			q.Exclude = nil // better one that failed once than none
-			j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random)
-		}
-		if err == nil {
-			s.upstreams.Sent(j.upstream)
-			url = s.upstreams.URL(j.upstream)
+		for _, q := range queries {
+			if j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random); err == nil {
+				s.upstreams.Sent(j.upstream)
+				url = s.upstreams.URL(j.upstream)
+				return
+			}
 		}
 	})
 	if err != nil {
-		f := refusal(contract.RefusedNoUpstream, j.outcome, contract.StepPick, fmt.Sprintf("no upstream holds %s and answers", j.version))
+		f := refusal(contract.RefusedNoUpstream, j.outcome, contract.StepPick, none)
 		return "", f.WithRetryAfter(noUpstreamRetry)
 	}
 	return url, nil
@@ -144,7 +151,7 @@
 	}
 	s.metrics.retries.Inc(1)
 	j.exclude = append(j.exclude, j.upstream)
-	pause(ctx, d.Pause)
+	clock.Pause(ctx, d.Pause)
 	return nil
 }
 
--- a/entry/bills.go
+++ b/entry/bills.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/bill"
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
@@ -181,7 +182,7 @@
 // fileLoop has the records held here filed.
 func (s *Server) fileLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, fileEvery)
+		clock.Pause(ctx, fileEvery)
 		s.fileDue(ctx)
 	}
 }
@@ -245,6 +246,6 @@
 		if due == 0 || atRisk == 0 {
 			return
 		}
-		pause(ctx, fileEvery)
+		clock.Pause(ctx, fileEvery)
 	}
 }
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/logs"
 )
@@ -53,7 +54,7 @@
 // expireLoop gives requests whose deadline has come their final answer.
 func (s *Server) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expireEvery)
+		clock.Pause(ctx, expireEvery)
 		s.locked(func() {
 			now := s.clock.Now()
 			for _, item := range append(s.engines.Expire(now), s.services.Expire(now)...) {
--- a/entry/service.go
+++ b/entry/service.go
@@ -110,19 +110,6 @@
 }
 
 func (s *Server) pickPlain(c *plainCall, j *job) (string, *contract.Refusal) {
-	url := ""
-	var err error
-	s.locked(func() {
-		q := upstream.Query{Kind: config.ServicePool, Pools: c.service.Pools, DataCentre: s.opts.Settings.DataCentre, Exclude: j.exclude}
-		j.upstream, err = s.upstreams.Pick(q, s.clock.Now(), s.random)
-		if err == nil {
-			s.upstreams.Sent(j.upstream)
-			url = s.upstreams.URL(j.upstream)
-		}
-	})
-	if err != nil {
-		f := refusal(contract.RefusedNoUpstream, j.outcome, contract.StepPick, "no upstream of the service answers")
-		return "", f.WithRetryAfter(noUpstreamRetry)
-	}
-	return url, nil
+	q := upstream.Query{Kind: config.ServicePool, Pools: c.service.Pools, DataCentre: s.opts.Settings.DataCentre, Exclude: j.exclude}
+	return s.choose(j, "no upstream of the service answers", q)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/document"
@@ -58,7 +59,7 @@
 	for ctx.Err() == nil {
 		if err := s.pullFrom(ctx, s.opts.Settings.Control.Link); err != nil {
 			s.pullFailed(err)
-			pause(ctx, pullPause)
+			clock.Pause(ctx, pullPause)
 		}
 	}
 }
@@ -74,12 +75,12 @@
 func (s *Server) peerLoop(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; {
 		if s.view.Load().age(s.clock.Now()) < staleAfter {
-			pause(ctx, pullPause)
+			clock.Pause(ctx, pullPause)
 			continue
 		}
 		peers := s.peerControls()
 		if len(peers) == 0 {
-			pause(ctx, pullPause)
+			clock.Pause(ctx, pullPause)
 			continue
 		}
 		if err := s.pullFrom(ctx, peers[next%len(peers)]); err != nil {
@@ -140,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	return contract.Fail(contract.StepPull, address, s.learn(got, asked))
+	return contract.Fail(contract.StepPull, address, s.learn(got, held.Revision, asked))
 }
 
 // state is what this process tells its control process.
@@ -163,7 +164,7 @@
 // learn takes in an answer and stores the view that follows from it. A patch
 // that no longer fits, since the other loop was first, is an error; the next
 // pull brings what is missing.
-func (s *Server) learn(got protocol.PullAnswer, asked time.Time) error {
+func (s *Server) learn(got protocol.PullAnswer, have contract.Revision, asked time.Time) error {
 	s.learning.Lock()
 	defer s.learning.Unlock()
 	v := s.view.Load()
@@ -176,8 +177,14 @@
 		d = next
 	}
 	behind := got.Patch != nil && got.Patch.To < d.Revision
-	if got.Known && !behind {
-		v.replica.Learn(d, asked.Add(-got.Age))
+	switch freshAt := asked.Add(-got.Age); {
+	case !got.Known || behind:
+	case got.Patch == nil:
+		// It confirms the revision that was asked about, which may no longer be
+		// the one held: the other loop may have been first.
+		v.replica.Confirm(have, freshAt)
+	default:
+		v.replica.Learn(d, freshAt)
 	}
 	next := *v
 	next.held = v.replica.Held()
@@ -257,12 +264,3 @@
 	part := headroom * float64(places) / float64(max(vms, 1))
 	return min(max(int(part), 1), s.opts.Settings.Entry.MaxInFlight)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -62,17 +62,15 @@
 	heardAt time.Time
 	// leaving holds the incarnation that is known to leave. A later one under
 	// the same address is a new upstream.
-	leaving    contract.Incarnation
-	unlisted   bool
-	inFlight   int
-	sentAfter  int     // requests sent since the last report was asked for
-	doneAfter  int     // requests ended since then
-	others     float64 // requests of other VMs, as expected from reports
-	service    time.Duration
-	failures   int
-	openUntil  time.Time
-	probing    bool
-	lastFailed time.Time
+	leaving   contract.Incarnation
+	inFlight  int
+	sentAfter int     // requests sent since the last report was asked for
+	doneAfter int     // requests ended since then
+	others    float64 // requests of other VMs, as expected from reports
+	service   time.Duration
+	failures  int
+	openUntil time.Time
+	probing   bool
 }
 
 // NewTable returns an empty table.
@@ -127,8 +125,7 @@
 // its list, which lags, no longer holds as live.
 func (t *Table) Unlisted(leaving map[contract.UpstreamID]bool) {
 	for id, s := range t.states {
-		s.unlisted = leaving[id]
-		if s.unlisted {
+		if leaving[id] {
 			s.leaving = max(s.leaving, s.incarnation)
 		}
 	}
@@ -182,7 +179,6 @@
 		s.service += time.Duration(serviceSmall * float64(took-s.service))
 	case Failed:
 		s.failures++
-		s.lastFailed = now
 		if s.failures >= breakAfter {
 			backoff := min(breakBase<<min(s.failures-breakAfter, 8), breakMax)
 			s.openUntil = now.Add(backoff)
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -94,15 +94,10 @@
 	id      contract.WorkspaceID
 	share   float64
 	running int
-	waiting [classes][]waiting
+	waiting [classes][]Item
 	finish  float64 // virtual time at which its last admitted request ends
 }
 
-type waiting struct {
-	item  Item
-	since time.Time
-}
-
 // NewQueue returns an empty queue.
 func NewQueue(opts Options) *Queue {
 	opts.Capacity = cmp.Or(opts.Capacity, defaultCapacity)
@@ -142,7 +137,7 @@
 		return Refuse, q.retryAfter(wait, random)
 	}
 	q.pressure(false)
-	f.waiting[item.Class] = append(f.waiting[item.Class], waiting{item, now})
+	f.waiting[item.Class] = append(f.waiting[item.Class], item)
 	q.waiting++
 	return Wait, 0
 }
@@ -294,7 +289,7 @@
 		if len(f.waiting[Interactive]) == 0 {
 			class = Bulk
 		}
-		item := f.waiting[class][0].item
+		item := f.waiting[class][0]
 		f.waiting[class] = f.waiting[class][1:]
 		q.waiting--
 		q.start(f)
@@ -320,26 +315,26 @@
 // returns them: they get their final answer now and not at the deadline.
 func (q *Queue) Expire(now time.Time) []Item {
 	latest := now.Add(q.latest(0))
-	return q.remove(func(w waiting) bool { return latest.After(w.item.Deadline) })
+	return q.remove(func(i Item) bool { return latest.After(i.Deadline) })
 }
 
 // Abandon takes out a waiting request whose caller is gone. It returns false
 // when the request does not wait, and so runs or is done.
 func (q *Queue) Abandon(id ID) bool {
-	return len(q.remove(func(w waiting) bool { return w.item.ID == id })) > 0
+	return len(q.remove(func(i Item) bool { return i.ID == id })) > 0
 }
 
-func (q *Queue) remove(out func(waiting) bool) []Item {
+func (q *Queue) remove(out func(Item) bool) []Item {
 	var removed []Item
 	for _, f := range q.flows {
 		for c := range f.waiting {
 			kept := f.waiting[c][:0]
-			for _, w := range f.waiting[c] {
-				if out(w) {
-					removed = append(removed, w.item)
+			for _, i := range f.waiting[c] {
+				if out(i) {
+					removed = append(removed, i)
 					continue
 				}
-				kept = append(kept, w)
+				kept = append(kept, i)
 			}
 			f.waiting[c] = kept
 		}
