store: the product's own store interface gets a name of its own

Cause: the name 'platform' is needed for the adapter to the users' platform, and the package holds the product's own store interface and its client. Change: renamed with its stand-in, no behaviour.

--- a/command/command.go
+++ b/command/command.go
@@ -20,7 +20,7 @@
 	"woaddoor/history"
 	"woaddoor/keys"
 	"woaddoor/operator"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // Exit codes. docs/OPERATING.md lists them.
@@ -79,7 +79,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	client := platform.NewClient(&platform.Options{URL: c.Platform})
+	client := store.NewClient(&store.Options{URL: c.Platform})
 	s := &session{ctx: ctx, operator: &operator.Operator{Store: client, VMs: client, Now: time.Now}, out: stdout, json: c.Output == "json"}
 	err = parsed.Run(s)
 	if err != nil {
--- a/control/filer.go
+++ b/control/filer.go
@@ -14,7 +14,7 @@
 	"woaddoor/clock"
 	"woaddoor/contract"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // filer writes bill records to the platform, many in one object.
@@ -23,7 +23,7 @@
 // content is fixed before the first try, so a try whose reply was lost is
 // repeated without harm: the object exists already.
 type filer struct {
-	store  platform.Store
+	store  store.Store
 	origin bill.Origin
 	every  time.Duration
 	log    *zap.Logger
@@ -47,7 +47,7 @@
 // errTooMany means that records come faster than the platform takes them.
 var errTooMany = errors.New("more bill records wait than may")
 
-func newFiler(store platform.Store, origin bill.Origin, every time.Duration, log *zap.Logger) *filer {
+func newFiler(store store.Store, origin bill.Origin, every time.Duration, log *zap.Logger) *filer {
 	return &filer{store: store, origin: origin, every: every, log: log, wake: make(chan struct{}, 1)}
 }
 
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fileTimeout)
 	defer cancel()
 	_, err := f.store.Read(ctx, probeName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	return err
@@ -137,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fileTimeout)
 	defer cancel()
 	_, err = f.store.Create(ctx, name, value)
-	if errors.Is(err, platform.ErrExists) {
+	if errors.Is(err, store.ErrExists) {
 		return nil // an earlier try whose reply was lost
 	}
 	if err == nil {
--- a/control/members.go
+++ b/control/members.go
@@ -10,7 +10,7 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 	"woaddoor/protocol"
 	"woaddoor/rollout"
 	"woaddoor/vm"
@@ -246,10 +246,10 @@
 }
 
 // leavingOf returns the upstreams whose VM is listed as leaving.
-func leavingOf(c *config.Config, entries []platform.VMEntry) []contract.UpstreamID {
+func leavingOf(c *config.Config, entries []store.VMEntry) []contract.UpstreamID {
 	addresses := make(map[string]bool)
 	for _, e := range entries {
-		if e.Upstream && e.State == platform.VMLeaving {
+		if e.Upstream && e.State == store.VMLeaving {
 			addresses["http://"+e.Address] = true
 		}
 	}
--- a/control/orders.go
+++ b/control/orders.go
@@ -14,7 +14,7 @@
 	"woaddoor/engine"
 	"woaddoor/lease"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // ordersLease is the object that says who may give orders to engines.
@@ -126,13 +126,13 @@
 	if err != nil {
 		return contract.Fail(contract.StepOrder, "", err)
 	}
-	var v platform.Version
+	var v store.Version
 	if p.Version == 0 {
 		v, err = s.store.Create(ctx, ordersLease, value)
 	} else {
 		v, err = s.store.Update(ctx, ordersLease, value, p.Version)
 	}
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) {
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrExists) {
 		return nil // another was first; the next read shows it
 	}
 	if err != nil {
@@ -144,7 +144,7 @@
 
 func (s *Server) readLease(ctx context.Context) error {
 	o, err := s.store.Read(ctx, ordersLease)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/control/server.go
+++ b/control/server.go
@@ -25,7 +25,7 @@
 	"woaddoor/keys"
 	"woaddoor/lease"
 	"woaddoor/link"
-	"woaddoor/platform"
+	"woaddoor/store"
 	"woaddoor/rollout"
 	"woaddoor/settings"
 	"woaddoor/vm"
@@ -37,8 +37,8 @@
 	Keys     *keys.Set
 	Clock    clock.Clock
 	Log      *zap.Logger
-	Store    platform.Store
-	VMs      platform.VMList
+	Store    store.Store
+	VMs      store.VMList
 }
 
 // Server is one life of a control process.
@@ -46,7 +46,7 @@
 	opts        *Options
 	clock       clock.Clock
 	log         *zap.Logger
-	store       platform.Store
+	store       store.Store
 	incarnation contract.Incarnation
 	endpoint    *link.Endpoint
 	engine      *engine.Client
@@ -66,7 +66,7 @@
 	changed chan struct{}
 	// root is the version of the platform's root object last read, and
 	// rootRevision the revision that it pointed at.
-	root         platform.Version
+	root         store.Version
 	rootRevision contract.Revision
 	table        *vm.Table
 	entry        entryState
--- a/control/status.go
+++ b/control/status.go
@@ -10,7 +10,7 @@
 	"woaddoor/clock"
 	"woaddoor/datacentre"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 	"woaddoor/vm"
 )
 
@@ -64,8 +64,8 @@
 
 // statusWriter remembers what it wrote last, to write only changes.
 type statusWriter struct {
-	store   platform.Store
-	version platform.Version
+	store   store.Store
+	version store.Version
 	last    datacentre.Status
 }
 
@@ -81,7 +81,7 @@
 	defer cancel()
 	name := datacentre.StatusName(st.DataCentre)
 	version, err := w.store.Update(ctx, name, value, w.version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		version, err = w.takeOver(ctx, name, value)
 	}
 	if err != nil {
@@ -95,9 +95,9 @@
 // takeOver writes the object though another VM, or an own try whose reply was
 // lost, wrote it last. Two writers in turn are harmless: each says what its
 // data centre has in force.
-func (w *statusWriter) takeOver(ctx context.Context, name string, value []byte) (platform.Version, error) {
+func (w *statusWriter) takeOver(ctx context.Context, name string, value []byte) (store.Version, error) {
 	o, err := w.store.Read(ctx, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return w.store.Create(ctx, name, value)
 	}
 	if err != nil {
--- a/control/watch.go
+++ b/control/watch.go
@@ -14,7 +14,7 @@
 	"woaddoor/history"
 	"woaddoor/link"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 	"woaddoor/protocol"
 	"woaddoor/vm"
 )
@@ -57,12 +57,12 @@
 func (s *Server) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Settings.Control.WatchWait+watchTimeout)
 	defer cancel()
-	var after platform.Version
+	var after store.Version
 	var pointed contract.Revision
 	s.locked(func() { after, pointed = s.root, s.rootRevision })
 	asked := s.clock.Now()
 	o, err := s.store.Watch(ctx, document.RootName, after, s.opts.Settings.Control.WatchWait)
-	if errors.Is(err, platform.ErrUnchanged) {
+	if errors.Is(err, store.ErrUnchanged) {
 		// Only what the unchanged root points at is confirmed. A newer document,
 		// learned from a peer, is not: the answer may come from a replica of
 		// the platform that lags.
@@ -83,7 +83,7 @@
 
 // learn takes in a document that was the platform's newest at freshAt. A
 // version of zero means that it came from a peer.
-func (s *Server) learn(d *document.Document, freshAt time.Time, version platform.Version) error {
+func (s *Server) learn(d *document.Document, freshAt time.Time, version store.Version) error {
 	c, err := config.FromDocument(d)
 	if err != nil {
 		return contract.Fail(contract.StepWatch, "", err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,7 +17,7 @@
 	"woaddoor/entry"
 	"woaddoor/keys"
 	"woaddoor/logs"
-	"woaddoor/platform"
+	"woaddoor/store"
 	"woaddoor/settings"
 )
 
@@ -52,7 +52,7 @@
 // Control runs woaddoor-control and returns its exit code.
 func Control(args []string) int {
 	return run("woaddoor-control", "Keeps an entry VM in step with the platform.", args, func(s *settings.Settings, set *keys.Set, log *zap.Logger) (service, error) {
-		client := platform.NewClient(&platform.Options{URL: s.Platform.URL})
+		client := store.NewClient(&store.Options{URL: s.Platform.URL})
 		return control.New(&control.Options{Settings: s, Keys: set, Clock: clock.NewSystem(), Log: log, Store: client, VMs: client})
 	})
 }
--- a/history/history.go
+++ b/history/history.go
@@ -15,37 +15,37 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/document"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // Snapshot is the accepted configuration at the time it was read.
 type Snapshot struct {
 	Root document.Root
 	// Version is the root object's; zero means that there is none yet.
-	Version  platform.Version
+	Version  store.Version
 	Document *document.Document
 }
 
 // Load reads the accepted configuration. Where there is none yet it returns
 // the empty one.
-func Load(ctx context.Context, store platform.Store) (Snapshot, error) {
-	o, err := store.Read(ctx, document.RootName)
-	if errors.Is(err, platform.ErrNotFound) {
+func Load(ctx context.Context, st store.Store) (Snapshot, error) {
+	o, err := st.Read(ctx, document.RootName)
+	if errors.Is(err, store.ErrNotFound) {
 		return Snapshot{Document: document.New(0, "", nil)}, nil
 	}
 	if err != nil {
 		return Snapshot{}, contract.Fail(contract.StepWatch, "platform", err)
 	}
-	return Follow(ctx, store, o)
+	return Follow(ctx, st, o)
 }
 
 // Follow reads what a root object points at.
-func Follow(ctx context.Context, store platform.Store, o platform.Object) (Snapshot, error) {
+func Follow(ctx context.Context, st store.Store, o store.Object) (Snapshot, error) {
 	var root document.Root
 	if err := json.Unmarshal(o.Value, &root); err != nil {
 		return Snapshot{}, contract.Fail(contract.StepWatch, "platform", err)
 	}
-	content, err := store.Read(ctx, document.ContentName(root.Hash))
+	content, err := st.Read(ctx, document.ContentName(root.Hash))
 	if err != nil {
 		return Snapshot{}, contract.Fail(contract.StepWatch, "platform", err)
 	}
@@ -56,21 +56,21 @@
 // Advance returns what a root object points at, for a process that holds a
 // document already: when the root is one change further, the change's record,
 // which is as small as the change, is read in place of the whole content.
-func Advance(ctx context.Context, store platform.Store, held *document.Document, o platform.Object) (Snapshot, error) {
+func Advance(ctx context.Context, st store.Store, held *document.Document, o store.Object) (Snapshot, error) {
 	var root document.Root
 	if err := json.Unmarshal(o.Value, &root); err != nil {
 		return Snapshot{}, contract.Fail(contract.StepWatch, "platform", err)
 	}
 	if root.Revision != held.Revision+1 || held.Revision == 0 {
-		return Follow(ctx, store, o)
+		return Follow(ctx, st, o)
 	}
-	c, err := ReadChange(ctx, store, root.Change)
+	c, err := ReadChange(ctx, st, root.Change)
 	if err != nil {
 		return Snapshot{}, err
 	}
 	d, err := c.Apply(held)
 	if err != nil || d.Hash() != root.Hash {
-		return Follow(ctx, store, o) // held is not what the change was made from
+		return Follow(ctx, st, o) // held is not what the change was made from
 	}
 	return Snapshot{Root: root, Version: o.Version, Document: d}, nil
 }
@@ -116,7 +116,7 @@
 // each under a name of its own, then the root. A stop in between leaves
 // objects that nothing leads to. A lost reply to the root's write is settled
 // by reading back, never by writing again.
-func Publish(ctx context.Context, store platform.Store, base Snapshot, sections map[string]document.Section, a Author) (document.Root, error) {
+func Publish(ctx context.Context, st store.Store, base Snapshot, sections map[string]document.Section, a Author) (document.Root, error) {
 	change := contract.ChangeID(ulid.Make().String())
 	next := document.New(base.Root.Revision+1, change, sections)
 	if _, err := config.FromDocument(next); err != nil {
@@ -134,54 +134,54 @@
 	if err != nil {
 		return document.Root{}, contract.Fail(contract.StepApply, "", err)
 	}
-	if err := create(ctx, store, document.ContentName(next.Hash()), content); err != nil {
+	if err := create(ctx, st, document.ContentName(next.Hash()), content); err != nil {
 		return document.Root{}, err
 	}
-	if err := create(ctx, store, document.ChangeName(change), audit); err != nil {
+	if err := create(ctx, st, document.ChangeName(change), audit); err != nil {
 		return document.Root{}, err
 	}
 	root := document.Root{Revision: next.Revision, Change: change, Hash: next.Hash()}
-	return root, point(ctx, store, base, root, record)
+	return root, point(ctx, st, base, root, record)
 }
 
 // create writes an object whose name fixes its content, so that one that
 // exists already is the same one.
-func create(ctx context.Context, store platform.Store, name string, value []byte) error {
-	_, err := store.Create(ctx, name, value)
-	if err == nil || errors.Is(err, platform.ErrExists) {
+func create(ctx context.Context, st store.Store, name string, value []byte) error {
+	_, err := st.Create(ctx, name, value)
+	if err == nil || errors.Is(err, store.ErrExists) {
 		return nil
 	}
 	return contract.Fail(contract.StepApply, "platform", err)
 }
 
 // point makes the root point at a change.
-func point(ctx context.Context, store platform.Store, base Snapshot, root document.Root, record document.Change) error {
+func point(ctx context.Context, st store.Store, base Snapshot, root document.Root, record document.Change) error {
 	value, err := json.Marshal(root)
 	if err != nil {
 		return contract.Fail(contract.StepApply, "", err)
 	}
 	if base.Version == 0 {
-		_, err = store.Create(ctx, document.RootName, value)
+		_, err = st.Create(ctx, document.RootName, value)
 	} else {
-		_, err = store.Update(ctx, document.RootName, value, base.Version)
+		_, err = st.Update(ctx, document.RootName, value, base.Version)
 	}
 	if err == nil {
 		return nil
 	}
-	return settle(ctx, store, record, err)
+	return settle(ctx, st, record, err)
 }
 
 // settle finds out what became of a write of the root that gave an error: the
 // change is accepted when the chain of changes leads to it.
-func settle(ctx context.Context, store platform.Store, record document.Change, cause error) error {
-	accepted, err := Accepted(ctx, store, record.ID, record.ToRevision)
+func settle(ctx context.Context, st store.Store, record document.Change, cause error) error {
+	accepted, err := Accepted(ctx, st, record.ID, record.ToRevision)
 	if err != nil {
 		return &Unsettled{Change: record.ID, Err: errors.Join(cause, err)}
 	}
 	if accepted.ID == record.ID {
 		return nil
 	}
-	if accepted.ID == "" && errors.Is(cause, platform.ErrTooMany) {
+	if accepted.ID == "" && errors.Is(cause, store.ErrTooMany) {
 		return contract.Fail(contract.StepApply, "platform", cause)
 	}
 	if accepted.ID == "" {
@@ -208,9 +208,9 @@
 // Accepted returns the change that was accepted as a revision: the asked one,
 // the one that won against it, or the zero Change while the revision is not
 // reached. A stale read of the root shows an older one, never a wrong one.
-func Accepted(ctx context.Context, store platform.Store, id contract.ChangeID, revision contract.Revision) (document.Change, error) {
+func Accepted(ctx context.Context, st store.Store, id contract.ChangeID, revision contract.Revision) (document.Change, error) {
 	found := document.Change{}
-	err := Walk(ctx, store, func(c document.Change) bool {
+	err := Walk(ctx, st, func(c document.Change) bool {
 		if c.ToRevision == revision {
 			found = c
 		}
@@ -221,9 +221,9 @@
 
 // Walk calls visit with each accepted change, the newest first, until visit
 // returns false or there are no more.
-func Walk(ctx context.Context, store platform.Store, visit func(document.Change) bool) error {
-	o, err := store.Read(ctx, document.RootName)
-	if errors.Is(err, platform.ErrNotFound) {
+func Walk(ctx context.Context, st store.Store, visit func(document.Change) bool) error {
+	o, err := st.Read(ctx, document.RootName)
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -234,7 +234,7 @@
 		return contract.Fail(contract.StepWatch, "platform", err)
 	}
 	for id := root.Change; id != ""; {
-		c, err := ReadChange(ctx, store, id)
+		c, err := ReadChange(ctx, st, id)
 		if err != nil {
 			return err
 		}
@@ -247,9 +247,9 @@
 }
 
 // ReadChange returns the audit record of a change.
-func ReadChange(ctx context.Context, store platform.Store, id contract.ChangeID) (document.Change, error) {
+func ReadChange(ctx context.Context, st store.Store, id contract.ChangeID) (document.Change, error) {
 	var c document.Change
-	o, err := store.Read(ctx, document.ChangeName(id))
+	o, err := st.Read(ctx, document.ChangeName(id))
 	if err != nil {
 		return c, contract.Fail(contract.StepWatch, "platform", err)
 	}
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -11,8 +11,8 @@
 
 	"woaddoor/contract"
 	"woaddoor/document"
-	standin "woaddoor/internal/standin/platform"
-	"woaddoor/platform"
+	standin "woaddoor/internal/standin/store"
+	"woaddoor/store"
 )
 
 func section(n int) map[string]document.Section {
@@ -43,7 +43,7 @@
 }
 
 // naivePublish tries again when a reply is lost, on what it reads then.
-func naivePublish(t *rapid.T, store platform.Store, sections map[string]document.Section) int {
+func naivePublish(t *rapid.T, store store.Store, sections map[string]document.Section) int {
 	for n := 1; ; n++ {
 		base, err := Load(t.Context(), store)
 		if err != nil {
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -15,7 +15,7 @@
 	"woaddoor/contract"
 	"woaddoor/control"
 	"woaddoor/history"
-	standin "woaddoor/internal/standin/platform"
+	standin "woaddoor/internal/standin/store"
 	"woaddoor/keys"
 	"woaddoor/link"
 	"woaddoor/logs"
--- a/internal/bench/writes.go
+++ b/internal/bench/writes.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"woaddoor/internal/standin/platform"
+	"woaddoor/internal/standin/store"
 	"woaddoor/operator"
 )
 
@@ -23,7 +23,7 @@
 	}
 	defer stop()
 	fmt.Printf("### Calls to the platform, six VMs in three data centres, real processes\n\n| what | reads | watches | lists | writes | requests |\n|---|---|---|---|---|---|\n")
-	row := func(what string, a, b platform.Counts, seconds float64, requests int) {
+	row := func(what string, a, b store.Counts, seconds float64, requests int) {
 		r := rate(a, b, seconds)
 		fmt.Printf("| %s, a second | %.1f | %.1f | %.1f | %.2f | %.0f/s |\n", what, r.reads, r.watches, r.lists, r.writes, float64(requests)/seconds)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,13 +16,13 @@
 
 	"woaddoor/contract"
 	"woaddoor/internal/standin/engine"
-	standin "woaddoor/internal/standin/platform"
+	standin "woaddoor/internal/standin/store"
 	"woaddoor/internal/standin/rating"
 	"woaddoor/internal/standin/service"
 	"woaddoor/internal/standin/wire"
 	"woaddoor/keys"
 	"woaddoor/operator"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // Options set up a Fleet.
@@ -193,7 +193,7 @@
 
 // Operator returns an operator of the fleet's platform.
 func (f *Fleet) Operator() *operator.Operator {
-	client := platform.NewClient(&platform.Options{URL: f.OperatorURL})
+	client := store.NewClient(&store.Options{URL: f.OperatorURL})
 	return &operator.Operator{Store: client, VMs: client, Now: time.Now}
 }
 
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -9,7 +9,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/keys"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // addresses are those of one VM.
@@ -43,9 +43,9 @@
 	if err := f.makeKeys(names); err != nil {
 		return err
 	}
-	var list []platform.VMEntry
+	var list []store.VMEntry
 	for i, vm := range f.VMs {
-		list = append(list, platform.VMEntry{ID: vm.Name, DataCentre: vm.DataCentre, Address: all[i].controlAdvertised, State: platform.VMLive})
+		list = append(list, store.VMEntry{ID: vm.Name, DataCentre: vm.DataCentre, Address: all[i].controlAdvertised, State: store.VMLive})
 		if err := os.WriteFile(vm.settings, []byte(f.settingsOf(vm, all, i)), 0o600); err != nil {
 			return err
 		}
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -14,7 +14,7 @@
 	"woaddoor/datacentre"
 	"woaddoor/history"
 	standin "woaddoor/internal/standin/engine"
-	platform "woaddoor/internal/standin/platform"
+	platform "woaddoor/internal/standin/store"
 	"woaddoor/internal/standin/service"
 )
 
--- a/internal/standin/platform/http.go
+++ b/internal/standin/store/http.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"encoding/json"
@@ -11,34 +11,34 @@
 	"github.com/gorilla/mux"
 
 	"woaddoor/contract"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
-// Handler serves the view over HTTP, as platform.Client expects it.
+// Handler serves the view over HTTP, as store.Client expects it.
 func (v *View) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.SkipClean(true)
-	r.HandleFunc(platform.VMsPath, v.serveVMs).Methods(http.MethodGet)
-	r.HandleFunc(platform.ListPath, v.serveList).Methods(http.MethodGet)
-	r.PathPrefix(platform.ObjectsPath).Methods(http.MethodGet).HandlerFunc(v.serveGet)
-	r.PathPrefix(platform.ObjectsPath).Methods(http.MethodPut).HandlerFunc(v.servePut)
+	r.HandleFunc(store.VMsPath, v.serveVMs).Methods(http.MethodGet)
+	r.HandleFunc(store.ListPath, v.serveList).Methods(http.MethodGet)
+	r.PathPrefix(store.ObjectsPath).Methods(http.MethodGet).HandlerFunc(v.serveGet)
+	r.PathPrefix(store.ObjectsPath).Methods(http.MethodPut).HandlerFunc(v.servePut)
 	return r
 }
 
 func objectName(r *http.Request) string {
-	return strings.TrimPrefix(r.URL.Path, platform.ObjectsPath)
+	return strings.TrimPrefix(r.URL.Path, store.ObjectsPath)
 }
 
 func fail(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrUnchanged):
+	case errors.Is(err, store.ErrUnchanged):
 		status = http.StatusNotModified
-	case errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrExists), errors.Is(err, store.ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrTooMany):
+	case errors.Is(err, store.ErrTooMany):
 		status = http.StatusTooManyRequests
 	case errors.Is(err, errDown):
 		panic(http.ErrAbortHandler) // the connection is cut: no answer at all
@@ -47,14 +47,14 @@
 }
 
 func (v *View) serveGet(w http.ResponseWriter, r *http.Request) {
-	var o platform.Object
+	var o store.Object
 	var err error
-	if wait := r.URL.Query().Get(platform.ParamWait); wait != "" {
+	if wait := r.URL.Query().Get(store.ParamWait); wait != "" {
 		var d time.Duration
-		var after platform.Version
+		var after store.Version
 		d, err = time.ParseDuration(wait)
 		if err == nil {
-			after, err = platform.ParseETag(r.Header.Get(platform.HeaderIfNone))
+			after, err = store.ParseETag(r.Header.Get(store.HeaderIfNone))
 		}
 		if err == nil {
 			o, err = v.Watch(r.Context(), objectName(r), after, d)
@@ -66,7 +66,7 @@
 		fail(w, err)
 		return
 	}
-	w.Header().Set(platform.HeaderETag, platform.ETag(o.Version))
+	w.Header().Set(store.HeaderETag, store.ETag(o.Version))
 	_, _ = w.Write(o.Value)
 }
 
@@ -76,12 +76,12 @@
 		fail(w, err)
 		return
 	}
-	var version platform.Version
-	if r.Header.Get(platform.HeaderIfNone) == "*" {
+	var version store.Version
+	if r.Header.Get(store.HeaderIfNone) == "*" {
 		version, err = v.Create(r.Context(), objectName(r), value)
 	} else {
-		var has platform.Version
-		has, err = platform.ParseETag(r.Header.Get(platform.HeaderIfHas))
+		var has store.Version
+		has, err = store.ParseETag(r.Header.Get(store.HeaderIfHas))
 		if err == nil {
 			version, err = v.Update(r.Context(), objectName(r), value, has)
 		}
@@ -90,13 +90,13 @@
 		fail(w, err)
 		return
 	}
-	w.Header().Set(platform.HeaderETag, platform.ETag(version))
+	w.Header().Set(store.HeaderETag, store.ETag(version))
 	w.WriteHeader(http.StatusCreated)
 }
 
 func (v *View) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	names, err := v.List(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter))
+	names, err := v.List(r.Context(), q.Get(store.ParamPrefix), q.Get(store.ParamAfter))
 	if err != nil {
 		fail(w, err)
 		return
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is a stand-in for the platform's service: an object store
+// Package store is a stand-in for the platform's service: an object store
 // with versions, conditional updates and watches, and a VM list that lags.
 // It counts each call, limits their rate, and shows faults that a test sets.
-package platform
+package store
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"time"
 
 	"woaddoor/contract"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // Faults are what the stand-in does wrong until they are changed.
@@ -39,12 +39,12 @@
 type Store struct {
 	// mu guards all fields.
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	stale   map[string]platform.Object
-	version platform.Version
+	objects map[string]store.Object
+	stale   map[string]store.Object
+	version store.Version
 	changed chan struct{}
-	vms     []platform.VMEntry
-	oldVMs  []platform.VMEntry
+	vms     []store.VMEntry
+	oldVMs  []store.VMEntry
 	faults  Faults
 	counts  Counts
 	// cut holds the clients, by name, that cannot reach the platform.
@@ -60,7 +60,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: make(map[string]platform.Object), changed: make(chan struct{}), cut: make(map[string]bool)}
+	return &Store{objects: make(map[string]store.Object), changed: make(chan struct{}), cut: make(map[string]bool)}
 }
 
 // SetFaults replaces the faults.
@@ -68,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if f.StaleReads && !s.faults.StaleReads {
-		s.stale = make(map[string]platform.Object, len(s.objects))
+		s.stale = make(map[string]store.Object, len(s.objects))
 		for k, v := range s.objects {
 			s.stale[k] = v
 		}
@@ -103,7 +103,7 @@
 }
 
 // SetVMs replaces the VM list.
-func (s *Store) SetVMs(vms []platform.VMEntry) {
+func (s *Store) SetVMs(vms []store.VMEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
@@ -144,9 +144,9 @@
 }
 
 // Read returns an object.
-func (v *View) Read(ctx context.Context, name string) (platform.Object, error) {
+func (v *View) Read(ctx context.Context, name string) (store.Object, error) {
 	if err := v.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s := v.store
 	s.mu.Lock()
@@ -156,39 +156,39 @@
 }
 
 // lookup returns an object as reads see it. The caller holds mu.
-func (s *Store) lookup(name string) (platform.Object, error) {
+func (s *Store) lookup(name string) (store.Object, error) {
 	from := s.objects
 	if s.faults.StaleReads {
 		from = s.stale
 	}
 	o, ok := from[name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return o, nil
 }
 
 // Create writes a new object.
-func (v *View) Create(ctx context.Context, name string, value []byte) (platform.Version, error) {
-	return v.write(ctx, name, value, func(_ platform.Object, exists bool) error {
+func (v *View) Create(ctx context.Context, name string, value []byte) (store.Version, error) {
+	return v.write(ctx, name, value, func(_ store.Object, exists bool) error {
 		if exists {
-			return platform.ErrExists
+			return store.ErrExists
 		}
 		return nil
 	})
 }
 
 // Update replaces an object of a known version.
-func (v *View) Update(ctx context.Context, name string, value []byte, version platform.Version) (platform.Version, error) {
-	return v.write(ctx, name, value, func(o platform.Object, exists bool) error {
+func (v *View) Update(ctx context.Context, name string, value []byte, version store.Version) (store.Version, error) {
+	return v.write(ctx, name, value, func(o store.Object, exists bool) error {
 		if !exists || o.Version != version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 		return nil
 	})
 }
 
-func (v *View) write(ctx context.Context, name string, value []byte, condition func(platform.Object, bool) error) (platform.Version, error) {
+func (v *View) write(ctx context.Context, name string, value []byte, condition func(store.Object, bool) error) (store.Version, error) {
 	if err := v.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -197,7 +197,7 @@
 	defer s.mu.Unlock()
 	s.counts.Writes++
 	if s.overLimit() {
-		return 0, platform.ErrTooMany
+		return 0, store.ErrTooMany
 	}
 	if contract.Bytes(len(value)) > contract.MiB {
 		return 0, errors.New("value over a megabyte")
@@ -207,7 +207,7 @@
 		return 0, err
 	}
 	s.version++
-	s.objects[name] = platform.Object{Name: name, Version: s.version, Value: slices.Clone(value)}
+	s.objects[name] = store.Object{Name: name, Version: s.version, Value: slices.Clone(value)}
 	s.wake()
 	if s.faults.LoseReplies > 0 && strings.HasPrefix(name, s.faults.LoseRepliesTo) {
 		s.faults.LoseReplies--
@@ -244,11 +244,11 @@
 		}
 	}
 	slices.Sort(names)
-	return names[:min(len(names), platform.ListPage)], nil
+	return names[:min(len(names), store.ListPage)], nil
 }
 
 // Watch waits for another version of an object.
-func (v *View) Watch(ctx context.Context, name string, after platform.Version, wait time.Duration) (platform.Object, error) {
+func (v *View) Watch(ctx context.Context, name string, after store.Version, wait time.Duration) (store.Object, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	v.store.mu.Lock()
@@ -256,7 +256,7 @@
 	v.store.mu.Unlock()
 	for {
 		if err := v.enter(ctx); err != nil {
-			return platform.Object{}, err
+			return store.Object{}, err
 		}
 		v.store.mu.Lock()
 		o, err := v.store.lookup(name)
@@ -266,20 +266,20 @@
 			return o, nil
 		}
 		if err != nil && after != 0 {
-			return platform.Object{}, err
+			return store.Object{}, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return platform.Object{}, platform.ErrUnchanged
+			return store.Object{}, store.ErrUnchanged
 		case <-ctx.Done():
-			return platform.Object{}, ctx.Err()
+			return store.Object{}, ctx.Err()
 		}
 	}
 }
 
 // VMs returns the VM list.
-func (v *View) VMs(ctx context.Context) ([]platform.VMEntry, error) {
+func (v *View) VMs(ctx context.Context) ([]store.VMEntry, error) {
 	if err := v.enter(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/store/store_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"net/http/httptest"
@@ -7,30 +7,30 @@
 
 	"github.com/matryer/is"
 
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // TestClient runs the real client against the stand-in, over HTTP.
 func TestClient(t *testing.T) {
 	is := is.New(t)
-	store := New()
-	server := httptest.NewServer(store.View("a").Handler())
+	st := New()
+	server := httptest.NewServer(st.View("a").Handler())
 	t.Cleanup(server.Close)
-	c := platform.NewClient(&platform.Options{URL: server.URL})
+	c := store.NewClient(&store.Options{URL: server.URL})
 	ctx := t.Context()
 
 	_, err := c.Read(ctx, "woaddoor/x")
-	is.Equal(err, platform.ErrNotFound)
+	is.Equal(err, store.ErrNotFound)
 	v1, err := c.Create(ctx, "woaddoor/x", []byte("one"))
 	is.NoErr(err)
 	_, err = c.Create(ctx, "woaddoor/x", []byte("two"))
-	is.Equal(err, platform.ErrExists)
+	is.Equal(err, store.ErrExists)
 	_, err = c.Watch(ctx, "woaddoor/x", v1, time.Millisecond)
-	is.Equal(err, platform.ErrUnchanged)
+	is.Equal(err, store.ErrUnchanged)
 	v2, err := c.Update(ctx, "woaddoor/x", []byte("two"), v1)
 	is.NoErr(err)
 	_, err = c.Update(ctx, "woaddoor/x", []byte("three"), v1)
-	is.Equal(err, platform.ErrConflict)
+	is.Equal(err, store.ErrConflict)
 	o, err := c.Watch(ctx, "woaddoor/x", v1, time.Second)
 	is.NoErr(err)
 	is.Equal(string(o.Value), "two")
@@ -43,18 +43,18 @@
 // TestLostReply shows a write that takes effect though its reply is lost.
 func TestLostReply(t *testing.T) {
 	is := is.New(t)
-	store := New()
-	server := httptest.NewServer(store.View("a").Handler())
+	st := New()
+	server := httptest.NewServer(st.View("a").Handler())
 	t.Cleanup(server.Close)
-	c := platform.NewClient(&platform.Options{URL: server.URL})
-	store.SetFaults(Faults{LoseReplies: 1})
+	c := store.NewClient(&store.Options{URL: server.URL})
+	st.SetFaults(Faults{LoseReplies: 1})
 	_, err := c.Create(t.Context(), "woaddoor/x", []byte("one"))
 	is.True(err != nil)
 	o, err := c.Read(t.Context(), "woaddoor/x")
 	is.NoErr(err)
 	is.Equal(string(o.Value), "one")
 
-	store.Cut("a", true)
+	st.Cut("a", true)
 	_, err = c.Read(t.Context(), "woaddoor/x")
 	is.True(err != nil)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"woaddoor/contract"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // orderDelay is the longest an order is under way, as Options assumes.
@@ -20,7 +20,7 @@
 	t       *rapid.T
 	now     time.Time
 	object  Object
-	version platform.Version
+	version store.Version
 	holders []*Holder
 	// orders under way, with the number they carry.
 	orders []order
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,13 +16,13 @@
 	"woaddoor/datacentre"
 	"woaddoor/document"
 	"woaddoor/history"
-	"woaddoor/platform"
+	"woaddoor/store"
 )
 
 // Operator works on one platform.
 type Operator struct {
-	Store platform.Store
-	VMs   platform.VMList
+	Store store.Store
+	VMs   store.VMList
 	// Now tells the time, for records and for ends that it states.
 	Now func() time.Time
 }
@@ -218,7 +218,7 @@
 	}
 	expected := make(map[contract.VMID]contract.DataCentreID)
 	for _, e := range vms {
-		if !e.Upstream && e.State == platform.VMLive {
+		if !e.Upstream && e.State == store.VMLive {
 			expected[e.ID] = e.DataCentre
 		}
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -11,8 +11,8 @@
 
 	"woaddoor/contract"
 	"woaddoor/history"
-	standin "woaddoor/internal/standin/platform"
-	"woaddoor/platform"
+	standin "woaddoor/internal/standin/store"
+	"woaddoor/store"
 )
 
 const key = "0000000000000000000000000000000000000000000000000000000000000000"
@@ -63,11 +63,11 @@
 // a reply: the withdrawal is in, once, and so are the others' changes.
 func TestWithdrawRaces(t *testing.T) {
 	is := is.New(t)
-	o, store, now := setup()
+	o, st, now := setup()
 	ctx := t.Context()
 	_, err := o.Apply(ctx, "site.ini", file("10s"), -1, by("ana", *now))
 	is.NoErr(err)
-	store.SetFaults(standin.Faults{LoseReplies: 1})
+	st.SetFaults(standin.Faults{LoseReplies: 1})
 	_, err = o.Withdraw(ctx, "m@1", by("ben", *now))
 	if err != nil { // a lost reply before the root: said so, and safe to repeat
 		_, err = o.Withdraw(ctx, "m@1", by("ben", *now))
@@ -87,9 +87,9 @@
 // counts, from when its successor was accepted, with its own time without word.
 func TestSureAt(t *testing.T) {
 	is := is.New(t)
-	o, store, now := setup()
+	o, st, now := setup()
 	ctx := t.Context()
-	store.SetVMs([]platform.VMEntry{{ID: "a", DataCentre: "d", State: platform.VMLive}})
+	st.SetVMs([]store.VMEntry{{ID: "a", DataCentre: "d", State: store.VMLive}})
 	_, err := o.Apply(ctx, "site.ini", file("1h"), -1, by("ana", *now))
 	is.NoErr(err)
 	*now = start.Add(time.Minute)
--- a/platform/http.go
+++ b/store/http.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/platform/store.go
+++ b/store/store.go
@@ -1,9 +1,9 @@
-// Package platform meets the platform's service: its object API with versions,
+// Package store meets the platform's service: its object API with versions,
 // conditional updates and watches, and its list of VMs.
 //
 // Everything that the system has to keep lives there. Each call is counted by
 // the platform, a waiting watch as one, so callers state how often they call.
-package platform
+package store
 
 import (
 	"context"
