--- a/config/config.go
+++ b/config/config.go
@@ -168,6 +168,9 @@
 	Fencing Fencing
 	// Slots is how many requests one upstream works on at once. Zero means 8.
 	Slots int
+	// Connections is how many requests this VM may have at one upstream at the
+	// same time. Zero means no bound.
+	Connections int
 }
 
 // DefaultSlots is used where a pool does not say.
--- a/config/reader.go
+++ b/config/reader.go
@@ -108,13 +108,18 @@
 
 // Rate returns the value of key as a number from 0 to 1.
 func (r *Reader) Rate(key string, fallback float64) float64 {
+	return r.Number(key, fallback, 0, 1)
+}
+
+// Number returns the value of key as a number from low to high.
+func (r *Reader) Number(key string, fallback, low, high float64) float64 {
 	text := r.Text(key, "")
 	if text == "" {
 		return fallback
 	}
 	x, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(x >= 0 && x <= 1) {
-		r.Fault(key, "is %q: expected a number from 0 to 1", text)
+	if err != nil || !(x >= low && x <= high) {
+		r.Fault(key, "is %q: expected a number from %v to %v", text, low, high)
 		return fallback
 	}
 	return x
--- a/control/members.go
+++ b/control/members.go
@@ -10,9 +10,9 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/logs"
-	"woaddoor/store"
 	"woaddoor/protocol"
 	"woaddoor/rollout"
+	"woaddoor/store"
 	"woaddoor/vm"
 )
 
--- a/control/server.go
+++ b/control/server.go
@@ -25,9 +25,9 @@
 	"woaddoor/keys"
 	"woaddoor/lease"
 	"woaddoor/link"
-	"woaddoor/store"
 	"woaddoor/rollout"
 	"woaddoor/settings"
+	"woaddoor/store"
 	"woaddoor/vm"
 )
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -14,8 +14,8 @@
 	"woaddoor/history"
 	"woaddoor/link"
 	"woaddoor/logs"
-	"woaddoor/store"
 	"woaddoor/protocol"
+	"woaddoor/store"
 	"woaddoor/vm"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,8 +17,8 @@
 	"woaddoor/entry"
 	"woaddoor/keys"
 	"woaddoor/logs"
-	"woaddoor/store"
 	"woaddoor/settings"
+	"woaddoor/store"
 )
 
 // Exit codes of the daemons.
--- /dev/null
+++ b/daemon/vm.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"woaddoor/contract"
+	"woaddoor/logs"
+	"woaddoor/platform"
+	"woaddoor/relay"
+	"woaddoor/retry"
+	"woaddoor/rollout"
+	"woaddoor/settings"
+	"woaddoor/site"
+)
+
+// settingsVariable names the variable that holds the path of the settings.
+const settingsVariable = "WOADDOOR_CONFIG"
+
+// vmArguments are those of woaddoor-vm.
+type vmArguments struct {
+	Settings string   `help:"The settings file (INI)." env:"WOADDOOR_CONFIG" type:"path" required:""`
+	Run      struct{} `cmd:"" help:"Serve until SIGTERM, for example: woaddoor-vm run --settings /etc/woaddoor/settings.ini"`
+	Check    struct{} `cmd:"" help:"Check the settings, print every fault, and end."`
+}
+
+// VM runs woaddoor-vm and returns its exit code.
+func VM(args []string) int {
+	var a vmArguments
+	parser := kong.Must(&a, kong.Name("woaddoor-vm"), kong.Description("Routes requests on a VM of the users' platform."), kong.UsageOnError())
+	parsed, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+	s, err := settings.LoadVM(a.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if parsed.Command() == "check" {
+		fmt.Printf("%s: settings of %s in %s are good\n", a.Settings, s.Name, s.DataCentre)
+		return exitOK
+	}
+	return runVM(s, a.Settings)
+}
+
+// vm is one life of the process.
+type vm struct {
+	settings *settings.VM
+	path     string
+	log      *zap.Logger
+	site     *site.Site
+	relay    *relay.Relay
+	stopping atomic.Bool
+	servers  []*http.Server
+}
+
+// gcPercent makes the collector run more often: memory is paid for and the
+// process uses a small part of its processor.
+const gcPercent = 50
+
+func runVM(s *settings.VM, path string) int {
+	debug.SetGCPercent(gcPercent)
+	log := logs.New(os.Stdout, zap.String("vm", string(s.Name)))
+	v := &vm{settings: s, path: path, log: log}
+	v.build()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := v.listen(); err != nil {
+		log.Error("start-failed", logs.Failure(err)...)
+		return exitFailed
+	}
+	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store.Address))
+	go v.site.Run(ctx)
+	v.wait()
+	return exitOK
+}
+
+// build makes the parts of the process.
+func (v *vm) build() {
+	s := v.settings
+	store := platform.NewStore(s.Store.Address)
+	v.relay = relay.New(&relay.Options{
+		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Log: v.log, Now: time.Now,
+		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
+		VMs:    func() int { return 7 },
+		Canary: rollout.CanaryOptions{Share: s.Bounds.CanaryShare}, SessionWithin: s.Bounds.Session,
+		Wake: func() { v.site.Wake() },
+	})
+	v.site = site.New(&site.Options{
+		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
+		Orders: platform.Orders(store), EndOrder: store.EndOrder, Relay: v.relay, Log: v.log, Now: time.Now,
+	})
+}
+
+// Bounds of callers' connections, where the configuration's come too late to be
+// set on a server: clients keep within them.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 3 * time.Minute
+	maxHeader     = 64 << 10
+)
+
+// listen opens the VM's addresses. An address in use is told with its name.
+func (v *vm) listen() error {
+	front := &platform.Front{
+		Relay: v.relay, Table: v.site.Table, Now: time.Now, Closing: v.stopping.Load,
+		Refused: func(id contract.RequestID, status int, why string) {
+			v.log.Info("turned-away", zap.String("request", string(id)), zap.Int("status", status), zap.String("why", why))
+		},
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc(platform.PathReady, v.ready)
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", v.settings.Listen.Callers, front},
+		{"ready", v.settings.Listen.Ready, ready},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return contract.Fail(contract.StepSettings, v.path+": [listen] "+l.name, err)
+		}
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			ErrorLog: zap.NewStdLog(v.log.With(zap.String("listener", l.name))),
+		}
+		v.servers = append(v.servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				v.log.Error("listener-failed", logs.Failure(err)...)
+			}
+		}()
+	}
+	return nil
+}
+
+// ready tells the balancer whether to send new connections.
+func (v *vm) ready(w http.ResponseWriter, _ *http.Request) {
+	if v.stopping.Load() || !v.site.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// balancerSees is how long the balancer goes on sending connections to a VM
+// that is no longer ready: it asks every second and takes two misses.
+const balancerSees = 2500 * time.Millisecond
+
+// wait handles signals until the process is to end.
+func (v *vm) wait() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	for got := range signals {
+		v.log.Info("signal", zap.String("signal", got.String()))
+		if got != syscall.SIGHUP {
+			break
+		}
+		v.reload()
+	}
+	v.stop()
+}
+
+// reload reads the settings again and says what has changed. Addresses and
+// bounds are in use since the start, so a change of them needs a restart.
+func (v *vm) reload() {
+	s, err := settings.LoadVM(v.path)
+	if err != nil {
+		v.log.Error("reload-failed", logs.Failure(err)...)
+		return
+	}
+	v.log.Info("reload", zap.Bool("same", *s == *v.settings), zap.String("takes_effect", "at the next start"))
+}
+
+// stop ends the process without cutting off a request: the balancer is told
+// first, and connections are closed once it sends no more.
+func (v *vm) stop() {
+	v.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), v.settings.Bounds.Grace-graceMargin)
+	defer cancel()
+	time.Sleep(min(balancerSees, v.settings.Bounds.Grace/2))
+	err := v.servers[0].Shutdown(ctx)
+	v.log.Info("stop", zap.Bool("whole", err == nil))
+}
+
+// graceMargin is the part of the grace that is left for the end itself.
+const graceMargin = 300 * time.Millisecond
--- /dev/null
+++ b/exchange/pool.go
@@ -0,0 +1,116 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Pool holds the connections to one upstream.
+type Pool struct {
+	address string
+
+	// mu guards the fields below. It is not held across I/O.
+	mu     sync.Mutex
+	idle   []*conn // the last one was used last
+	open   int
+	limit  int
+	closed bool
+	dialed int64
+}
+
+// NewPool returns a pool of at most limit connections to an address.
+func NewPool(address string, limit int) *Pool {
+	return &Pool{address: address, limit: max(limit, 1)}
+}
+
+// SetLimit changes the bound of connections. Those open stay.
+func (p *Pool) SetLimit(n int) {
+	p.mu.Lock()
+	p.limit = max(n, 1)
+	p.mu.Unlock()
+}
+
+// Dialed returns how many connections were opened so far.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// take returns an idle connection that is healthy, or a new one.
+func (p *Pool) take(ctx context.Context) (*conn, error) {
+	for {
+		c, busy := p.reserve()
+		if busy {
+			return nil, ErrBusy
+		}
+		if c == nil {
+			break
+		}
+		if c.healthy(time.Now()) {
+			c.reused = true
+			c.wrote.Store(false)
+			return c, nil
+		}
+		p.drop(c)
+	}
+	c, err := dial(ctx, p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return c, nil
+}
+
+// reserve takes the idle connection that was used last, or counts a new one.
+func (p *Pool) reserve() (c *conn, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		c = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, false
+	}
+	if p.open >= p.limit {
+		return nil, true
+	}
+	p.open++
+	p.dialed++
+	return nil, false
+}
+
+// give keeps a connection for the next request.
+func (p *Pool) give(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.limit {
+		p.open--
+		_ = c.Close()
+		return
+	}
+	c.idleAt = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+// drop closes a connection.
+func (p *Pool) drop(c *conn) {
+	_ = c.Close() // it is given up whatever the reason
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Close closes the idle connections; those in use are closed when they end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+		p.open--
+	}
+	p.idle = nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,9 +16,9 @@
 
 	"woaddoor/contract"
 	"woaddoor/internal/standin/engine"
-	standin "woaddoor/internal/standin/store"
 	"woaddoor/internal/standin/rating"
 	"woaddoor/internal/standin/service"
+	standin "woaddoor/internal/standin/store"
 	"woaddoor/internal/standin/wire"
 	"woaddoor/keys"
 	"woaddoor/operator"
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -14,8 +14,8 @@
 	"woaddoor/datacentre"
 	"woaddoor/history"
 	standin "woaddoor/internal/standin/engine"
-	platform "woaddoor/internal/standin/store"
 	"woaddoor/internal/standin/service"
+	platform "woaddoor/internal/standin/store"
 )
 
 // refusal is the body of a refusal, as a caller reads it.
--- /dev/null
+++ b/relay/models.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"time"
+
+	"woaddoor/cascade"
+	"woaddoor/contract"
+	"woaddoor/retry"
+	"woaddoor/upstream"
+)
+
+// escalateBefore is the part of the objective that may have passed when an
+// answer is given up for a larger model's: later the larger one is not on time.
+const escalateBefore = 0.6
+
+// chooseModel names the model that answers first. The caller holds mu.
+func (r *Relay) chooseModel(j *job) {
+	models := j.Route.Models
+	if !j.ChooseModel || len(models) == 0 {
+		return
+	}
+	j.model = models[len(models)-1]
+	if j.Route.Repeatable() && j.Route.MaxAttempts > 1 {
+		j.model = models[0]
+	}
+}
+
+// escalates decides whether the answer that begins with a head is given up for
+// one of the largest model, and takes that send out of the budget.
+func (r *Relay) escalates(j *job, h *Head) bool {
+	models := j.Route.Models
+	if !j.ChooseModel || j.began || len(models) == 0 || j.model == models[len(models)-1] || j.sends+1 >= j.Route.MaxAttempts {
+		return false
+	}
+	now := r.opts.Now()
+	if now.Sub(j.Arrived) > time.Duration(escalateBefore*float64(j.Route.Objective)) {
+		return false
+	}
+	up := false
+	r.locked(func() {
+		w := r.budget(j.service)
+		vms := r.opts.VMs()
+		up = bar.GiveUp(cascade.Answer{Confidence: h.Confidence, Priority: j.Priority, BudgetLeft: w.Left(vms, now)}) &&
+			w.Take(retry.ForEscalation, vms, now)
+	})
+	return up
+}
+
+// bar is the opinion below which an answer is given up; docs/design/platform.md
+// has the measurements.
+var bar = cascade.Bar{At: 0.6}
+
+// escalated moves the job to the largest model.
+func (r *Relay) escalated(j *job, a *attempt) {
+	r.Metrics.escalations.Inc(1)
+	r.ended(a.entry, upstream.Abandoned, 0)
+	r.observe(j, a, false)
+	j.sends++
+	j.outcome = contract.Ran
+	j.model = j.Route.Models[len(j.Route.Models)-1]
+	j.confident = a.head.Confidence
+}
+
+// pinned notes the release that a session is on.
+func (r *Relay) pinned(j *job, release string) {
+	r.locked(func() { r.pins.Note(j.Session, release, r.opts.Now()) })
+}
--- /dev/null
+++ b/relay/pace.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"time"
+)
+
+// pace is how long the first answers of a route take, by the model that makes
+// them.
+type pace struct {
+	mean, deviation float64 // seconds
+	seen            int
+}
+
+// Parameters of pace.
+const (
+	paceWeight = 0.05
+	// paceDeviations is how far above the mean an upstream counts as silent.
+	paceDeviations = 6
+	// Parts of the objective between which an upstream counts as silent: less
+	// would be taken for a busy one, and after more nothing can be on time.
+	silentFrom = 0.4
+	silentTo   = 0.7
+	paceKnown  = 10
+)
+
+// pace returns the pace of a job's route and model. The caller holds mu.
+func (r *Relay) pace(j *job) *pace {
+	key := j.Route.Name + "|" + string(j.model)
+	p, ok := r.paces[key]
+	if !ok {
+		p = &pace{}
+		r.paces[key] = p
+	}
+	return p
+}
+
+// limit returns how long an upstream may be silent before its first answer.
+func (p *pace) limit(objective time.Duration) time.Duration {
+	low, high := silentFrom*objective.Seconds(), silentTo*objective.Seconds()
+	seconds := high
+	if p.seen >= paceKnown {
+		seconds = min(max(p.mean+paceDeviations*p.deviation, low), high)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (p *pace) observe(took time.Duration) {
+	p.seen++
+	if p.seen == 1 {
+		p.mean, p.deviation = took.Seconds(), took.Seconds()/2
+		return
+	}
+	off := took.Seconds() - p.mean
+	p.mean += paceWeight * off
+	p.deviation += paceWeight * (max(off, -off) - p.deviation)
+}
+
+// paced notes the time to a first answer.
+func (r *Relay) paced(j *job, took time.Duration) {
+	r.locked(func() { r.pace(j).observe(took) })
+}
+
+// slowTimes is how many times the mean of the others a first answer of a
+// release on trial takes to count as bad.
+const slowTimes = 4
+
+// observe hands an answer to the verdict on a release on trial.
+func (r *Relay) observe(j *job, a *attempt, bad bool) {
+	r.locked(func() {
+		c := r.canaries[a.entry.Service]
+		if c == nil {
+			return
+		}
+		onTrial := a.entry.Release == c.Order().Release
+		if onTrial && !bad {
+			p := r.pace(j)
+			took := r.opts.Now().Sub(a.began).Seconds()
+			bad = p.seen >= paceKnown && took > slowTimes*p.mean
+		}
+		if c.Observe(onTrial, bad) {
+			r.logVerdict(c)
+			r.wake()
+		}
+	})
+}
--- /dev/null
+++ b/relay/pick.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/exchange"
+	"woaddoor/retry"
+	"woaddoor/route"
+	"woaddoor/upstream"
+)
+
+func isStream(r *Request) bool { return r.Route.Kind == route.Stream }
+
+// pick chooses the upstream of the next attempt and counts the request there.
+func (r *Relay) pick(j *job) (upstream.Entry, *contract.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	for _, pools := range r.eligible(j, now) {
+		id, err := r.table.Pick(upstream.Query{
+			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
+			Prefix: j.Subject, Exclude: j.exclude,
+		}, now, r.random)
+		if err != nil {
+			continue
+		}
+		r.table.Sent(id)
+		j.release = pools.release
+		if j.release == "" {
+			j.release = r.entries[id].Release
+		}
+		return r.entries[id], nil
+	}
+	return upstream.Entry{}, noUpstream(j)
+}
+
+// candidates are pools to choose from; release is empty when they are of any.
+type candidates struct {
+	release string
+	ids     []contract.PoolID
+}
+
+// eligible returns the pools that the request may go to, in the order in which
+// they are tried. The caller holds mu.
+func (r *Relay) eligible(j *job, now time.Time) []candidates {
+	byRelease := r.releases[j.service]
+	canary := r.canaries[j.service]
+	if canary == nil {
+		return []candidates{{ids: all(byRelease, "")}}
+	}
+	target := canary.Order().Release
+	onTrial := candidates{release: target, ids: byRelease[target]}
+	others := candidates{ids: all(byRelease, target)}
+	last := r.pins.Last(j.Session, now)
+	if j.began {
+		last = j.release // a stream stays on the release that it began on
+	}
+	order := []candidates{others}
+	switch {
+	case canary.Choose(last, j.Session, now):
+		order = []candidates{onTrial, others}
+	case canary.MayMove(now):
+		order = append(order, onTrial)
+	}
+	kept := order[:0]
+	for _, c := range order {
+		if len(c.ids) > 0 {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// all returns the pools of every release but one.
+func all(byRelease map[string][]contract.PoolID, but string) []contract.PoolID {
+	var ids []contract.PoolID
+	for release, pools := range byRelease {
+		if but == "" || release != but {
+			ids = append(ids, pools...)
+		}
+	}
+	return ids
+}
+
+// ended notes how an attempt ended; first is the time to its first answer.
+func (r *Relay) ended(e upstream.Entry, result upstream.Result, first time.Duration) {
+	r.locked(func() { r.table.Done(e.ID, result, first, r.opts.Now()) })
+}
+
+// again decides on another attempt, and takes it out of the budget. It returns
+// why there is none, or "".
+func (r *Relay) again(j *job, repeatable bool) retry.Reason {
+	now := r.opts.Now()
+	if !repeatable && j.outcome != contract.NotRun {
+		return retry.MayHaveRun
+	}
+	if j.sends >= max(j.Route.MaxAttempts, 1) || j.failures >= maxUnsent+j.Route.MaxAttempts {
+		return retry.Attempts
+	}
+	if j.Deadline.Sub(now) < minLeft {
+		return retry.TooLate
+	}
+	if j.sends == 0 {
+		return "" // no upstream has seen it, so nothing is repeated
+	}
+	taken := false
+	r.locked(func() { taken = r.budget(j.service).Take(retry.ForRetry, r.opts.VMs(), now) })
+	if !taken {
+		return retry.OverBudget
+	}
+	return ""
+}
+
+// minLeft is the time that an attempt needs at least to be worth a send: a link
+// and the shortest answer.
+const minLeft = 30 * time.Millisecond
+
+// note takes a failed attempt into what is known of the request.
+func (j *job) note(o contract.Outcome, sent bool) {
+	j.failures++
+	if sent {
+		j.sends++
+	}
+	j.outcome = j.outcome.Worse(o)
+	j.exclude = append(j.exclude, j.last.ID)
+}
+
+// failed notes an attempt that got no head of an answer.
+func (r *Relay) failed(j *job, err error, began time.Time) {
+	var x *exchange.Error
+	sent, outcome := true, contract.Unknown
+	if errors.As(err, &x) {
+		sent, outcome = x.Sent, x.Outcome()
+	}
+	result := upstream.Failed
+	if errors.Is(err, exchange.ErrBusy) {
+		result = upstream.Full
+	}
+	r.ended(j.last, result, r.opts.Now().Sub(began))
+	j.note(outcome, sent)
+}
--- /dev/null
+++ b/relay/refuse.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/retry"
+)
+
+// Times after which another try by the caller makes sense.
+const (
+	// retrySoon is about the time in which a place at an upstream becomes free.
+	retrySoon = 250 * time.Millisecond
+	// retryListed is about the time in which a list of upstreams is read.
+	retryListed = 600 * time.Millisecond
+)
+
+func noUpstream(j *job) *contract.Refusal {
+	f := &contract.Refusal{
+		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
+		Detail: "no upstream of the service can take the request now",
+	}
+	return f.WithRetryAfter(retryListed)
+}
+
+// gaveUp is the final answer to a request whose attempts have failed.
+func gaveUp(j *job, why retry.Reason, err error) *contract.Refusal {
+	f := &contract.Refusal{
+		Kind: contract.RefusedUpstream, Outcome: j.outcome, Step: contract.StepSend, Peer: string(j.last.ID),
+		Detail: fmt.Sprintf("%v; not tried again: %s", err, why),
+	}
+	if j.outcome == contract.NotRun {
+		f.Kind = contract.RefusedLimit
+	}
+	return f.WithRetryAfter(retrySoon)
+}
+
+// tooLate is the final answer to a request whose time is up.
+func tooLate(j *job) *contract.Refusal {
+	return &contract.Refusal{
+		Kind: contract.RefusedDeadline, Outcome: j.outcome, Step: contract.StepAnswer, Peer: string(j.last.ID),
+		Detail: "the deadline, or the timeout of the route, came before the answer",
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/contract"
+	"woaddoor/exchange"
+	"woaddoor/retry"
+	"woaddoor/rollout"
+	"woaddoor/upstream"
+)
+
+// Options set up a Relay.
+type Options struct {
+	Dialect    Dialect
+	DataCentre contract.DataCentreID
+	Log        *zap.Logger
+	Now        func() time.Time
+	// Budget bounds repeated sends.
+	Budget retry.WindowOptions
+	// VMs returns how many VMs share the budget and upstreams' connections.
+	VMs func() int
+	// Canary is the largest part of a service's requests that a release on
+	// trial may get over its whole roll-out.
+	Canary rollout.CanaryOptions
+	// SessionWithin is how soon one request of a session follows another.
+	SessionWithin time.Duration
+	// Wake is called, without waiting, when a release is found bad. May be nil.
+	Wake func()
+	// Seed seeds the random source. Zero means a seed from the clock.
+	Seed uint64
+}
+
+// Relay is the request path of one VM.
+type Relay struct {
+	opts    *Options
+	log     *zap.Logger
+	Metrics *Metrics
+
+	// mu guards the decision state below. It is held for one decision at a time
+	// and never across I/O.
+	mu       sync.Mutex
+	random   *rand.Rand
+	table    *upstream.Table
+	entries  map[contract.UpstreamID]upstream.Entry
+	pools    map[contract.UpstreamID]*exchange.Pool
+	releases map[contract.ServiceID]map[string][]contract.PoolID
+	limits   map[contract.ServiceID]int
+	budgets  map[contract.ServiceID]*retry.Window
+	canaries map[contract.ServiceID]*rollout.Canary
+	pins     *rollout.Pins
+	paces    map[string]*pace
+}
+
+// New returns a relay that knows no upstreams.
+func New(opts *Options) *Relay {
+	seed := opts.Seed
+	if seed == 0 {
+		seed = uint64(opts.Now().UnixNano())
+	}
+	return &Relay{
+		opts: opts, log: opts.Log, Metrics: newMetrics(),
+		random:   rand.New(rand.NewPCG(seed, seed>>1)),
+		table:    upstream.NewTable(upstream.Options{Listed: true}),
+		entries:  make(map[contract.UpstreamID]upstream.Entry),
+		pools:    make(map[contract.UpstreamID]*exchange.Pool),
+		releases: make(map[contract.ServiceID]map[string][]contract.PoolID),
+		limits:   make(map[contract.ServiceID]int),
+		budgets:  make(map[contract.ServiceID]*retry.Window),
+		canaries: make(map[contract.ServiceID]*rollout.Canary),
+		pins:     rollout.NewPins(opts.SessionWithin),
+		paces:    make(map[string]*pace),
+	}
+}
+
+func (r *Relay) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// connectionShare is the part of an upstream's connections that all VMs
+// together plan to use: the rest is for VMs that are not known yet.
+const connectionShare = 0.85
+
+// SetUpstreams takes in the upstreams that are known, and what one upstream of
+// a service accepts in connections from all VMs.
+func (r *Relay) SetUpstreams(entries []upstream.Entry, accepts map[contract.ServiceID]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	vms := max(r.opts.VMs(), 1)
+	for s, n := range accepts {
+		r.limits[s] = max(int(connectionShare*float64(n)/float64(vms)), 2)
+	}
+	r.table.ConfigureList(entries, func(s contract.ServiceID) int { return r.limits[s] })
+	known := make(map[contract.UpstreamID]upstream.Entry, len(entries))
+	r.releases = make(map[contract.ServiceID]map[string][]contract.PoolID)
+	for _, e := range entries {
+		known[e.ID] = e
+		r.addRelease(e)
+		if p, ok := r.pools[e.ID]; ok {
+			p.SetLimit(r.limits[e.Service])
+		}
+	}
+	for id, p := range r.pools {
+		if e, ok := known[id]; !ok || e.Address != r.entries[id].Address {
+			p.Close()
+			delete(r.pools, id)
+		}
+	}
+	r.entries = known
+}
+
+// addRelease notes the pool of an upstream under its service and release. The
+// caller holds mu.
+func (r *Relay) addRelease(e upstream.Entry) {
+	byRelease := r.releases[e.Service]
+	if byRelease == nil {
+		byRelease = make(map[string][]contract.PoolID)
+		r.releases[e.Service] = byRelease
+	}
+	id := e.PoolOf()
+	for _, have := range byRelease[e.Release] {
+		if have == id {
+			return
+		}
+	}
+	byRelease[e.Release] = append(byRelease[e.Release], id)
+}
+
+// pool returns the connections to an upstream.
+func (r *Relay) pool(e upstream.Entry) *exchange.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.pools[e.ID]
+	if !ok {
+		p = exchange.NewPool(e.Address, max(r.limits[e.Service], 2))
+		r.pools[e.ID] = p
+	}
+	return p
+}
+
+// Upstreams returns how many upstreams are known.
+func (r *Relay) Upstreams() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
+// errSilent means that an upstream did not answer for longer than it should.
+var errSilent = errors.New("upstream is silent")
+
+// Serve has a request answered. The refusal is set only with Refused.
+func (r *Relay) Serve(ctx context.Context, req *Request, c Caller) (End, *contract.Refusal) {
+	ctx, cancel := context.WithDeadlineCause(ctx, req.Deadline, errDeadline)
+	defer cancel()
+	j := &job{Request: req, outcome: contract.NotRun, confident: -1}
+	r.locked(func() {
+		j.service = req.Route.Pick(r.random.Float64())
+		r.budget(j.service).Request(r.opts.Now())
+		r.chooseModel(j)
+	})
+	var end End
+	var refused *contract.Refusal
+	if len(req.Route.Shares) == 0 {
+		end, refused = Refused, noUpstream(j)
+	} else if isStream(req) {
+		end, refused = r.stream(ctx, j, c)
+	} else {
+		end, refused = r.plain(ctx, j, c)
+	}
+	r.finish(j, end, refused)
+	return end, refused
+}
+
+// errDeadline ends the work on a request whose time is up.
+var errDeadline = errors.New("deadline passed")
+
+// budget returns the budget of a service. The caller holds mu.
+func (r *Relay) budget(s contract.ServiceID) *retry.Window {
+	w, ok := r.budgets[s]
+	if !ok {
+		w = retry.NewWindow(r.opts.Budget)
+		r.budgets[s] = w
+	}
+	return w
+}
--- /dev/null
+++ b/relay/rollouts.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"woaddoor/contract"
+	"woaddoor/rollout"
+)
+
+// SetOrder takes in an order, or a newer state of it.
+func (r *Relay) SetOrder(o rollout.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.canaries[o.Service]
+	if c != nil && c.Order().Release == o.Release && c.Order().Revision <= o.Revision {
+		c.Update(o)
+		return
+	}
+	if c != nil && c.Order().Revision >= o.Revision {
+		return
+	}
+	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.Canary)
+}
+
+// Verdict is how an order is to end.
+type Verdict struct {
+	Order rollout.Order
+	State rollout.OrderState
+	// Trial and Others are what this VM has seen.
+	Trial, Others rollout.Counts
+}
+
+// Verdicts returns the orders that are to end now, by what this VM knows.
+func (r *Relay) Verdicts() []Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Verdict
+	for _, c := range r.canaries {
+		if state, due := c.Verdict(r.opts.Now()); due {
+			trial, others := c.Counts()
+			out = append(out, Verdict{c.Order(), state, trial, others})
+		}
+	}
+	return out
+}
+
+// wake asks for the verdicts to be looked at. The caller holds mu.
+func (r *Relay) wake() {
+	if r.opts.Wake != nil {
+		r.opts.Wake()
+	}
+}
+
+// Level compares the upstreams of each pool, and is called every second or so.
+func (r *Relay) Level() { r.locked(r.table.Level) }
+
+// Service returns the service of an order.
+func (v Verdict) Service() contract.ServiceID { return v.Order.Service }
--- /dev/null
+++ b/relay/send.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/exchange"
+	"woaddoor/upstream"
+)
+
+// Send is one attempt at a request, as a Dialect encodes it.
+type Send struct {
+	Upstream upstream.Entry
+	// Model is the model asked for, when the router chooses it.
+	Model contract.ModelID
+	// Left is how long the upstream may work.
+	Left time.Duration
+	// LastEvent is the event after which a stream goes on, if any.
+	LastEvent *int64
+	// Weights is the version of the weights that has to go on with a stream.
+	Weights string
+}
+
+// Dialect is the protocol of the upstreams.
+type Dialect interface {
+	// Encode returns the request that an attempt sends.
+	Encode(r *Request, s Send) *exchange.Request
+	// Belongs tells whether an answer is to the request.
+	Belongs(r *Request, h http.Header) bool
+	// Decode reads the head of an answer.
+	Decode(status int, h http.Header) *Head
+}
+
+// job is the work on one request.
+type job struct {
+	*Request
+	service  contract.ServiceID
+	model    contract.ModelID
+	release  string
+	exclude  []contract.UpstreamID
+	sends    int // that may have reached an upstream
+	failures int // of any kind
+	outcome  contract.Outcome
+	weights  string
+	// began is set once the caller has the head of a stream.
+	began     bool
+	escalated bool
+	last      upstream.Entry
+	firstAt   time.Time // when the first answer or event came
+	confident float64
+}
+
+// attempt is one send that got the head of an answer.
+type attempt struct {
+	entry  upstream.Entry
+	answer *exchange.Answer
+	head   *Head
+	began  time.Time
+	ended  bool
+	cancel context.CancelFunc
+}
+
+// maxUnsent bounds how many upstreams are found unreachable for one request.
+const maxUnsent = 4
+
+// send sends the request to an upstream and waits for the head of its answer,
+// at most until wait.
+func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, lastEvent *int64, wait time.Time) (*attempt, error) {
+	now := r.opts.Now()
+	pool := r.pool(e)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(wait.Sub(now), func() { cancel(errSilent) })
+	s := Send{Upstream: e, Model: j.model, Left: j.Deadline.Sub(now), LastEvent: lastEvent}
+	if lastEvent != nil {
+		s.Weights = j.weights
+	}
+	j.last = e
+	x, err := pool.Do(ctx, r.opts.Dialect.Encode(j.Request, s), func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
+	if !timer.Stop() && err == nil {
+		x.Close()
+		err = &exchange.Error{Sent: true, Err: errSilent}
+	}
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	head := r.opts.Dialect.Decode(x.Status, x.Header)
+	a := &attempt{entry: e, answer: x, head: head, began: now, cancel: func() { cancel(nil) }}
+	if head.Load != nil {
+		r.locked(func() { r.table.Loaded(e.ID, head.Load.Running, head.Load.Waiting, r.opts.Now()) })
+	}
+	return a, nil
+}
+
+// close ends an attempt; its connection is kept only when the answer was read
+// whole.
+func (a *attempt) close() {
+	a.answer.Close()
+	a.cancel()
+}
--- /dev/null
+++ b/settings/vm.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"cmp"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+)
+
+// VM is the settings of woaddoor-vm, the one process of a VM on the users'
+// platform. Every bound of the deployment stands here; none has a figure in
+// the code.
+type VM struct {
+	Name       contract.VMID
+	DataCentre contract.DataCentreID
+	// FirstStart is true only when the whole system starts for the first time.
+	FirstStart bool
+	Listen     Listen
+	Store      StoreAt
+	// Memory and Descriptors are what the machine gives the process. Zero means
+	// no bound.
+	Memory      contract.Bytes
+	Descriptors int
+	Bounds      Bounds
+}
+
+// Listen holds the addresses of a VM.
+type Listen struct {
+	// Callers and Ready are TCP addresses for requests and for the balancer's
+	// question whether the VM is ready.
+	Callers, Ready string
+	// Links is the UDP address for other VMs.
+	Links string
+	// Metrics is the TCP address at which metrics are served.
+	Metrics string
+}
+
+// StoreAt says where the platform's store is, and for how long it keeps
+// history.
+type StoreAt struct {
+	Address string
+	History time.Duration
+}
+
+// Bounds are what the deployment promises its users.
+type Bounds struct {
+	// Drain is how soon after the store's word an upstream that leaves gets no
+	// more requests.
+	Drain time.Duration
+	// Grace is the time between the word to stop and the end of the process.
+	Grace time.Duration
+	// Apply is how soon a configuration is in force.
+	Apply time.Duration
+	// Contact is how long a link has to be whole to count as such.
+	Contact time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the repeated sends of all
+	// VMs together.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// CanaryShare and CanarySlack bound the requests that a bad release gets.
+	CanaryShare float64
+	CanarySlack float64
+	// Rollback is how soon a bad release gets no more requests.
+	Rollback time.Duration
+	// Session is how soon one request of a session follows another.
+	Session time.Duration
+}
+
+// Defaults, where a deployment leaves a bound out: the smallest that the
+// deployments known so far have.
+const (
+	defaultDrainBound   = 2 * time.Second
+	defaultGrace        = 8 * time.Second
+	defaultApply        = 2 * time.Second
+	defaultContact      = 3 * time.Second
+	defaultRetryWindow  = 10 * time.Second
+	defaultRollback     = 5 * time.Second
+	defaultSessionBound = 5 * time.Second
+	defaultHistory      = 20 * time.Second
+	defaultRetryRatio   = 0.1
+	defaultCanaryShare  = 0.1
+	maxPort             = 65535
+)
+
+// LoadVM reads and checks the settings file of woaddoor-vm.
+func LoadVM(path string) (*VM, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, contract.Fail(contract.StepSettings, path, err)
+	}
+	return ParseVM(path, text)
+}
+
+// ParseVM reads and checks a text. Sections and keys that are not known are
+// left out: the deployment may add some.
+func ParseVM(path string, text []byte) (*VM, error) {
+	f, err := config.ReadFile(path, text)
+	if err != nil {
+		return nil, err
+	}
+	var faults config.Faults
+	section := func(name string) *config.Reader { return config.NewReader(f, name, &faults) }
+	v := &VM{}
+	readName(v, section("vm"))
+	readListen(v, section("listen"))
+	readStore(v, section("store"))
+	m := section("machine")
+	v.Memory = contract.Bytes(m.Int("memory-mb", 0, 0, most)) * contract.MiB
+	v.Descriptors = m.Int("descriptors", 0, 0, most)
+	readBounds(v, section("bounds"))
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+func readName(v *VM, r *config.Reader) {
+	v.Name = contract.VMID(r.Need("name", "the VM's name"))
+	v.DataCentre = contract.DataCentreID(r.Need("data-centre", "the name of its data centre"))
+	v.FirstStart = r.Text("first-start", "") == "true"
+}
+
+func readListen(v *VM, r *config.Reader) {
+	v.Listen = Listen{Callers: address(r, "callers"), Ready: address(r, "ready"), Links: address(r, "links")}
+	port := r.Int("metrics-port", 0, 0, maxPort)
+	host, _, err := net.SplitHostPort(v.Listen.Ready)
+	if port > 0 && err == nil { // a fault of the address is noted already
+		v.Listen.Metrics = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+}
+
+func readStore(v *VM, r *config.Reader) {
+	v.Store = StoreAt{Address: address(r, "address"), History: r.Duration("history", defaultHistory)}
+}
+
+func readBounds(v *VM, r *config.Reader) {
+	v.Bounds = Bounds{
+		Drain:       cmp.Or(r.Duration("drain", 0), defaultDrainBound),
+		Grace:       cmp.Or(r.Duration("grace", 0), defaultGrace),
+		Apply:       cmp.Or(r.Duration("apply", 0), defaultApply),
+		Contact:     cmp.Or(r.Duration("contact", 0), defaultContact),
+		RetryRatio:  r.Number("retry-ratio", defaultRetryRatio, 0, math.MaxInt32),
+		RetryWindow: cmp.Or(r.Duration("retry-window", 0), defaultRetryWindow),
+		RetrySlack:  r.Number("retry-slack", 0, 0, math.MaxInt32),
+		CanaryShare: r.Number("canary-share", defaultCanaryShare, 0, 1),
+		CanarySlack: r.Number("canary-slack", 0, 0, math.MaxInt32),
+		Rollback:    cmp.Or(r.Duration("rollback", 0), defaultRollback),
+		Session:     cmp.Or(r.Duration("session", 0), defaultSessionBound),
+	}
+}
--- /dev/null
+++ b/site/listing.go
@@ -0,0 +1,122 @@
+package site
+
+import (
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/upstream"
+)
+
+// Listing is the list of upstreams as this VM knows it. It is a pure state
+// machine; its owner locks it.
+//
+// An entry that is removed while the store serves is gone, or leaves without a
+// word, and gets no new work. One that is missing after the store was away may
+// only have lapsed: upstreams that live write themselves again within about two
+// seconds, and until then they go on being tried.
+type Listing struct {
+	entries map[contract.UpstreamID]listed
+	// lostAt is when the store was last found away; returned when it answered
+	// again.
+	lost     bool
+	returned time.Time
+}
+
+type listed struct {
+	upstream.Entry
+	revision contract.Revision
+	// keepUntil is set while the entry is missing after an outage.
+	keepUntil time.Time
+}
+
+// lapseKept is how long an entry that lapsed is kept after the store's return:
+// upstreams are back within about two seconds.
+const lapseKept = 2300 * time.Millisecond
+
+// NewListing returns an empty listing.
+func NewListing() *Listing { return &Listing{entries: make(map[contract.UpstreamID]listed)} }
+
+// Reached notes whether the store answered.
+func (l *Listing) Reached(ok bool, now time.Time) {
+	if !ok {
+		l.lost = true
+		return
+	}
+	if l.lost {
+		l.lost, l.returned = false, now
+	}
+}
+
+// Apply takes in changes, or all entries there are, and tells whether anything
+// is different.
+func (l *Listing) Apply(c Changes[upstream.Entry], full bool, now time.Time) bool {
+	changed := false
+	seen := make(map[contract.UpstreamID]bool, len(c.Items))
+	for _, i := range c.Items {
+		id := contract.UpstreamID(i.Name)
+		seen[id] = !i.Deleted
+		switch {
+		case i.Deleted:
+			changed = l.remove(id, now) || changed
+		case i.Err == nil:
+			changed = l.put(i) || changed
+		}
+	}
+	if !full {
+		return changed
+	}
+	for id, e := range l.entries {
+		if !seen[id] && e.keepUntil.IsZero() && e.revision <= c.Revision {
+			changed = l.remove(id, now) || changed
+		}
+	}
+	return changed
+}
+
+func (l *Listing) put(i Item[upstream.Entry]) bool {
+	old, had := l.entries[i.Value.ID]
+	if had && i.Revision < old.revision {
+		return false
+	}
+	l.entries[i.Value.ID] = listed{Entry: i.Value, revision: i.Revision}
+	return !had || old.Entry != i.Value
+}
+
+// remove takes out an entry, or keeps it for a while after an outage.
+func (l *Listing) remove(id contract.UpstreamID, now time.Time) bool {
+	e, had := l.entries[id]
+	if !had {
+		return false
+	}
+	if until := l.returned.Add(lapseKept); !e.Leaving && now.Before(until) {
+		if e.keepUntil.IsZero() {
+			e.keepUntil = until
+			l.entries[id] = e
+		}
+		return false
+	}
+	delete(l.entries, id)
+	return true
+}
+
+// Expire takes out the entries that did not come back after an outage, and
+// tells whether there were any.
+func (l *Listing) Expire(now time.Time) bool {
+	changed := false
+	for id, e := range l.entries {
+		if !e.keepUntil.IsZero() && !now.Before(e.keepUntil) {
+			delete(l.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Entries returns the upstreams to choose from.
+func (l *Listing) Entries() []upstream.Entry {
+	out := make([]upstream.Entry, 0, len(l.entries))
+	for _, e := range l.entries {
+		out = append(out, e.Entry)
+	}
+	return out
+}
--- /dev/null
+++ b/upstream/listed.go
@@ -0,0 +1,205 @@
+package upstream
+
+import (
+	"time"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+	"woaddoor/engine"
+)
+
+// Entry is one upstream of the platform's list.
+type Entry struct {
+	ID      contract.UpstreamID
+	Service contract.ServiceID
+	// Address is its IP and port. Another upstream may have it later.
+	Address    string
+	DataCentre contract.DataCentreID
+	// Release is the version of its software.
+	Release string
+	Slots   int
+	// Leaving upstreams get no new work.
+	Leaving bool
+}
+
+// PoolOf returns the pool that an entry belongs to: the upstreams of a service
+// and release in one data centre.
+func (e Entry) PoolOf() contract.PoolID { return PoolID(e.Service, e.Release, e.DataCentre) }
+
+// PoolID names a pool of listed upstreams.
+func PoolID(s contract.ServiceID, release string, dc contract.DataCentreID) contract.PoolID {
+	return contract.PoolID(string(s) + "|" + release + "|" + string(dc))
+}
+
+// ConfigureList takes in the upstreams that are known. connections gives how
+// many requests this VM may have at one upstream of a service at a time.
+func (t *Table) ConfigureList(entries []Entry, connections func(contract.ServiceID) int) {
+	pools := make(map[contract.PoolID]*config.Pool)
+	for _, e := range entries {
+		id := e.PoolOf()
+		if pools[id] == nil {
+			pools[id] = &config.Pool{ID: id, Kind: config.EnginePool, DataCentre: e.DataCentre, Connections: connections(e.Service)}
+		}
+		pools[id].Slots = max(pools[id].Slots, e.Slots, 1)
+		pools[id].Upstreams = append(pools[id].Upstreams, config.Upstream{ID: e.ID, URL: e.Address})
+	}
+	t.Configure(pools)
+	for _, e := range entries {
+		s := t.states[e.ID]
+		s.leaving = 0
+		if e.Leaving {
+			s.leaving = 1
+		}
+		s.health.listed = true
+	}
+}
+
+// Loaded takes in the load that an answer has told.
+func (t *Table) Loaded(id contract.UpstreamID, running, waiting int, now time.Time) {
+	s, ok := t.states[id]
+	if !ok {
+		return
+	}
+	s.sentAfter, s.doneAfter = 0, 0
+	s.average(engine.Load{Running: running, Waiting: waiting}, now.Sub(s.heardAt))
+	s.heardAt = now
+}
+
+// InFlight returns how many requests of this VM are at an upstream.
+func (t *Table) InFlight(id contract.UpstreamID) int {
+	if s, ok := t.states[id]; ok {
+		return s.inFlight
+	}
+	return 0
+}
+
+func (s *state) hasConnection() bool {
+	return s.pool.Connections == 0 || s.inFlight < s.pool.Connections
+}
+
+// lastResort returns the upstream with the fewest failures when the health of
+// all forbids them: a request that may find an upstream well is better than
+// one refused without a try.
+func (t *Table) lastResort(q Query) (contract.UpstreamID, error) {
+	if !t.opts.Listed {
+		return "", ErrNone
+	}
+	var best *state
+	for _, s := range t.states {
+		if !q.allows(s) || s.leaving != 0 || !s.hasConnection() {
+			continue
+		}
+		if best == nil || s.health.failed < best.health.failed || s.health.failed == best.health.failed && s.upstream.ID < best.upstream.ID {
+			best = s
+		}
+	}
+	if best == nil {
+		return "", ErrNone
+	}
+	return best.upstream.ID, nil
+}
+
+// health is what this VM's own requests tell of a listed upstream.
+type health struct {
+	listed bool
+	// failed is the part of late requests that failed, newest counting most.
+	failed    float64
+	backoff   time.Duration
+	openUntil time.Time // closed until then
+	first     time.Duration
+	others    time.Duration // the mean of first over all upstreams of its kind
+}
+
+// Weights and bounds of health.
+const (
+	// failedWeight makes three failures in a row, or two after an earlier one,
+	// reach failedLimit; a service where one in seven answers fails by itself
+	// reaches it about once in 400 requests.
+	failedWeight = 0.2
+	failedLimit  = 0.45
+	// A closed upstream is tried by one request after each back-off.
+	closedBase = 300 * time.Millisecond
+	closedMax  = 2 * time.Second
+	// fullFor is how long an upstream that refused as full is passed over: about
+	// the time in which one of its places becomes free.
+	fullFor = 60 * time.Millisecond
+	// firstWeight is the weight of the newest time to a first answer.
+	firstWeight = 0.1
+	// slowFrom is how many times the others' mean counts as slow.
+	slowFrom = 2.5
+)
+
+// open tells whether the upstream may get new work.
+func (h *health) open(now time.Time) bool { return !now.Before(h.openUntil) }
+
+// suspect tells whether the upstream has failed or been slow of late, so that
+// no prefix is at home there.
+func (h *health) suspect() bool { return h.failed >= failedLimit/2 || h.slowness() > 1 }
+
+// picked notes that a request goes there. A suspected upstream gets one
+// request a back-off.
+func (h *health) picked(now time.Time) {
+	if h.failed >= failedLimit {
+		h.close(now)
+	}
+}
+
+func (h *health) close(now time.Time) {
+	h.backoff = min(max(2*h.backoff, closedBase), closedMax)
+	h.openUntil = now.Add(h.backoff)
+}
+
+// ended takes in how a request of a listed upstream ended; took is the time to
+// the first answer.
+func (s *state) ended(r Result, took time.Duration, now time.Time) {
+	h := &s.health
+	switch r {
+	case Good:
+		h.failed -= failedWeight * h.failed
+		if h.failed >= failedLimit {
+			h.failed = failedLimit / 2 // a probe that went well
+		}
+		h.backoff = 0
+		h.openUntil = time.Time{}
+		if h.first == 0 {
+			h.first = took
+		}
+		h.first += time.Duration(firstWeight * float64(took-h.first))
+	case Failed:
+		h.failed += failedWeight * (1 - h.failed)
+		if h.failed >= failedLimit {
+			h.close(now)
+		}
+	case Full:
+		h.openUntil = now.Add(fullFor)
+	case Abandoned:
+	}
+}
+
+// Level compares the upstreams of each pool with one another, so that a slow
+// one is seen. It is called now and then.
+func (t *Table) Level() {
+	for _, states := range t.pools {
+		total, n := time.Duration(0), 0
+		for _, s := range states {
+			if s.health.first > 0 {
+				total += s.health.first
+				n++
+			}
+		}
+		for _, s := range states {
+			s.health.others = 0
+			if n > 1 && s.health.first > 0 {
+				s.health.others = (total - s.health.first) / time.Duration(n-1)
+			}
+		}
+	}
+}
+
+// slowness returns the factor by which an upstream counts as longer.
+func (h *health) slowness() float64 {
+	if h.others == 0 || float64(h.first) < slowFrom*float64(h.others) {
+		return 1
+	}
+	return float64(h.first) / float64(h.others)
+}
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -39,7 +39,7 @@
 func (t *Table) Pick(q Query, now time.Time, random *rand.Rand) (contract.UpstreamID, error) {
 	usable := t.candidates(q, now)
 	if len(usable) == 0 {
-		return "", ErrNone
+		return t.lastResort(q)
 	}
 	best := t.home(usable, q.Prefix)
 	if best == nil {
@@ -48,6 +48,7 @@
 	if best.failures >= breakAfter {
 		best.probing = true
 	}
+	best.health.picked(now)
 	return best.upstream.ID, nil
 }
 
@@ -55,12 +56,9 @@
 // if there are any.
 func (t *Table) candidates(q Query, now time.Time) []*state {
 	var near, far []*state
-	for id, states := range t.pools {
-		if len(q.Pools) > 0 && !slices.Contains(q.Pools, id) {
-			continue
-		}
+	for _, states := range t.pools {
 		for _, s := range states {
-			if s.pool.Kind != q.Kind || slices.Contains(q.Exclude, s.upstream.ID) || !t.usable(s, q.Version, now) {
+			if !q.allows(s) || !t.usable(s, q.Version, now) {
 				continue
 			}
 			if s.pool.DataCentre == q.DataCentre {
@@ -70,12 +68,25 @@
 			}
 		}
 	}
-	if len(near) > 0 {
+	if len(near) > 0 && (hasRoom(near) || !hasRoom(far)) {
 		return sorted(near)
 	}
 	return sorted(far)
 }
 
+// allows tells whether the query may be answered by an upstream, whatever its
+// state.
+func (q Query) allows(s *state) bool {
+	return s.pool.Kind == q.Kind &&
+		(len(q.Pools) == 0 || slices.Contains(q.Pools, s.pool.ID)) &&
+		!slices.Contains(q.Exclude, s.upstream.ID)
+}
+
+// hasRoom tells whether any of the upstreams has a free place.
+func hasRoom(states []*state) bool {
+	return slices.ContainsFunc(states, func(s *state) bool { return s.line()+1 <= float64(s.pool.Slots) })
+}
+
 // sorted makes the choice depend on the random source alone, not on map order.
 func sorted(states []*state) []*state {
 	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
@@ -101,7 +112,7 @@
 	}
 	mean := meanLine(usable)
 	for _, s := range []*state{first, second} {
-		if s == nil || s.failures > 0 || slow(s, usable) {
+		if s == nil || s.failures > 0 || s.health.suspect() || !s.health.listed && slow(s, usable) {
 			continue
 		}
 		room := max(t.opts.HomeFull*float64(s.pool.Slots), overMean*mean)
@@ -187,6 +198,11 @@
 	if service == 0 {
 		service = defaultService
 	}
+	if s.health.listed {
+		// Requests of one service differ in length by orders of magnitude, so
+		// only an upstream that is clearly slow counts for more.
+		return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * s.health.slowness()
+	}
 	return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * service.Seconds()
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -28,6 +28,10 @@
 	// HomeFull is the part of an upstream's places up to which it takes
 	// requests because their prefix is at home there. Zero means 0.9.
 	HomeFull float64
+	// Listed means that the platform's list tells which upstreams are there, so
+	// that none has to report before it gets work, and that load is told by
+	// answers. Zero means that each has to report.
+	Listed bool
 }
 
 // Defaults of Options.
@@ -38,6 +42,7 @@
 
 func (o Options) withDefaults() Options {
 	return Options{
+		Listed:      o.Listed,
 		SilentAfter: cmp.Or(o.SilentAfter, defaultSilentAfter),
 		HomeFull:    cmp.Or(o.HomeFull, defaultHomeFull),
 	}
@@ -71,6 +76,7 @@
 	failures  int
 	openUntil time.Time
 	probing   bool
+	health    health // of a listed upstream
 }
 
 // NewTable returns an empty table.
@@ -150,6 +156,8 @@
 	Failed
 	// Abandoned is the caller's doing and says nothing of the upstream.
 	Abandoned
+	// Full means that the upstream refused the request without running it.
+	Full
 )
 
 // Circuit breaker of one upstream.
@@ -169,6 +177,10 @@
 	s.inFlight--
 	s.doneAfter++
 	s.probing = false
+	if t.opts.Listed {
+		s.ended(r, took, now)
+		return
+	}
 	switch r {
 	case Good:
 		s.failures = 0
@@ -240,6 +252,9 @@
 // The platform's list may lag, and the platform may be out, so silence alone
 // takes an upstream out: it has to say, every few seconds, that it is there.
 func (t *Table) usable(s *state, v contract.VersionID, now time.Time) bool {
+	if t.opts.Listed {
+		return s.leaving == 0 && s.hasConnection() && s.health.open(now)
+	}
 	if s.heardAt.IsZero() || now.Sub(s.heardAt) >= t.opts.SilentAfter {
 		return false
 	}
