rollout: a release is on trial from half of its order on

Ruled out: pins a VM (the same subject is asked at every VM); pins told by link (a lag of one message is enough). Change: nothing on trial before half, then 7%, 25%, 50% and all by a hash of the subject; slowness by the logarithm of times of the same kind; the time of the order is written down for VMs that start later. Choice of upstream by the work ahead in tokens.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -21,7 +21,6 @@
 	"woaddoor/platform"
 	"woaddoor/relay"
 	"woaddoor/retry"
-	"woaddoor/rollout"
 	"woaddoor/settings"
 	"woaddoor/site"
 )
@@ -94,12 +93,11 @@
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:    func() int { return 7 },
-		Canary: rollout.CanaryOptions{Share: s.Bounds.CanaryShare}, SessionWithin: s.Bounds.Session,
-		Wake: func() { v.site.Wake() },
+		Wake:   func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
 		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
-		Orders: platform.Orders(store), EndOrder: store.EndOrder, Relay: v.relay, Log: v.log, Now: time.Now,
+		Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
 	})
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,7 +18,7 @@
 		zap.String("request", string(j.ID)), zap.String("route", j.Route.Name), zap.String("workspace", string(j.Workspace)),
 		zap.Int64("revision", int64(j.Revision)), zap.String("upstream", string(j.last.ID)), zap.String("release", j.last.Release),
 		zap.String("model", string(j.model)), zap.Float64("confidence", j.confident),
-		zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome),
+		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome),
 		zap.Int64("took_ms", now.Sub(j.Arrived).Milliseconds()),
 	}
 	if !j.firstAt.IsZero() {
@@ -46,7 +46,7 @@
 		why = err.Error()
 	}
 	r.log.Info("retry", zap.String("request", string(j.ID)), zap.String("upstream", string(j.last.ID)),
-		zap.Int("sends", j.sends), zap.String("why", why), zap.Duration("left", time.Until(j.Deadline).Round(time.Millisecond)))
+		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.String("why", why), zap.Duration("left", time.Until(j.Deadline).Round(time.Millisecond)))
 }
 
 // logVerdict says that a release was found bad here.
--- a/relay/models.go
+++ b/relay/models.go
@@ -53,15 +53,10 @@
 // escalated moves the job to the largest model.
 func (r *Relay) escalated(j *job, a *attempt) {
 	r.Metrics.escalations.Inc(1)
-	r.ended(a.entry, upstream.Abandoned, 0)
+	r.ended(j, a.entry, upstream.Abandoned, 0)
 	r.observe(j, a, false)
 	j.sends++
 	j.outcome = contract.Ran
 	j.model = j.Route.Models[len(j.Route.Models)-1]
 	j.confident = a.head.Confidence
 }
-
-// pinned notes the release that a session is on.
-func (r *Relay) pinned(j *job, release string) {
-	r.locked(func() { r.pins.Note(j.Session, release, r.opts.Now()) })
-}
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"woaddoor/rollout"
 )
 
 // pace is how long the first answers of a route take, by the model that makes
@@ -57,29 +59,40 @@
 
 // paced notes the time to a first answer.
 func (r *Relay) paced(j *job, took time.Duration) {
-	r.locked(func() { r.pace(j).observe(took) })
+	r.locked(func() {
+		r.begun(j)
+		r.pace(j).observe(took)
+	})
 }
 
-// slowTimes is how many times the mean of the others a first answer of a
-// release on trial takes to count as bad.
-const slowTimes = 4
-
 // observe hands an answer to the verdict on a release on trial.
 func (r *Relay) observe(j *job, a *attempt, bad bool) {
-	r.locked(func() {
-		c := r.canaries[a.entry.Service]
-		if c == nil {
-			return
-		}
-		onTrial := a.entry.Release == c.Order().Release
-		if onTrial && !bad {
-			p := r.pace(j)
-			took := r.opts.Now().Sub(a.began).Seconds()
-			bad = p.seen >= paceKnown && took > slowTimes*p.mean
-		}
-		if c.Observe(onTrial, bad) {
-			r.logVerdict(c)
-			r.wake()
-		}
-	})
+	r.onTrial(a, func(c *rollout.Canary, trial bool) bool { return c.Observe(trial, bad) })
+}
+
+// Kinds of times that are compared between releases.
+const (
+	kindFirst = "|first"
+	kindEvent = "|event"
+)
+
+// took hands a time of an answer to the verdict on a release on trial.
+func (r *Relay) took(j *job, a *attempt, kind string, d time.Duration) {
+	name := j.Route.Name + "|" + string(j.model) + kind
+	r.onTrial(a, func(c *rollout.Canary, trial bool) bool { return c.Took(trial, name, d.Seconds()) })
+}
+
+// onTrial shows an attempt to the canary of its service, if there is one, and
+// says so when that finds the release bad.
+func (r *Relay) onTrial(a *attempt, show func(c *rollout.Canary, trial bool) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.canaries[a.entry.Service]
+	if c == nil {
+		return
+	}
+	if show(c, a.entry.Release == c.Order().Release) {
+		r.logVerdict(c)
+		r.wake()
+	}
 }
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -22,12 +22,13 @@
 	for _, pools := range r.eligible(j, now) {
 		id, err := r.table.Pick(upstream.Query{
 			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
-			Prefix: j.Subject, Exclude: j.exclude,
+			Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j),
 		}, now, r.random)
 		if err != nil {
 			continue
 		}
 		r.table.Sent(id)
+		r.expect(j, id)
 		j.release = pools.release
 		if j.release == "" {
 			j.release = r.entries[id].Release
@@ -54,16 +55,14 @@
 	target := canary.Order().Release
 	onTrial := candidates{release: target, ids: byRelease[target]}
 	others := candidates{ids: all(byRelease, target)}
-	last := r.pins.Last(j.Session, now)
-	if j.began {
-		last = j.release // a stream stays on the release that it began on
-	}
 	order := []candidates{others}
 	switch {
-	case canary.Choose(last, j.Session, now):
+	case j.began && j.release == target: // a stream stays on its release
+		order = []candidates{onTrial, others}
+	case !j.began && canary.Choose(j.Session, now):
 		order = []candidates{onTrial, others}
-	case canary.MayMove(now):
-		order = append(order, onTrial)
+	case canary.Moving(now):
+		order = []candidates{others, onTrial}
 	}
 	kept := order[:0]
 	for _, c := range order {
@@ -86,8 +85,46 @@
 }
 
 // ended notes how an attempt ended; first is the time to its first answer.
-func (r *Relay) ended(e upstream.Entry, result upstream.Result, first time.Duration) {
-	r.locked(func() { r.table.Done(e.ID, result, first, r.opts.Now()) })
+func (r *Relay) ended(j *job, e upstream.Entry, result upstream.Result, first time.Duration) {
+	r.locked(func() {
+		r.begun(j)
+		r.table.Done(e.ID, result, first, r.opts.Now())
+	})
+}
+
+// work returns what a request asks of an upstream. The caller holds mu.
+func (r *Relay) work(j *job) upstream.Work {
+	return upstream.Work{Prompt: float64(j.PromptTokens), Shared: float64(j.SharedTokens), Scale: r.scale(j)}
+}
+
+// scale returns what a token costs with the job's model against the dearest of
+// its service. The caller holds mu.
+func (r *Relay) scale(j *job) float64 {
+	costs := r.costs[j.service]
+	most := 0.0
+	for _, c := range costs {
+		most = max(most, c)
+	}
+	if c, ok := costs[j.model]; ok && most > 0 {
+		return c / most
+	}
+	return 1
+}
+
+// expect notes the work that an attempt leaves to an upstream. The caller holds
+// mu.
+func (r *Relay) expect(j *job, id contract.UpstreamID) {
+	j.waitsFor, j.waitWork = id, r.work(j)
+	r.table.Expect(id, j.waitWork)
+}
+
+// begun notes that the attempt has begun, or has ended. The caller holds mu.
+func (r *Relay) begun(j *job) {
+	if j.waitsFor == "" {
+		return
+	}
+	r.table.Begun(j.waitsFor, j.waitWork)
+	j.waitsFor = ""
 }
 
 // again decides on another attempt, and takes it out of the budget. It returns
@@ -139,6 +176,6 @@
 	if errors.Is(err, exchange.ErrBusy) {
 		result = upstream.Full
 	}
-	r.ended(j.last, result, r.opts.Now().Sub(began))
+	r.ended(j, j.last, result, r.opts.Now().Sub(began))
 	j.note(outcome, sent)
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -93,25 +93,26 @@
 	switch {
 	case err != nil:
 	case h.NotRun:
-		r.ended(a.entry, upstream.Full, took)
+		r.ended(j, a.entry, upstream.Full, took)
 		j.note(contract.NotRun, true)
 		return nil
 	case h.Status < http.StatusMultipleChoices && !h.Sealed:
 		err = errUnsealed
 	case h.Status >= http.StatusInternalServerError:
 		r.observe(j, a, true)
-		r.ended(a.entry, upstream.Failed, took)
+		r.ended(j, a.entry, upstream.Failed, took)
 		j.note(contract.Ran, true)
 		return nil
 	default:
 		r.observe(j, a, false)
+		r.took(j, a, kindFirst, took)
 		r.paced(j, took)
 		j.firstAt = r.opts.Now()
 		j.sends++
-		r.ended(a.entry, upstream.Good, took)
+		r.ended(j, a.entry, upstream.Good, took)
 		return nil
 	}
-	r.ended(a.entry, upstream.Failed, took)
+	r.ended(j, a.entry, upstream.Failed, took)
 	j.note(contract.Ran, true)
 	return err
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"woaddoor/exchange"
 	"woaddoor/retry"
 	"woaddoor/rollout"
+	"woaddoor/route"
 	"woaddoor/upstream"
 )
 
@@ -26,11 +27,6 @@
 	Budget retry.WindowOptions
 	// VMs returns how many VMs share the budget and upstreams' connections.
 	VMs func() int
-	// Canary is the largest part of a service's requests that a release on
-	// trial may get over its whole roll-out.
-	Canary rollout.CanaryOptions
-	// SessionWithin is how soon one request of a session follows another.
-	SessionWithin time.Duration
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
@@ -52,9 +48,9 @@
 	pools    map[contract.UpstreamID]*exchange.Pool
 	releases map[contract.ServiceID]map[string][]contract.PoolID
 	limits   map[contract.ServiceID]int
+	costs    map[contract.ServiceID]map[contract.ModelID]float64
 	budgets  map[contract.ServiceID]*retry.Window
 	canaries map[contract.ServiceID]*rollout.Canary
-	pins     *rollout.Pins
 	paces    map[string]*pace
 }
 
@@ -72,9 +68,9 @@
 		pools:    make(map[contract.UpstreamID]*exchange.Pool),
 		releases: make(map[contract.ServiceID]map[string][]contract.PoolID),
 		limits:   make(map[contract.ServiceID]int),
+		costs:    make(map[contract.ServiceID]map[contract.ModelID]float64),
 		budgets:  make(map[contract.ServiceID]*retry.Window),
 		canaries: make(map[contract.ServiceID]*rollout.Canary),
-		pins:     rollout.NewPins(opts.SessionWithin),
 		paces:    make(map[string]*pace),
 	}
 }
@@ -89,14 +85,15 @@
 // together plan to use: the rest is for VMs that are not known yet.
 const connectionShare = 0.85
 
-// SetUpstreams takes in the upstreams that are known, and what one upstream of
-// a service accepts in connections from all VMs.
-func (r *Relay) SetUpstreams(entries []upstream.Entry, accepts map[contract.ServiceID]int) {
+// SetUpstreams takes in the upstreams that are known, and the services that
+// they belong to.
+func (r *Relay) SetUpstreams(entries []upstream.Entry, services map[contract.ServiceID]*route.Service) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	vms := max(r.opts.VMs(), 1)
-	for s, n := range accepts {
-		r.limits[s] = max(int(connectionShare*float64(n)/float64(vms)), 2)
+	for id, s := range services {
+		r.limits[id] = max(int(connectionShare*float64(s.MaxConnections)/float64(vms)), 2)
+		r.costs[id] = s.Costs
 	}
 	r.table.ConfigureList(entries, func(s contract.ServiceID) int { return r.limits[s] })
 	known := make(map[contract.UpstreamID]upstream.Entry, len(entries))
--- a/relay/request.go
+++ b/relay/request.go
@@ -44,6 +44,8 @@
 	// PromptTokens and OutputTokens are the size of the prompt and the most
 	// that may come out; zero when unknown.
 	PromptTokens, OutputTokens int
+	// SharedTokens is the size of the parts of the prompt that others share.
+	SharedTokens int
 	// Subject keys the part of the prompt that other requests share; zero for
 	// none.
 	Subject uint64
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -17,7 +17,7 @@
 	if c != nil && c.Order().Revision >= o.Revision {
 		return
 	}
-	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.Canary)
+	r.canaries[o.Service] = rollout.NewCanary(o)
 }
 
 // Verdict is how an order is to end.
--- a/relay/send.go
+++ b/relay/send.go
@@ -50,6 +50,10 @@
 	last      upstream.Entry
 	firstAt   time.Time // when the first answer or event came
 	confident float64
+	// waitsFor is the upstream at which the present attempt has not begun, and
+	// waitWork what it asks of it.
+	waitsFor contract.UpstreamID
+	waitWork upstream.Work
 }
 
 // attempt is one send that got the head of an answer.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -131,11 +131,10 @@
 	case h.Status != http.StatusOK || h.NotRun:
 		return s.other(a)
 	case !h.Sealed:
-		r.ended(e, upstream.Failed, 0)
+		r.ended(j, e, upstream.Failed, 0)
 		j.note(contract.Ran, true)
 		return errUnsealed
 	}
-	r.pinned(j, e.Release)
 	if r.escalates(j, a.head) {
 		r.escalated(j, a)
 		return errEscalated
@@ -172,33 +171,39 @@
 // judge notes how an upstream's part of a series ended.
 func (s *series) judge(ctx context.Context, a *attempt, err error) error {
 	r, j := s.relay, s.job
-	r.pinned(j, a.entry.Release)
 	first := time.Duration(0)
 	if !j.firstAt.IsZero() {
 		first = max(j.firstAt.Sub(a.began), 0)
 	}
 	switch {
 	case err == nil:
-		r.ended(a.entry, upstream.Good, first)
+		r.ended(j, a.entry, upstream.Good, first)
 		r.observe(j, a, false)
+		if s.passed >= eventsCompared && j.failures == 0 {
+			r.took(j, a, kindEvent, r.opts.Now().Sub(j.firstAt)/time.Duration(s.passed))
+		}
 		j.sends++
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
-		r.ended(a.entry, upstream.Abandoned, 0)
+		r.ended(j, a.entry, upstream.Abandoned, 0)
 		j.sends++
 	default:
-		r.ended(a.entry, upstream.Failed, 0)
+		r.ended(j, a.entry, upstream.Failed, 0)
 		j.note(contract.Ran, true)
 		s.events.Restart()
 	}
 	return err
 }
 
+// eventsCompared is how many events a stream has at least when its pace is
+// compared between releases.
+const eventsCompared = 6
+
 // Bounds of the pause between two events, as parts of the route's: an upstream
 // that pauses longer than its own pace explains is left in time for another to
 // go on before the route's longest pause has passed.
 const (
-	pauseFrom = 0.4
-	pauseTo   = 0.7
+	pauseFrom = 0.85
+	pauseTo   = 1.0
 	// pauseDefault is used where a route does not say.
 	pauseDefault = 5 * time.Second
 )
@@ -265,6 +270,7 @@
 	if s.passed == 0 {
 		s.job.firstAt = now
 		s.relay.paced(s.job, now.Sub(a.began))
+		s.relay.took(s.job, a, kindFirst, now.Sub(a.began))
 	}
 	s.passed += n
 	if s.begin(a.head) != nil || s.caller.Pass(whole) != nil {
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -25,47 +25,44 @@
 type Order struct {
 	Service contract.ServiceID
 	Release string
-	// Issued is when the order was given, Length how long it may take.
+	// Issued is when the order was given, as this VM knows it, Length how long
+	// it may take.
 	Issued time.Time
 	Length time.Duration
 	State  OrderState
 	// Name is that of the order in the store.
 	Name string
+	// Began is when a VM first saw the order, by the time of day, as it wrote it
+	// down for VMs that start later; zero before that.
+	Began time.Time
 	// Revision is that of the order's object.
 	Revision contract.Revision
 }
 
-// CanaryOptions set up a Canary.
-type CanaryOptions struct {
-	// Share is the largest part of the service's requests that a bad release
-	// may get over the whole order.
-	Share float64
-}
-
 // Stages of an order, as parts of its length. Sessions may move to the release
-// on trial from half of the order on, so before that only sessions that begin
-// are put there; what is left after the last stage is for requests in flight
-// at the others to end.
+// on trial only from half of the order on, and which sessions are under way at
+// other VMs is not known here, so nothing is on trial before that. The rest of
+// the time goes to a trial by few, to steps that show what only load shows, and
+// to requests in flight at the other releases, which end with the order.
+var stages = []struct{ from, share float64 }{{0.52, trialShare}, {0.62, 0.25}, {0.66, 0.5}, {0.70, 1}}
+
 const (
-	movesFrom    = 0.53
 	completeFrom = 0.90
-	// trialShare is the part of the allowed share that sessions on trial use
-	// before sessions may move: the rest is left for the stages after that.
-	trialShare = 0.6
+	// trialShare is the part of sessions on trial at first: enough answers for a
+	// verdict, and half of the smallest share that a deployment allows over the
+	// whole order.
+	trialShare = 0.07
 )
 
-// stages are the parts of sessions on trial after movesFrom.
-var stages = []struct{ from, share float64 }{{0.53, 0.25}, {0.58, 0.5}, {0.64, 1}}
-
 // Canary decides which of a service's sessions go to a release on trial, and
 // whether it is good. Every VM computes the same from the order and a session's
 // key, so that a session meets the same release at each VM without a word
 // between them. It is a pure state machine; its owner locks it.
 type Canary struct {
-	opts  CanaryOptions
 	order Order
 	test  config.Rollout
 	alarm *Alarm
+	slow  *Slowness
 	// trial and old are what was seen of the two; old gives the rate of
 	// failures that the service has anyway.
 	trial, old Counts
@@ -83,10 +80,11 @@
 )
 
 // NewCanary returns the canary of an order.
-func NewCanary(order Order, opts CanaryOptions) *Canary {
-	c := &Canary{opts: opts, order: order}
+func NewCanary(order Order) *Canary {
+	c := &Canary{order: order}
 	c.test = config.Rollout{GoodRate: goodOver, BadRate: goodOver + badOver, FalseAlarm: falseAlarm, Miss: missed}
 	c.alarm = NewAlarm(&c.test, 1)
+	c.slow = NewSlowness()
 	return c
 }
 
@@ -95,7 +93,7 @@
 
 // Update takes in a newer state of the same order.
 func (c *Canary) Update(o Order) {
-	issued := c.order.Issued
+	issued := c.order.Issued // this VM's own, on a clock that does not jump
 	c.order = o
 	c.order.Issued = issued
 }
@@ -116,7 +114,7 @@
 	case c.order.State == OrderUndone || c.bad:
 		return 0
 	}
-	share := c.opts.Share * trialShare
+	share := 0.0
 	for _, s := range stages {
 		if c.part(now) >= s.from {
 			share = s.share
@@ -125,29 +123,16 @@
 	return share
 }
 
-// MayMove tells whether sessions that began elsewhere may move to the release.
-func (c *Canary) MayMove(now time.Time) bool {
-	if c.order.State == OrderCompleted {
-		return true
-	}
-	return c.order.State == OrderOpen && !c.bad && c.part(now) >= movesFrom
-}
-
-// Choose tells whether a request goes to the release on trial. last is the
-// release that its session was on last; empty when it begins.
-func (c *Canary) Choose(last string, session uint64, now time.Time) bool {
+// Choose tells whether a request goes to the release on trial.
+func (c *Canary) Choose(session uint64, now time.Time) bool {
 	share := c.Share(now)
-	switch {
-	case share == 0:
-		return false
-	case last == c.order.Release:
-		return true
-	case last != "" && !c.MayMove(now):
-		return false
-	}
-	return point(session, c.order) < share
+	return share > 0 && point(session, c.order) < share
 }
 
+// Moving tells whether sessions move to the release in numbers, so that it also
+// serves where no other can.
+func (c *Canary) Moving(now time.Time) bool { return c.Share(now) > trialShare }
+
 // point places a session in the ramp, 0 to 1, the same at every VM.
 func point(session uint64, o Order) float64 {
 	var key [8]byte
@@ -170,7 +155,7 @@
 	} else {
 		counts.Good++
 	}
-	if !onTrial || c.bad {
+	if !onTrial || c.bad || c.order.State != OrderOpen {
 		return false
 	}
 	c.level()
@@ -179,6 +164,16 @@
 	return c.bad
 }
 
+// Took takes in how long an answer of the release on trial, or of another one,
+// took. It returns whether the release has just been found bad.
+func (c *Canary) Took(onTrial bool, kind string, seconds float64) bool {
+	if c.order.State == OrderOpen && c.slow.Observe(onTrial, kind, seconds) && !c.bad {
+		c.bad = true
+		return true
+	}
+	return false
+}
+
 // priorOld is how many good answers the rate of the others begins with.
 const priorOld = 20
 
@@ -192,7 +187,8 @@
 // Counts returns what was seen of the release on trial and of the others.
 func (c *Canary) Counts() (trial, old Counts) { return c.trial, c.old }
 
-// Verdict returns how the order is to end, if it is to end now.
+// Verdict returns what is to be written of the order, if anything is: that it is
+// under way, or how it ends.
 func (c *Canary) Verdict(now time.Time) (OrderState, bool) {
 	switch {
 	case c.order.State != OrderOpen:
@@ -202,5 +198,5 @@
 	case c.part(now) >= completeFrom:
 		return OrderCompleted, true
 	}
-	return OrderOpen, false
+	return OrderOpen, c.order.Began.IsZero()
 }
--- /dev/null
+++ b/site/orders.go
@@ -0,0 +1,101 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"woaddoor/logs"
+	"woaddoor/relay"
+	"woaddoor/rollout"
+)
+
+// applyOrders takes in orders to bring in a release.
+func (s *Site) applyOrders(c Changes[rollout.Order], _ bool) {
+	for _, i := range c.Items {
+		if i.Deleted || i.Err != nil {
+			continue
+		}
+		o := i.Value
+		o.Issued = issued(o, s.opts.Now())
+		s.log.Info("order", zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.Duration("length", o.Length),
+			zap.String("state", string(o.State)), zap.Duration("age", s.opts.Now().Sub(o.Issued).Round(time.Millisecond)), zap.Int64("revision", int64(o.Revision)))
+		s.opts.Relay.SetOrder(o)
+	}
+}
+
+// issued returns when an order was given: as another VM wrote it down, or now,
+// when it is seen for the first time. The times of day of VMs may differ, so
+// what was written counts only while it is possible.
+func issued(o rollout.Order, now time.Time) time.Time {
+	if o.Began.IsZero() {
+		return now
+	}
+	age := min(max(now.Sub(o.Began), 0), o.Length)
+	return now.Add(-age)
+}
+
+// noteKey names one thing to be written of an order.
+type noteKey struct {
+	order string
+	state rollout.OrderState
+}
+
+// note is when it is to be written next.
+type note struct{ due time.Time }
+
+// Spread of the writes over VMs: the first write makes the others needless, and
+// a conflict costs a call.
+const (
+	spreadOpen      = 600 * time.Millisecond
+	spreadCompleted = 1000 * time.Millisecond
+	spreadUndone    = 150 * time.Millisecond
+	// noteAgain is the pause before a write that failed, or whose effect was
+	// not seen, is tried again.
+	noteAgain = 500 * time.Millisecond
+)
+
+// noteOrder writes what has become of an order when this VM's turn has come.
+func (s *Site) noteOrder(ctx context.Context, v relay.Verdict) {
+	now := s.opts.Now()
+	key := noteKey{v.Order.Name + "|" + v.Order.Release, v.State}
+	n, ok := s.notes[key]
+	if !ok {
+		n = &note{due: now.Add(s.turn(v.State))}
+		s.notes[key] = n
+	}
+	if now.Before(n.due) {
+		return
+	}
+	n.due = now.Add(noteAgain)
+	o := v.Order
+	if o.Began.IsZero() {
+		o.Began = o.Issued
+	}
+	err := s.opts.NoteOrder(ctx, o, v.State)
+	fields := []zap.Field{
+		zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.String("state", string(v.State)),
+		zap.Int64("revision", int64(o.Revision)), zap.Int64("trial_good", v.Trial.Good), zap.Int64("trial_bad", v.Trial.Bad),
+		zap.Int64("others_good", v.Others.Good), zap.Int64("others_bad", v.Others.Bad),
+	}
+	if err != nil {
+		s.log.Warn("order-note-failed", append(fields, logs.Failure(err)...)...)
+		return
+	}
+	s.log.Info("order-noted", fields...)
+}
+
+// turn returns how long this VM waits before it writes.
+func (s *Site) turn(state rollout.OrderState) time.Duration {
+	spread := spreadOpen
+	switch state {
+	case rollout.OrderUndone:
+		spread = spreadUndone
+	case rollout.OrderCompleted:
+		spread = spreadCompleted
+	}
+	const parts = 1024
+	return spread * time.Duration(xxhash.Sum64String(string(s.opts.VM))%parts) / parts
+}
--- a/site/site.go
+++ b/site/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
-	"woaddoor/logs"
 	"woaddoor/relay"
 	"woaddoor/rollout"
 	"woaddoor/route"
@@ -23,11 +21,11 @@
 	Configurations Source[*route.Table]
 	Upstreams      Source[upstream.Entry]
 	Orders         Source[rollout.Order]
-	// EndOrder writes how an order ended.
-	EndOrder func(ctx context.Context, o rollout.Order, state rollout.OrderState) error
-	Relay    *relay.Relay
-	Log      *zap.Logger
-	Now      func() time.Time
+	// NoteOrder writes that an order is under way, or how it ended.
+	NoteOrder func(ctx context.Context, o rollout.Order, state rollout.OrderState) error
+	Relay     *relay.Relay
+	Log       *zap.Logger
+	Now       func() time.Time
 }
 
 // Site is what one VM knows.
@@ -36,20 +34,20 @@
 	log   *zap.Logger
 	table atomic.Pointer[route.Table]
 	woken chan struct{}
+	// notes are what is to be written of orders; only tick uses them.
+	notes map[noteKey]*note
 
 	// mu guards the fields below.
 	mu      sync.Mutex
 	listing *Listing
 	listedU bool
-	ended   map[string]contract.Revision // orders whose end was written, by revision
-	dueAt   map[string]time.Time
 }
 
 // New returns a site that knows nothing.
 func New(opts *Options) *Site {
 	return &Site{
 		opts: opts, log: opts.Log, listing: NewListing(), woken: make(chan struct{}, 1),
-		ended: make(map[string]contract.Revision), dueAt: make(map[string]time.Time),
+		notes: make(map[noteKey]*note),
 	}
 }
 
@@ -116,13 +114,11 @@
 
 // pushUpstreams hands the list to the relay. The caller holds mu.
 func (s *Site) pushUpstreams() {
-	accepts := make(map[contract.ServiceID]int)
+	var services map[contract.ServiceID]*route.Service
 	if t := s.table.Load(); t != nil {
-		for id, service := range t.Services {
-			accepts[id] = service.MaxConnections
-		}
+		services = t.Services
 	}
-	s.opts.Relay.SetUpstreams(s.listing.Entries(), accepts)
+	s.opts.Relay.SetUpstreams(s.listing.Entries(), services)
 }
 
 func (s *Site) reached(ok bool) {
@@ -145,19 +141,6 @@
 	}
 }
 
-func (s *Site) applyOrders(c Changes[rollout.Order], _ bool) {
-	for _, i := range c.Items {
-		if i.Deleted || i.Err != nil {
-			continue
-		}
-		o := i.Value
-		o.Issued = s.opts.Now()
-		s.log.Info("order", zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.Duration("length", o.Length),
-			zap.String("state", string(o.State)), zap.Int64("revision", int64(o.Revision)))
-		s.opts.Relay.SetOrder(o)
-	}
-}
-
 // tickEvery is how often what depends on time alone is looked at.
 const tickEvery = 250 * time.Millisecond
 
@@ -179,53 +162,7 @@
 		s.mu.Unlock()
 		s.opts.Relay.Level()
 		for _, v := range s.opts.Relay.Verdicts() {
-			s.end(ctx, v)
+			s.noteOrder(ctx, v)
 		}
 	}
 }
-
-// Spread of the writes of a verdict over VMs: the first write makes the others
-// needless, and a conflict costs a call.
-const (
-	spreadCompleted = 1500 * time.Millisecond
-	spreadUndone    = 120 * time.Millisecond
-	endAgain        = 700 * time.Millisecond
-)
-
-// end writes the end of an order when this VM's turn has come.
-func (s *Site) end(ctx context.Context, v relay.Verdict) {
-	now := s.opts.Now()
-	key := v.Order.Name + "|" + string(v.State)
-	due, ok := s.dueAt[key]
-	if !ok {
-		due = now.Add(s.turn(v.State))
-		s.dueAt[key] = due
-	}
-	if now.Before(due) || s.ended[key] == v.Order.Revision {
-		return
-	}
-	s.dueAt[key] = now.Add(endAgain)
-	err := s.opts.EndOrder(ctx, v.Order, v.State)
-	fields := []zap.Field{
-		zap.String("service", string(v.Order.Service)), zap.String("release", v.Order.Release), zap.String("state", string(v.State)),
-		zap.Int64("revision", int64(v.Order.Revision)), zap.Int64("trial_good", v.Trial.Good), zap.Int64("trial_bad", v.Trial.Bad),
-		zap.Int64("others_good", v.Others.Good), zap.Int64("others_bad", v.Others.Bad),
-	}
-	if err != nil {
-		s.log.Warn("order-end-failed", append(fields, logs.Failure(err)...)...)
-		return
-	}
-	s.ended[key] = v.Order.Revision
-	s.log.Info("order-ended", fields...)
-}
-
-// turn returns how long this VM waits before it writes a verdict.
-func (s *Site) turn(state rollout.OrderState) time.Duration {
-	spread := spreadCompleted
-	if state == rollout.OrderUndone {
-		spread = spreadUndone
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.opts.VM)) // never fails
-	return time.Duration(float64(spread) * float64(h.Sum32()%1024) / 1024)
-}
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -50,7 +50,6 @@
 		if e.Leaving {
 			s.leaving = 1
 		}
-		s.health.listed = true
 	}
 }
 
@@ -101,7 +100,6 @@
 
 // health is what this VM's own requests tell of a listed upstream.
 type health struct {
-	listed bool
 	// failed is the part of late requests that failed, newest counting most.
 	failed    float64
 	backoff   time.Duration
@@ -132,10 +130,6 @@
 // open tells whether the upstream may get new work.
 func (h *health) open(now time.Time) bool { return !now.Before(h.openUntil) }
 
-// suspect tells whether the upstream has failed or been slow of late, so that
-// no prefix is at home there.
-func (h *health) suspect() bool { return h.failed >= failedLimit/2 || h.slowness() > 1 }
-
 // picked notes that a request goes there. A suspected upstream gets one
 // request a back-off.
 func (h *health) picked(now time.Time) {
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -26,6 +26,8 @@
 	Version contract.VersionID
 	// Prefix is the key of the prompt's prefix; zero means none.
 	Prefix uint64
+	// Work is what the request asks of a listed upstream.
+	Work Work
 	// Exclude holds upstreams that have failed this request.
 	Exclude []contract.UpstreamID
 }
@@ -41,6 +43,11 @@
 	if len(usable) == 0 {
 		return t.lastResort(q)
 	}
+	if t.opts.Listed {
+		best := cheapest(usable, q, random)
+		best.health.picked(now)
+		return best.upstream.ID, nil
+	}
 	best := t.home(usable, q.Prefix)
 	if best == nil {
 		best = least(usable, random)
@@ -48,7 +55,6 @@
 	if best.failures >= breakAfter {
 		best.probing = true
 	}
-	best.health.picked(now)
 	return best.upstream.ID, nil
 }
 
@@ -61,7 +67,7 @@
 			if !q.allows(s) || !t.usable(s, q.Version, now) {
 				continue
 			}
-			if s.pool.DataCentre == q.DataCentre {
+			if t.opts.Listed || s.pool.DataCentre == q.DataCentre {
 				near = append(near, s)
 			} else {
 				far = append(far, s)
@@ -98,21 +104,10 @@
 	if prefix == 0 {
 		return nil
 	}
-	var first, second *state
-	var firstRank, secondRank uint64
-	for _, s := range usable {
-		rank := s.rank(prefix)
-		switch {
-		case first == nil || rank > firstRank:
-			second, secondRank = first, firstRank
-			first, firstRank = s, rank
-		case second == nil || rank > secondRank:
-			second, secondRank = s, rank
-		}
-	}
+	first, second := homes(usable, prefix)
 	mean := meanLine(usable)
 	for _, s := range []*state{first, second} {
-		if s == nil || s.failures > 0 || s.health.suspect() || !s.health.listed && slow(s, usable) {
+		if s == nil || s.failures > 0 || slow(s, usable) {
 			continue
 		}
 		room := max(t.opts.HomeFull*float64(s.pool.Slots), overMean*mean)
@@ -198,11 +193,6 @@
 	if service == 0 {
 		service = defaultService
 	}
-	if s.health.listed {
-		// Requests of one service differ in length by orders of magnitude, so
-		// only an upstream that is clearly slow counts for more.
-		return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * s.health.slowness()
-	}
 	return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * service.Seconds()
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -76,7 +76,8 @@
 	failures  int
 	openUntil time.Time
 	probing   bool
-	health    health // of a listed upstream
+	health    health  // of a listed upstream
+	pending   float64 // work that this VM's requests have not begun
 }
 
 // NewTable returns an empty table.
