--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
@@ -17,12 +18,15 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/keys"
+	"woaddoor/link"
 	"woaddoor/logs"
 	"woaddoor/platform"
 	"woaddoor/relay"
 	"woaddoor/retry"
 	"woaddoor/settings"
 	"woaddoor/site"
+	members "woaddoor/vm"
 )
 
 // settingsVariable names the variable that holds the path of the settings.
@@ -60,6 +64,7 @@
 	log      *zap.Logger
 	site     *site.Site
 	relay    *relay.Relay
+	peers    *site.Peers
 	stopping atomic.Bool
 	servers  []*http.Server
 }
@@ -72,7 +77,10 @@
 	debug.SetGCPercent(gcPercent)
 	log := logs.New(os.Stdout, zap.String("vm", string(s.Name)))
 	v := &vm{settings: s, path: path, log: log}
-	v.build()
+	if err := v.build(); err != nil {
+		log.Error("start-failed", logs.Failure(err)...)
+		return exitFailed
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	if err := v.listen(); err != nil {
@@ -86,19 +94,32 @@
 }
 
 // build makes the parts of the process.
-func (v *vm) build() {
+func (v *vm) build() error {
 	s := v.settings
+	identity, err := keys.NewByAddress(string(s.Name), func(ip string) bool { return v.peers.KnownIP(ip) })
+	if err != nil {
+		return contract.Fail(contract.StepLink, s.Listen.Links, err)
+	}
+	endpoint, err := link.Listen(s.Listen.Links, identity)
+	if err != nil {
+		return contract.Fail(contract.StepSettings, v.path+": [listen] links", err)
+	}
+	self := members.Member{VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links}
+	v.peers = site.NewPeers(endpoint, self, s.Listen.Seeds, v.log, time.Now)
 	store := platform.NewStore(s.Store.Address)
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
-		VMs:    func() int { return 7 },
+		VMs:    v.peers.Count,
 		Wake:   func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
 		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
 		Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
+		Peers: v.peers, VMs: store.VMs, Link: s.Listen.Links,
+		PutVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
 	})
+	return nil
 }
 
 // Bounds of callers' connections, where the configuration's come too late to be
@@ -179,7 +200,7 @@
 		v.log.Error("reload-failed", logs.Failure(err)...)
 		return
 	}
-	v.log.Info("reload", zap.Bool("same", *s == *v.settings), zap.String("takes_effect", "at the next start"))
+	v.log.Info("reload", zap.Bool("same", reflect.DeepEqual(s, v.settings)), zap.String("takes_effect", "at the next start"))
 }
 
 // stop ends the process without cutting off a request: the balancer is told
--- /dev/null
+++ b/keys/address.go
@@ -0,0 +1,54 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+)
+
+// ByAddress is the identity of a VM whose deployment hands out no secrets: its
+// key is made at each start and lasts as long as the process, and a peer is
+// known by the address it speaks from, which has to be one that the system
+// knows. QUIC shows that a peer receives at its address before it is heard, so
+// another machine cannot speak for it; links are encrypted.
+type ByAddress struct {
+	certificate tls.Certificate
+	known       func(ip string) bool
+}
+
+// NewByAddress returns a new identity. known tells whether an IP address is one
+// of a VM of the system.
+func NewByAddress(name string, known func(ip string) bool) (*ByAddress, error) {
+	der, private, err := certificate(name)
+	if err != nil {
+		return nil, err
+	}
+	return &ByAddress{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, known: known}, nil
+}
+
+// Peer returns the IP address of a peer that the system knows.
+func (b *ByAddress) Peer(_ [][]byte, from net.Addr) (string, error) {
+	host, _, err := net.SplitHostPort(from.String())
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrUnknownPeer, err)
+	}
+	if !b.known(host) {
+		return "", fmt.Errorf("%w: %s", ErrUnknownPeer, host)
+	}
+	return host, nil
+}
+
+// TLS returns the settings of a link.
+func (b *ByAddress) TLS(protocol string) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		Certificates: []tls.Certificate{b.certificate},
+		// There is no authority and no pin: who speaks is known by address.
+		InsecureSkipVerify: true,
+		VerifyPeerCertificate: func([][]byte, [][]*x509.Certificate) error {
+			return nil
+		},
+	}
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -95,18 +96,7 @@
 }
 
 func makePair(path, name string) (Pin, error) {
-	public, private, err := ed25519.GenerateKey(rand.Reader)
-	if err != nil {
-		return "", err
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		Subject:      pkix.Name{CommonName: name},
-		DNSNames:     []string{name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(lifetime),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	der, private, err := certificate(name)
 	if err != nil {
 		return "", err
 	}
@@ -122,6 +112,23 @@
 	return PinOf(der)
 }
 
+// certificate returns a new certificate in DER form and its key.
+func certificate(name string) ([]byte, ed25519.PrivateKey, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: name},
+		DNSNames:     []string{name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(lifetime),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	return der, private, err
+}
+
 // Load reads a process's pair, the pins and the signing key.
 func Load(pairFile, pinsFile, signingFile string) (*Set, error) {
 	pair, err := tls.LoadX509KeyPair(pairFile, pairFile)
@@ -166,7 +173,7 @@
 
 // Peer returns the name that a certificate is pinned under, or ErrUnknownPeer.
 // Every pin is compared in constant time.
-func (s *Set) Peer(raw [][]byte) (string, error) {
+func (s *Set) Peer(raw [][]byte, _ net.Addr) (string, error) {
 	if len(raw) == 0 {
 		return "", ErrUnknownPeer
 	}
@@ -197,7 +204,7 @@
 		// the pin is checked instead, on both sides.
 		InsecureSkipVerify: true,
 		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
-			_, err := s.Peer(raw)
+			_, err := s.Peer(raw, nil)
 			return err
 		},
 	}
--- a/link/client.go
+++ b/link/client.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dialed, err := e.transport.Dial(ctx, udp, e.keys.TLS(protocol), quicConfig())
+	dialed, err := e.transport.Dial(ctx, udp, e.identity.TLS(protocol), quicConfig())
 	if err != nil {
 		return nil, err
 	}
--- a/link/message.go
+++ b/link/message.go
@@ -34,6 +34,10 @@
 	KindFiled
 	// KindSettled asks an entry process what became of a ticket.
 	KindSettled
+	// KindWord tells a VM who lives and up to which revision the teller knows.
+	KindWord
+	// KindChanges asks a VM for the objects changed after a revision.
+	KindChanges
 )
 
 // maxFrame bounds a message: a whole configuration and what goes round it.
--- a/link/server.go
+++ b/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -11,7 +12,6 @@
 	"github.com/quic-go/quic-go"
 
 	"woaddoor/contract"
-	"woaddoor/keys"
 )
 
 // protocol is the name that TLS agrees on; it holds the protocol's version.
@@ -36,10 +36,19 @@
 	}
 }
 
+// Identity is how a process shows itself to peers and knows them.
+type Identity interface {
+	// TLS returns the settings of a link of a protocol.
+	TLS(protocol string) *tls.Config
+	// Peer returns the name of a peer by what it shows and where it speaks
+	// from; an error refuses the link.
+	Peer(certificates [][]byte, from net.Addr) (string, error)
+}
+
 // Endpoint is one process's end of its links: it answers calls and makes them,
 // over one UDP socket.
 type Endpoint struct {
-	keys      *keys.Set
+	identity  Identity
 	transport *quic.Transport
 	listener  *quic.Listener
 	handlers  map[Kind]handler
@@ -56,7 +65,7 @@
 
 // Listen opens an endpoint at a UDP address. Handlers are added with Handle
 // before Serve is called.
-func Listen(address string, set *keys.Set) (*Endpoint, error) {
+func Listen(address string, identity Identity) (*Endpoint, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, contract.Fail(contract.StepLink, address, err)
@@ -66,13 +75,13 @@
 		return nil, contract.Fail(contract.StepLink, address, err)
 	}
 	transport := &quic.Transport{Conn: socket}
-	listener, err := transport.Listen(set.TLS(protocol), quicConfig())
+	listener, err := transport.Listen(identity.TLS(protocol), quicConfig())
 	if err != nil {
 		socket.Close()
 		return nil, contract.Fail(contract.StepLink, address, err)
 	}
 	return &Endpoint{
-		keys: set, transport: transport, listener: listener,
+		identity: identity, transport: transport, listener: listener,
 		handlers: make(map[Kind]handler), conns: make(map[string]*quic.Conn),
 	}, nil
 }
@@ -110,7 +119,7 @@
 	for _, cert := range conn.ConnectionState().TLS.PeerCertificates {
 		raw = append(raw, cert.Raw)
 	}
-	peer, err := e.keys.Peer(raw)
+	peer, err := e.identity.Peer(raw, conn.RemoteAddr())
 	if err != nil {
 		_ = conn.CloseWithError(closeRefused, err.Error())
 		return
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"woaddoor/config"
@@ -50,7 +51,7 @@
 	byRelease := r.releases[j.service]
 	canary := r.canaries[j.service]
 	if canary == nil {
-		return []candidates{{ids: all(byRelease, "")}}
+		return known([]candidates{{ids: all(byRelease, "")}})
 	}
 	target := canary.Order().Release
 	onTrial := candidates{release: target, ids: byRelease[target]}
@@ -64,13 +65,13 @@
 	case canary.Moving(now):
 		order = []candidates{others, onTrial}
 	}
-	kept := order[:0]
-	for _, c := range order {
-		if len(c.ids) > 0 {
-			kept = append(kept, c)
-		}
-	}
-	return kept
+	return known(order)
+}
+
+// known leaves out candidates without any pool: to Pick, no pools would mean
+// all of every service.
+func known(order []candidates) []candidates {
+	return slices.DeleteFunc(order, func(c candidates) bool { return len(c.ids) == 0 })
 }
 
 // all returns the pools of every release but one.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -36,6 +36,9 @@
 	Callers, Ready string
 	// Links is the UDP address for other VMs.
 	Links string
+	// Seeds are link addresses at which other VMs may be found; they may be
+	// down or stale.
+	Seeds []string
 	// Metrics is the TCP address at which metrics are served.
 	Metrics string
 }
@@ -128,6 +131,7 @@
 
 func readListen(v *VM, r *config.Reader) {
 	v.Listen = Listen{Callers: address(r, "callers"), Ready: address(r, "ready"), Links: address(r, "links")}
+	v.Listen.Seeds = seeds(r, v.Listen.Links)
 	port := r.Int("metrics-port", 0, 0, maxPort)
 	host, _, err := net.SplitHostPort(v.Listen.Ready)
 	if port > 0 && err == nil { // a fault of the address is noted already
@@ -135,6 +139,27 @@
 	}
 }
 
+// seeds reads the addresses of other VMs. A deployment may tell them with the
+// port of another listener: links have the same port at all VMs.
+func seeds(r *config.Reader, links string) []string {
+	_, port, err := net.SplitHostPort(links)
+	if err != nil {
+		return nil // a fault of links, noted already
+	}
+	var out []string
+	for _, s := range r.List("seeds") {
+		host, _, err := net.SplitHostPort(s)
+		if err != nil {
+			r.Fault("seeds", "has %q: expected an address with a port, such as 10.0.0.1:8080", s)
+			continue
+		}
+		if a := net.JoinHostPort(host, port); a != links {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 func readStore(v *VM, r *config.Reader) {
 	v.Store = StoreAt{Address: address(r, "address"), History: r.Duration("history", defaultHistory)}
 }
--- /dev/null
+++ b/site/ledger.go
@@ -0,0 +1,111 @@
+package site
+
+import (
+	"sort"
+
+	"woaddoor/contract"
+)
+
+// Delta is what changed in one kind of objects after a revision, in the form in
+// which VMs hand it to one another.
+type Delta struct {
+	Kind string `cbor:"1,keyasint"`
+	// Full means that Items are all objects there are.
+	Full bool `cbor:"2,keyasint,omitempty"`
+	// At is the revision of the store up to which the delta holds.
+	At    contract.Revision `cbor:"3,keyasint"`
+	Items []Raw             `cbor:"4,keyasint,omitempty"`
+}
+
+// Ledger is what a VM knows of one kind of objects, as the store holds them, so
+// that it can hand them to VMs that the store does not answer. It is a pure
+// state machine; its owner locks it.
+type Ledger struct {
+	kind string
+	// at is the revision up to which the ledger holds, last that of the newest
+	// change in it.
+	at, last contract.Revision
+	known bool
+	items map[string]Raw
+	// gone are the newest removals, oldest first; those up to floor are
+	// forgotten.
+	gone  []removal
+	floor contract.Revision
+}
+
+type removal struct {
+	name string
+	at   contract.Revision
+}
+
+// maxGone bounds the removals remembered: a VM that is further behind gets all
+// objects.
+const maxGone = 256
+
+// NewLedger returns an empty ledger.
+func NewLedger(kind string) *Ledger { return &Ledger{kind: kind, items: make(map[string]Raw)} }
+
+// At returns the revision up to which the ledger holds, if it holds anything.
+func (l *Ledger) At() (contract.Revision, bool) { return l.at, l.known }
+
+// Last returns the revision of the newest change that is known.
+func (l *Ledger) Last() contract.Revision { return l.last }
+
+// Apply takes in a delta. Objects older than those known change nothing, so
+// deltas may come late, twice and from several sides.
+func (l *Ledger) Apply(d Delta) {
+	seen := make(map[string]bool, len(d.Items))
+	for _, i := range d.Items {
+		seen[i.Name] = !i.Deleted
+		old, had := l.items[i.Name]
+		switch {
+		case had && i.Deleted && old.Revision <= d.At:
+			l.remove(i.Name, d.At)
+		case !i.Deleted && (!had || i.Revision >= old.Revision):
+			l.items[i.Name] = i
+			l.last = max(l.last, i.Revision)
+		}
+	}
+	if d.Full {
+		for name, old := range l.items {
+			if !seen[name] && old.Revision <= d.At {
+				l.remove(name, d.At)
+			}
+		}
+		if !l.known {
+			l.floor = d.At // what was removed before is not known
+		}
+	}
+	l.known = l.known || d.Full
+	l.at = max(l.at, d.At)
+}
+
+func (l *Ledger) remove(name string, at contract.Revision) {
+	delete(l.items, name)
+	l.last = max(l.last, at)
+	l.gone = append(l.gone, removal{name, at})
+	if over := len(l.gone) - maxGone; over > 0 {
+		l.floor = max(l.floor, l.gone[over-1].at)
+		l.gone = l.gone[over:]
+	}
+}
+
+// Since returns what changed after a revision; all objects when that is not
+// known any more.
+func (l *Ledger) Since(after contract.Revision, holds bool) Delta {
+	d := Delta{Kind: l.kind, At: l.at, Full: !holds || after < l.floor}
+	for _, i := range l.items {
+		if d.Full || i.Revision > after {
+			d.Items = append(d.Items, i)
+		}
+	}
+	if !d.Full {
+		for _, g := range l.gone {
+			if _, back := l.items[g.name]; g.at > after && !back {
+				d.Items = append(d.Items, Raw{Name: g.name, Revision: g.at, Deleted: true})
+			}
+		}
+	}
+	sort.Slice(d.Items, func(a, b int) bool { return d.Items[a].Revision < d.Items[b].Revision })
+	return d
+}
--- a/site/listing.go
+++ b/site/listing.go
@@ -56,6 +56,7 @@
 		id := contract.UpstreamID(i.Name)
 		seen[id] = !i.Deleted
 		switch {
+		case i.Deleted && l.entries[id].revision > c.Revision: // came back since
 		case i.Deleted:
 			changed = l.remove(id, now) || changed
 		case i.Err == nil:
@@ -88,7 +89,11 @@
 	if !had {
 		return false
 	}
-	if until := l.returned.Add(lapseKept); !e.Leaving && now.Before(until) {
+	until := l.returned.Add(lapseKept)
+	if l.lost {
+		until = now.Add(lapseKept) // a peer may have met the store's return first
+	}
+	if !e.Leaving && now.Before(until) {
 		if e.keepUntil.IsZero() {
 			e.keepUntil = until
 			l.entries[id] = e
--- /dev/null
+++ b/site/peers.go
@@ -0,0 +1,275 @@
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/clock"
+	"woaddoor/contract"
+	"woaddoor/link"
+	"woaddoor/logs"
+	"woaddoor/vm"
+)
+
+// Word is what a VM tells another, and gets back: who lives, and which
+// change of each kind of objects is the newest that the teller knows. A lost or late word changes
+// nothing: the next one tells the same or more.
+type Word struct {
+	Self    vm.Member   `cbor:"1,keyasint"`
+	Members []vm.Member `cbor:"2,keyasint,omitempty"`
+	Have    []Have      `cbor:"3,keyasint"`
+}
+
+// Have is the revision of the newest change of a kind of objects that is known.
+type Have struct {
+	Kind string            `cbor:"1,keyasint"`
+	Last contract.Revision `cbor:"2,keyasint"`
+}
+
+// Wanted asks for the changes of a kind after a revision.
+type Wanted struct {
+	Kind  string            `cbor:"1,keyasint"`
+	After contract.Revision `cbor:"2,keyasint"`
+	// Holds tells whether the asker knows the kind up to After.
+	Holds bool `cbor:"3,keyasint,omitempty"`
+}
+
+// shared is a kind of objects that VMs hand to one another.
+type shared interface {
+	have() (contract.Revision, bool)
+	last() (contract.Revision, bool)
+	since(after contract.Revision, holds bool) Delta
+	feed(d Delta, from string)
+}
+
+// Timings of words.
+const (
+	// beatEvery is how often a VM tells others. What the store told one VM
+	// reaches a data centre's others within two beats, well within the bound for
+	// a configuration.
+	beatEvery   = 500 * time.Millisecond
+	wordTimeout = 900 * time.Millisecond
+	// nearBeats is how many VMs of the own data centre are told at each beat;
+	// farEvery is how many beats there are for each to another one.
+	nearBeats = 2
+	farEvery  = 2
+	// speakers is how many VMs of a data centre speak with other ones.
+	speakers = 2
+	// introduceEvery is how often a VM that knows no other looks for some.
+	introduceEvery = time.Second
+)
+
+// Peers keeps the VMs of a deployment in step.
+type Peers struct {
+	endpoint *link.Endpoint
+	log      *zap.Logger
+	now      func() time.Time
+	kinds    map[string]shared
+	// seeds are link addresses at which VMs may be found.
+	seeds []string
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	table  *vm.Table
+	listed map[string]bool // link addresses that the store lists
+	ips    map[string]bool
+	lost   map[contract.VMID]bool
+}
+
+// NewPeers returns the peers of the VM self.
+func NewPeers(endpoint *link.Endpoint, self vm.Member, seeds []string, log *zap.Logger, now func() time.Time) *Peers {
+	p := &Peers{
+		endpoint: endpoint, log: log, now: now, kinds: make(map[string]shared), seeds: seeds,
+		table: vm.NewTable(self), listed: make(map[string]bool), ips: make(map[string]bool), lost: make(map[contract.VMID]bool),
+	}
+	for _, s := range seeds {
+		p.know(s)
+	}
+	link.Handle(endpoint, link.KindWord, p.answerWord)
+	link.Handle(endpoint, link.KindChanges, p.answerChanges)
+	return p
+}
+
+// share makes a kind of objects known to others.
+func (p *Peers) share(kind string, s shared) { p.kinds[kind] = s }
+
+// know notes an address at which a VM of the system may be. The caller holds
+// mu, or has not shared p yet.
+func (p *Peers) know(address string) {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		p.ips[host] = true
+	}
+}
+
+// KnownIP tells whether an IP address is one of a VM of the system.
+func (p *Peers) KnownIP(ip string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ips[ip]
+}
+
+// Listed takes in the link addresses that the store lists.
+func (p *Peers) Listed(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range addresses {
+		if a != p.table.Self().ControlLink {
+			p.listed[a] = true
+			p.know(a)
+		}
+	}
+}
+
+// Count returns how many VMs there are: those that live, or are listed.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.table.Live(p.now())), len(p.listed)+1)
+}
+
+// Run tells others until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	go func() { _ = p.endpoint.Serve(ctx) }() // ends with the endpoint
+	var introduced time.Time
+	for tick := 0; ctx.Err() == nil; tick++ {
+		for _, address := range p.targets(tick) {
+			go p.tell(ctx, address)
+		}
+		if now := p.now(); now.Sub(introduced) > introduceEvery {
+			introduced = now
+			for _, address := range p.strangers() {
+				go p.tell(ctx, address)
+			}
+		}
+		clock.Pause(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(beatEvery)))
+	}
+}
+
+// targets returns whom to tell at a beat.
+func (p *Peers) targets(tick int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	near := p.table.Near(now)
+	rand.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
+	var out []string
+	for _, m := range near[:min(nearBeats, len(near))] {
+		out = append(out, m.ControlLink)
+	}
+	if tick%farEvery == 0 && p.table.Watches(speakers, now) {
+		for _, m := range p.table.Far(speakers, now) {
+			if rand.IntN(speakers) == 0 {
+				out = append(out, m.ControlLink)
+			}
+		}
+	}
+	return out
+}
+
+// strangers returns the addresses at which nobody has been heard of.
+func (p *Peers) strangers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := make(map[string]bool)
+	for _, m := range p.table.Live(p.now()) {
+		heard[m.ControlLink] = true
+	}
+	var out []string
+	for a := range p.listed {
+		if !heard[a] {
+			out = append(out, a)
+		}
+	}
+	if len(heard) > 1 {
+		return out
+	}
+	return append(out, p.seeds...)
+}
+
+// word returns what this VM tells.
+func (p *Peers) word() Word {
+	p.mu.Lock()
+	now := p.now()
+	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
+	p.mu.Unlock()
+	for kind, s := range p.kinds {
+		if last, known := s.last(); known {
+			w.Have = append(w.Have, Have{kind, last})
+		}
+	}
+	return w
+}
+
+// tell sends a word and takes in the one that comes back.
+func (p *Peers) tell(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, p.word())
+	if err != nil {
+		p.log.Debug("peer-silent", logs.Failure(err)...)
+		return
+	}
+	p.heard(ctx, got)
+}
+
+func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
+	go p.heard(context.WithoutCancel(ctx), w)
+	return p.word(), nil
+}
+
+// heard takes in a word, and asks its teller for what is newer there.
+func (p *Peers) heard(ctx context.Context, w Word) {
+	p.mu.Lock()
+	now := p.now()
+	before := len(p.table.Live(now))
+	w.Self.Age = 0
+	p.table.Heard(w.Self, now)
+	p.know(w.Self.ControlLink)
+	for _, m := range w.Members {
+		p.table.Heard(m, now)
+		p.know(m.ControlLink)
+	}
+	live := len(p.table.Live(now))
+	p.mu.Unlock()
+	if live != before {
+		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before), zap.String("told_by", string(w.Self.VM)))
+	}
+	for _, h := range w.Have {
+		s, ok := p.kinds[h.Kind]
+		if !ok {
+			continue
+		}
+		at, known := s.have()
+		if !known || h.Last > at {
+			p.pull(ctx, w.Self, s, Wanted{h.Kind, at, known})
+		}
+	}
+}
+
+// pull asks a VM for the changes of a kind.
+func (p *Peers) pull(ctx context.Context, from vm.Member, s shared, want Wanted) {
+	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	d, err := link.Call[Wanted, Delta](ctx, p.endpoint, from.ControlLink, link.KindChanges, want)
+	if err != nil {
+		p.log.Warn("pull-failed", append(logs.Failure(err), zap.String("kind", want.Kind))...)
+		return
+	}
+	s.feed(d, string(from.VM))
+}
+
+func (p *Peers) answerChanges(_ context.Context, _ string, w Wanted) (Delta, error) {
+	s, ok := p.kinds[w.Kind]
+	if !ok {
+		return Delta{}, ErrNotFound
+	}
+	return s.since(w.After, w.Holds), nil
+}
+
+// Close ends all links.
+func (p *Peers) Close() error { return p.endpoint.Close() }
--- a/site/site.go
+++ b/site/site.go
@@ -23,9 +23,15 @@
 	Orders         Source[rollout.Order]
 	// NoteOrder writes that an order is under way, or how it ended.
 	NoteOrder func(ctx context.Context, o rollout.Order, state rollout.OrderState) error
-	Relay     *relay.Relay
-	Log       *zap.Logger
-	Now       func() time.Time
+	Peers     *Peers
+	// VMs lists the link addresses of VMs, and PutVM adds this one's.
+	VMs   func(ctx context.Context) (map[contract.VMID]string, error)
+	PutVM func(ctx context.Context) error
+	// Link is this VM's link address.
+	Link  string
+	Relay *relay.Relay
+	Log   *zap.Logger
+	Now   func() time.Time
 }
 
 // Site is what one VM knows.
@@ -72,10 +78,13 @@
 // Run keeps up until ctx ends.
 func (s *Site) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	configs := &follower[*route.Table]{source: s.opts.Configurations, log: s.log, apply: s.applyTable, reached: func(bool) {}}
-	upstreams := &follower[upstream.Entry]{source: s.opts.Upstreams, log: s.log, apply: s.applyUpstreams, reached: s.reached}
-	orders := &follower[rollout.Order]{source: s.opts.Orders, log: s.log, apply: s.applyOrders, reached: func(bool) {}}
-	for _, run := range []func(context.Context){configs.run, upstreams.run, orders.run, s.tick} {
+	configs := newFollower(s.opts.Configurations, s.log, s.applyTable, func(bool) {})
+	upstreams := newFollower(s.opts.Upstreams, s.log, s.applyUpstreams, s.reached)
+	orders := newFollower(s.opts.Orders, s.log, s.applyOrders, func(bool) {})
+	s.opts.Peers.share(s.opts.Configurations.Name(), configs)
+	s.opts.Peers.share(s.opts.Upstreams.Name(), upstreams)
+	s.opts.Peers.share(s.opts.Orders.Name(), orders)
+	for _, run := range []func(context.Context){configs.run, upstreams.run, orders.run, s.tick, s.opts.Peers.Run, s.enlist} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
