site: one watcher a data centre with short watches; the rest hear by link

Ruled out: relisting on the first sign of a gap (all watches share a phase). Change: watches of 1 s on one VM a data centre by rank, news told at once to the others, a VM whose word is older than 1.5 s (later by place) asks itself.

--- a/site/follow.go
+++ b/site/follow.go
@@ -16,14 +16,23 @@
 
 // Timings of following a kind of objects.
 const (
-	// watchWait is how long one watch is held open. A shorter one finds a cut
-	// sooner and costs more calls: at 4 s, three kinds cost 0.75 calls a second
-	// and VM at rest.
-	watchWait = 4 * time.Second
+	// watchWait is how long one watch is held open. Watches may be cut without a
+	// word, all at once, and a change has to be in force everywhere 2 s after
+	// the store has taken it: half of that is left for the rest of the way.
+	watchWait = time.Second
 	// lostWait is that of the watches after a failure: a call that the store
 	// leaves without an answer is given up only after it, and changes have to
 	// be known within seconds of the store's return.
 	lostWait = 200 * time.Millisecond
+	// staleAfter is how old the store's word may be before a VM that does not
+	// watch asks the store itself; staleStep is added for each place in the
+	// order of watchers, so that the next one is enough.
+	staleAfter = 1500 * time.Millisecond
+	staleStep  = 250 * time.Millisecond
+	// maxStaleSteps bounds the time that a large data centre waits.
+	maxStaleSteps = 8
+	// lookAgain is how often a VM that does not watch looks whether it should.
+	lookAgain = 100 * time.Millisecond
 	// pauseMin and pauseMax bound the pause after a failed call: refused calls
 	// are paid for, and a configuration has to be known within seconds of the
 	// store's return.
@@ -41,6 +50,12 @@
 	// reached is told whether the store answered, at each call.
 	reached func(ok bool)
 
+	// place returns the place of this VM among those that watch, from 0.
+	place func() int
+	// news is called when the store has told of a change.
+	news func()
+	now  func() time.Time
+
 	// failed is the number of calls that failed in a row; only run uses it.
 	failed int
 	relist bool
@@ -49,15 +64,18 @@
 	// from the store and from peers take effect one after the other.
 	mu     sync.Mutex
 	ledger *Ledger
-}
-
-func newFollower[T any](source Source[T], log *zap.Logger, apply func(Changes[T], bool), reached func(bool)) *follower[T] {
-	return &follower[T]{source: source, log: log, apply: apply, reached: reached, ledger: NewLedger(source.Name())}
+	// fresh is when the store last said that nothing newer is there, to this VM
+	// or to one that told it.
+	fresh time.Time
 }
 
 // run follows the store until ctx ends.
 func (f *follower[T]) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.watches() {
+			clock.Pause(ctx, lookAgain)
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -78,6 +96,20 @@
 	}
 }
 
+// watches tells whether this VM asks the store: it is one of those that watch
+// for its data centre, or the store's word has become old.
+func (f *follower[T]) watches() bool {
+	place := f.place()
+	if place < watchers {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.ledger.At()
+	age := f.now().Sub(f.fresh)
+	return !known || age > staleAfter+staleStep*time.Duration(min(place, maxStaleSteps))
+}
+
 // pauseAfter returns the pause after n failed calls, spread so that VMs do not
 // come back together.
 func pauseAfter(n int) time.Duration {
@@ -95,7 +127,7 @@
 			return err
 		}
 		f.relist = false
-		f.take(c, true)
+		f.told(c, true)
 		return nil
 	}
 	c, err := f.source.Watch(ctx, at, f.wait())
@@ -108,10 +140,49 @@
 	if err != nil {
 		return err
 	}
-	f.take(c, false)
+	f.told(c, false)
 	return nil
 }
 
+// told takes in what the store has told.
+func (f *follower[T]) told(c Changes[T], full bool) {
+	before, _ := f.last()
+	f.take(c, full)
+	f.confirm(f.now(), c.Revision)
+	if after, _ := f.last(); after > before {
+		f.news()
+	}
+}
+
+// confirm notes that the store had nothing newer than what is known here at a
+// time, up to a revision.
+func (f *follower[T]) confirm(when time.Time, at contract.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if when.After(f.fresh) {
+		f.fresh = when
+	}
+	f.ledger.Confirm(at)
+}
+
+// status returns what this VM tells others of the kind.
+func (f *follower[T]) status() (Have, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, known := f.ledger.At()
+	return Have{Kind: f.source.Name(), Last: f.ledger.Last(), At: at, Age: f.now().Sub(f.fresh)}, known
+}
+
+// compare takes in what a peer tells of the kind, and tells what to ask it for.
+func (f *follower[T]) compare(h Have) (want Wanted, lacks bool) {
+	at, known := f.have()
+	if !known || h.Last > at {
+		return Wanted{Kind: h.Kind, After: at, Holds: known}, true
+	}
+	f.confirm(f.now().Add(-h.Age), h.At)
+	return Wanted{}, false
+}
+
 // wait returns how long the next watch is held open.
 func (f *follower[T]) wait() time.Duration {
 	if f.failed > 0 {
@@ -143,7 +214,7 @@
 }
 
 // feed takes in what a peer has handed over.
-func (f *follower[T]) feed(d Delta, from string) {
+func (f *follower[T]) feed(d Delta, age time.Duration, from string) {
 	at, known := f.have()
 	if known && d.At <= at || !known && !d.Full {
 		return
@@ -159,6 +230,7 @@
 	f.log.Info("told-by-peer", zap.String("kind", d.Kind), zap.String("peer", from), zap.Int64("had", int64(at)),
 		zap.Int64("revision", int64(d.At)), zap.Int("objects", len(d.Items)), zap.Bool("full", d.Full))
 	f.take(c, d.Full)
+	f.confirm(f.now().Add(-age), d.At)
 }
 
 // take applies changes, whichever way they came.
--- a/site/ledger.go
+++ b/site/ledger.go
@@ -25,8 +25,8 @@
 	// at is the revision up to which the ledger holds, last that of the newest
 	// change in it.
 	at, last contract.Revision
-	known bool
-	items map[string]Raw
+	known    bool
+	items    map[string]Raw
 	// gone are the newest removals, oldest first; those up to floor are
 	// forgotten.
 	gone  []removal
@@ -90,6 +90,9 @@
 	}
 }
 
+// Confirm notes that nothing has changed up to a revision.
+func (l *Ledger) Confirm(at contract.Revision) { l.at = max(l.at, at) }
+
 // Since returns what changed after a revision; all objects when that is not
 // known any more.
 func (l *Ledger) Since(after contract.Revision, holds bool) Delta {
--- a/site/peers.go
+++ b/site/peers.go
@@ -29,6 +29,9 @@
 type Have struct {
 	Kind string            `cbor:"1,keyasint"`
 	Last contract.Revision `cbor:"2,keyasint"`
+	// At is the revision up to which the store has said so, Age how long ago.
+	At  contract.Revision `cbor:"3,keyasint"`
+	Age time.Duration     `cbor:"4,keyasint"`
 }
 
 // Wanted asks for the changes of a kind after a revision.
@@ -41,10 +44,10 @@
 
 // shared is a kind of objects that VMs hand to one another.
 type shared interface {
-	have() (contract.Revision, bool)
-	last() (contract.Revision, bool)
+	status() (Have, bool)
+	compare(h Have) (Wanted, bool)
 	since(after contract.Revision, holds bool) Delta
-	feed(d Delta, from string)
+	feed(d Delta, age time.Duration, from string)
 }
 
 // Timings of words.
@@ -60,6 +63,8 @@
 	farEvery  = 2
 	// speakers is how many VMs of a data centre speak with other ones.
 	speakers = 2
+	// watchers is how many VMs of a data centre watch the store for all.
+	watchers = 1
 	// introduceEvery is how often a VM that knows no other looks for some.
 	introduceEvery = time.Second
 )
@@ -157,8 +162,12 @@
 	now := p.now()
 	near := p.table.Near(now)
 	rand.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
+	beats := nearBeats
+	if p.table.Watches(watchers, now) {
+		beats = len(near) // they go by what the watcher tells
+	}
 	var out []string
-	for _, m := range near[:min(nearBeats, len(near))] {
+	for _, m := range near[:min(beats, len(near))] {
 		out = append(out, m.ControlLink)
 	}
 	if tick%farEvery == 0 && p.table.Watches(speakers, now) {
@@ -171,6 +180,35 @@
 	return out
 }
 
+// Place returns this VM's place among those of its data centre that watch the
+// store.
+func (p *Peers) Place() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Place(p.now())
+}
+
+// News tells the VMs of this data centre, and some of each other one, at once
+// that the store has told of a change.
+func (p *Peers) News(ctx context.Context) {
+	p.tellNear(ctx)
+	p.mu.Lock()
+	far := p.table.Far(speakers, p.now())
+	p.mu.Unlock()
+	for _, m := range far {
+		go p.tell(ctx, m.ControlLink)
+	}
+}
+
+func (p *Peers) tellNear(ctx context.Context) {
+	p.mu.Lock()
+	near := p.table.Near(p.now())
+	p.mu.Unlock()
+	for _, m := range near {
+		go p.tell(ctx, m.ControlLink)
+	}
+}
+
 // strangers returns the addresses at which nobody has been heard of.
 func (p *Peers) strangers() []string {
 	p.mu.Lock()
@@ -197,9 +235,9 @@
 	now := p.now()
 	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
 	p.mu.Unlock()
-	for kind, s := range p.kinds {
-		if last, known := s.last(); known {
-			w.Have = append(w.Have, Have{kind, last})
+	for _, s := range p.kinds {
+		if have, known := s.status(); known {
+			w.Have = append(w.Have, have)
 		}
 	}
 	return w
@@ -239,20 +277,24 @@
 	if live != before {
 		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before), zap.String("told_by", string(w.Self.VM)))
 	}
+	news := false
 	for _, h := range w.Have {
 		s, ok := p.kinds[h.Kind]
 		if !ok {
 			continue
 		}
-		at, known := s.have()
-		if !known || h.Last > at {
-			p.pull(ctx, w.Self, s, Wanted{h.Kind, at, known})
+		if want, lacks := s.compare(h); lacks {
+			p.pull(ctx, w.Self, s, want, h.Age)
+			news = true
 		}
 	}
+	if news && w.Self.DataCentre != p.table.Self().DataCentre {
+		p.tellNear(ctx) // the others here may have nobody who speaks with that VM
+	}
 }
 
 // pull asks a VM for the changes of a kind.
-func (p *Peers) pull(ctx context.Context, from vm.Member, s shared, want Wanted) {
+func (p *Peers) pull(ctx context.Context, from vm.Member, s shared, want Wanted, age time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
 	defer cancel()
 	d, err := link.Call[Wanted, Delta](ctx, p.endpoint, from.ControlLink, link.KindChanges, want)
@@ -260,7 +302,7 @@
 		p.log.Warn("pull-failed", append(logs.Failure(err), zap.String("kind", want.Kind))...)
 		return
 	}
-	s.feed(d, string(from.VM))
+	s.feed(d, age, string(from.VM))
 }
 
 func (p *Peers) answerChanges(_ context.Context, _ string, w Wanted) (Delta, error) {
--- a/site/site.go
+++ b/site/site.go
@@ -78,9 +78,9 @@
 // Run keeps up until ctx ends.
 func (s *Site) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	configs := newFollower(s.opts.Configurations, s.log, s.applyTable, func(bool) {})
-	upstreams := newFollower(s.opts.Upstreams, s.log, s.applyUpstreams, s.reached)
-	orders := newFollower(s.opts.Orders, s.log, s.applyOrders, func(bool) {})
+	configs := newFollower(ctx, s, s.opts.Configurations, s.applyTable, func(bool) {})
+	upstreams := newFollower(ctx, s, s.opts.Upstreams, s.applyUpstreams, s.reached)
+	orders := newFollower(ctx, s, s.opts.Orders, s.applyOrders, func(bool) {})
 	s.opts.Peers.share(s.opts.Configurations.Name(), configs)
 	s.opts.Peers.share(s.opts.Upstreams.Name(), upstreams)
 	s.opts.Peers.share(s.opts.Orders.Name(), orders)
@@ -175,3 +175,11 @@
 		}
 	}
 }
+
+// newFollower returns a follower of a kind of objects for a site.
+func newFollower[T any](ctx context.Context, s *Site, source Source[T], apply func(Changes[T], bool), reached func(bool)) *follower[T] {
+	return &follower[T]{
+		source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
+		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, now: s.opts.Now,
+	}
+}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -208,16 +208,13 @@
 
 // Watches tells whether this VM is one of the n of its data centre that watch
 // the platform for all.
-func (t *Table) Watches(n int, now time.Time) bool {
-	for i, m := range Rank(t.Live(now), t.self.DataCentre, watchKey) {
-		if i >= n {
-			return false
-		}
-		if m.VM == t.self.VM {
-			return true
-		}
-	}
-	return false
+func (t *Table) Watches(n int, now time.Time) bool { return t.Place(now) < n }
+
+// Place returns the place of this VM, from 0, among those of its data centre in
+// the order in which they watch the platform.
+func (t *Table) Place(now time.Time) int {
+	ranked := Rank(t.Live(now), t.self.DataCentre, watchKey)
+	return slices.IndexFunc(ranked, func(m Member) bool { return m.VM == t.self.VM })
 }
 
 // Sources returns the peers to ask for the newest configuration, best first:
