link, relay: dead links dialled anew; a stream is left after 2.2 of its pause

Ruled out: the store (the VM's data centre neighbour had the configuration). Change: a link on which nothing came during a timed-out call is dropped; pauses are judged late and never on the last attempt; the upstream's own head.

--- a/link/client.go
+++ b/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -38,15 +39,18 @@
 }
 
 func (e *Endpoint) exchange(ctx context.Context, address string, req envelope) (answer, error) {
-	conn, err := e.conn(ctx, address)
+	p, err := e.conn(ctx, address)
 	if err != nil {
 		return answer{}, err
 	}
-	got, err := e.onStream(ctx, conn, req)
+	began := time.Now()
+	got, err := e.onStream(ctx, p.conn, req)
 	if err != nil {
-		e.forget(address, conn)
+		e.forget(ctx, address, p, began)
+		return got, err
 	}
-	return got, err
+	p.heard.Store(time.Now().UnixNano())
+	return got, nil
 }
 
 func (e *Endpoint) onStream(ctx context.Context, conn *quic.Conn, req envelope) (answer, error) {
@@ -76,16 +80,16 @@
 	return got, err
 }
 
-func (e *Endpoint) conn(ctx context.Context, address string) (*quic.Conn, error) {
+func (e *Endpoint) conn(ctx context.Context, address string) (*peerConn, error) {
 	e.mu.Lock()
-	conn, ok := e.conns[address]
+	p, ok := e.conns[address]
 	closed := e.closed
 	e.mu.Unlock()
 	if closed {
 		return nil, net.ErrClosed
 	}
-	if ok && conn.Context().Err() == nil {
-		return conn, nil
+	if ok && p.conn.Context().Err() == nil {
+		return p, nil
 	}
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -100,23 +104,29 @@
 
 // remember keeps the connection, or uses the one that another call made in the
 // meantime.
-func (e *Endpoint) remember(address string, dialed *quic.Conn) *quic.Conn {
+func (e *Endpoint) remember(address string, dialed *quic.Conn) *peerConn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if conn, ok := e.conns[address]; ok && conn.Context().Err() == nil {
+	if p, ok := e.conns[address]; ok && p.conn.Context().Err() == nil {
 		_ = dialed.CloseWithError(closeNormal, "twice")
-		return conn
+		return p
 	}
-	e.conns[address] = dialed
-	return dialed
+	p := &peerConn{conn: dialed}
+	e.conns[address] = p
+	return p
 }
 
-// forget drops a connection on which a call failed while it is itself broken
-// or the peer went silent. A call that was only cancelled keeps it.
-func (e *Endpoint) forget(address string, conn *quic.Conn) {
+// forget drops a connection on which a call failed while it is itself broken,
+// or on which nothing came since the call began until its time was up: a peer
+// that has started again does not know the connection and says nothing. A call
+// that was only cancelled keeps it.
+func (e *Endpoint) forget(ctx context.Context, address string, p *peerConn, began time.Time) {
+	silent := errors.Is(ctx.Err(), context.DeadlineExceeded) && p.heard.Load() < began.UnixNano()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.conns[address] == conn && conn.Context().Err() != nil {
-		delete(e.conns, address)
+	if e.conns[address] != p || p.conn.Context().Err() == nil && !silent {
+		return
 	}
+	delete(e.conns, address)
+	_ = p.conn.CloseWithError(closeNormal, "silent")
 }
--- a/link/server.go
+++ b/link/server.go
@@ -57,10 +57,17 @@
 
 	// mu guards conns and closed.
 	mu     sync.Mutex
-	conns  map[string]*quic.Conn
+	conns  map[string]*peerConn
 	closed bool
 }
 
+// peerConn is a connection that this end has opened.
+type peerConn struct {
+	conn *quic.Conn
+	// heard is when the last answer came on it, in nanoseconds since 1970.
+	heard atomic.Int64
+}
+
 type handler func(ctx context.Context, peer string, body []byte) (any, error)
 
 // Listen opens an endpoint at a UDP address. Handlers are added with Handle
@@ -82,7 +89,7 @@
 	}
 	return &Endpoint{
 		identity: identity, transport: transport, listener: listener,
-		handlers: make(map[Kind]handler), conns: make(map[string]*quic.Conn),
+		handlers: make(map[Kind]handler), conns: make(map[string]*peerConn),
 	}, nil
 }
 
@@ -171,8 +178,8 @@
 func (e *Endpoint) Close() error {
 	e.mu.Lock()
 	e.closed = true
-	for _, conn := range e.conns {
-		_ = conn.CloseWithError(closeNormal, "closed")
+	for _, p := range e.conns {
+		_ = p.conn.CloseWithError(closeNormal, "closed")
 	}
 	e.mu.Unlock()
 	_ = e.listener.Close()
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -79,9 +79,6 @@
 	if s.failure != nil { // an answer that is not a series
 		return s.relay.deliver(s.job, s.caller, s.failure, s.body)
 	}
-	if err := s.begin(&Head{Status: http.StatusOK, Header: http.Header{}}); err != nil {
-		return Gone, nil
-	}
 	if err := s.caller.End(); err != nil {
 		return Gone, nil
 	}
@@ -140,11 +137,18 @@
 		return errEscalated
 	}
 	j.weights, j.confident = a.head.Weights, a.head.Confidence
-	return s.judge(ctx, a, s.pump(a))
+	err = s.pump(a)
+	if err == nil && s.begin(a.head) != nil { // a series without events is whole too
+		err = errCallerGone
+	}
+	return s.judge(ctx, a, err)
 }
 
 // silentAt returns by when the first event has to come.
 func (s *series) silentAt(now time.Time) time.Time {
+	if s.job.began && !s.mayResume() {
+		return s.job.Deadline
+	}
 	if s.job.began {
 		return now.Add(min(s.relay.pauseLimit(s.job.Route.Gap), s.job.Deadline.Sub(now)))
 	}
@@ -198,12 +202,13 @@
 // compared between releases.
 const eventsCompared = 6
 
-// Bounds of the pause between two events, as parts of the route's: an upstream
-// that pauses longer than its own pace explains is left in time for another to
-// go on before the route's longest pause has passed.
+// Bounds of the pause between two events, as multiples of the route's longest:
+// a stream that paused that long is late whatever is done, and upstreams that
+// read long prompts pause for a second and more, so that leaving one sooner
+// costs more streams than it saves.
 const (
-	pauseFrom = 0.85
-	pauseTo   = 1.0
+	pauseFrom = 1.6
+	pauseTo   = 2.2
 	// pauseDefault is used where a route does not say.
 	pauseDefault = 5 * time.Second
 )
@@ -250,12 +255,18 @@
 // due returns by when the next event has to come. A stream that nobody else may
 // go on with is waited for to its deadline.
 func (s *series) due(p *stream.Pace) time.Time {
-	if !s.job.Route.Repeatable() || s.job.sends+1 >= s.job.Route.MaxAttempts {
+	if !s.mayResume() {
 		return s.job.Deadline
 	}
 	return p.Due()
 }
 
+// mayResume tells whether another upstream may go on when the present one is
+// silent.
+func (s *series) mayResume() bool {
+	return s.job.Route.Repeatable() && s.job.sends+1 < s.job.Route.MaxAttempts
+}
+
 // pass gives the whole events among the bytes to the caller.
 func (s *series) pass(a *attempt, pace *stream.Pace, p []byte) error {
 	if len(p) == 0 {
