site: a VM that goes on by its peers' word knows that the store is back

A drawn test of ledgers found a second fault: a late delta brought back an object that had been removed since. Change: a fresh word of a peer counts as the store's return; an object that is not there at a revision up to which all is known is stale. Also bounded logs that never wait, and metrics served as text.

--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// pathMetrics is where a VM serves its metrics as text.
+const pathMetrics = "/metrics"
+
+// storeCalled counts a call to the platform's store.
+func (v *vm) storeCalled(method string, err error) {
+	name := "store_calls_" + strings.ToLower(method) + "_total"
+	if err != nil {
+		name = "store_calls_" + strings.ToLower(method) + "_failed_total"
+	}
+	metrics.GetOrRegisterCounter(name, v.registry).Inc(1)
+}
+
+// metricsPage serves the metrics, one name and value a line.
+func (v *vm) metricsPage() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		lines := append(v.gauges(), registryLines(v.registry)...)
+		lines = append(lines, registryLines(v.relay.Metrics.Registry)...)
+		sort.Strings(lines)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = fmt.Fprintln(w, strings.Join(lines, "\n")) // the reader is gone
+	})
+	return mux
+}
+
+// gauges returns what is read at the time of the question.
+func (v *vm) gauges() []string {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	configuration, upstreams := v.site.Ages()
+	version, revision := int64(0), int64(0)
+	if t := v.site.Table(); t != nil {
+		version, revision = t.Version, int64(t.Revision)
+	}
+	open, dialed := v.relay.Connections()
+	line := func(name string, value any) string { return fmt.Sprintf("%s %v", name, value) }
+	return []string{
+		line("configuration_age_milliseconds", configuration.Milliseconds()),
+		line("configuration_revision", revision),
+		line("configuration_version", version),
+		line("connections_open", open),
+		line("connections_opened_total", dialed),
+		line("goroutines", runtime.NumGoroutine()),
+		line("log_lines_left_out_total", v.lines.LeftOut()),
+		line("memory_heap_bytes", memory.HeapAlloc),
+		line("memory_system_bytes", memory.Sys),
+		line("retry_budget_left_ratio", v.relay.BudgetLeft()),
+		line("upstreams", v.relay.Upstreams()),
+		line("upstreams_age_milliseconds", upstreams.Milliseconds()),
+		line("vms", v.peers.Count()),
+	}
+}
+
+// quantiles are those served of each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+func registryLines(r metrics.Registry) []string {
+	var lines []string
+	r.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+			for i, p := range s.Percentiles(quantiles) {
+				lines = append(lines, fmt.Sprintf("%s{quantile=%q} %.0f", name, fmt.Sprint(quantiles[i]), p))
+			}
+		}
+	})
+	return lines
+}
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
@@ -65,6 +66,8 @@
 	site     *site.Site
 	relay    *relay.Relay
 	peers    *site.Peers
+	lines    *logs.Bounded
+	registry metrics.Registry
 	stopping atomic.Bool
 	servers  []*http.Server
 }
@@ -73,10 +76,14 @@
 // process uses a small part of its processor.
 const gcPercent = 50
 
+// closeLogs bounds the wait for lines at the end of the process.
+const closeLogs = 200 * time.Millisecond
+
 func runVM(s *settings.VM, path string) int {
 	debug.SetGCPercent(gcPercent)
-	log := logs.New(os.Stdout, zap.String("vm", string(s.Name)))
-	v := &vm{settings: s, path: path, log: log}
+	log, lines := logs.NewBounded(os.Stdout, zap.String("vm", string(s.Name)))
+	defer lines.Close(closeLogs)
+	v := &vm{settings: s, path: path, log: log, lines: lines}
 	if err := v.build(); err != nil {
 		log.Error("start-failed", logs.Failure(err)...)
 		return exitFailed
@@ -96,6 +103,7 @@
 // build makes the parts of the process.
 func (v *vm) build() error {
 	s := v.settings
+	v.registry = metrics.NewRegistry()
 	identity, err := keys.NewByAddress(string(s.Name), func(ip string) bool { return v.peers.KnownIP(ip) })
 	if err != nil {
 		return contract.Fail(contract.StepLink, s.Listen.Links, err)
@@ -107,6 +115,7 @@
 	self := members.Member{VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links}
 	v.peers = site.NewPeers(endpoint, self, s.Listen.Seeds, v.log, time.Now)
 	store := platform.NewStore(s.Store.Address)
+	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
@@ -146,7 +155,11 @@
 	}{
 		{"callers", v.settings.Listen.Callers, front},
 		{"ready", v.settings.Listen.Ready, ready},
+		{"metrics-port", v.settings.Listen.Metrics, v.metricsPage()},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return contract.Fail(contract.StepSettings, v.path+": [listen] "+l.name, err)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -31,11 +31,11 @@
 	p.mu.Unlock()
 }
 
-// Dialed returns how many connections were opened so far.
-func (p *Pool) Dialed() int64 {
+// Count returns how many connections are open and how many were opened so far.
+func (p *Pool) Count() (open int, dialed int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dialed
+	return p.open, p.dialed
 }
 
 // take returns an idle connection that is healthy, or a new one.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -15,13 +15,17 @@
 // New returns a logger that writes to w, with the fields at the start of each
 // line after time and event.
 func New(w io.Writer, fields ...zap.Field) *zap.Logger {
+	core := zapcore.NewCore(newEncoder(), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
+	return zap.New(core).With(fields...)
+}
+
+func newEncoder() zapcore.Encoder {
 	conf := zapcore.EncoderConfig{
 		TimeKey: "time", LevelKey: "level", MessageKey: "event", LineEnding: zapcore.DefaultLineEnding,
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
 		EncodeDuration: zapcore.StringDurationEncoder,
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(conf), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
-	return zap.New(core).With(fields...)
+	return zaplogfmt.NewEncoder(conf)
 }
 
 // Failure returns the fields of an error: its text, and the step and the peer
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,17 +41,19 @@
 
 	// mu guards the decision state below. It is held for one decision at a time
 	// and never across I/O.
-	mu       sync.Mutex
-	random   *rand.Rand
-	table    *upstream.Table
-	entries  map[contract.UpstreamID]upstream.Entry
-	pools    map[contract.UpstreamID]*exchange.Pool
-	releases map[contract.ServiceID]map[string][]contract.PoolID
-	limits   map[contract.ServiceID]int
-	costs    map[contract.ServiceID]map[contract.ModelID]float64
-	budgets  map[contract.ServiceID]*retry.Window
-	canaries map[contract.ServiceID]*rollout.Canary
-	paces    map[string]*pace
+	mu      sync.Mutex
+	random  *rand.Rand
+	table   *upstream.Table
+	entries map[contract.UpstreamID]upstream.Entry
+	pools   map[contract.UpstreamID]*exchange.Pool
+	// dialedBefore counts the connections of pools that are closed.
+	dialedBefore int64
+	releases     map[contract.ServiceID]map[string][]contract.PoolID
+	limits       map[contract.ServiceID]int
+	costs        map[contract.ServiceID]map[contract.ModelID]float64
+	budgets      map[contract.ServiceID]*retry.Window
+	canaries     map[contract.ServiceID]*rollout.Canary
+	paces        map[string]*pace
 }
 
 // New returns a relay that knows no upstreams.
@@ -107,6 +109,8 @@
 	}
 	for id, p := range r.pools {
 		if e, ok := known[id]; !ok || e.Address != r.entries[id].Address {
+			_, total := p.Count()
+			r.dialedBefore += total
 			p.Close()
 			delete(r.pools, id)
 		}
@@ -143,6 +147,31 @@
 	return p
 }
 
+// Connections returns how many connections to upstreams are open, and how many
+// were opened so far.
+func (r *Relay) Connections() (open int, dialed int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools {
+		n, total := p.Count()
+		open += n
+		dialed += total
+	}
+	return open, dialed + r.dialedBefore
+}
+
+// BudgetLeft returns the smallest part of the budget of repeated sends that is
+// left at any service, 0 to 1.
+func (r *Relay) BudgetLeft() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := 1.0
+	for _, w := range r.budgets {
+		left = min(left, w.Left(r.opts.VMs(), r.opts.Now()))
+	}
+	return left
+}
+
 // Upstreams returns how many upstreams are known.
 func (r *Relay) Upstreams() int {
 	r.mu.Lock()
--- a/site/follow.go
+++ b/site/follow.go
@@ -31,6 +31,9 @@
 	staleStep  = 250 * time.Millisecond
 	// maxStaleSteps bounds the time that a large data centre waits.
 	maxStaleSteps = 8
+	// heardOfLate is how old a peer's word of the store may be to show that the
+	// store serves.
+	heardOfLate = time.Second
 	// lookAgain is how often a VM that does not watch looks whether it should.
 	lookAgain = 100 * time.Millisecond
 	// pauseMin and pauseMax bound the pause after a failed call: refused calls
@@ -180,6 +183,9 @@
 		return Wanted{Kind: h.Kind, After: at, Holds: known}, true
 	}
 	f.confirm(f.now().Add(-h.Age), h.At)
+	if h.Age < heardOfLate {
+		f.reached(true)
+	}
 	return Wanted{}, false
 }
 
@@ -229,6 +235,9 @@
 	}
 	f.log.Info("told-by-peer", zap.String("kind", d.Kind), zap.String("peer", from), zap.Int64("had", int64(at)),
 		zap.Int64("revision", int64(d.At)), zap.Int("objects", len(d.Items)), zap.Bool("full", d.Full))
+	if age < heardOfLate {
+		f.reached(true)
+	}
 	f.take(c, d.Full)
 	f.confirm(f.now().Add(-age), d.At)
 }
@@ -245,8 +254,13 @@
 				zap.Int64("revision", int64(i.Revision)), zap.Error(i.Err))
 		}
 	}
-	f.ledger.Apply(d)
-	if len(c.Items) > 0 || full {
-		f.apply(c, full)
+	news := Changes[T]{Revision: c.Revision}
+	for n, taken := range f.ledger.Apply(d) {
+		if taken {
+			news.Items = append(news.Items, c.Items[n])
+		}
+	}
+	if len(news.Items) > 0 || full {
+		f.apply(news, full)
 	}
 }
--- a/site/ledger.go
+++ b/site/ledger.go
@@ -52,19 +52,14 @@
 func (l *Ledger) Last() contract.Revision { return l.last }
 
 // Apply takes in a delta. Objects older than those known change nothing, so
-// deltas may come late, twice and from several sides.
-func (l *Ledger) Apply(d Delta) {
+// deltas may come late, twice and from several sides. It tells, for each item,
+// whether it is news or at least no older than what was known.
+func (l *Ledger) Apply(d Delta) []bool {
 	seen := make(map[string]bool, len(d.Items))
-	for _, i := range d.Items {
+	taken := make([]bool, len(d.Items))
+	for n, i := range d.Items {
 		seen[i.Name] = !i.Deleted
-		old, had := l.items[i.Name]
-		switch {
-		case had && i.Deleted && old.Revision <= d.At:
-			l.remove(i.Name, d.At)
-		case !i.Deleted && (!had || i.Revision >= old.Revision):
-			l.items[i.Name] = i
-			l.last = max(l.last, i.Revision)
-		}
+		taken[n] = l.take(i, d)
 	}
 	if d.Full {
 		for name, old := range l.items {
@@ -78,6 +73,27 @@
 	}
 	l.known = l.known || d.Full
 	l.at = max(l.at, d.At)
+	return taken
+}
+
+// take takes in one item of a delta, unless it is stale.
+func (l *Ledger) take(i Raw, d Delta) bool {
+	old, had := l.items[i.Name]
+	switch {
+	case i.Deleted:
+		if !had || old.Revision > d.At {
+			return false // gone already, or back since
+		}
+		l.remove(i.Name, d.At)
+		return true
+	case had && i.Revision < old.Revision:
+		return false
+	case !had && l.known && i.Revision <= l.at && !(d.Full && d.At >= l.at):
+		return false // removed since: everything up to at is known
+	}
+	l.items[i.Name] = i
+	l.last = max(l.last, i.Revision)
+	return true
 }
 
 func (l *Ledger) remove(name string, at contract.Revision) {
--- a/site/peers.go
+++ b/site/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,12 +76,13 @@
 	endpoint *link.Endpoint
 	log      *zap.Logger
 	now      func() time.Time
-	kinds    map[string]shared
 	// seeds are link addresses at which VMs may be found.
 	seeds []string
 
-	// mu guards the fields below.
+	// mu guards the fields below. Kinds have locks of their own, and are not
+	// called while it is held.
 	mu     sync.Mutex
+	kinds  map[string]shared
 	table  *vm.Table
 	listed map[string]bool // link addresses that the store lists
 	ips    map[string]bool
@@ -101,7 +104,27 @@
 }
 
 // share makes a kind of objects known to others.
-func (p *Peers) share(kind string, s shared) { p.kinds[kind] = s }
+func (p *Peers) share(kind string, s shared) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kinds[kind] = s
+}
+
+// status returns what this VM knows of a kind of objects.
+func (p *Peers) status(kind string) (Have, bool) {
+	s := p.kind(kind)
+	if s == nil {
+		return Have{}, false
+	}
+	return s.status()
+}
+
+// kind returns a kind of objects, nil when it is not shared.
+func (p *Peers) kind(name string) shared {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kinds[name]
+}
 
 // know notes an address at which a VM of the system may be. The caller holds
 // mu, or has not shared p yet.
@@ -234,8 +257,9 @@
 	p.mu.Lock()
 	now := p.now()
 	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
+	kinds := slices.Collect(maps.Values(p.kinds))
 	p.mu.Unlock()
-	for _, s := range p.kinds {
+	for _, s := range kinds {
 		if have, known := s.status(); known {
 			w.Have = append(w.Have, have)
 		}
@@ -279,8 +303,8 @@
 	}
 	news := false
 	for _, h := range w.Have {
-		s, ok := p.kinds[h.Kind]
-		if !ok {
+		s := p.kind(h.Kind)
+		if s == nil {
 			continue
 		}
 		if want, lacks := s.compare(h); lacks {
@@ -306,8 +330,8 @@
 }
 
 func (p *Peers) answerChanges(_ context.Context, _ string, w Wanted) (Delta, error) {
-	s, ok := p.kinds[w.Kind]
-	if !ok {
+	s := p.kind(w.Kind)
+	if s == nil {
 		return Delta{}, ErrNotFound
 	}
 	return s.since(w.After, w.Holds), nil
--- a/site/site.go
+++ b/site/site.go
@@ -67,6 +67,19 @@
 	return s.table.Load() != nil && s.listedU
 }
 
+// Ages returns how old the store's word is on the configuration and on the
+// list of upstreams; negative when there was none.
+func (s *Site) Ages() (configuration, upstreams time.Duration) {
+	return s.age(s.opts.Configurations.Name()), s.age(s.opts.Upstreams.Name())
+}
+
+func (s *Site) age(kind string) time.Duration {
+	if have, known := s.opts.Peers.status(kind); known {
+		return have.Age
+	}
+	return -1
+}
+
 // Wake asks for the verdicts on releases to be looked at now.
 func (s *Site) Wake() {
 	select {
