relay: a release that was undone stays out under a later order

Ruled out: the choice by hash, which agreed at all VMs. Change: releases that were undone are remembered by service.

--- a/relay/pick.go
+++ b/relay/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,11 +52,13 @@
 	byRelease := r.releases[j.service]
 	canary := r.canaries[j.service]
 	if canary == nil {
-		return known([]candidates{{ids: all(byRelease, "")}})
+		return known([]candidates{{ids: all(byRelease, nil)}})
 	}
 	target := canary.Order().Release
 	onTrial := candidates{release: target, ids: byRelease[target]}
-	others := candidates{ids: all(byRelease, target)}
+	out := maps.Clone(r.undone[j.service])
+	out[target] = true
+	others := candidates{ids: all(byRelease, out)}
 	order := []candidates{others}
 	switch {
 	case j.began && j.release == target: // a stream stays on its release
@@ -74,11 +77,11 @@
 	return slices.DeleteFunc(order, func(c candidates) bool { return len(c.ids) == 0 })
 }
 
-// all returns the pools of every release but one.
-func all(byRelease map[string][]contract.PoolID, but string) []contract.PoolID {
+// all returns the pools of every release but some.
+func all(byRelease map[string][]contract.PoolID, but map[string]bool) []contract.PoolID {
 	var ids []contract.PoolID
 	for release, pools := range byRelease {
-		if but == "" || release != but {
+		if !but[release] {
 			ids = append(ids, pools...)
 		}
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -21,12 +21,20 @@
 // plain has a request answered whole: the answer is held until its end, so that
 // one that is broken off can be made good or told of.
 func (r *Relay) plain(ctx context.Context, j *job, c Caller) (End, *contract.Refusal) {
+	var failure *Head // the newest that an upstream answered with
+	var failed []byte
 	for {
 		e, refused := r.pick(j)
+		if refused != nil && failure != nil {
+			return r.deliver(j, c, failure, failed)
+		}
 		if refused != nil {
 			return Refused, refused
 		}
 		h, body, err := r.whole(ctx, j, e)
+		if err == nil && !h.NotRun {
+			failure, failed = h, body
+		}
 		if err == nil && h.final(j) {
 			return r.deliver(j, c, h, body)
 		}
@@ -34,8 +42,8 @@
 			return r.over(ctx, j)
 		}
 		if why := r.again(j, j.Route.Repeatable()); why != "" {
-			if err == nil && !h.NotRun {
-				return r.deliver(j, c, h, body) // a failure of the upstream's own
+			if failure != nil {
+				return r.deliver(j, c, failure, failed)
 			}
 			return Refused, gaveUp(j, why, err)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,7 +53,10 @@
 	costs        map[contract.ServiceID]map[contract.ModelID]float64
 	budgets      map[contract.ServiceID]*retry.Window
 	canaries     map[contract.ServiceID]*rollout.Canary
-	paces        map[string]*pace
+	// undone are the releases found bad, by service: their upstreams drain, and
+	// a later order for another release does not bring them back.
+	undone map[contract.ServiceID]map[string]bool
+	paces  map[string]*pace
 }
 
 // New returns a relay that knows no upstreams.
@@ -73,6 +76,7 @@
 		costs:    make(map[contract.ServiceID]map[contract.ModelID]float64),
 		budgets:  make(map[contract.ServiceID]*retry.Window),
 		canaries: make(map[contract.ServiceID]*rollout.Canary),
+		undone:   make(map[contract.ServiceID]map[string]bool),
 		paces:    make(map[string]*pace),
 	}
 }
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -10,16 +10,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.canaries[o.Service]
-	if c != nil && c.Order().Release == o.Release && c.Order().Revision <= o.Revision {
-		c.Update(o)
-		return
+	if c != nil && c.Order().Revision > o.Revision {
+		return // late word of an earlier order
 	}
-	if c != nil && c.Order().Revision >= o.Revision {
+	r.noteEnd(o)
+	if c != nil && c.Order().Release == o.Release {
+		c.Update(o)
 		return
 	}
 	r.canaries[o.Service] = rollout.NewCanary(o)
 }
 
+// noteEnd notes how an order ended. The caller holds mu.
+func (r *Relay) noteEnd(o rollout.Order) {
+	if r.undone[o.Service] == nil {
+		r.undone[o.Service] = make(map[string]bool)
+	}
+	switch o.State {
+	case rollout.OrderUndone:
+		r.undone[o.Service][o.Release] = true
+	default:
+		delete(r.undone[o.Service], o.Release)
+	}
+}
+
 // Verdict is how an order is to end.
 type Verdict struct {
 	Order rollout.Order
--- /dev/null
+++ b/rollout/canary_test.go
@@ -0,0 +1,147 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func testOrder() Order {
+	return Order{Service: "s", Release: "v2", Issued: time.Unix(1000, 0), Length: 24 * time.Second}
+}
+
+// TestSessionsMoveOneWay checks that VMs that see an order at different times,
+// each by its own clock, put a session on the release only in the second half,
+// never move it back, and agree but for the difference of their clocks. The
+// naive way, a draw a request, moves sessions back and forth.
+func TestSessionsMoveOneWay(t *testing.T) {
+	naiveBack := 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := testOrder()
+		skew := time.Duration(rapid.IntRange(0, 200).Draw(t, "skew ms")) * time.Millisecond
+		late := o
+		late.Issued = o.Issued.Add(skew)
+		vms := []*Canary{NewCanary(o), NewCanary(late)}
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		session := rapid.Uint64().Draw(t, "session")
+		moved := time.Time{}
+		naive := false
+		for now := o.Issued; now.Before(o.Issued.Add(o.Length)); now = now.Add(time.Duration(1+r.IntN(800)) * time.Millisecond) {
+			vm := vms[r.IntN(2)]
+			on := vm.Choose(session, now)
+			if on && now.Sub(o.Issued) < o.Length/2 {
+				t.Fatalf("on trial in the first half, at %v", now.Sub(o.Issued))
+			}
+			if on && moved.IsZero() {
+				moved = now
+			}
+			if !on && !moved.IsZero() && now.Sub(moved) > skew {
+				t.Fatalf("moved back at %v", now.Sub(o.Issued))
+			}
+			drawn := r.Float64() < vm.Share(now)
+			if naive && !drawn {
+				naiveBack++
+			}
+			naive = drawn
+		}
+	})
+	is.New(t).True(naiveBack > 0)
+}
+
+// TestExposure plays a release that is bad from the start, late, or only under
+// load, at one of several VMs that do not hear one another, and checks that the
+// part of requests it gets over its order, and the bad answers until it is
+// halted, stay far below what deployments allow.
+func TestExposure(t *testing.T) {
+	const perSecond, vms, runs = 100, 6, 40
+	for name, failing := range map[string]func(part, share float64) float64{
+		"from the start": func(_, _ float64) float64 { return 0.41 },
+		"late":           func(part, _ float64) float64 { return 0.41 * math.Floor(min(part/0.6, 1)) },
+		"under load":     func(_, share float64) float64 { return 0.41 * math.Floor(min(share/0.4, 1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(7, 7))
+			worstBad, worstShare := 0, 0.0
+			for range runs {
+				exposed, bad := play(r, perSecond, vms, failing)
+				worstBad = max(worstBad, bad)
+				worstShare = max(worstShare, exposed)
+			}
+			if worstBad > 60 || worstShare > 0.1 {
+				t.Fatalf("%d bad answers, a share of %.3f", worstBad, worstShare)
+			}
+		})
+	}
+}
+
+// play returns the share of all requests of an order that went to its release,
+// and how many bad answers these were, when no VM hears another.
+func play(r *rand.Rand, perSecond, vms int, failing func(part, share float64) float64) (exposed float64, bad int) {
+	o := testOrder()
+	var canaries []*Canary
+	for range vms {
+		canaries = append(canaries, NewCanary(o))
+	}
+	total := perSecond * int(o.Length/time.Second)
+	sent := 0
+	for i := range total {
+		now := o.Issued.Add(time.Duration(i) * o.Length / time.Duration(total))
+		c := canaries[r.IntN(vms)]
+		on := c.Choose(r.Uint64(), now)
+		failed := on && r.Float64() < failing(c.part(now), c.Share(now))
+		c.Observe(on, failed)
+		if on {
+			sent++
+		}
+		if failed {
+			bad++
+		}
+	}
+	return float64(sent) / float64(total), bad
+}
+
+// TestFalseAlarms checks the part of good releases that are found bad, for a
+// service that fails one in seven requests anyway.
+func TestFalseAlarms(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(3, 3))
+	const runs = 400
+	halted := 0
+	for range runs {
+		c := NewCanary(testOrder())
+		for i := range 1200 {
+			if c.Observe(i%10 == 0 || i > 900, r.Float64() < 0.14) {
+				halted++
+			}
+		}
+	}
+	is.True(halted <= runs/50)
+}
+
+// TestSlowness checks that a release eight times as slow is found, and one that
+// is half as fast again, or as fast with many stragglers, is not.
+func TestSlowness(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(5, 5))
+	took := func(times float64) float64 { return 0.08 * times * math.Exp(0.9*r.NormFloat64()) }
+	found := func(times float64) (at int) {
+		s := NewSlowness()
+		for i := range 900 {
+			if i%3 > 0 {
+				s.Observe(false, "first", took(1))
+			} else if s.Observe(true, "first", took(times)) {
+				return i / 3
+			}
+		}
+		return 0
+	}
+	for range 50 {
+		is.Equal(found(1.5), 0)
+		at := found(8)
+		is.True(at > 0 && at < 60)
+	}
+}
--- a/rollout/slowness.go
+++ b/rollout/slowness.go
@@ -21,10 +21,10 @@
 
 const (
 	// slowHeight is the evidence that is needed; with a factor of at most
-	// exp(-16) a start from nothing is a false alarm.
-	slowHeight = 16.0
+	// exp(-24) a start from nothing is a false alarm.
+	slowHeight = 24.0
 	// slowKnown is how many times of a kind are needed before one is compared.
-	slowKnown = 20
+	slowKnown = 40
 	// slowStep bounds what one time adds, so that a few stragglers, which any
 	// upstream has, do not make a verdict.
 	slowStep = 2.0
