--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -31,6 +31,9 @@
 	Priority int
 	// BudgetLeft is the part of the budget of repeated sends that is left.
 	BudgetLeft float64
+	// Expected is when the larger model's answer is expected to begin, as a part
+	// of the objective: over 1 it would be late.
+	Expected float64
 }
 
 // GiveUp tells whether the answer is given up for one of a larger model.
@@ -41,6 +44,15 @@
 	return a.Confidence < b.height(a)
 }
 
+// easy is the part of the objective up to which a larger model's answer is sure
+// to be on time; lateSlope is how the bar falls beyond it. Engines that are
+// that slow are full, and the larger model takes ten times the smaller one's
+// part of them.
+const (
+	easy      = 0.3
+	lateSlope = 0.8
+)
+
 func (b Bar) height(a Answer) float64 {
 	at, scarce := b.At, b.Scarce
 	if at == 0 {
@@ -53,5 +65,8 @@
 	if a.BudgetLeft < scarce {
 		at *= a.BudgetLeft / scarce
 	}
+	if over := a.Expected - easy; over > 0 {
+		at *= max(0, 1-over*lateSlope)
+	}
 	return at
 }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -29,8 +29,9 @@
 // Timings of connections.
 const (
 	// dialTimeout bounds the set-up of a connection: links within a site take
-	// milliseconds, and a lost opening packet is sent again after one second.
-	dialTimeout = 700 * time.Millisecond
+	// milliseconds, and a lost opening packet is sent again only after a second,
+	// by when another upstream has answered.
+	dialTimeout = 250 * time.Millisecond
 	// silence is how long written bytes may stay unacknowledged before the
 	// connection counts as broken: a dark upstream says nothing.
 	silence = 3 * time.Second
--- a/relay/models.go
+++ b/relay/models.go
@@ -40,15 +40,27 @@
 	r.locked(func() {
 		w := r.budget(j.service)
 		vms := r.opts.VMs()
-		up = bar.GiveUp(cascade.Answer{Confidence: h.Confidence, Priority: j.Route.Priority, BudgetLeft: w.Left(vms, now)}) &&
+		up = bar.GiveUp(cascade.Answer{Confidence: h.Confidence, Priority: j.Route.Priority, BudgetLeft: w.Left(vms, now), Expected: r.expected(j, now)}) &&
 			w.Take(retry.ForEscalation, vms, now)
 	})
 	return up
 }
 
+// expected returns when the largest model's answer to a job is expected to
+// begin, as a part of the objective. The caller holds mu.
+func (r *Relay) expected(j *job, now time.Time) float64 {
+	larger := *j
+	larger.model = j.Route.Models[len(j.Route.Models)-1]
+	begins := now.Sub(j.Arrived).Seconds() + r.pace(&larger).mean
+	return begins / max(j.Route.Objective.Seconds(), minObjective)
+}
+
+// minObjective, in seconds, stands in for that of a route without any.
+const minObjective = 0.1
+
 // bar is the opinion below which an answer is given up; docs/design/platform.md
 // has the measurements.
-var bar = cascade.Bar{At: 0.65, PerRank: 0.1}
+var bar = cascade.Bar{At: 0.57, PerRank: 0.06}
 
 // escalated moves the job to the largest model.
 func (r *Relay) escalated(j *job, a *attempt) {
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"slices"
@@ -177,8 +178,13 @@
 		sent, outcome = x.Sent, x.Outcome()
 	}
 	result := upstream.Failed
-	if errors.Is(err, exchange.ErrBusy) {
+	switch {
+	case errors.Is(err, context.Canceled), errors.Is(err, errDeadline):
+		result = upstream.Abandoned // the caller's doing
+	case errors.Is(err, exchange.ErrBusy):
 		result = upstream.Full
+	case !sent:
+		result = upstream.Unreachable
 	}
 	r.ended(j, j.last, result, r.opts.Now().Sub(began))
 	j.note(outcome, sent)
--- a/site/follow.go
+++ b/site/follow.go
@@ -16,10 +16,6 @@
 
 // Timings of following a kind of objects.
 const (
-	// watchWait is how long one watch is held open. Watches may be cut without a
-	// word, all at once, and a change has to be in force everywhere 2 s after
-	// the store has taken it: half of that is left for the rest of the way.
-	watchWait = time.Second
 	// lostWait is that of the watches after a failure: a call that the store
 	// leaves without an answer is given up only after it, and changes have to
 	// be known within seconds of the store's return.
@@ -194,7 +190,7 @@
 	if f.failed > 0 {
 		return lostWait
 	}
-	return watchWait
+	return f.source.Every()
 }
 
 // have returns up to which revision this VM knows, if it knows anything.
--- a/site/listing_test.go
+++ b/site/listing_test.go
@@ -74,7 +74,8 @@
 // silentSource is a store that says nothing.
 type silentSource struct{}
 
-func (silentSource) Name() string { return "servers" }
+func (silentSource) Name() string         { return "servers" }
+func (silentSource) Every() time.Duration { return time.Second }
 func (silentSource) List(context.Context) (Changes[upstream.Entry], error) {
 	return Changes[upstream.Entry]{}, ErrTooMany
 }
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -44,7 +44,7 @@
 		return t.lastResort(q)
 	}
 	if t.opts.Listed {
-		best := cheapest(usable, q, random)
+		best := t.cheapest(usable, q, now, random)
 		best.health.picked(now)
 		return best.upstream.ID, nil
 	}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -52,7 +52,9 @@
 type Table struct {
 	opts   Options
 	states map[contract.UpstreamID]*state
-	pools  map[contract.PoolID][]*state
+	// away are the data centres that look cut off, until when.
+	away  map[contract.DataCentreID]time.Time
+	pools map[contract.PoolID][]*state
 }
 
 // state is what is known of one upstream.
@@ -84,7 +86,7 @@
 func NewTable(opts Options) *Table {
 	o := opts.withDefaults()
 	return &Table{
-		opts: o, states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
+		opts: o, away: make(map[contract.DataCentreID]time.Time), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
 	}
 }
 
@@ -157,6 +159,8 @@
 	Failed
 	// Abandoned is the caller's doing and says nothing of the upstream.
 	Abandoned
+	// Unreachable means that no connection came up: nothing was sent.
+	Unreachable
 	// Full means that the upstream refused the request without running it.
 	Full
 )
@@ -179,6 +183,7 @@
 	s.doneAfter++
 	s.probing = false
 	if t.opts.Listed {
+		t.reachable(s, r, now)
 		s.ended(r, took, now)
 		return
 	}
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"woaddoor/contract"
 )
@@ -22,23 +23,32 @@
 // Weights of the choice, in tokens of the largest model.
 const (
 	// farAway is the work that going to another data centre has to save: bytes
-	// between data centres are paid for, and are worth it when an answer would
-	// else be late. It is about 300 ms of a large engine's reading.
-	farAway = 12000.0
+	// between data centres are paid for. A prompt's home elsewhere is worth it
+	// for a large model, and not for a small one.
+	farAway = 8000.0
+	// allPlaces is what an upstream with all its places taken counts for.
+	allPlaces = 12000.0
+	// leastScale is that of kept tokens: what a home saves in reading is paid
+	// for by the token, whichever the model.
+	leastScale = 0.35
 	// kept is the part of the shared tokens that a prompt's home is expected
-	// not to read again; its second home keeps them less often.
-	keptFirst, keptSecond = 0.9, 0.4
+	// not to read again: its home among all upstreams, that among those of the
+	// own data centre, and its second home.
+	keptFirst, keptNear, keptSecond = 0.9, 0.7, 0.4
 	// failedWork is added for an upstream of which all late requests failed.
 	failedWork = 60000.0
 )
 
 // tokens returns the work that a request leaves to an upstream.
-func (w Work) tokens(kept float64) float64 { return w.Scale * (w.Prompt - kept*w.Shared) }
+func (w Work) tokens(kept float64) float64 {
+	return w.Scale*w.Prompt - max(w.Scale, leastScale)*kept*w.Shared
+}
 
 // cheapest returns the upstream at which the request, and those already there,
 // are expected to be done first; equals are drawn.
-func cheapest(usable []*state, q Query, random *rand.Rand) *state {
-	first, second := homes(near(usable, q.DataCentre), q.Prefix)
+func (t *Table) cheapest(usable []*state, q Query, now time.Time, random *rand.Rand) *state {
+	first, second := homes(usable, q.Prefix)
+	nearest, _ := homes(near(usable, q.DataCentre), q.Prefix)
 	var best *state
 	bestCost, ties := 0.0, 0
 	for _, s := range usable {
@@ -46,10 +56,15 @@
 		switch s {
 		case first:
 			kept = keptFirst
+		case nearest:
+			kept = keptNear
 		case second:
 			kept = keptSecond
 		}
 		cost := s.cost(q, kept)
+		if t.isAway(s, q, now) {
+			cost += failedWork
+		}
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, ties = s, cost, 1
@@ -80,7 +95,7 @@
 // cost is the work to be done at an upstream before the request is answered. A
 // request that runs counts as its part of the upstream's places.
 func (s *state) cost(q Query, kept float64) float64 {
-	running := (ownWeight*float64(s.inFlight) + s.others) / float64(s.pool.Slots) * farAway / ownWeight
+	running := (ownWeight*float64(s.inFlight) + s.others) / float64(s.pool.Slots) * allPlaces / ownWeight
 	cost := (s.pending + q.Work.tokens(kept) + running) * s.health.slowness()
 	cost += failedWork * s.health.failed
 	if s.pool.DataCentre != q.DataCentre {
