relay: silence is judged by the pace of the route

Ruled out: one slow upstream (all of them). Change: the limit follows the pace of the route and model, and a wait that was given up counts towards it.

--- a/relay/pace.go
+++ b/relay/pace.go
@@ -18,11 +18,15 @@
 	paceWeight = 0.05
 	// paceDeviations is how far above the mean an upstream counts as silent.
 	paceDeviations = 6
-	// Parts of the objective between which an upstream counts as silent: less
-	// would be taken for a busy one, and after more nothing can be on time.
-	silentFrom = 0.4
-	silentTo   = 0.7
-	paceKnown  = 10
+	// Parts of the objective between which an upstream counts as silent. Less
+	// would be taken for a busy one. Where all are slow, the pace tells, and a
+	// request that is taken from one queue to the end of another only adds work;
+	// silentFirst holds before the pace is known.
+	silentFrom  = 0.4
+	silentFirst = 0.8
+	silentTo    = 4.0
+	// paceKnown is how many times a pace rests on before it is believed.
+	paceKnown = 10
 )
 
 // pace returns the pace of a job's route and model. The caller holds mu.
@@ -38,10 +42,10 @@
 
 // limit returns how long an upstream may be silent before its first answer.
 func (p *pace) limit(objective time.Duration) time.Duration {
-	low, high := silentFrom*objective.Seconds(), silentTo*objective.Seconds()
-	seconds := high
+	seconds := silentFirst * objective.Seconds()
 	if p.seen >= paceKnown {
-		seconds = min(max(p.mean+paceDeviations*p.deviation, low), high)
+		slow := p.mean + paceDeviations*p.deviation
+		seconds = min(max(slow, silentFrom*objective.Seconds()), silentTo*objective.Seconds())
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -186,6 +186,10 @@
 	case !sent:
 		result = upstream.Unreachable
 	}
-	r.ended(j, j.last, result, r.opts.Now().Sub(began))
+	took := r.opts.Now().Sub(began)
+	r.ended(j, j.last, result, took)
+	if errors.Is(err, errSilent) {
+		r.paced(j, took) // it would have taken that long at least
+	}
 	j.note(outcome, sent)
 }
