rollout: VMs tell one another what they counted of a release on trial

Ruled out: a larger share on trial (exposure). Change: evidence goes with the words, merged by the larger count; the verdict is on the sum. Also traced: a test that failed once (502 for 504): the limit of silence and the deadline fell on the same moment; the deadline alone ends the wait now.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -25,6 +25,7 @@
 	"woaddoor/platform"
 	"woaddoor/relay"
 	"woaddoor/retry"
+	"woaddoor/rollout"
 	"woaddoor/settings"
 	"woaddoor/site"
 	members "woaddoor/vm"
@@ -117,7 +118,7 @@
 	store := platform.NewStore(s.Store.Address)
 	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
-		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Log: v.log, Now: time.Now,
+		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:    v.peers.Count,
 		Wake:   func() { v.site.Wake() },
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -130,13 +130,19 @@
 // for to its deadline.
 func (r *Relay) silentAt(j *job, now time.Time) time.Time {
 	if !j.Route.Repeatable() || j.sends+1 >= j.Route.MaxAttempts {
-		return j.Deadline
+		return j.patient()
 	}
 	var limit time.Duration
 	r.locked(func() { limit = r.pace(j).limit(j.Route.Objective) })
-	return now.Add(min(limit, j.Deadline.Sub(now)))
+	return now.Add(limit)
 }
 
+// patience is how far beyond the deadline silence is looked for when it ends
+// nothing: the deadline itself ends the wait, and says so.
+const patience = time.Second
+
+func (j *job) patient() time.Time { return j.Deadline.Add(patience) }
+
 // retried counts a retry and says why it is made.
 func (r *Relay) retried(j *job, err error) {
 	r.Metrics.retries.Inc(1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,8 +21,10 @@
 type Options struct {
 	Dialect    Dialect
 	DataCentre contract.DataCentreID
-	Log        *zap.Logger
-	Now        func() time.Time
+	// Self names this life of the process in what it counts.
+	Self rollout.Observer
+	Log  *zap.Logger
+	Now  func() time.Time
 	// Budget bounds repeated sends.
 	Budget retry.WindowOptions
 	// VMs returns how many VMs share the budget and upstreams' connections.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -56,6 +56,30 @@
 	return out
 }
 
+// Evidence returns what this VM, and those it has heard of, have counted of
+// releases on trial.
+func (r *Relay) Evidence() rollout.Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var e rollout.Evidence
+	for _, c := range r.canaries {
+		e = append(e, c.Evidence(r.opts.Self)...)
+	}
+	return e
+}
+
+// Hear takes in what other VMs have counted.
+func (r *Relay) Hear(e rollout.Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.canaries {
+		if len(e) > 0 && c.Hear(e, r.opts.Self) {
+			r.logVerdict(c)
+			r.wake()
+		}
+	}
+}
+
 // wake asks for the verdicts to be looked at. The caller holds mu.
 func (r *Relay) wake() {
 	if r.opts.Wake != nil {
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -147,10 +147,10 @@
 // silentAt returns by when the first event has to come.
 func (s *series) silentAt(now time.Time) time.Time {
 	if s.job.began && !s.mayResume() {
-		return s.job.Deadline
+		return s.job.patient()
 	}
 	if s.job.began {
-		return now.Add(min(s.relay.pauseLimit(s.job.Route.Gap), s.job.Deadline.Sub(now)))
+		return now.Add(s.relay.pauseLimit(s.job.Route.Gap))
 	}
 	return s.relay.silentAt(s.job, now)
 }
@@ -256,7 +256,7 @@
 // go on with is waited for to its deadline.
 func (s *series) due(p *stream.Pace) time.Time {
 	if !s.mayResume() {
-		return s.job.Deadline
+		return s.job.patient()
 	}
 	return p.Due()
 }
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -66,7 +66,9 @@
 	// trial and old are what was seen of the two; old gives the rate of
 	// failures that the service has anyway.
 	trial, old Counts
-	bad        bool
+	// heard is what other VMs have counted.
+	heard Evidence
+	bad   bool
 }
 
 // Parameters of the verdict: a release is bad when its part of failures is
@@ -158,12 +160,57 @@
 	if !onTrial || c.bad || c.order.State != OrderOpen {
 		return false
 	}
-	c.level()
+	sum := c.sumIsBad()
 	c.alarm.test = NewTest(&c.test)
-	c.bad = c.alarm.Observe(bad) || NewTest(&c.test).Judge(c.trial) == Bad
+	c.bad = c.alarm.Observe(bad) || sum
 	return c.bad
 }
 
+// Parts of the evidence of an order, in place of the steps of a ramp.
+const (
+	onTrialPart = 0
+	othersPart  = 1
+)
+
+// Evidence returns what this VM, under a name, and those it has heard of have
+// counted of the order; nothing once the order has ended.
+func (c *Canary) Evidence(self Observer) Evidence {
+	if c.order.State != OrderOpen || c.trial.Good+c.trial.Bad == 0 && len(c.heard) == 0 {
+		return nil
+	}
+	own := Evidence{{self, c.key(), onTrialPart, c.trial}, {self, c.key(), othersPart, c.old}}
+	return Merge(c.heard.Of(func(o Observer) bool { return o != self }), own)
+}
+
+// key names the order in evidence.
+func (c *Canary) key() contract.VersionID {
+	return contract.VersionID(string(c.order.Service) + "/" + c.order.Release)
+}
+
+// Hear takes in what other VMs have counted. Evidence may come late, twice and
+// in any order. It returns whether the release has just been found bad.
+func (c *Canary) Hear(e Evidence, self Observer) bool {
+	for _, count := range e {
+		if count.Version == c.key() && count.Observer != self {
+			c.heard = Merge(c.heard, Evidence{count})
+		}
+	}
+	if c.bad || c.order.State != OrderOpen {
+		return false
+	}
+	c.bad = c.sumIsBad()
+	return c.bad
+}
+
+// sumIsBad judges what all VMs have counted together.
+func (c *Canary) sumIsBad() bool {
+	trial, old := c.trial.plus(c.heard.Sum(c.key(), onTrialPart)), c.old.plus(c.heard.Sum(c.key(), othersPart))
+	c.level(old)
+	return NewTest(&c.test).Judge(trial) == Bad
+}
+
+func (c Counts) plus(o Counts) Counts { return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad} }
+
 // Took takes in how long an answer of the release on trial, or of another one,
 // took. It returns whether the release has just been found bad.
 func (c *Canary) Took(onTrial bool, kind string, seconds float64) bool {
@@ -178,8 +225,8 @@
 const priorOld = 20
 
 // level sets what counts as good by the failures that the service has anyway.
-func (c *Canary) level() {
-	rate := float64(c.old.Bad) / float64(c.old.Bad+c.old.Good+priorOld)
+func (c *Canary) level(old Counts) {
+	rate := float64(old.Bad) / float64(old.Bad+old.Good+priorOld)
 	c.test.GoodRate = min(rate+goodOver, maxGoodRate)
 	c.test.BadRate = min(c.test.GoodRate+badOver, 0.95)
 }
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"woaddoor/contract"
 )
 
 func testOrder() Order {
@@ -145,3 +147,40 @@
 		is.True(at > 0 && at < 60)
 	}
 }
+
+// TestEvidenceOfAllVMs shows that VMs which see few answers each find a bad
+// release by what they tell one another, where each alone takes many times as
+// long, and that words which come late or twice change nothing.
+func TestEvidenceOfAllVMs(t *testing.T) {
+	is := is.New(t)
+	const vms = 7
+	r := rand.New(rand.NewPCG(9, 9))
+	answers := func(tell bool) int {
+		var canaries []*Canary
+		for range vms {
+			canaries = append(canaries, NewCanary(testOrder()))
+		}
+		var late Evidence
+		for n := 1; ; n++ {
+			at := n % vms
+			self := Observer{VM: contract.VMID(rune('a' + at))}
+			if canaries[at].Observe(true, r.Float64() < 0.34) {
+				return n
+			}
+			if tell {
+				e := canaries[at].Evidence(self)
+				to := (at + 1) % vms
+				if canaries[to].Hear(append(e, late...), Observer{VM: contract.VMID(rune('a' + to))}) {
+					return n
+				}
+				late = e
+			}
+		}
+	}
+	alone, told := 0, 0
+	for range 50 {
+		alone += answers(false)
+		told += answers(true)
+	}
+	is.True(told*2 < alone)
+}
--- a/site/peers.go
+++ b/site/peers.go
@@ -15,6 +15,7 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/logs"
+	"woaddoor/rollout"
 	"woaddoor/vm"
 )
 
@@ -25,6 +26,9 @@
 	Self    vm.Member   `cbor:"1,keyasint"`
 	Members []vm.Member `cbor:"2,keyasint,omitempty"`
 	Have    []Have      `cbor:"3,keyasint"`
+	// Evidence is what the teller knows to have been counted of releases on
+	// trial.
+	Evidence rollout.Evidence `cbor:"4,keyasint,omitempty"`
 }
 
 // Have is the revision of the newest change of a kind of objects that is known.
@@ -83,6 +87,7 @@
 	// called while it is held.
 	mu     sync.Mutex
 	kinds  map[string]shared
+	trials trials
 	table  *vm.Table
 	listed map[string]bool // link addresses that the store lists
 	ips    map[string]bool
@@ -103,6 +108,19 @@
 	return p
 }
 
+// trials is where evidence of releases on trial comes from and goes to.
+type trials interface {
+	Evidence() rollout.Evidence
+	Hear(e rollout.Evidence)
+}
+
+// judge makes evidence known to others, and to t what they know.
+func (p *Peers) judge(t trials) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trials = t
+}
+
 // share makes a kind of objects known to others.
 func (p *Peers) share(kind string, s shared) {
 	p.mu.Lock()
@@ -258,7 +276,11 @@
 	now := p.now()
 	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
 	kinds := slices.Collect(maps.Values(p.kinds))
+	t := p.trials
 	p.mu.Unlock()
+	if t != nil {
+		w.Evidence = t.Evidence()
+	}
 	for _, s := range kinds {
 		if have, known := s.status(); known {
 			w.Have = append(w.Have, have)
@@ -297,7 +319,11 @@
 		p.know(m.ControlLink)
 	}
 	live := len(p.table.Live(now))
+	t := p.trials
 	p.mu.Unlock()
+	if t != nil {
+		t.Hear(w.Evidence)
+	}
 	if live != before {
 		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before), zap.String("told_by", string(w.Self.VM)))
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -97,6 +97,7 @@
 	s.opts.Peers.share(s.opts.Configurations.Name(), configs)
 	s.opts.Peers.share(s.opts.Upstreams.Name(), upstreams)
 	s.opts.Peers.share(s.opts.Orders.Name(), orders)
+	s.opts.Peers.judge(s.opts.Relay)
 	for _, run := range []func(context.Context){configs.run, upstreams.run, orders.run, s.tick, s.opts.Peers.Run, s.enlist} {
 		wg.Add(1)
 		go func() {
