--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -119,9 +119,10 @@
 	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
-		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
-		VMs:    v.peers.Count,
-		Wake:   func() { v.site.Wake() },
+		Budget:      retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
+		VMs:         v.peers.Count,
+		CanaryShare: s.Bounds.CanaryShare,
+		Wake:        func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
 		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -71,32 +71,26 @@
 
 // observe hands an answer to the verdict on a release on trial.
 func (r *Relay) observe(j *job, a *attempt, bad bool) {
-	r.onTrial(a, func(c *rollout.Canary, trial bool) bool { return c.Observe(trial, bad) })
-}
-
-// Kinds of times that are compared between releases.
-const (
-	kindFirst = "|first"
-	kindEvent = "|event"
-)
-
-// took hands a time of an answer to the verdict on a release on trial.
-func (r *Relay) took(j *job, a *attempt, kind string, d time.Duration) {
-	name := j.Route.Name + "|" + string(j.model) + kind
-	r.onTrial(a, func(c *rollout.Canary, trial bool) bool { return c.Took(trial, name, d.Seconds()) })
-}
-
-// onTrial shows an attempt to the canary of its service, if there is one, and
-// says so when that finds the release bad.
-func (r *Relay) onTrial(a *attempt, show func(c *rollout.Canary, trial bool) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.canaries[a.entry.Service]
 	if c == nil {
 		return
 	}
-	if show(c, a.entry.Release == c.Order().Release) {
+	answer := rollout.Answer{OnTrial: a.entry.Release == c.Order().Release, Failed: bad, Times: a.times}
+	if c.Observe(answer, r.opts.Now()) {
 		r.logVerdict(c)
 		r.wake()
 	}
 }
+
+// Kinds of times that are compared between releases.
+const (
+	kindFirst = "|first"
+	kindEvent = "|event"
+)
+
+// took notes a time of an answer, for the verdict on a release on trial.
+func (a *attempt) took(j *job, kind string, d time.Duration) {
+	a.times = append(a.times, rollout.Time{Kind: j.Route.Name + "|" + string(j.model) + kind, Seconds: d.Seconds()})
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -112,8 +112,8 @@
 		j.note(contract.Ran, true)
 		return nil
 	default:
+		a.took(j, kindFirst, took)
 		r.observe(j, a, false)
-		r.took(j, a, kindFirst, took)
 		r.paced(j, took)
 		j.firstAt = r.opts.Now()
 		j.sends++
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,9 @@
 	Budget retry.WindowOptions
 	// VMs returns how many VMs share the budget and upstreams' connections.
 	VMs func() int
+	// CanaryShare is the largest part of a service's requests that a bad release
+	// may get over the whole of its order.
+	CanaryShare float64
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"woaddoor/contract"
 	"woaddoor/rollout"
 )
@@ -18,7 +20,7 @@
 		c.Update(o)
 		return
 	}
-	r.canaries[o.Service] = rollout.NewCanary(o)
+	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.CanaryShare)
 }
 
 // noteEnd notes how an order ended. The caller holds mu.
@@ -68,6 +70,38 @@
 	return e
 }
 
+// OrderAge is how long ago an order was given.
+type OrderAge struct {
+	Service contract.ServiceID `cbor:"1,keyasint"`
+	Release string             `cbor:"2,keyasint"`
+	Age     time.Duration      `cbor:"3,keyasint"`
+}
+
+// OrderAges returns the ages of open orders that this VM knows by its own clock.
+func (r *Relay) OrderAges() []OrderAge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ages []OrderAge
+	for id, c := range r.canaries {
+		o := c.Order()
+		if age, own := c.Age(r.opts.Now()); own && o.State == rollout.OrderOpen {
+			ages = append(ages, OrderAge{id, o.Release, age})
+		}
+	}
+	return ages
+}
+
+// HearAges takes in the ages that another VM knows.
+func (r *Relay) HearAges(ages []OrderAge) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range ages {
+		if c := r.canaries[a.Service]; c != nil && c.Order().Release == a.Release {
+			c.Told(a.Age, r.opts.Now())
+		}
+	}
+}
+
 // Hear takes in what other VMs have counted.
 func (r *Relay) Hear(e rollout.Evidence) {
 	r.mu.Lock()
--- a/relay/send.go
+++ b/relay/send.go
@@ -7,6 +7,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/exchange"
+	"woaddoor/rollout"
 	"woaddoor/upstream"
 )
 
@@ -62,7 +63,7 @@
 	answer *exchange.Answer
 	head   *Head
 	began  time.Time
-	ended  bool
+	times  []rollout.Time
 	cancel context.CancelFunc
 }
 
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -182,10 +182,10 @@
 	switch {
 	case err == nil:
 		r.ended(j, a.entry, upstream.Good, first)
-		r.observe(j, a, false)
 		if s.passed >= eventsCompared && j.failures == 0 {
-			r.took(j, a, kindEvent, r.opts.Now().Sub(j.firstAt)/time.Duration(s.passed))
+			a.took(j, kindEvent, r.opts.Now().Sub(j.firstAt)/time.Duration(s.passed))
 		}
+		r.observe(j, a, false)
 		j.sends++
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		r.ended(j, a.entry, upstream.Abandoned, 0)
@@ -281,7 +281,7 @@
 	if s.passed == 0 {
 		s.job.firstAt = now
 		s.relay.paced(s.job, now.Sub(a.began))
-		s.relay.took(s.job, a, kindFirst, now.Sub(a.began))
+		a.took(s.job, kindFirst, now.Sub(a.began))
 	}
 	s.passed += n
 	if s.begin(a.head) != nil || s.caller.Pass(whole) != nil {
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -41,19 +41,42 @@
 
 // Stages of an order, as parts of its length. Sessions may move to the release
 // on trial only from half of the order on, and which sessions are under way at
-// other VMs is not known here, so nothing is on trial before that. The rest of
-// the time goes to a trial by few, to steps that show what only load shows, and
-// to requests in flight at the other releases, which end with the order.
-var stages = []struct{ from, share float64 }{{0.52, trialShare}, {0.62, 0.25}, {0.66, 0.5}, {0.70, 1}}
-
+// other VMs is not known here, so nothing is on trial before that. A release
+// that is bad only later, or under a load that does not come, is not found out,
+// and may still get no more than its share of the requests of the whole order:
+// the trial by few, the steps and the end, when all go there, are as long as
+// the share allows.
 const (
-	completeFrom = 0.90
-	// trialShare is the part of sessions on trial at first: enough answers for a
-	// verdict, and half of the smallest share that a deployment allows over the
-	// whole order.
-	trialShare = 0.07
+	trialFrom = 0.52
+	// used is the part of the share that is planned with: the rest is for VMs
+	// that see the order at other moments and for traffic that rises.
+	used = 0.85
+	// Parts of what is used: for the trial, the two steps, and all.
+	usedTrial, usedSteps, usedAll = 0.2, 0.1, 0.7
+	// maxTrial bounds the part of sessions on trial.
+	maxTrial = 0.10
+	// steps are the parts of sessions between the trial and all.
+	stepOne, stepTwo = 0.25, 0.5
+	// completeAfter is the part of the last stage after which the order is
+	// completed: before that, requests at the others end; after it, there is
+	// time to write it down.
+	completeAfter = 0.45
 )
 
+// stage is when a part of sessions is on trial from.
+type stage struct{ from, share float64 }
+
+// planStages returns the stages of an order whose release may get a share of the
+// requests, and when it is completed.
+func planStages(share float64) (stages []stage, complete float64) {
+	all := usedAll * used * share
+	width := usedSteps * used * share / (stepOne + stepTwo)
+	full := 1 - all
+	first := full - 2*width
+	trial := min(usedTrial*used*share/(first-trialFrom), maxTrial)
+	return []stage{{trialFrom, trial}, {first, stepOne}, {full - width, stepTwo}, {full, 1}}, full + completeAfter*all
+}
+
 // Canary decides which of a service's sessions go to a release on trial, and
 // whether it is good. Every VM computes the same from the order and a session's
 // key, so that a session meets the same release at each VM without a word
@@ -63,6 +86,12 @@
 	test  config.Rollout
 	alarm *Alarm
 	slow  *Slowness
+	// stages and complete are the plan of the order.
+	stages   []stage
+	complete float64
+	// firstHand tells whether this VM saw the order before anything was written
+	// of it, so that its age is known by its own clock.
+	firstHand bool
 	// trial and old are what was seen of the two; old gives the rate of
 	// failures that the service has anyway.
 	trial, old Counts
@@ -81,9 +110,11 @@
 	maxGoodRate = 0.6
 )
 
-// NewCanary returns the canary of an order.
-func NewCanary(order Order) *Canary {
-	c := &Canary{order: order}
+// NewCanary returns the canary of an order; share is the largest part of the service's requests that a bad release may
+// get over the whole order.
+func NewCanary(order Order, share float64) *Canary {
+	c := &Canary{order: order, firstHand: order.Began.IsZero()}
+	c.stages, c.complete = planStages(share)
 	c.test = config.Rollout{GoodRate: goodOver, BadRate: goodOver + badOver, FalseAlarm: falseAlarm, Miss: missed}
 	c.alarm = NewAlarm(&c.test, 1)
 	c.slow = NewSlowness()
@@ -117,7 +148,7 @@
 		return 0
 	}
 	share := 0.0
-	for _, s := range stages {
+	for _, s := range c.stages {
 		if c.part(now) >= s.from {
 			share = s.share
 		}
@@ -133,7 +164,7 @@
 
 // Moving tells whether sessions move to the release in numbers, so that it also
 // serves where no other can.
-func (c *Canary) Moving(now time.Time) bool { return c.Share(now) > trialShare }
+func (c *Canary) Moving(now time.Time) bool { return c.Share(now) >= stepOne }
 
 // point places a session in the ramp, 0 to 1, the same at every VM.
 func point(session uint64, o Order) float64 {
@@ -145,27 +176,53 @@
 	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
-// Observe takes in an answer of the release on trial, or of another one. It
-// returns whether the release has just been found bad.
-func (c *Canary) Observe(onTrial, bad bool) bool {
+// Answer is an answer of a service with an order.
+type Answer struct {
+	// OnTrial tells whether it is of the release on trial.
+	OnTrial bool
+	// Failed tells whether the upstream answered with a failure of its own.
+	Failed bool
+	Times  []Time
+}
+
+// Observe takes in an answer. One that failed, or was far slower than those of
+// the other releases, is bad. It returns whether the release has just been
+// found bad.
+func (c *Canary) Observe(a Answer, now time.Time) bool {
+	slow := c.slow.Observe(a.OnTrial, a.Times, now)
 	counts := &c.old
-	if onTrial {
+	if a.OnTrial {
 		counts = &c.trial
 	}
-	if bad {
+	if a.Failed || slow {
 		counts.Bad++
 	} else {
 		counts.Good++
 	}
-	if !onTrial || c.bad || c.order.State != OrderOpen {
+	if !a.OnTrial || c.bad || c.order.State != OrderOpen {
 		return false
 	}
 	sum := c.sumIsBad()
 	c.alarm.test = NewTest(&c.test)
-	c.bad = c.alarm.Observe(bad) || sum
+	c.bad = c.alarm.Observe(a.Failed || slow) || sum
 	return c.bad
 }
 
+// Age returns how long ago the order was given, and whether this VM knows that
+// by its own clock.
+func (c *Canary) Age(now time.Time) (time.Duration, bool) {
+	return now.Sub(c.order.Issued), c.firstHand
+}
+
+// Told takes in the age that a VM knows by its own clock: the VM that saw the
+// order first is right, and so is any against what was read of the time of day.
+func (c *Canary) Told(age time.Duration, now time.Time) {
+	issued := now.Add(-age)
+	if !c.firstHand || issued.Before(c.order.Issued) {
+		c.order.Issued, c.firstHand = issued, true
+	}
+}
+
 // Parts of the evidence of an order, in place of the steps of a ramp.
 const (
 	onTrialPart = 0
@@ -211,16 +268,6 @@
 
 func (c Counts) plus(o Counts) Counts { return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad} }
 
-// Took takes in how long an answer of the release on trial, or of another one,
-// took. It returns whether the release has just been found bad.
-func (c *Canary) Took(onTrial bool, kind string, seconds float64) bool {
-	if c.order.State == OrderOpen && c.slow.Observe(onTrial, kind, seconds) && !c.bad {
-		c.bad = true
-		return true
-	}
-	return false
-}
-
 // priorOld is how many good answers the rate of the others begins with.
 const priorOld = 20
 
@@ -242,7 +289,7 @@
 		return c.order.State, false
 	case c.bad:
 		return OrderUndone, true
-	case c.part(now) >= completeFrom:
+	case c.part(now) >= c.complete:
 		return OrderCompleted, true
 	}
 	return OrderOpen, c.order.Began.IsZero()
--- a/rollout/slowness.go
+++ b/rollout/slowness.go
@@ -1,62 +1,72 @@
 package rollout
 
-import "math"
+import (
+	"math"
+	"time"
+)
+
+// Time is how long an answer took in one respect, such as the time to its first
+// piece on one route with one model. Only times of one kind are compared.
+type Time struct {
+	Kind    string
+	Seconds float64
+}
 
-// Slowness finds a release that takes several times as long as the others. It
-// compares the logarithms of times of the same kind, such as the time to a
-// first answer on one route with one model, and sums up the evidence that the
-// release is slower by slowBy (Page's cumulative sum, as Alarm). It is pure.
+// Slowness tells which times of a release are far above those of the other
+// releases of a service. Times differ by orders of magnitude, so it compares
+// logarithms. It is pure.
 type Slowness struct {
 	kinds map[string]*spread
-	sum   float64
+	// compared is when a time of another release was last seen: what they took
+	// before the load changed says nothing.
+	compared time.Time
 }
 
 // spread is the mean and the variance of the logarithm of one kind of time.
 type spread struct{ n, mean, m2 float64 }
 
 // Parameters of Slowness.
-// Twice as long, as a release that has read no prompts yet may take, is no
-// evidence either way.
-var slowBy = math.Log(4)
+var slowBy = math.Log(3) // between as long, and the several times of a bad release
 
 const (
-	// slowHeight is the evidence that is needed; with a factor of at most
-	// exp(-24) a start from nothing is a false alarm.
-	slowHeight = 24.0
+	// slowDeviations is how many deviations above the mean a time has to be: one
+	// in forty of any release is.
+	slowDeviations = 2.0
 	// slowKnown is how many times of a kind are needed before one is compared.
-	slowKnown = 40
-	// slowStep bounds what one time adds, so that a few stragglers, which any
-	// upstream has, do not make a verdict.
-	slowStep = 2.0
-	// leastVariance is the smallest that is believed.
-	leastVariance = 0.25
+	slowKnown = 20
 	// slowMemory bounds how many times a mean rests on.
 	slowMemory = 500
+	// slowWithin is how recent a time of the others has to be.
+	slowWithin = 3 * time.Second
 )
 
 // NewSlowness returns a comparison that has seen nothing.
 func NewSlowness() *Slowness { return &Slowness{kinds: make(map[string]*spread)} }
 
-// Observe takes in a time, in seconds, of the release or of another one. It
-// tells whether the release counts as slow.
-func (s *Slowness) Observe(onTrial bool, kind string, seconds float64) bool {
-	x := math.Log(max(seconds, 1e-4))
-	k, ok := s.kinds[kind]
+// Observe takes in the times of an answer of the release on trial, or of
+// another one, and tells whether one of them is slow.
+func (s *Slowness) Observe(onTrial bool, times []Time, now time.Time) bool {
+	slow := false
+	for _, t := range times {
+		slow = s.observe(onTrial, t, now) || slow
+	}
+	return slow
+}
+
+func (s *Slowness) observe(onTrial bool, t Time, now time.Time) bool {
+	x := math.Log(max(t.Seconds, 1e-4))
+	k, ok := s.kinds[t.Kind]
 	if !ok {
 		k = &spread{}
-		s.kinds[kind] = k
+		s.kinds[t.Kind] = k
 	}
+	slow := k.n >= slowKnown && x > k.mean+max(slowBy, slowDeviations*math.Sqrt(k.m2/k.n))
 	if !onTrial {
 		k.add(x)
-		return false
-	}
-	if k.n < slowKnown {
-		return false
+		s.compared = now
+		return slow
 	}
-	variance := max(k.m2/k.n, leastVariance)
-	step := ((x-k.mean)*slowBy - slowBy*slowBy/2) / variance
-	s.sum = max(0, s.sum+min(max(step, -slowStep), slowStep))
-	return s.sum >= slowHeight
+	return slow && now.Sub(s.compared) < slowWithin
 }
 
 func (k *spread) add(x float64) {
--- a/site/orders.go
+++ b/site/orders.go
@@ -50,7 +50,7 @@
 // a conflict costs a call.
 const (
 	spreadOpen      = 600 * time.Millisecond
-	spreadCompleted = 1000 * time.Millisecond
+	spreadCompleted = 300 * time.Millisecond
 	spreadUndone    = 150 * time.Millisecond
 	// noteAgain is the pause before a write that failed, or whose effect was
 	// not seen, is tried again.
--- a/site/peers.go
+++ b/site/peers.go
@@ -15,6 +15,7 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/logs"
+	"woaddoor/relay"
 	"woaddoor/rollout"
 	"woaddoor/vm"
 )
@@ -29,6 +30,8 @@
 	// Evidence is what the teller knows to have been counted of releases on
 	// trial.
 	Evidence rollout.Evidence `cbor:"4,keyasint,omitempty"`
+	// Orders are the ages of orders that the teller knows by its own clock.
+	Orders []relay.OrderAge `cbor:"5,keyasint,omitempty"`
 }
 
 // Have is the revision of the newest change of a kind of objects that is known.
@@ -112,6 +115,8 @@
 type trials interface {
 	Evidence() rollout.Evidence
 	Hear(e rollout.Evidence)
+	OrderAges() []relay.OrderAge
+	HearAges(ages []relay.OrderAge)
 }
 
 // judge makes evidence known to others, and to t what they know.
@@ -279,7 +284,7 @@
 	t := p.trials
 	p.mu.Unlock()
 	if t != nil {
-		w.Evidence = t.Evidence()
+		w.Evidence, w.Orders = t.Evidence(), t.OrderAges()
 	}
 	for _, s := range kinds {
 		if have, known := s.status(); known {
@@ -323,6 +328,7 @@
 	p.mu.Unlock()
 	if t != nil {
 		t.Hear(w.Evidence)
+		t.HearAges(w.Orders)
 	}
 	if live != before {
 		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before), zap.String("told_by", string(w.Self.VM)))
