cascade: the largest model answers first where the budget is too small

Change: by the ratio and the part of answers that are poor; and less when the larger model's answers come late.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -12,15 +12,11 @@
 	// PerRank is how much the bar falls with each rank of priority: a poor
 	// answer to an urgent request costs its caller more.
 	PerRank float64
-	// Scarce is the part of the retry budget left below which the bar falls,
-	// down to nothing when none is left. Zero means 0.3.
-	Scarce float64
 }
 
 // Defaults of Bar.
 const (
-	defaultBar    = 0.6
-	defaultScarce = 0.3
+	defaultBar = 0.6
 )
 
 // Answer is what is known of a smaller model's answer.
@@ -29,8 +25,6 @@
 	Confidence float64
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// BudgetLeft is the part of the budget of repeated sends that is left.
-	BudgetLeft float64
 	// Expected is when the larger model's answer is expected to begin, as a part
 	// of the objective: over 1 it would be late.
 	Expected float64
@@ -54,19 +48,48 @@
 )
 
 func (b Bar) height(a Answer) float64 {
-	at, scarce := b.At, b.Scarce
+	at := b.At
 	if at == 0 {
 		at = defaultBar
 	}
-	if scarce == 0 {
-		scarce = defaultScarce
-	}
 	at -= b.PerRank * float64(a.Priority)
-	if a.BudgetLeft < scarce {
-		at *= a.BudgetLeft / scarce
+	return at * Room(a.Expected)
+}
+
+// Room returns how freely the largest model is used, 1 to 0, by when its answer
+// is expected to begin as a part of the objective.
+func Room(expected float64) float64 { return min(max(1-(expected-easy)*lateSlope, 0), 1) }
+
+// LargestFirst returns the part of requests that the largest model is to answer
+// at once, by how many escalations a request the budget allows in the long run,
+// and how many are wanted for each answer of the smaller model. Where the budget
+// is too small for all, a poor answer of the smaller model would stand.
+func LargestFirst(allowed, wanted float64) float64 {
+	if wanted <= allowed {
+		return 0
 	}
-	if over := a.Expected - easy; over > 0 {
-		at *= max(0, 1-over*lateSlope)
+	return 1 - allowed/wanted
+}
+
+// Wanted follows the part of the smaller model's answers that are poor by its
+// own opinion. The zero value takes half to be, which a new deployment soon
+// corrects.
+type Wanted struct{ off float64 }
+
+// Parameters of Wanted.
+const (
+	wantedFirst  = 0.5
+	wantedWeight = 0.01
+)
+
+// Observe takes in whether an answer was poor.
+func (w *Wanted) Observe(poor bool) {
+	x := 0.0
+	if poor {
+		x = 1
 	}
-	return at
+	w.off += wantedWeight * (x - w.Rate())
 }
+
+// Rate returns the part of answers that are poor.
+func (w *Wanted) Rate() float64 { return wantedFirst + w.off }
--- a/relay/models.go
+++ b/relay/models.go
@@ -19,9 +19,14 @@
 	if !j.ChooseModel || len(models) == 0 {
 		return
 	}
-	j.model = models[len(models)-1]
-	if j.Route.Repeatable() && j.Route.MaxAttempts > 1 {
-		j.model = models[0]
+	now := r.opts.Now()
+	largest := cascade.Room(r.expected(j, now))
+	if j.Route.Repeatable() && j.Route.MaxAttempts > 1 { // else it could not be given up for another
+		largest *= cascade.LargestFirst(r.budget(j.service).Steady(retry.ForEscalation), r.wanted.Rate())
+	}
+	j.model = models[0]
+	if r.random.Float64() < largest {
+		j.model = models[len(models)-1]
 	}
 }
 
@@ -29,7 +34,7 @@
 // one of the largest model, and takes that send out of the budget.
 func (r *Relay) escalates(j *job, h *Head) bool {
 	models := j.Route.Models
-	if !j.ChooseModel || j.began || len(models) == 0 || j.model == models[len(models)-1] || j.sends+1 >= j.Route.MaxAttempts {
+	if !j.ChooseModel || j.began || !j.Route.Repeatable() || len(models) == 0 || j.model == models[len(models)-1] || j.sends+1 >= j.Route.MaxAttempts {
 		return false
 	}
 	now := r.opts.Now()
@@ -40,8 +45,9 @@
 	r.locked(func() {
 		w := r.budget(j.service)
 		vms := r.opts.VMs()
-		up = bar.GiveUp(cascade.Answer{Confidence: h.Confidence, Priority: j.Route.Priority, BudgetLeft: w.Left(vms, now), Expected: r.expected(j, now)}) &&
-			w.Take(retry.ForEscalation, vms, now)
+		poor := bar.GiveUp(cascade.Answer{Confidence: h.Confidence, Priority: j.Route.Priority, Expected: r.expected(j, now)})
+		r.wanted.Observe(poor)
+		up = poor && w.Take(retry.ForEscalation, vms, now)
 	})
 	return up
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"woaddoor/cascade"
 	"woaddoor/contract"
 	"woaddoor/exchange"
 	"woaddoor/retry"
@@ -62,6 +63,7 @@
 	// a later order for another release does not bring them back.
 	undone map[contract.ServiceID]map[string]bool
 	paces  map[string]*pace
+	wanted cascade.Wanted
 }
 
 // New returns a relay that knows no upstreams.
--- a/retry/window.go
+++ b/retry/window.go
@@ -99,6 +99,16 @@
 	return max(0, 1-w.used()/allowed)
 }
 
+// Steady returns how many repeated sends for a purpose each request pays for in
+// the long run, without the slack.
+func (w *Window) Steady(p Purpose) float64 {
+	steady := (1 - w.opts.Margin) * w.opts.Ratio
+	if p == ForEscalation {
+		steady *= 1 - w.opts.Reserve
+	}
+	return steady
+}
+
 func (w *Window) allowance(vms int) float64 {
 	requests := 0.0
 	for _, s := range w.slots {
