site: a ledger that was listed whole does not know what came and went before

Cause: the drawn test of ledgers failed once (draws in the note: put and delete of b between two lists of VM 1; VM 0, which had listed b, asked VM 1 for what changed and kept b for good): tombstones stand only for objects that were known. Ruled out: the order of deltas. Change: after each whole list older askers get all objects; a removal of an unknown object is remembered too.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -121,8 +121,8 @@
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget:      retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:         v.peers.Count,
-		CanaryShare: s.Bounds.CanaryShare,
-		Wake:        func() { v.site.Wake() },
+		CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.News(context.Background()) },
+		Wake: func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
 		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -78,10 +78,14 @@
 		return
 	}
 	answer := rollout.Answer{OnTrial: a.entry.Release == c.Order().Release, Failed: bad, Times: a.times}
+	before, _ := c.Counts()
 	if c.Observe(answer, r.opts.Now()) {
 		r.logVerdict(c)
 		r.wake()
 	}
+	if after, _ := c.Counts(); after.Bad > before.Bad && r.opts.BadAnswer != nil {
+		r.opts.BadAnswer()
+	}
 }
 
 // Kinds of times that are compared between releases.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,9 @@
 	// CanaryShare is the largest part of a service's requests that a bad release
 	// may get over the whole of its order.
 	CanaryShare float64
+	// BadAnswer is called, without waiting, at each bad answer of a release on
+	// trial, so that other VMs hear of it at once. May be nil.
+	BadAnswer func()
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -50,7 +50,7 @@
 	trialFrom = 0.52
 	// used is the part of the share that is planned with: the rest is for VMs
 	// that see the order at other moments and for traffic that rises.
-	used = 0.85
+	used = 0.93
 	// Parts of what is used: for the trial, the two steps, and all.
 	usedTrial, usedSteps, usedAll = 0.2, 0.1, 0.7
 	// maxTrial bounds the part of sessions on trial.
@@ -60,7 +60,7 @@
 	// completeAfter is the part of the last stage after which the order is
 	// completed: before that, requests at the others end; after it, there is
 	// time to write it down.
-	completeAfter = 0.45
+	completeAfter = 0.35
 )
 
 // stage is when a part of sessions is on trial from.
--- a/site/ledger.go
+++ b/site/ledger.go
@@ -67,9 +67,7 @@
 				l.remove(name, d.At)
 			}
 		}
-		if !l.known {
-			l.floor = d.At // what was removed before is not known
-		}
+		l.floor = max(l.floor, d.At) // what came and went before is not known
 	}
 	l.known = l.known || d.Full
 	l.at = max(l.at, d.At)
@@ -81,8 +79,8 @@
 	old, had := l.items[i.Name]
 	switch {
 	case i.Deleted:
-		if !had || old.Revision > d.At {
-			return false // gone already, or back since
+		if had && old.Revision > d.At || !had && d.At <= l.at {
+			return false // back since, or gone already
 		}
 		l.remove(i.Name, d.At)
 		return true
--- a/site/orders.go
+++ b/site/orders.go
@@ -44,7 +44,12 @@
 }
 
 // note is when it is to be written next.
-type note struct{ due time.Time }
+type note struct {
+	due time.Time
+	// tried is set once a write was made: while the store is away there is no
+	// point in more, which are paid for.
+	tried bool
+}
 
 // Spread of the writes over VMs: the first write makes the others needless, and
 // a conflict costs a call.
@@ -66,9 +71,10 @@
 		n = &note{due: now.Add(s.turn(v.State))}
 		s.notes[key] = n
 	}
-	if now.Before(n.due) {
+	if now.Before(n.due) || n.tried && s.storeLost() {
 		return
 	}
+	n.tried = true
 	n.due = now.Add(noteAgain)
 	o := v.Order
 	if o.Began.IsZero() {
@@ -87,6 +93,13 @@
 	s.log.Info("order-noted", fields...)
 }
 
+// storeLost tells whether the store does not answer this VM.
+func (s *Site) storeLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing.lost
+}
+
 // turn returns how long this VM waits before it writes.
 func (s *Site) turn(state rollout.OrderState) time.Duration {
 	spread := spreadOpen
