--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"woaddoor/contract"
+	"woaddoor/explain"
+)
+
+// explainCmd tells the life of a request from log lines.
+type explainCmd struct {
+	Request string   `arg:"" help:"The id of the request."`
+	Files   []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
+}
+
+// errNoLine means that no line is of the request.
+var errNoLine = errors.New("no log line is of this request: its VM logged elsewhere, was killed before it ended, or never got it")
+
+// Run runs the command.
+func (c *explainCmd) Run(s *session) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	found, err := explain.Request(s.out, lines, contract.RequestID(c.Request))
+	if err == nil && !found {
+		return fmt.Errorf("%s: %w", c.Request, errNoLine)
+	}
+	return err
+}
+
+// changesCmd tells what changed from log lines.
+type changesCmd struct {
+	Files []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
+}
+
+// Run runs the command.
+func (c *changesCmd) Run(s *session) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	return explain.Changes(s.out, lines)
+}
+
+// readLogs reads the lines of files, or of standard input, in the order of time.
+func readLogs(files []string) ([]*explain.Line, error) {
+	if len(files) == 0 {
+		return readLog(os.Stdin, "standard input")
+	}
+	var all []*explain.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := readLog(f, name)
+		if closed := f.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	explain.Sort(all)
+	return all, nil
+}
+
+func readLog(r io.Reader, name string) ([]*explain.Line, error) {
+	lines, _, err := explain.Read(r)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	explain.Sort(lines)
+	return lines, nil
+}
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -119,8 +119,12 @@
 	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
-		Budget:      retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
-		VMs:         v.peers.Count,
+		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
+		VMs:    v.peers.Count,
+		ListAge: func() time.Duration {
+			_, age := v.site.Ages()
+			return age
+		},
 		CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.News(context.Background()) },
 		Wake: func() { v.site.Wake() },
 	})
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,232 @@
+// Package explain reads the log lines of VMs and tells the life of a request,
+// with what was believed at each step and how old that was, or what changed.
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"woaddoor/contract"
+)
+
+// Line is one log line.
+type Line struct {
+	At     time.Time
+	Event  string
+	VM     string
+	Fields []Field
+}
+
+// Field is one key and value of a line, in the order in which they were written.
+type Field struct{ Key, Value string }
+
+// Value returns the value of a key, or "".
+func (l *Line) Value(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// maxLine bounds one line, in bytes.
+const maxLine = 1 << 20
+
+// Read reads the lines of one file. Lines that are not log lines are left out
+// and counted: a file may hold other output, and a prefix before time= is
+// dropped.
+func Read(r io.Reader) (lines []*Line, others int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for scanner.Scan() {
+		if l := parse(scanner.Text()); l != nil {
+			lines = append(lines, l)
+		} else {
+			others++
+		}
+	}
+	return lines, others, scanner.Err()
+}
+
+// parse returns the line in a text, nil when there is none.
+func parse(text string) *Line {
+	at := strings.Index(text, "time=")
+	if at < 0 {
+		return nil
+	}
+	l := &Line{}
+	d := logfmt.NewDecoder(strings.NewReader(text[at:]))
+	if !d.ScanRecord() {
+		return nil
+	}
+	for d.ScanKeyval() {
+		key, value := string(d.Key()), string(d.Value())
+		switch key {
+		case "time":
+			when, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return nil
+			}
+			l.At = when
+		case "event":
+			l.Event = value
+		case "vm":
+			l.VM = value
+		default:
+			l.Fields = append(l.Fields, Field{key, value})
+		}
+	}
+	if d.Err() != nil || l.Event == "" {
+		return nil
+	}
+	return l
+}
+
+// Sort orders lines by time. Those of one VM keep their order; times of day of
+// VMs may differ.
+func Sort(lines []*Line) {
+	sort.SliceStable(lines, func(a, b int) bool { return lines[a].At.Before(lines[b].At) })
+}
+
+// Request writes the life of a request. It returns whether any line is of it.
+func Request(w io.Writer, lines []*Line, id contract.RequestID) (bool, error) {
+	e := &explainer{w: w, lines: lines}
+	found := false
+	for i, l := range lines {
+		if l.Value("request") != string(id) {
+			continue
+		}
+		found = true
+		e.line(l)
+		e.beliefs(i)
+	}
+	return found, e.err
+}
+
+// explainer writes the steps of a request.
+type explainer struct {
+	w     io.Writer
+	lines []*Line
+	err   error
+}
+
+func (e *explainer) printf(format string, args ...any) {
+	if e.err == nil {
+		_, e.err = fmt.Fprintf(e.w, format, args...)
+	}
+}
+
+// line writes a line of the request, without what every line carries.
+func (e *explainer) line(l *Line) {
+	e.printf("%s %s %s", l.At.Format("15:04:05.000"), l.VM, l.Event)
+	for _, f := range l.Fields {
+		if f.Key != "level" && f.Key != "request" && f.Value != "" {
+			e.printf(" %s=%s", f.Key, quoted(f.Value))
+		}
+	}
+	e.printf("\n")
+}
+
+func quoted(v string) string {
+	if strings.ContainsAny(v, " =\"") {
+		return fmt.Sprintf("%q", v)
+	}
+	return v
+}
+
+// belief is a kind of line that says what a VM believes from then on.
+type belief struct {
+	event string
+	// by is the field that has to be the same in the request's line; "" for
+	// none.
+	by string
+	// show are the fields that are told.
+	show []string
+}
+
+var beliefs = []belief{
+	{"configuration", "", []string{"version", "revision", "from"}},
+	{"upstream", "upstream", []string{"leaving", "gone", "release", "address", "revision"}},
+	{"order", "", []string{"service", "release", "state", "revision"}},
+	{"release-bad", "", []string{"service", "release", "trial_bad", "trial_good", "others_bad", "others_good"}},
+	{"store-lost", "", []string{"kind", "error"}},
+	{"store-regained", "", []string{"kind"}},
+	{"signal", "", []string{"signal"}},
+	{"start", "", nil},
+}
+
+// staleAfter is how long ago a change of the store's reach or of the process
+// still explains a step.
+const staleAfter = time.Minute
+
+// beliefs writes what the VM of a line believed then, and since when.
+func (e *explainer) beliefs(at int) {
+	l := e.lines[at]
+	for _, b := range beliefs {
+		known := e.newest(at, b)
+		if known == nil || b.show == nil && l.At.Sub(known.At) > staleAfter {
+			continue
+		}
+		e.printf("    believed %s since %s (%s before)", b.event, known.At.Format("15:04:05.000"), l.At.Sub(known.At).Round(time.Millisecond))
+		for _, key := range b.show {
+			if v := known.Value(key); v != "" {
+				e.printf(" %s=%s", key, quoted(v))
+			}
+		}
+		e.printf("\n")
+	}
+}
+
+// newest returns the newest line of a belief before a line, at its VM and in
+// the same life of the process.
+func (e *explainer) newest(at int, b belief) *Line {
+	l := e.lines[at]
+	for i := at - 1; i >= 0; i-- {
+		o := e.lines[i]
+		if o.VM != l.VM {
+			continue
+		}
+		if o.Event == b.event && (b.by == "" || o.Value(b.by) == l.Value(b.by)) {
+			return o
+		}
+		if o.Event == "start" {
+			return nil
+		}
+	}
+	return nil
+}
+
+// changes are the events that the audit trail holds: what changed in the
+// configuration, upstreams and orders, and which VMs came and went.
+var changes = map[string]bool{
+	"configuration": true, "upstream": true, "order": true, "order-noted": true, "release-bad": true, "enlisted": true,
+	"start": true, "stop": true, "signal": true, "reload": true, "store-lost": true, "store-regained": true, "vms": true,
+}
+
+// Changes writes what changed, in order: each change of an object once, by its
+// revision, with the VM that knew it first.
+func Changes(w io.Writer, lines []*Line) error {
+	e := &explainer{w: w, lines: lines}
+	told := make(map[string]bool)
+	for _, l := range lines {
+		if !changes[l.Event] {
+			continue
+		}
+		if revision := l.Value("revision"); revision != "" {
+			key := l.Event + "|" + revision + "|" + l.Value("upstream") + "|" + l.Value("gone")
+			if told[key] {
+				continue
+			}
+			told[key] = true
+		}
+		e.line(l)
+	}
+	return e.err
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,60 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const sample = `
+  19.9 vm-a time=2026-05-07T06:48:40Z level=info event=start vm=vm-a
+other output
+time=2026-05-07T06:48:41Z level=info event=configuration vm=vm-a version=7 revision=30 from=store
+time=2026-05-07T06:48:41Z level=info event=configuration vm=vm-b version=7 revision=30 from=vm-a
+time=2026-05-07T06:48:42Z level=info event=upstream vm=vm-a upstream=u1 gone=false leaving=true revision=31
+time=2026-05-07T06:48:43.5Z level=info event=retry vm=vm-a request=r1 upstream=u1 sends=1 why="upstream is silent"
+time=2026-05-07T06:48:44Z level=warn event=refused vm=vm-a request=r1 upstream=u2 reason=no-upstream detail="no upstream"
+time=2026-05-07T06:48:44Z level=info event=delivered vm=vm-b request=r2
+`
+
+func read(t *testing.T) []*Line {
+	t.Helper()
+	lines, others, err := Read(strings.NewReader(sample))
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(others, 2) // an empty line and other output
+	Sort(lines)
+	return lines
+}
+
+// TestRequest checks that a request's steps come with what its VM believed.
+func TestRequest(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	found, err := Request(&out, read(t), "r1")
+	is.NoErr(err)
+	is.True(found)
+	for _, want := range []string{
+		`vm-a retry upstream=u1 sends=1 why="upstream is silent"`,
+		"believed configuration since 06:48:41.000 (2.5s before) version=7 revision=30 from=store",
+		"believed upstream since 06:48:42.000 (1.5s before) leaving=true gone=false revision=31",
+		"vm-a refused upstream=u2 reason=no-upstream",
+	} {
+		is.True(strings.Contains(out.String(), want))
+	}
+	is.True(!strings.Contains(out.String(), "vm-b")) // another VM's beliefs
+	found, err = Request(&out, read(t), "r9")
+	is.NoErr(err)
+	is.True(!found)
+}
+
+// TestChanges checks that each change of an object is told once.
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(Changes(&out, read(t)))
+	is.Equal(strings.Count(out.String(), "configuration version=7"), 1)
+	is.True(strings.Contains(out.String(), "upstream upstream=u1"))
+	is.True(!strings.Contains(out.String(), "refused"))
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -1,12 +1,12 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
-	"woaddoor/retry"
 	"woaddoor/rollout"
 )
 
@@ -21,9 +21,15 @@
 		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome),
 		zap.Int64("took_ms", now.Sub(j.Arrived).Milliseconds()),
 	}
+	if j.escalated {
+		fields = append(fields, zap.Float64("given_up_confidence", j.givenUp))
+	}
 	if !j.firstAt.IsZero() {
 		fields = append(fields, zap.Int64("first_ms", j.firstAt.Sub(j.Arrived).Milliseconds()))
 	}
+	if end == Refused || end == Cut {
+		fields = append(fields, r.beliefs(j)...)
+	}
 	if f != nil {
 		fields = append(fields, zap.String("reason", string(f.Kind)), zap.String("step", string(f.Step)), zap.String("detail", f.Detail))
 	}
@@ -39,14 +45,29 @@
 	}
 }
 
+// beliefs returns what the decisions on a request rested on, and how old it was.
+func (r *Relay) beliefs(j *job) []zap.Field {
+	fields := []zap.Field{}
+	if r.opts.ListAge != nil {
+		fields = append(fields, zap.Int64("list_age_ms", r.opts.ListAge().Milliseconds()))
+	}
+	r.locked(func() {
+		fields = append(fields, zap.Int("upstreams", len(r.entries)), zap.Int("vms", r.opts.VMs()),
+			zap.Float64("budget_left", round(r.budget(j.service).Left(r.opts.VMs(), r.opts.Now()))))
+	})
+	return fields
+}
+
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 // logRetry says why a request is sent once more.
-func (r *Relay) logRetry(j *job, err error, _ retry.Reason) {
+func (r *Relay) logRetry(j *job, err error) {
 	why := "failure of the upstream's own"
 	if err != nil {
 		why = err.Error()
 	}
 	r.log.Info("retry", zap.String("request", string(j.ID)), zap.String("upstream", string(j.last.ID)),
-		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.String("why", why), zap.Duration("left", time.Until(j.Deadline).Round(time.Millisecond)))
+		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.String("why", why), zap.Duration("left", time.Until(j.Deadline).Round(time.Millisecond)), zap.Bool("began", j.began))
 }
 
 // logVerdict says that a release was found bad here.
--- a/relay/models.go
+++ b/relay/models.go
@@ -76,5 +76,5 @@
 	j.sends++
 	j.outcome = contract.Ran
 	j.model = j.Route.Models[len(j.Route.Models)-1]
-	j.confident = a.head.Confidence
+	j.escalated, j.givenUp = true, a.head.Confidence
 }
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -36,11 +36,24 @@
 		if j.release == "" {
 			j.release = r.entries[id].Release
 		}
-		return r.entries[id], nil
+		j.last = r.entries[id]
+		return j.last, nil
 	}
 	return upstream.Entry{}, noUpstream(j)
 }
 
+// another tells whether an upstream other than those that were tried could take
+// the request: without one, silence is waited out.
+func (r *Relay) another(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	exclude := append(slices.Clone(j.exclude), j.last.ID)
+	return slices.ContainsFunc(r.eligible(j, now), func(c candidates) bool {
+		return r.table.Another(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: exclude}, now)
+	})
+}
+
 // candidates are pools to choose from; release is empty when they are of any.
 type candidates struct {
 	release string
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"woaddoor/contract"
-	"woaddoor/retry"
 	"woaddoor/upstream"
 )
 
@@ -129,7 +128,7 @@
 // request that may run again is tried elsewhere after that; any other is waited
 // for to its deadline.
 func (r *Relay) silentAt(j *job, now time.Time) time.Time {
-	if !j.Route.Repeatable() || j.sends+1 >= j.Route.MaxAttempts {
+	if !j.Route.Repeatable() || j.sends+1 >= j.Route.MaxAttempts || !r.another(j) {
 		return j.patient()
 	}
 	var limit time.Duration
@@ -146,5 +145,5 @@
 // retried counts a retry and says why it is made.
 func (r *Relay) retried(j *job, err error) {
 	r.Metrics.retries.Inc(1)
-	r.logRetry(j, err, retry.Reason(""))
+	r.logRetry(j, err)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,9 @@
 	// BadAnswer is called, without waiting, at each bad answer of a release on
 	// trial, so that other VMs hear of it at once. May be nil.
 	BadAnswer func()
+	// ListAge returns how old the store's word on the list of upstreams is. May
+	// be nil.
+	ListAge func() time.Duration
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
--- a/relay/send.go
+++ b/relay/send.go
@@ -50,7 +50,8 @@
 	escalated bool
 	last      upstream.Entry
 	firstAt   time.Time // when the first answer or event came
-	confident float64
+	confident float64   // of the answer that is passed on
+	givenUp   float64   // of the smaller model's that was given up
 	// waitsFor is the upstream at which the present attempt has not begun, and
 	// waitWork what it asks of it.
 	waitsFor contract.UpstreamID
@@ -81,7 +82,6 @@
 	if lastEvent != nil {
 		s.Weights = j.weights
 	}
-	j.last = e
 	x, err := pool.Do(ctx, r.opts.Dialect.Encode(j.Request, s), func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
 	if !timer.Stop() && err == nil {
 		x.Close()
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -264,7 +264,7 @@
 // mayResume tells whether another upstream may go on when the present one is
 // silent.
 func (s *series) mayResume() bool {
-	return s.job.Route.Repeatable() && s.job.sends+1 < s.job.Route.MaxAttempts
+	return s.job.Route.Repeatable() && s.job.sends+1 < s.job.Route.MaxAttempts && s.relay.another(s.job)
 }
 
 // pass gives the whole events among the bytes to the caller.
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -98,6 +98,17 @@
 	return best.upstream.ID, nil
 }
 
+// Another tells whether any upstream that is not known to be ill could take the
+// request.
+func (t *Table) Another(q Query, now time.Time) bool {
+	for _, s := range t.states {
+		if q.allows(s) && t.usable(s, "", now) && s.health.failed < failedLimit && !t.isAway(s, q, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // health is what this VM's own requests tell of a listed upstream.
 type health struct {
 	// failed is the part of late requests that failed, newest counting most.
