--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # The packages with goroutines of their own, and the real programs built with
 # the race detector.
 race:
-	go test -race ./clock ./link ./engine ./history ./operator ./internal/standin/...
+	go test -race ./clock ./link ./engine ./history ./operator ./logs ./site ./platform ./internal/standin/...
 	WOADDOOR_RACE=1 go test ./internal/fleet -count 1 -run 'Ruling|Stream|Rollout|Cascade|PlannedStop|Client|ControlKilled'
 
 # A fixed number of inputs on top of the committed corpus.
@@ -27,6 +27,9 @@
 	go test ./engine -run '^$$' -fuzz FuzzStream -fuzztime 2000x
 	go test ./link -run '^$$' -fuzz FuzzDecode -fuzztime 20000x
 	go test ./config -run '^$$' -fuzz FuzzParse -fuzztime 20000x
+	go test ./stream -run '^$$' -fuzz FuzzEvents -fuzztime 20000x
+	go test ./platform -run '^$$' -fuzz FuzzDecode -fuzztime 20000x
+	go test ./platform -run '^$$' -fuzz FuzzHeaders -fuzztime 20000x
 
 examples: build
 	bin/woaddoor check examples/consorcio.ini
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -81,3 +81,26 @@
 	_, err = Call[echo, echo](t.Context(), a, address, KindVote, echo{Text: "two"})
 	is.True(err != nil)
 }
+
+// TestPeerRestartedSilently shows that a link to a VM that started again at the
+// same address, and that says nothing on links to its former life, is dialled
+// anew after one call has timed out, and not only when it is idle for long.
+func TestPeerRestartedSilently(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(keys.Make(dir, []string{"a", "b"}))
+	a, b := endpoint(t, dir, "a"), endpoint(t, dir, "b")
+	address := b.Address()
+	_, err := Call[echo, echo](t.Context(), a, address, KindVote, echo{Text: "one"})
+	is.NoErr(err)
+	// The socket goes without a word, as that of a killed process does.
+	is.NoErr(b.transport.Conn.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err = Call[echo, echo](ctx, a, address, KindVote, echo{Text: "two"})
+	is.True(err != nil)
+	a.mu.Lock()
+	_, kept := a.conns[address]
+	a.mu.Unlock()
+	is.True(!kept)
+}
--- /dev/null
+++ b/upstream/listed_test.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woaddoor/config"
+	"woaddoor/contract"
+)
+
+// listed returns a table of n upstreams in each of two data centres.
+func listed(n int) (*Table, []Entry) {
+	var entries []Entry
+	for _, dc := range []contract.DataCentreID{"d", "e"} {
+		for i := range n {
+			id := contract.UpstreamID(fmt.Sprintf("%s%d", dc, i))
+			entries = append(entries, Entry{ID: id, Service: "s", Address: string(id), DataCentre: dc, Release: "v1", Slots: 4})
+		}
+	}
+	t := NewTable(Options{Listed: true})
+	t.ConfigureList(entries, func(contract.ServiceID) int { return 8 })
+	return t, entries
+}
+
+var listedQuery = Query{Kind: config.EnginePool, DataCentre: "d"}
+
+// TestPickListed checks what makes the choice leave an upstream, and when it
+// comes back.
+func TestPickListed(t *testing.T) {
+	now := time.Unix(100, 0)
+	picks := func(tb *Table, q Query, now time.Time) map[contract.UpstreamID]int {
+		seen := make(map[contract.UpstreamID]int)
+		r := random()
+		for range 40 {
+			id, err := tb.Pick(q, now, r)
+			if err == nil {
+				seen[id]++
+			}
+		}
+		return seen
+	}
+	t.Run("failing", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(2)
+		for range 3 {
+			tb.Sent("d0")
+			tb.Done("d0", Failed, 0, now)
+		}
+		is.Equal(picks(tb, listedQuery, now)["d0"], 0)
+	})
+	t.Run("unreachable, and its data centre", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(2)
+		q := listedQuery
+		q.DataCentre = "x" // all are far
+		tb.Sent("e0")
+		tb.Done("e0", Unreachable, 0, now)
+		seen := picks(tb, q, now)
+		is.Equal(seen["e0"]+seen["e1"], 0)
+		seen = picks(tb, q, now.Add(awayFor+closedMax))
+		is.True(seen["e1"] > 0)
+	})
+	t.Run("full", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(2)
+		tb.Sent("d0")
+		tb.Done("d0", Full, 0, now)
+		is.Equal(picks(tb, listedQuery, now)["d0"], 0)
+		is.True(picks(tb, listedQuery, now.Add(fullFor))["d0"] > 0)
+	})
+	t.Run("all failing", func(t *testing.T) {
+		is := is.New(t)
+		tb, entries := listed(1)
+		for _, e := range entries {
+			for range 4 {
+				tb.Sent(e.ID)
+				tb.Done(e.ID, Failed, 0, now)
+			}
+		}
+		_, err := tb.Pick(listedQuery, now, random())
+		is.NoErr(err) // better than a refusal without a try
+	})
+	t.Run("long prompt ahead", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(2)
+		w := Work{Prompt: 50000, Scale: 1}
+		tb.Expect("d0", w)
+		is.Equal(picks(tb, listedQuery, now)["d0"], 0)
+		tb.Begun("d0", w)
+		is.True(picks(tb, listedQuery, now)["d0"] > 0)
+	})
+	t.Run("home", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(3)
+		q := listedQuery
+		q.Prefix, q.Work = 77, Work{Prompt: 9000, Shared: 5000, Scale: 1}
+		is.Equal(len(picks(tb, q, now)), 1) // one upstream reads the shared part
+	})
+}
+
+// TestListedNeverLeaving checks, over drawn states, that no pick is of an
+// upstream that leaves, that was tried, or to which this VM holds all its
+// connections.
+func TestListedNeverLeaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tb, entries := listed(2)
+		now := time.Unix(100, 0)
+		r := random()
+		inFlight := make(map[contract.UpstreamID]int)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(entries)-1).Draw(t, "upstream")
+			switch rapid.SampledFrom([]string{"leave", "pick", "done"}).Draw(t, "event") {
+			case "leave":
+				entries[i].Leaving = true
+				tb.ConfigureList(entries, func(contract.ServiceID) int { return 8 })
+			case "pick":
+				q := listedQuery
+				q.Exclude = []contract.UpstreamID{entries[i].ID}
+				id, err := tb.Pick(q, now, r)
+				if err != nil {
+					continue
+				}
+				for _, e := range entries {
+					if e.ID == id && (e.Leaving || id == q.Exclude[0] || inFlight[id] >= 8) {
+						t.Fatalf("picked %+v with %d in flight", e, inFlight[id])
+					}
+				}
+				tb.Sent(id)
+				inFlight[id]++
+			case "done":
+				id := entries[i].ID
+				if inFlight[id] > 0 {
+					inFlight[id]--
+					result := rapid.SampledFrom([]Result{Good, Failed, Full, Unreachable, Abandoned}).Draw(t, "result")
+					tb.Done(id, result, time.Millisecond, now)
+				}
+			}
+		}
+	})
+}
