relay: a request that failed at a suspected release is tried at another

Ruled out: always trying another release, base failures of a good one would move sessions back. Change: once the evidence speaks against the release. Also: the status of what was delivered is logged; explain refuses an empty id.

--- a/command/explain.go
+++ b/command/explain.go
@@ -16,11 +16,17 @@
 	Files   []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
 }
 
+// errNoID means that the id is empty.
+var errNoID = errors.New("the id of the request is empty")
+
 // errNoLine means that no line is of the request.
 var errNoLine = errors.New("no log line is of this request: its VM logged elsewhere, was killed before it ended, or never got it")
 
 // Run runs the command.
 func (c *explainCmd) Run(s *session) error {
+	if c.Request == "" {
+		return errNoID
+	}
 	lines, err := readLogs(c.Files)
 	if err != nil {
 		return err
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -75,6 +75,8 @@
 	others := candidates{ids: all(byRelease, out)}
 	order := []candidates{others}
 	switch {
+	case !j.began && j.failures > 0 && j.release == target && canary.Suspected():
+		order = []candidates{others, onTrial}
 	case j.began && j.release == target: // a stream stays on its release
 		order = []candidates{onTrial, others}
 	case !j.began && canary.Choose(j.Session, now):
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -56,7 +56,7 @@
 }
 
 func (r *Relay) deliver(j *job, c Caller, h *Head, body []byte) (End, *contract.Refusal) {
-	j.outcome = contract.Ran
+	j.outcome, j.status = contract.Ran, h.Status
 	if err := c.Whole(h, body); err != nil {
 		return Gone, nil
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -44,6 +44,7 @@
 	sends    int // that may have reached an upstream
 	failures int // of any kind
 	outcome  contract.Outcome
+	status   int // of the answer that was delivered
 	weights  string
 	// began is set once the caller has the head of a stream.
 	began     bool
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -75,7 +75,7 @@
 
 // finish ends a series that is whole.
 func (s *series) finish() (End, *contract.Refusal) {
-	s.job.outcome = contract.Ran
+	s.job.outcome, s.job.status = contract.Ran, http.StatusOK
 	if s.failure != nil { // an answer that is not a series
 		return s.relay.deliver(s.job, s.caller, s.failure, s.body)
 	}
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -260,10 +260,19 @@
 }
 
 // sumIsBad judges what all VMs have counted together.
-func (c *Canary) sumIsBad() bool {
-	trial, old := c.trial.plus(c.heard.Sum(c.key(), onTrialPart)), c.old.plus(c.heard.Sum(c.key(), othersPart))
-	c.level(old)
-	return NewTest(&c.test).Judge(trial) == Bad
+func (c *Canary) sumIsBad() bool { return NewTest(&c.test).Judge(c.sum()) == Bad }
+
+// sum returns what all VMs have counted of the release on trial, and sets what
+// counts as good.
+func (c *Canary) sum() Counts {
+	c.level(c.old.plus(c.heard.Sum(c.key(), othersPart)))
+	return c.trial.plus(c.heard.Sum(c.key(), onTrialPart))
+}
+
+// Suspected tells whether a request that failed at the release is better tried
+// at another one.
+func (c *Canary) Suspected() bool {
+	return c.order.State == OrderOpen && (c.bad || NewTest(&c.test).Suspects(c.sum()))
 }
 
 func (c Counts) plus(o Counts) Counts { return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad} }
--- a/rollout/test.go
+++ b/rollout/test.go
@@ -59,9 +59,19 @@
 	Bad  int64 `cbor:"2,keyasint"`
 }
 
+// suspectPart is the part of the evidence for a halt from which a release is
+// suspected.
+const suspectPart = 0.4
+
+// Suspects tells whether the counts speak against the version, though not yet
+// enough to halt it.
+func (t Test) Suspects(c Counts) bool { return t.sum(c) >= suspectPart*t.halt }
+
+func (t Test) sum(c Counts) float64 { return float64(c.Bad)*t.onBad + float64(c.Good)*t.onGood }
+
 // Judge returns the verdict on the counts.
 func (t Test) Judge(c Counts) Verdict {
-	sum := float64(c.Bad)*t.onBad + float64(c.Good)*t.onGood
+	sum := t.sum(c)
 	switch {
 	case sum >= t.halt:
 		return Bad
