--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -58,14 +58,18 @@
 	return out
 }
 
-// Evidence returns what this VM, and those it has heard of, have counted of
-// releases on trial.
-func (r *Relay) Evidence() rollout.Evidence {
+// Evidence returns what this VM tells one of its own data centre, or of another,
+// of releases on trial.
+func (r *Relay) Evidence(near bool) rollout.Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var e rollout.Evidence
 	for _, c := range r.canaries {
-		e = append(e, c.Evidence(r.opts.Self)...)
+		if near {
+			e = append(e, c.Evidence(r.opts.Self, r.opts.DataCentre)...)
+		} else {
+			e = append(e, c.FarEvidence(r.opts.Self, r.opts.DataCentre)...)
+		}
 	}
 	return e
 }
@@ -107,7 +111,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.canaries {
-		if len(e) > 0 && c.Hear(e, r.opts.Self) {
+		if len(e) > 0 && c.Hear(e, r.opts.Self, r.opts.DataCentre) {
 			r.logVerdict(c)
 			r.wake()
 		}
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,6 +98,7 @@
 	trial, old Counts
 	// heard is what other VMs have counted.
 	heard Evidence
+	dc    contract.DataCentreID // of this VM, once it has heard another
 	bad   bool
 }
 
@@ -229,16 +231,41 @@
 	othersPart  = 1
 )
 
-// Evidence returns what this VM, under a name, and those it has heard of have
-// counted of the order; nothing once the order has ended.
-func (c *Canary) Evidence(self Observer) Evidence {
+// totalOf names what all VMs of a data centre have counted together.
+func totalOf(dc contract.DataCentreID) Observer {
+	return Observer{VM: contract.VMID("total of " + string(dc))}
+}
+
+// Evidence returns what this VM tells a VM of its own data centre of the order:
+// what it has counted itself, and the totals of data centres; nothing once the
+// order has ended.
+func (c *Canary) Evidence(self Observer, dc contract.DataCentreID) Evidence {
+	totals := c.FarEvidence(self, dc)
+	if totals == nil {
+		return nil
+	}
+	others := c.heard.Of(func(o Observer) bool { return o.isTotal() && o != totalOf(dc) })
+	return append(append(c.own(self), totals...), others...)
+}
+
+// FarEvidence returns what this VM tells one of another data centre: the total
+// of its own, whose size does not grow with the VMs.
+func (c *Canary) FarEvidence(self Observer, dc contract.DataCentreID) Evidence {
 	if c.order.State != OrderOpen || c.trial.Good+c.trial.Bad == 0 && len(c.heard) == 0 {
 		return nil
 	}
-	own := Evidence{{self, c.key(), onTrialPart, c.trial}, {self, c.key(), othersPart, c.old}}
-	return Merge(c.heard.Of(func(o Observer) bool { return o != self }), own)
+	near := c.heard.Of(func(o Observer) bool { return !o.isTotal() && o != self })
+	known := append(near, c.own(self)...).Total(totalOf(dc))
+	return Merge(known, c.heard.Of(func(o Observer) bool { return o == totalOf(dc) }))
 }
 
+func (c *Canary) own(self Observer) Evidence {
+	return Evidence{{self, c.key(), onTrialPart, c.trial}, {self, c.key(), othersPart, c.old}}
+}
+
+// isTotal tells whether a line of evidence is the total of a data centre.
+func (o Observer) isTotal() bool { return strings.HasPrefix(string(o.VM), "total of ") }
+
 // key names the order in evidence.
 func (c *Canary) key() contract.VersionID {
 	return contract.VersionID(string(c.order.Service) + "/" + c.order.Release)
@@ -246,7 +273,8 @@
 
 // Hear takes in what other VMs have counted. Evidence may come late, twice and
 // in any order. It returns whether the release has just been found bad.
-func (c *Canary) Hear(e Evidence, self Observer) bool {
+func (c *Canary) Hear(e Evidence, self Observer, dc contract.DataCentreID) bool {
+	c.dc = dc
 	for _, count := range e {
 		if count.Version == c.key() && count.Observer != self {
 			c.heard = Merge(c.heard, Evidence{count})
@@ -265,8 +293,17 @@
 // sum returns what all VMs have counted of the release on trial, and sets what
 // counts as good.
 func (c *Canary) sum() Counts {
-	c.level(c.old.plus(c.heard.Sum(c.key(), othersPart)))
-	return c.trial.plus(c.heard.Sum(c.key(), onTrialPart))
+	c.level(c.sumOf(othersPart, c.old))
+	return c.sumOf(onTrialPart, c.trial)
+}
+
+// sumOf adds up what is known of a part: of the own data centre the larger of
+// its total and of what its VMs have told one by one, of others their totals.
+func (c *Canary) sumOf(part int, own Counts) Counts {
+	near := c.heard.Of(func(o Observer) bool { return !o.isTotal() }).Sum(c.key(), part).plus(own)
+	total := c.heard.Of(func(o Observer) bool { return o == totalOf(c.dc) }).Sum(c.key(), part)
+	far := c.heard.Of(func(o Observer) bool { return o.isTotal() && o != totalOf(c.dc) }).Sum(c.key(), part)
+	return Counts{Good: max(near.Good, total.Good), Bad: max(near.Bad, total.Bad)}.plus(far)
 }
 
 // Suspected tells whether a request that failed at the release is better tried
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -230,9 +230,9 @@
 				return n
 			}
 			if tell {
-				e := canaries[at].Evidence(self)
-				to := (at + 1) % vms
-				if canaries[to].Hear(append(e, late...), Observer{VM: contract.VMID(rune('a' + to))}) {
+				e := canaries[at].Evidence(self, "d")
+				to := r.IntN(vms) // words go to VMs drawn at random
+				if canaries[to].Hear(append(e, late...), Observer{VM: contract.VMID(rune('a' + to))}, "d") {
 					return n
 				}
 				late = e
@@ -246,3 +246,42 @@
 	}
 	is.True(told*2 < alone)
 }
+
+// TestEvidenceOfDataCentres shows that what VMs tell does not grow with their
+// number, that each knows what all have counted, and no more than that.
+func TestEvidenceOfDataCentres(t *testing.T) {
+	is := is.New(t)
+	type member struct {
+		canary *Canary
+		self   Observer
+		dc     contract.DataCentreID
+	}
+	var vms []member
+	for _, dc := range []contract.DataCentreID{"d", "e", "f"} {
+		for i := range 12 {
+			vms = append(vms, member{NewCanary(testOrder(), 0.15), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc})
+		}
+	}
+	for _, m := range vms {
+		for range 5 {
+			m.canary.Observe(Answer{OnTrial: true}, time.Unix(0, 0))
+		}
+	}
+	longest := 0
+	for range 3 { // words among all, some of them twice
+		for _, from := range vms {
+			for _, to := range vms {
+				e := from.canary.FarEvidence(from.self, from.dc)
+				if from.dc == to.dc {
+					e = from.canary.Evidence(from.self, from.dc)
+				}
+				longest = max(longest, len(e))
+				to.canary.Hear(e, to.self, to.dc)
+			}
+		}
+	}
+	for _, m := range vms {
+		is.Equal(m.canary.sum(), Counts{Good: int64(5 * len(vms))})
+	}
+	is.True(longest <= 2+2*3)
+}
--- a/site/listing_test.go
+++ b/site/listing_test.go
@@ -194,3 +194,32 @@
 		}
 	})
 }
+
+// TestStaleObject shows that an object which was removed does not come back by a
+// delta from before its removal, and does by the store's own list.
+func TestStaleObject(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("k")
+	a := Raw{Name: "a", Revision: 2}
+	l.Apply(Delta{Full: true, At: 3, Items: []Raw{a}})
+	l.Apply(Delta{At: 5, Items: []Raw{{Name: "a", Revision: 2, Deleted: true}}})
+	is.Equal(l.Apply(Delta{At: 4, Items: []Raw{a}}), []bool{false})
+	is.Equal(len(l.Since(0, false).Items), 0)
+	back := Raw{Name: "a", Revision: 6}
+	is.Equal(l.Apply(Delta{Full: true, At: 7, Items: []Raw{back}}), []bool{true})
+	is.Equal(len(l.Since(0, false).Items), 1)
+}
+
+// TestRemovalBetweenLists shows that a VM which listed everything twice does not
+// pretend to know what came and went in between: whoever asks from then gets all.
+func TestRemovalBetweenLists(t *testing.T) {
+	is := is.New(t)
+	a := Raw{Name: "a", Revision: 2}
+	teller, asker := NewLedger("k"), NewLedger("k")
+	teller.Apply(Delta{Full: true, At: 3, Items: []Raw{a}})
+	asker.Apply(Delta{Full: true, At: 5, Items: []Raw{a, {Name: "b", Revision: 5}}})
+	teller.Apply(Delta{Full: true, At: 6, Items: []Raw{a}}) // b came and went
+	at, known := asker.At()
+	asker.Apply(teller.Since(at, known))
+	is.Equal(len(asker.Since(0, false).Items), 1)
+}
--- a/site/peers.go
+++ b/site/peers.go
@@ -74,6 +74,9 @@
 	speakers = 2
 	// watchers is how many VMs of a data centre watch the store for all.
 	watchers = 1
+	// newsEvery is the least time between two rounds of news of one VM: changes
+	// come in bursts of dozens, and one word tells them all.
+	newsEvery = 80 * time.Millisecond
 	// introduceEvery is how often a VM that knows no other looks for some.
 	introduceEvery = time.Second
 )
@@ -83,6 +86,8 @@
 	endpoint *link.Endpoint
 	log      *zap.Logger
 	now      func() time.Time
+	dc       contract.DataCentreID
+	news     *spaced
 	// seeds are link addresses at which VMs may be found.
 	seeds []string
 
@@ -100,7 +105,7 @@
 // NewPeers returns the peers of the VM self.
 func NewPeers(endpoint *link.Endpoint, self vm.Member, seeds []string, log *zap.Logger, now func() time.Time) *Peers {
 	p := &Peers{
-		endpoint: endpoint, log: log, now: now, kinds: make(map[string]shared), seeds: seeds,
+		endpoint: endpoint, dc: self.DataCentre, news: newSpaced(newsEvery), log: log, now: now, kinds: make(map[string]shared), seeds: seeds,
 		table: vm.NewTable(self), listed: make(map[string]bool), ips: make(map[string]bool), lost: make(map[contract.VMID]bool),
 	}
 	for _, s := range seeds {
@@ -113,7 +118,7 @@
 
 // trials is where evidence of releases on trial comes from and goes to.
 type trials interface {
-	Evidence() rollout.Evidence
+	Evidence(near bool) rollout.Evidence
 	Hear(e rollout.Evidence)
 	OrderAges() []relay.OrderAge
 	HearAges(ages []relay.OrderAge)
@@ -188,13 +193,17 @@
 	go func() { _ = p.endpoint.Serve(ctx) }() // ends with the endpoint
 	var introduced time.Time
 	for tick := 0; ctx.Err() == nil; tick++ {
-		for _, address := range p.targets(tick) {
-			go p.tell(ctx, address)
+		near, far := p.targets(tick)
+		for _, address := range near {
+			go p.tell(ctx, address, true)
+		}
+		for _, address := range far {
+			go p.tell(ctx, address, false)
 		}
 		if now := p.now(); now.Sub(introduced) > introduceEvery {
 			introduced = now
 			for _, address := range p.strangers() {
-				go p.tell(ctx, address)
+				go p.tell(ctx, address, false)
 			}
 		}
 		clock.Pause(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(beatEvery)))
@@ -202,7 +211,7 @@
 }
 
 // targets returns whom to tell at a beat.
-func (p *Peers) targets(tick int) []string {
+func (p *Peers) targets(tick int) (toNear, toFar []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -212,18 +221,17 @@
 	if p.table.Watches(watchers, now) {
 		beats = len(near) // they go by what the watcher tells
 	}
-	var out []string
 	for _, m := range near[:min(beats, len(near))] {
-		out = append(out, m.ControlLink)
+		toNear = append(toNear, m.ControlLink)
 	}
 	if tick%farEvery == 0 && p.table.Watches(speakers, now) {
 		for _, m := range p.table.Far(speakers, now) {
 			if rand.IntN(speakers) == 0 {
-				out = append(out, m.ControlLink)
+				toFar = append(toFar, m.ControlLink)
 			}
 		}
 	}
-	return out
+	return toNear, toFar
 }
 
 // Place returns this VM's place among those of its data centre that watch the
@@ -237,13 +245,15 @@
 // News tells the VMs of this data centre, and some of each other one, at once
 // that the store has told of a change.
 func (p *Peers) News(ctx context.Context) {
-	p.tellNear(ctx)
-	p.mu.Lock()
-	far := p.table.Far(speakers, p.now())
-	p.mu.Unlock()
-	for _, m := range far {
-		go p.tell(ctx, m.ControlLink)
-	}
+	p.news.ask(func() {
+		p.tellNear(ctx)
+		p.mu.Lock()
+		far := p.table.Far(speakers, p.now())
+		p.mu.Unlock()
+		for _, m := range far {
+			go p.tell(ctx, m.ControlLink, false)
+		}
+	})
 }
 
 func (p *Peers) tellNear(ctx context.Context) {
@@ -251,7 +261,7 @@
 	near := p.table.Near(p.now())
 	p.mu.Unlock()
 	for _, m := range near {
-		go p.tell(ctx, m.ControlLink)
+		go p.tell(ctx, m.ControlLink, true)
 	}
 }
 
@@ -276,7 +286,7 @@
 }
 
 // word returns what this VM tells.
-func (p *Peers) word() Word {
+func (p *Peers) word(near bool) Word {
 	p.mu.Lock()
 	now := p.now()
 	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
@@ -284,7 +294,7 @@
 	t := p.trials
 	p.mu.Unlock()
 	if t != nil {
-		w.Evidence, w.Orders = t.Evidence(), t.OrderAges()
+		w.Evidence, w.Orders = t.Evidence(near), t.OrderAges()
 	}
 	for _, s := range kinds {
 		if have, known := s.status(); known {
@@ -295,10 +305,10 @@
 }
 
 // tell sends a word and takes in the one that comes back.
-func (p *Peers) tell(ctx context.Context, address string) {
+func (p *Peers) tell(ctx context.Context, address string, near bool) {
 	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
 	defer cancel()
-	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, p.word())
+	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, p.word(near))
 	if err != nil {
 		p.log.Debug("peer-silent", logs.Failure(err)...)
 		return
@@ -308,7 +318,7 @@
 
 func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
 	go p.heard(context.WithoutCancel(ctx), w)
-	return p.word(), nil
+	return p.word(w.Self.DataCentre == p.dc), nil
 }
 
 // heard takes in a word, and asks its teller for what is newer there.
@@ -344,8 +354,8 @@
 			news = true
 		}
 	}
-	if news && w.Self.DataCentre != p.table.Self().DataCentre {
-		p.tellNear(ctx) // the others here may have nobody who speaks with that VM
+	if news && w.Self.DataCentre != p.dc {
+		p.news.ask(func() { p.tellNear(ctx) }) // the others here may have nobody who speaks with that VM
 	}
 }
 
