site: changes gathered before the next watch; at the first start one asks for all

Change: a pause of 80 ms after a change, waiting only at the first start of the system, the list of VMs read once a minute.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -129,7 +129,7 @@
 		Wake: func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
-		VM: s.Name, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
+		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
 		Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
 		Peers: v.peers, VMs: store.VMs, Link: s.Listen.Links,
 		PutVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
--- /dev/null
+++ b/daemon/vm_test.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/internal/standin/objects"
+	"woaddoor/internal/standin/replica"
+)
+
+// asVM makes the test binary run as woaddoor-vm, so that real processes get
+// real signals.
+const asVM = "WOADDOOR_TEST_AS_VM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asVM) != "" {
+		os.Exit(VM(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// ports returns n addresses on loopback that were free a moment ago.
+func ports(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+// process is a running woaddoor-vm.
+type process struct {
+	*exec.Cmd
+	callers, ready, metrics string
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func settingsText(store string, addresses []string) string {
+	_, metrics, _ := net.SplitHostPort(addresses[3])
+	return fmt.Sprintf(`[vm]
+name = vm1
+data-centre = d
+
+[listen]
+callers = %s
+ready = %s
+links = %s
+metrics-port = %s
+
+[store]
+address = %s
+
+[bounds]
+grace = 4s
+retry-ratio = 0.5
+`, addresses[0], addresses[1], addresses[2], metrics, store)
+}
+
+func startVM(t *testing.T, settings string, addresses []string) *process {
+	t.Helper()
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "vm.ini")
+	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	p := &process{Cmd: exec.Command(os.Args[0], "run", "--settings", path)}
+	if addresses != nil {
+		p.callers, p.ready, p.metrics = addresses[0], addresses[1], addresses[3]
+	}
+	p.Env = append(os.Environ(), asVM+"=1")
+	p.Stdout, p.Stderr = p, p
+	is.NoErr(p.Start())
+	t.Cleanup(func() { _ = p.Process.Kill(); _ = p.Wait() })
+	return p
+}
+
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come about")
+		}
+	}
+}
+
+// servingVM starts the stand-ins and a VM that is ready.
+func servingVM(t *testing.T, h replica.Handler) *process {
+	t.Helper()
+	is := is.New(t)
+	store := objects.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	u, err := replica.Start("u1", h)
+	is.NoErr(err)
+	t.Cleanup(u.Close)
+	store.Put("config", "main", map[string]any{
+		"Version":  1,
+		"Routes":   []map[string]any{{"Name": "r", "Host": "a.example", "PathPrefix": "/s/", "Kind": "streaming", "Service": "s", "TimeoutMs": 9000, "TargetLatencyMs": 1000, "MaxAttempts": 1}},
+		"Services": []map[string]any{{"Name": "s", "MaxConnections": 40}},
+	})
+	store.Put("servers", "u1", map[string]any{"Service": "s", "Address": u.Address(), "Zone": "d", "Version": "v1", "Slots": 4, "State": "ready"})
+	addresses := ports(t, 4)
+	p := startVM(t, settingsText(server.Listener.Addr().String(), addresses), addresses)
+	until(t, func() bool { return p.status("http://"+p.ready+"/api/readyz") == http.StatusOK })
+	until(t, func() bool { return strings.Contains(p.text(), "event=upstream") })
+	return p
+}
+
+func (p *process) status(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestPlannedStopCutsNothing stops a VM in the middle of a stream: the stream
+// ends whole, new connections are told to close, and the process ends by itself.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	goOn := make(chan struct{})
+	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
+		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.Event(1, "a")
+		close(begun)
+		<-goOn
+		c.Event(2, "b")
+		c.EndStream()
+		return true
+	})
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/s/x", strings.NewReader("b"))
+	is.NoErr(err)
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", "r1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	<-begun
+	is.NoErr(p.Process.Signal(syscall.SIGTERM))
+	until(t, func() bool { return p.status("http://"+p.ready+"/api/readyz") == http.StatusServiceUnavailable })
+	close(goOn)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err) // whole
+	is.Equal(string(body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	is.NoErr(p.Wait())
+	is.True(strings.Contains(p.text(), "event=stop")) // its last line
+	is.True(strings.Contains(p.text(), "whole=true"))
+}
+
+// TestReloadSaysWhatItDoes checks that SIGHUP loses nothing and says what has
+// become of the settings, also when they are broken.
+func TestReloadSaysWhatItDoes(t *testing.T) {
+	is := is.New(t)
+	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
+		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.EndStream()
+		return true
+	})
+	is.NoErr(p.Process.Signal(syscall.SIGHUP))
+	until(t, func() bool { return strings.Contains(p.text(), "event=reload") })
+	is.NoErr(os.WriteFile(p.Args[3], []byte("[vm\n"), 0o600))
+	is.NoErr(p.Process.Signal(syscall.SIGHUP))
+	until(t, func() bool { return strings.Contains(p.text(), "event=reload-failed") })
+	is.Equal(p.status("http://"+p.ready+"/api/readyz"), http.StatusOK)
+}
+
+// TestBrokenSettings checks that each fault ends the process with one line that
+// names file and key.
+func TestBrokenSettings(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer taken.Close()
+	addresses := ports(t, 4)
+	good := settingsText("127.0.0.1:1", addresses)
+	for name, c := range map[string]struct {
+		text, want string
+		code       int
+	}{
+		"not a file of settings": {"[vm\n", "vm.ini:1:", exitSettings},
+		"field missing":          {strings.Replace(good, "name = vm1\n", "", 1), "[vm] name: is missing or empty", exitSettings},
+		"no address":             {strings.Replace(good, "callers = "+addresses[0], "callers = x", 1), `[listen] callers: is "x"`, exitSettings},
+		"not a number":           {strings.Replace(good, "0.5", "many", 1), `[bounds] retry-ratio: is "many"`, exitSettings},
+		"address in use":         {strings.Replace(good, addresses[0], taken.Addr().String(), 1), "[listen] callers", exitFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := startVM(t, c.text, nil)
+			err := p.Wait()
+			exit, ok := err.(*exec.ExitError)
+			is.True(ok)
+			is.Equal(exit.ExitCode(), c.code)
+			is.True(strings.Contains(p.text(), c.want))
+			is.True(strings.Contains(p.text(), "vm.ini"))
+		})
+	}
+}
+
+// TestMetricNames checks that what is served and the operators' page name the
+// same metrics.
+func TestMetricNames(t *testing.T) {
+	is := is.New(t)
+	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
+		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.EndStream()
+		return true
+	})
+	resp, err := http.Get("http://" + p.metrics + pathMetrics)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	is.NoErr(err)
+	scanner := bufio.NewScanner(resp.Body)
+	variable := regexp.MustCompile(`^(store_calls|refusals)_`)
+	for scanner.Scan() {
+		name, _, _ := strings.Cut(scanner.Text(), " ")
+		name, _, _ = strings.Cut(name, "{")
+		name = strings.TrimSuffix(name, "_count")
+		if name == "" || variable.MatchString(name) {
+			continue
+		}
+		if !strings.Contains(string(page), "`"+name+"`") {
+			t.Errorf("%s is served and not in docs/OPERATIONS.md", name)
+		}
+	}
+	is.NoErr(scanner.Err())
+}
--- a/site/enlist.go
+++ b/site/enlist.go
@@ -14,7 +14,7 @@
 // writes itself there and then speaks to all it finds.
 const (
 	enlistAgain = 700 * time.Millisecond
-	enlistEvery = 20 * time.Second
+	enlistEvery = time.Minute
 )
 
 // enlist writes this VM into the store's list of VMs and reads who is there.
--- a/site/follow.go
+++ b/site/follow.go
@@ -30,8 +30,15 @@
 	// heardOfLate is how old a peer's word of the store may be to show that the
 	// store serves.
 	heardOfLate = time.Second
+	// gather is the pause after a change before the next watch: changes come in
+	// bursts, and one call then brings several.
+	gather = 80 * time.Millisecond
+	// introduced is how long a VM waits at the first start of the system, when
+	// all start at once and no caller comes yet, for one to ask the store for
+	// the others; later by place.
+	introduced = 500 * time.Millisecond
 	// lookAgain is how often a VM that does not watch looks whether it should.
-	lookAgain = 100 * time.Millisecond
+	lookAgain = 50 * time.Millisecond
 	// pauseMin and pauseMax bound the pause after a failed call: refused calls
 	// are paid for, and a configuration has to be known within seconds of the
 	// store's return.
@@ -63,6 +70,9 @@
 	// from the store and from peers take effect one after the other.
 	mu     sync.Mutex
 	ledger *Ledger
+	// started is when this VM began at the first start of the system; zero at
+	// any later one, when callers wait.
+	started time.Time
 	// fresh is when the store last said that nothing newer is there, to this VM
 	// or to one that told it.
 	fresh time.Time
@@ -99,14 +109,17 @@
 // for its data centre, or the store's word has become old.
 func (f *follower[T]) watches() bool {
 	place := f.place()
-	if place < watchers {
-		return true
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, known := f.ledger.At()
+	if !known {
+		return f.now().Sub(f.started) > introduced+staleStep*time.Duration(min(place, maxStaleSteps))
+	}
+	if place < watchers {
+		return true
+	}
 	age := f.now().Sub(f.fresh)
-	return !known || age > staleAfter+staleStep*time.Duration(min(place, maxStaleSteps))
+	return age > staleAfter+staleStep*time.Duration(min(place, maxStaleSteps))
 }
 
 // pauseAfter returns the pause after n failed calls, spread so that VMs do not
@@ -140,6 +153,9 @@
 		return err
 	}
 	f.told(c, false)
+	if len(c.Items) > 0 {
+		clock.Pause(ctx, gather)
+	}
 	return nil
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -99,14 +99,15 @@
 	table  *vm.Table
 	listed map[string]bool // link addresses that the store lists
 	ips    map[string]bool
-	lost   map[contract.VMID]bool
+	// alive is how many VMs lived at the last beat.
+	alive int
 }
 
 // NewPeers returns the peers of the VM self.
 func NewPeers(endpoint *link.Endpoint, self vm.Member, seeds []string, log *zap.Logger, now func() time.Time) *Peers {
 	p := &Peers{
 		endpoint: endpoint, dc: self.DataCentre, news: newSpaced(newsEvery), log: log, now: now, kinds: make(map[string]shared), seeds: seeds,
-		table: vm.NewTable(self), listed: make(map[string]bool), ips: make(map[string]bool), lost: make(map[contract.VMID]bool),
+		table: vm.NewTable(self), listed: make(map[string]bool), ips: make(map[string]bool),
 	}
 	for _, s := range seeds {
 		p.know(s)
@@ -181,6 +182,9 @@
 	}
 }
 
+// Expected tells whether this VM has addresses at which others may be.
+func (p *Peers) Expected() bool { return len(p.seeds) > 0 }
+
 // Count returns how many VMs there are: those that live, or are listed.
 func (p *Peers) Count() int {
 	p.mu.Lock()
@@ -193,6 +197,7 @@
 	go func() { _ = p.endpoint.Serve(ctx) }() // ends with the endpoint
 	var introduced time.Time
 	for tick := 0; ctx.Err() == nil; tick++ {
+		p.count()
 		near, far := p.targets(tick)
 		for _, address := range near {
 			go p.tell(ctx, address, true)
@@ -210,6 +215,18 @@
 	}
 }
 
+// count logs how many VMs live when that has changed since the last beat.
+func (p *Peers) count() {
+	p.mu.Lock()
+	live := len(p.table.Live(p.now()))
+	before := p.alive
+	p.alive = live
+	p.mu.Unlock()
+	if live != before {
+		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before))
+	}
+}
+
 // targets returns whom to tell at a beat.
 func (p *Peers) targets(tick int) (toNear, toFar []string) {
 	p.mu.Lock()
@@ -325,7 +342,6 @@
 func (p *Peers) heard(ctx context.Context, w Word) {
 	p.mu.Lock()
 	now := p.now()
-	before := len(p.table.Live(now))
 	w.Self.Age = 0
 	p.table.Heard(w.Self, now)
 	p.know(w.Self.ControlLink)
@@ -333,16 +349,12 @@
 		p.table.Heard(m, now)
 		p.know(m.ControlLink)
 	}
-	live := len(p.table.Live(now))
 	t := p.trials
 	p.mu.Unlock()
 	if t != nil {
 		t.Hear(w.Evidence)
 		t.HearAges(w.Orders)
 	}
-	if live != before {
-		p.log.Info("vms", zap.Int("live", live), zap.Int("before", before), zap.String("told_by", string(w.Self.VM)))
-	}
 	news := false
 	for _, h := range w.Have {
 		s := p.kind(h.Kind)
--- a/site/site.go
+++ b/site/site.go
@@ -17,7 +17,9 @@
 
 // Options set up a Site.
 type Options struct {
-	VM             contract.VMID
+	VM contract.VMID
+	// FirstStart is true only when the whole system starts for the first time.
+	FirstStart     bool
 	Configurations Source[*route.Table]
 	Upstreams      Source[upstream.Entry]
 	Orders         Source[rollout.Order]
@@ -192,8 +194,12 @@
 
 // newFollower returns a follower of a kind of objects for a site.
 func newFollower[T any](ctx context.Context, s *Site, source Source[T], apply func(Changes[T], bool), reached func(bool)) *follower[T] {
+	started := time.Time{}
+	if s.opts.FirstStart && s.opts.Peers.Expected() {
+		started = s.opts.Now()
+	}
 	return &follower[T]{
-		source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
+		started: started, source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
 		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, now: s.opts.Now,
 	}
 }
