--- a/command/command.go
+++ b/command/command.go
@@ -23,7 +23,7 @@
 	"woaddoor/store"
 )
 
-// Exit codes. docs/OPERATING.md lists them.
+// Exit codes. docs/OPERATIONS.md lists them.
 const (
 	ExitOK        = 0
 	ExitFailed    = 1
--- a/config/config.go
+++ b/config/config.go
@@ -1,7 +1,7 @@
 // Package config gives a document its meaning: workspaces, models, versions,
 // cascades, roll-outs, pools and services, checked as a whole.
 //
-// An operator writes it as an INI file; docs/OPERATING.md describes each key.
+// An operator writes it as an INI file; docs/OPERATIONS.md describes each key.
 // Check names the file, the line and the key of each fault and what was
 // expected there.
 package config
--- a/contract/errors.go
+++ b/contract/errors.go
@@ -72,7 +72,7 @@
 // problem's type URI, so it is stable.
 type RefusalKind string
 
-// The kinds of refusals. docs/OPERATING.md says for each what to do.
+// The kinds of refusals. docs/OPERATIONS.md says for each what to do.
 const (
 	RefusedKey             RefusalKind = "key-unknown"
 	RefusedRequest         RefusalKind = "request-invalid"
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -61,7 +61,7 @@
 	// completeAfter is the part of the last stage after which the order is
 	// completed: before that, requests at the others end; after it, there is
 	// time to write it down.
-	completeAfter = 0.35
+	completeAfter = 0.2
 )
 
 // stage is when a part of sessions is on trial from.
