--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -31,9 +31,6 @@
 	members "woaddoor/vm"
 )
 
-// settingsVariable names the variable that holds the path of the settings.
-const settingsVariable = "WOADDOOR_CONFIG"
-
 // vmArguments are those of woaddoor-vm.
 type vmArguments struct {
 	Settings string   `help:"The settings file (INI)." env:"WOADDOOR_CONFIG" type:"path" required:""`
