link: a silent link is left to end by itself; make run shows the platform

Cause: closing a link on which a call had timed out took back what a paused peer was still to get: a late vote was lost and a ticket of unknown outcome ran after all (TestRulingWithFrozenArbiter, 3 of 6 failed; 5 of 5 pass before the change of the links). Ruled out: the order of votes. Change: the link is only no longer used for new calls. make run starts a woaddoor-vm before stand-ins and sends a stream through it. Measured: the test and the other freezes 6 of 6; links to restarted VMs are dialled anew as before (TestPeerRestartedSilently).

--- a/internal/trial/main.go
+++ b/internal/trial/main.go
@@ -50,6 +50,11 @@
 	if err := begin(ctx, dir, f); err != nil {
 		return err
 	}
+	p, err := startPlatform(ctx, dir)
+	defer p.stop()
+	if err != nil {
+		return err
+	}
 	hints(dir, f)
 	<-ctx.Done()
 	fmt.Println("stopping")
--- /dev/null
+++ b/internal/trial/platform.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"woaddoor/internal/standin/objects"
+	"woaddoor/internal/standin/replica"
+)
+
+// platformTrial is one woaddoor-vm before stand-ins of the users' platform.
+type platformTrial struct {
+	vm       *exec.Cmd
+	callers  string
+	upstream *replica.Replica
+	store    *http.Server
+}
+
+// trialKey is the key of the trial's workspace.
+const trialKey = "trial-key"
+
+// startPlatform starts a stand-in store, an upstream and a woaddoor-vm, and
+// sends one stream through them.
+func startPlatform(ctx context.Context, dir string) (*platformTrial, error) {
+	p := &platformTrial{}
+	if err := p.start(dir); err != nil {
+		return p, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		status, body, err := p.send(ctx)
+		if err == nil && status == http.StatusOK {
+			fmt.Printf("\nstream on the users' platform: status %d\n%s", status, body)
+			fmt.Printf("Try: curl -s http://%s/chat/x -H 'Host: a.example' -H 'X-Key: %s' -H 'X-Attempt-Id: 2' -d hello; its log is %s\n",
+				p.callers, trialKey, filepath.Join(dir, "platform-vm.log"))
+			return p, nil
+		}
+		time.Sleep(50 * time.Millisecond) // until the VM knows its configuration
+	}
+	return p, errors.New("the VM of the users' platform did not serve in time")
+}
+
+func (p *platformTrial) start(dir string) error {
+	upstream, err := replica.Start("u1", func(c *replica.Conn, r *replica.Request) bool {
+		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.Event(1, "hello")
+		c.Event(2, "from u1")
+		c.EndStream()
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	p.upstream = upstream
+	store := objects.New()
+	store.Put("config", "main", map[string]any{
+		"Version":  1,
+		"Routes":   []map[string]any{{"Name": "chat", "Host": "a.example", "PathPrefix": "/chat/", "Kind": "streaming", "Service": "s", "TimeoutMs": 9000, "TargetLatencyMs": 1000, "MaxAttempts": 2, "Resumable": true}},
+		"Services": []map[string]any{{"Name": "s", "MaxConnections": 40}},
+		"Tenants":  []map[string]any{{"Name": "norte", "ApiKeys": []string{trialKey}}},
+	})
+	store.Put("servers", "u1", map[string]any{"Service": "s", "Address": upstream.Address(), "Zone": "avellaneda", "Version": "v1", "Slots": 4, "State": "ready"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.store = &http.Server{Handler: store}
+	go func() { _ = p.store.Serve(listener) }() // ends with stop
+	return p.startVM(dir, listener.Addr().String())
+}
+
+// startVM writes the settings and starts the process.
+func (p *platformTrial) startVM(dir, store string) error {
+	var free [3]string
+	for i := range free {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		free[i] = l.Addr().String()
+		defer l.Close()
+	}
+	p.callers = free[0]
+	settings := fmt.Sprintf("[vm]\nname = vm1\ndata-centre = avellaneda\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\n\n[store]\naddress = %s\n",
+		free[0], free[1], free[2], store)
+	path := filepath.Join(dir, "platform-vm.ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(dir, "platform-vm.log"))
+	if err != nil {
+		return err
+	}
+	p.vm = exec.Command(filepath.Join("bin", "woaddoor-vm"), "run", "--settings", path)
+	p.vm.Stdout, p.vm.Stderr = log, log
+	return p.vm.Start()
+}
+
+func (p *platformTrial) send(ctx context.Context) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/chat/x", strings.NewReader("hello"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Key", trialKey)
+	req.Header.Set("X-Attempt-Id", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// stop ends what startPlatform started.
+func (p *platformTrial) stop() {
+	if p.vm != nil && p.vm.Process != nil {
+		_ = p.vm.Process.Signal(syscall.SIGTERM) // it may have ended by itself
+		_ = p.vm.Wait()
+	}
+	if p.store != nil {
+		_ = p.store.Close()
+	}
+	if p.upstream != nil {
+		p.upstream.Close()
+	}
+}
--- a/link/client.go
+++ b/link/client.go
@@ -127,6 +127,7 @@
 	if e.conns[address] != p || p.conn.Context().Err() == nil && !silent {
 		return
 	}
+	// The old connection is left to end when it has been idle: a peer that was
+	// only paused still gets what was sent on it, which may hold a vote.
 	delete(e.conns, address)
-	_ = p.conn.CloseWithError(closeNormal, "silent")
 }
