--- a/daemon/vm_test.go
+++ b/daemon/vm_test.go
@@ -125,12 +125,7 @@
 	u, err := replica.Start("u1", h)
 	is.NoErr(err)
 	t.Cleanup(u.Close)
-	store.Put("config", "main", map[string]any{
-		"Version":  1,
-		"Routes":   []map[string]any{{"Name": "r", "Host": "a.example", "PathPrefix": "/s/", "Kind": "streaming", "Service": "s", "TimeoutMs": 9000, "TargetLatencyMs": 1000, "MaxAttempts": 1}},
-		"Services": []map[string]any{{"Name": "s", "MaxConnections": 40}},
-	})
-	store.Put("servers", "u1", map[string]any{"Service": "s", "Address": u.Address(), "Zone": "d", "Version": "v1", "Slots": 4, "State": "ready"})
+	store.PutSample(objects.Sample{Prefix: "/s/", Attempts: 1, Address: u.Address(), DataCentre: "d"})
 	addresses := ports(t, 4)
 	p := startVM(t, settingsText(server.Listener.Addr().String(), addresses), addresses)
 	until(t, func() bool { return p.status("http://"+p.ready+"/api/readyz") == http.StatusOK })
@@ -154,7 +149,7 @@
 	begun := make(chan struct{})
 	goOn := make(chan struct{})
 	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.BeginStream(r.ID())
 		c.Event(1, "a")
 		close(begun)
 		<-goOn
@@ -162,10 +157,8 @@
 		c.EndStream()
 		return true
 	})
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/s/x", strings.NewReader("b"))
+	req, err := replica.NewCall(t.Context(), p.callers, objects.SampleHost, "/s/x", "r1", "", "b")
 	is.NoErr(err)
-	req.Host = "a.example"
-	req.Header.Set("X-Attempt-Id", "r1")
 	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
@@ -186,7 +179,7 @@
 func TestReloadSaysWhatItDoes(t *testing.T) {
 	is := is.New(t)
 	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.BeginStream(r.ID())
 		c.EndStream()
 		return true
 	})
@@ -234,7 +227,7 @@
 func TestMetricNames(t *testing.T) {
 	is := is.New(t)
 	p := servingVM(t, func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.BeginStream(r.ID())
 		c.EndStream()
 		return true
 	})
--- a/internal/trial/platform.go
+++ b/internal/trial/platform.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -42,8 +41,7 @@
 		status, body, err := p.send(ctx)
 		if err == nil && status == http.StatusOK {
 			fmt.Printf("\nstream on the users' platform: status %d\n%s", status, body)
-			fmt.Printf("Try: curl -s http://%s/chat/x -H 'Host: a.example' -H 'X-Key: %s' -H 'X-Attempt-Id: 2' -d hello; its log is %s\n",
-				p.callers, trialKey, filepath.Join(dir, "platform-vm.log"))
+			fmt.Printf("Its log is %s; bin/woaddoor changes %[1]s tells what it knows.\n", filepath.Join(dir, "platform-vm.log"))
 			return p, nil
 		}
 		time.Sleep(50 * time.Millisecond) // until the VM knows its configuration
@@ -53,7 +51,7 @@
 
 func (p *platformTrial) start(dir string) error {
 	upstream, err := replica.Start("u1", func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.Header.Get("X-Attempt-Id"))
+		c.BeginStream(r.ID())
 		c.Event(1, "hello")
 		c.Event(2, "from u1")
 		c.EndStream()
@@ -64,13 +62,9 @@
 	}
 	p.upstream = upstream
 	store := objects.New()
-	store.Put("config", "main", map[string]any{
-		"Version":  1,
-		"Routes":   []map[string]any{{"Name": "chat", "Host": "a.example", "PathPrefix": "/chat/", "Kind": "streaming", "Service": "s", "TimeoutMs": 9000, "TargetLatencyMs": 1000, "MaxAttempts": 2, "Resumable": true}},
-		"Services": []map[string]any{{"Name": "s", "MaxConnections": 40}},
-		"Tenants":  []map[string]any{{"Name": "norte", "ApiKeys": []string{trialKey}}},
+	store.PutSample(objects.Sample{
+		Prefix: "/chat/", Attempts: 2, Resumable: true, Workspace: "norte", Key: trialKey, Address: upstream.Address(), DataCentre: "avellaneda",
 	})
-	store.Put("servers", "u1", map[string]any{"Service": "s", "Address": upstream.Address(), "Zone": "avellaneda", "Version": "v1", "Slots": 4, "State": "ready"})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -108,13 +102,10 @@
 }
 
 func (p *platformTrial) send(ctx context.Context) (int, string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/chat/x", strings.NewReader("hello"))
+	req, err := replica.NewCall(ctx, p.callers, objects.SampleHost, "/chat/x", "1", trialKey, "hello")
 	if err != nil {
 		return 0, "", err
 	}
-	req.Host = "a.example"
-	req.Header.Set("X-Key", trialKey)
-	req.Header.Set("X-Attempt-Id", "1")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
