rollout: a release in doubt at the end of its order is undone

Ruled out: a longer trial, the share of few requests is what binds. Change: at the end, evidence that would make a release suspected undoes it.

--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -335,6 +335,10 @@
 		return c.order.State, false
 	case c.bad:
 		return OrderUndone, true
+	case c.part(now) >= c.complete && c.Suspected():
+		// A service with few requests gives few answers before the end. After
+		// it there is no other release to go back to.
+		return OrderUndone, true
 	case c.part(now) >= c.complete:
 		return OrderCompleted, true
 	}
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -285,3 +285,25 @@
 	}
 	is.True(longest <= 2+2*3)
 }
+
+// TestDoubtAtTheEnd shows that a release whose few answers speak against it is
+// not completed, though they are too few to halt it before.
+func TestDoubtAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	end := func(bad int) OrderState {
+		o := testOrder()
+		c := NewCanary(o, 0.15)
+		for i := range 60 {
+			c.Observe(Answer{Failed: i%14 == 0}, o.Issued)
+		}
+		for i := range 13 {
+			c.Observe(Answer{OnTrial: true, Failed: i%13 < bad && i%2 == 0}, o.Issued)
+		}
+		is.True(!c.bad)
+		state, due := c.Verdict(o.Issued.Add(o.Length))
+		is.True(due)
+		return state
+	}
+	is.Equal(end(10), OrderUndone)   // five of thirteen
+	is.Equal(end(2), OrderCompleted) // one of thirteen, as the others
+}
