--- a/link/client.go
+++ b/link/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -121,7 +120,9 @@
 // that has started again does not know the connection and says nothing. A call
 // that was only cancelled keeps it.
 func (e *Endpoint) forget(ctx context.Context, address string, p *peerConn, began time.Time) {
-	silent := errors.Is(ctx.Err(), context.DeadlineExceeded) && p.heard.Load() < began.UnixNano()
+	// The stream's own deadline may end the call a moment before the context's.
+	deadline, ok := ctx.Deadline()
+	silent := ok && !time.Now().Before(deadline) && p.heard.Load() < began.UnixNano()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conns[address] != p || p.conn.Context().Err() == nil && !silent {
