upstream: one way to keep the lowest cost; unused pieces go

Change: lowest() serves both choices; the pieces are deleted. Behaviour stays: same costs, same draws. Ruled out: merging the two costs, they rest on different knowledge.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -23,7 +23,6 @@
 	closing bool // the upstream closes it after this answer
 	keep    time.Duration
 	idleAt  time.Time
-	reused  bool
 }
 
 // Timings of connections.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -49,7 +49,6 @@
 			break
 		}
 		if c.healthy(time.Now()) {
-			c.reused = true
 			c.wrote.Store(false)
 			return c, nil
 		}
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -127,6 +127,3 @@
 
 // Level compares the upstreams of each pool, and is called every second or so.
 func (r *Relay) Level() { r.locked(r.table.Level) }
-
-// Service returns the service of an order.
-func (v Verdict) Service() contract.ServiceID { return v.Order.Service }
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -64,14 +64,6 @@
 	s.heardAt = now
 }
 
-// InFlight returns how many requests of this VM are at an upstream.
-func (t *Table) InFlight(id contract.UpstreamID) int {
-	if s, ok := t.states[id]; ok {
-		return s.inFlight
-	}
-	return 0
-}
-
 func (s *state) hasConnection() bool {
 	return s.pool.Connections == 0 || s.inFlight < s.pool.Connections
 }
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -158,14 +158,19 @@
 
 // least returns the upstream with the least expected wait; equals are drawn.
 func least(usable []*state, random *rand.Rand) *state {
+	return lowest(usable, (*state).score, random)
+}
+
+// lowest returns the upstream with the lowest cost; equals are drawn.
+func lowest(usable []*state, cost func(*state) float64, random *rand.Rand) *state {
 	var best *state
-	bestScore, ties := 0.0, 0
+	bestCost, ties := 0.0, 0
 	for _, s := range usable {
-		score := s.score()
+		c := cost(s)
 		switch {
-		case best == nil || score < bestScore:
-			best, bestScore, ties = s, score, 1
-		case score == bestScore:
+		case best == nil || c < bestCost:
+			best, bestCost, ties = s, c, 1
+		case c == bestCost:
 			ties++
 			if random.IntN(ties) == 0 {
 				best = s
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -49,9 +49,7 @@
 func (t *Table) cheapest(usable []*state, q Query, now time.Time, random *rand.Rand) *state {
 	first, second := homes(usable, q.Prefix)
 	nearest, _ := homes(near(usable, q.DataCentre), q.Prefix)
-	var best *state
-	bestCost, ties := 0.0, 0
-	for _, s := range usable {
+	return lowest(usable, func(s *state) float64 {
 		kept := 0.0
 		switch s {
 		case first:
@@ -65,17 +63,8 @@
 		if t.isAway(s, q, now) {
 			cost += failedWork
 		}
-		switch {
-		case best == nil || cost < bestCost:
-			best, bestCost, ties = s, cost, 1
-		case cost == bestCost:
-			ties++
-			if random.IntN(ties) == 0 {
-				best = s
-			}
-		}
-	}
-	return best
+		return cost
+	}, random)
 }
 
 // near returns the upstreams of a data centre; all when it has none.
