site: one watcher a region, which whoever finds the store's word stale becomes

Ruled out: longer watches for all (deaf watches have to be outlived within the bound), a rank over all VMs (far VMs count as alive for 45 s), a lease in the store. Change: a pure state machine decides who watches, by the age of the store's word and by who told it; timings come from the bounds drain and apply, which decided nothing before; confirmations travel as changes do.

--- a/config/reader.go
+++ b/config/reader.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -43,6 +45,9 @@
 	})
 }
 
+// Keys returns the keys of the section, sorted, where any name is one.
+func (r *Reader) Keys() []string { return slices.Sorted(maps.Keys(r.values)) }
+
 // Text returns the value of key, or fallback when it is not there.
 func (r *Reader) Text(key, fallback string) string {
 	r.asked = append(r.asked, key)
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -111,7 +111,9 @@
 		return contract.Fail(contract.StepSettings, v.path+": [listen] links", err)
 	}
 	self := members.Member{VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links}
-	v.peers = site.NewPeers(endpoint, self, s.Listen.Seeds, v.log, time.Now)
+	v.peers = site.NewPeers(&site.PeersOptions{
+		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, Log: v.log, Now: time.Now,
+	})
 	store := platform.NewStore(s.Store.Address)
 	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
@@ -126,8 +128,8 @@
 		Wake: func() { v.site.Wake() },
 	})
 	v.site = site.New(&site.Options{
-		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store), Upstreams: platform.Upstreams(store),
-		Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
+		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.Apply),
+		Upstreams: platform.Upstreams(store, s.Bounds.Drain), Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
 		Peers: v.peers, VMs: store.VMs, Link: s.Listen.Links,
 		PutVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
 	})
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -18,6 +18,8 @@
 type VM struct {
 	Name       contract.VMID
 	DataCentre contract.DataCentreID
+	// Regions names the region of each data centre.
+	Regions map[contract.DataCentreID]string
 	// FirstStart is true only when the whole system starts for the first time.
 	FirstStart bool
 	Listen     Listen
@@ -111,6 +113,11 @@
 	section := func(name string) *config.Reader { return config.NewReader(f, name, &faults) }
 	v := &VM{}
 	readName(v, section("vm"))
+	v.Regions = make(map[contract.DataCentreID]string)
+	regions := section("regions")
+	for _, dc := range regions.Keys() {
+		v.Regions[contract.DataCentreID(dc)] = regions.Text(dc, "")
+	}
 	readListen(v, section("listen"))
 	readStore(v, section("store"))
 	m := section("machine")
--- /dev/null
+++ b/site/duty.go
@@ -0,0 +1,131 @@
+package site
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"woaddoor/contract"
+)
+
+// Timing is how one kind of the store's objects is kept up with.
+type Timing struct {
+	// Every is how long one watch is held open.
+	Every time.Duration
+	// Stale is how old the store's word may be before a VM that goes by what
+	// others tell asks the store itself; Step is added for each place in the
+	// order of its data centre, so that the next one is enough.
+	Stale, Step time.Duration
+}
+
+// Parts of a bound that Timing is made of. Watches may be cut without a word,
+// all at once: half of the bound is left for the next one. A VM whose teller is
+// gone has a quarter left to ask and to tell others.
+const (
+	everyPart = 2 // of the bound, divided
+	stalePart = 0.75
+	stepPart  = 8 // of the bound, divided
+	// maxEvery keeps a change from being missed for long where a bound is wide.
+	maxEvery = 5 * time.Second
+)
+
+// TimingFor returns the timing of a kind whose changes have to be in force
+// everywhere within a bound after the store has taken them.
+func TimingFor(bound time.Duration) Timing {
+	bound = min(bound, everyPart*maxEvery)
+	return Timing{Every: bound / everyPart, Stale: time.Duration(stalePart * float64(bound)), Step: bound / stepPart}
+}
+
+// Place is where a VM stands among those that could ask the store.
+type Place struct {
+	// Near is its place in its data centre, DataCentre that of its data centre
+	// among those that share a watcher; both from 0.
+	Near, DataCentre int
+}
+
+const (
+	// maxSteps bounds the time that a large data centre waits.
+	maxSteps = 8
+	// dataCentreStep lets one data centre's question answer the others': a call
+	// and a word take milliseconds.
+	dataCentreStep = 50 * time.Millisecond
+	// introduced is how long a VM waits at the first start of the system, when
+	// all start at once and no caller comes yet, for one to ask the store for
+	// the others.
+	introduced = 500 * time.Millisecond
+)
+
+func (p Place) wait(t Timing) time.Duration {
+	return t.Step*time.Duration(min(p.Near, maxSteps)) + dataCentreStep*time.Duration(min(p.DataCentre, maxSteps))
+}
+
+// Duty decides whether this VM watches a kind of the store's objects for the
+// others, or goes by what they tell. It is a pure state machine; its owner locks
+// it.
+//
+// Whoever finds the store's word stale begins to watch, and goes on until
+// another VM that comes before it tells of a fresher word. So one VM watches
+// where all can hear one another, and one on each side of a cut; nobody has to
+// agree on who lives.
+type Duty struct {
+	self   contract.VMID
+	timing Timing
+	// started is when this VM began at the first start of the system; zero at
+	// any later one, when callers wait.
+	started time.Time
+	// fresh is when the store last said that nothing newer is there, and by is
+	// the VM that it said so to.
+	fresh    time.Time
+	by       contract.VMID
+	watching bool
+	failing  bool
+}
+
+// NewDuty returns the duty of a VM that knows nothing yet.
+func NewDuty(self contract.VMID, t Timing, started time.Time) *Duty {
+	return &Duty{self: self, timing: t, started: started}
+}
+
+// Watches tells whether this VM is to ask the store now. known tells whether it
+// knows the kind at all.
+func (d *Duty) Watches(known bool, p Place, now time.Time) bool {
+	switch {
+	case d.watching:
+	case !known:
+		d.watching = now.Sub(d.started) > introduced+p.wait(d.timing)
+	default:
+		d.watching = now.Sub(d.fresh) > d.timing.Stale+p.wait(d.timing)
+	}
+	return d.watching
+}
+
+// Asked notes how this VM's own question ended.
+func (d *Duty) Asked(ok bool, now time.Time) {
+	d.failing = !ok
+	if ok {
+		d.fresh, d.by = now, d.self
+	}
+}
+
+// Told takes in that the store had said so to a VM at a time. It returns whether
+// that is fresher, by more than words differ in age, than what was known.
+func (d *Duty) Told(by contract.VMID, when, now time.Time) bool {
+	if by != d.self && now.Sub(when) < d.timing.Stale && (d.failing || before(by, d.self)) {
+		d.watching = false
+	}
+	if !when.After(d.fresh) {
+		return false
+	}
+	news := when.Sub(d.fresh) > d.timing.Every/2
+	d.fresh, d.by = when, by
+	return news
+}
+
+// Age returns how old the store's word is.
+func (d *Duty) Age(now time.Time) time.Duration { return now.Sub(d.fresh) }
+
+// before orders two VMs that both watch, the same at both.
+func before(a, b contract.VMID) bool {
+	ha, hb := xxhash.Sum64String("watch\x00"+string(a)), xxhash.Sum64String("watch\x00"+string(b))
+	return ha < hb || ha == hb && a < b
+}
--- /dev/null
+++ b/site/duty_test.go
@@ -0,0 +1,181 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woaddoor/contract"
+)
+
+// fleet is a small model of VMs before a store: calls and words take no time,
+// and a watch that is held open ends after Every.
+type fleet struct {
+	vms   []*modelVM
+	calls int
+}
+
+type modelVM struct {
+	id    contract.VMID
+	dc    int
+	place Place
+	duty  *Duty
+	by    contract.VMID
+	held  time.Time // until when its watch is held; zero while it holds none
+	// away tells that the store turns it away, dead that it is frozen, group
+	// which VMs hear it: those of the same group.
+	away, dead bool
+	group      int
+	known      bool
+}
+
+func newFleet(dataCentres, each int, timing Timing, started time.Time) *fleet {
+	f := &fleet{}
+	for dc := range dataCentres {
+		for n := range each {
+			id := contract.VMID(fmt.Sprintf("vm-%d-%d", dc, n))
+			f.vms = append(f.vms, &modelVM{id: id, dc: dc, place: Place{Near: n, DataCentre: dc}, duty: NewDuty(id, timing, started)})
+		}
+	}
+	return f
+}
+
+// step does what falls due at a time.
+func (f *fleet) step(now time.Time) {
+	for _, v := range f.vms {
+		if v.dead || now.Before(v.held) || !v.held.IsZero() && f.answer(v, now) || !v.duty.Watches(v.known, v.place, now) {
+			continue
+		}
+		f.calls++
+		if !v.known && !v.away { // a list answers at once
+			f.answer(v, now)
+			continue
+		}
+		v.held = now.Add(v.duty.timing.Every)
+	}
+}
+
+// answer ends a call of a VM, which tells all that hear it. It returns false, so
+// that the VM goes on.
+func (f *fleet) answer(v *modelVM, now time.Time) bool {
+	v.held = time.Time{}
+	v.duty.Asked(!v.away, now)
+	if v.away {
+		return false
+	}
+	v.known, v.by = true, v.id
+	for _, o := range f.vms {
+		if o != v && !o.dead && o.group == v.group {
+			o.known = true
+			o.duty.Told(v.id, now, now)
+		}
+	}
+	return false
+}
+
+var testTiming = TimingFor(2 * time.Second)
+
+const modelStep = 10 * time.Millisecond
+
+// TestOneWatcherAtRest shows that one VM asks the store for all, where a watcher
+// a data centre asks three times as often.
+func TestOneWatcherAtRest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(3, 4, testTiming, now)
+	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(modelStep) {
+		f.step(now)
+	}
+	is.True(f.calls <= 22) // one a second, and the first lists
+	before := f.calls
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(modelStep) {
+		f.step(now)
+	}
+	is.True(f.calls-before <= 11)
+}
+
+// TestWordStaysFresh freezes VMs, turns them away from the store and cuts data
+// centres off, in any order: a VM that has heard for long enough of one that
+// reaches the store, or reaches it itself, knows the store's word within the
+// bound for a change.
+func TestWordStaysFresh(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		f := newFleet(3, 2, testTiming, now)
+		calm := now
+		const bound = 2 * time.Second
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+			switch rapid.SampledFrom([]string{"freeze", "wake", "away", "back", "cut", "heal", "wait"}).Draw(t, "event") {
+			case "freeze":
+				v.dead = true
+			case "wake":
+				v.dead = false
+			case "away":
+				v.away = true
+			case "back":
+				v.away = false
+			case "cut":
+				for _, o := range f.vms {
+					if o.dc == v.dc {
+						o.group = 1 + v.dc
+					}
+				}
+			case "heal":
+				for _, o := range f.vms {
+					o.group = 0
+				}
+			case "wait":
+				calm = now
+			}
+			changed := now
+			for end := now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond); now.Before(end); now = now.Add(modelStep) {
+				f.step(now)
+				if now.Sub(changed) < bound+testTiming.Every { // a call under way when it changed ends first
+					continue
+				}
+				for _, v := range f.vms {
+					if !v.dead && v.known && f.served(v) && v.duty.Age(now) > bound {
+						t.Fatalf("%s goes by a word %v old at %v", v.id, v.duty.Age(now), now.Sub(calm))
+					}
+				}
+			}
+		}
+	})
+}
+
+// served tells whether a VM, or one that it hears, reaches the store.
+func (f *fleet) served(v *modelVM) bool {
+	for _, o := range f.vms {
+		if !o.dead && !o.away && o.group == v.group {
+			return true
+		}
+	}
+	return false
+}
+
+// TestYields shows that of two watchers that hear each other the same one goes
+// on, and that one whose calls fail yields to any.
+func TestYields(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	a, b := contract.VMID("a"), contract.VMID("b")
+	if before(b, a) {
+		a, b = b, a
+	}
+	first, second := NewDuty(a, testTiming, time.Time{}), NewDuty(b, testTiming, time.Time{})
+	for _, d := range []*Duty{first, second} {
+		is.True(d.Watches(false, Place{}, now))
+		d.Asked(true, now)
+	}
+	first.Told(b, now, now)
+	second.Told(a, now, now)
+	is.True(first.Watches(true, Place{}, now))
+	is.True(!second.Watches(true, Place{}, now))
+	first.Asked(false, now)
+	first.Told(b, now, now)
+	is.True(!first.Watches(true, Place{}, now))
+}
--- a/site/follow.go
+++ b/site/follow.go
@@ -20,23 +20,12 @@
 	// leaves without an answer is given up only after it, and changes have to
 	// be known within seconds of the store's return.
 	lostWait = 200 * time.Millisecond
-	// staleAfter is how old the store's word may be before a VM that does not
-	// watch asks the store itself; staleStep is added for each place in the
-	// order of watchers, so that the next one is enough.
-	staleAfter = 1500 * time.Millisecond
-	staleStep  = 250 * time.Millisecond
-	// maxStaleSteps bounds the time that a large data centre waits.
-	maxStaleSteps = 8
 	// heardOfLate is how old a peer's word of the store may be to show that the
 	// store serves.
 	heardOfLate = time.Second
 	// gather is the pause after a change before the next watch: changes come in
 	// bursts, and one call then brings several.
 	gather = 80 * time.Millisecond
-	// introduced is how long a VM waits at the first start of the system, when
-	// all start at once and no caller comes yet, for one to ask the store for
-	// the others; later by place.
-	introduced = 500 * time.Millisecond
 	// lookAgain is how often a VM that does not watch looks whether it should.
 	lookAgain = 50 * time.Millisecond
 	// pauseMin and pauseMax bound the pause after a failed call: refused calls
@@ -56,26 +45,22 @@
 	// reached is told whether the store answered, at each call.
 	reached func(ok bool)
 
-	// place returns the place of this VM among those that watch, from 0.
-	place func() int
-	// news is called when the store has told of a change.
-	news func()
-	now  func() time.Time
+	// place returns the place of this VM among those that could watch.
+	place func() Place
+	// news is called when the store has told of a change, confirmed when it has
+	// told that there is none.
+	news, confirmed func()
+	now             func() time.Time
 
 	// failed is the number of calls that failed in a row; only run uses it.
 	failed int
 	relist bool
 
-	// mu guards the ledger. It is held while changes are applied, so that those
-	// from the store and from peers take effect one after the other.
+	// mu guards the fields below. It is held while changes are applied, so that
+	// those from the store and from peers take effect one after the other.
 	mu     sync.Mutex
 	ledger *Ledger
-	// started is when this VM began at the first start of the system; zero at
-	// any later one, when callers wait.
-	started time.Time
-	// fresh is when the store last said that nothing newer is there, to this VM
-	// or to one that told it.
-	fresh time.Time
+	duty   *Duty
 }
 
 // run follows the store until ctx ends.
@@ -97,6 +82,7 @@
 			continue
 		}
 		f.failed++
+		f.lost()
 		if f.failed == 1 {
 			at, _ := f.have()
 			f.log.Warn("store-lost", append(logs.Failure(err), zap.String("kind", f.source.Name()), zap.Int64("revision", int64(at)))...)
@@ -105,21 +91,21 @@
 	}
 }
 
-// watches tells whether this VM asks the store: it is one of those that watch
-// for its data centre, or the store's word has become old.
+// watches tells whether this VM is to ask the store now, and logs when that
+// changes.
 func (f *follower[T]) watches() bool {
 	place := f.place()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
 	_, known := f.ledger.At()
-	if !known {
-		return f.now().Sub(f.started) > introduced+staleStep*time.Duration(min(place, maxStaleSteps))
+	was := f.duty.watching
+	if f.duty.Watches(known, place, now) == was {
+		return was
 	}
-	if place < watchers {
-		return true
-	}
-	age := f.now().Sub(f.fresh)
-	return age > staleAfter+staleStep*time.Duration(min(place, maxStaleSteps))
+	f.log.Info("watch-begins", zap.String("kind", f.source.Name()), zap.Bool("known", known), zap.Duration("age", f.age(now)),
+		zap.Int("place", place.Near), zap.Int("data_centre_place", place.DataCentre))
+	return true
 }
 
 // pauseAfter returns the pause after n failed calls, spread so that VMs do not
@@ -163,21 +149,46 @@
 func (f *follower[T]) told(c Changes[T], full bool) {
 	before, _ := f.last()
 	f.take(c, full)
-	f.confirm(f.now(), c.Revision)
+	f.mu.Lock()
+	f.duty.Asked(true, f.now())
+	f.ledger.Confirm(c.Revision)
+	f.mu.Unlock()
 	if after, _ := f.last(); after > before {
 		f.news()
+	} else {
+		f.confirmed()
 	}
 }
 
-// confirm notes that the store had nothing newer than what is known here at a
-// time, up to a revision.
-func (f *follower[T]) confirm(when time.Time, at contract.Revision) {
+// lost notes that a call has failed.
+func (f *follower[T]) lost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.duty.Asked(false, f.now())
+}
+
+// confirm takes in that the store told a VM some time ago that nothing newer is
+// there up to a revision, and tells whether that is news to the others here.
+func (f *follower[T]) confirm(by contract.VMID, age time.Duration, at contract.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if when.After(f.fresh) {
-		f.fresh = when
-	}
 	f.ledger.Confirm(at)
+	now := f.now()
+	was := f.duty.watching
+	news := f.duty.Told(by, now.Add(-age), now)
+	if was && !f.duty.watching {
+		f.log.Info("watch-ends", zap.String("kind", f.source.Name()), zap.String("watcher", string(by)), zap.Duration("age", age.Round(time.Millisecond)))
+	}
+	return news
+}
+
+// age returns how old the store's word is; zero before there is any. The caller
+// holds mu.
+func (f *follower[T]) age(now time.Time) time.Duration {
+	if _, known := f.ledger.At(); !known {
+		return 0
+	}
+	return f.duty.Age(now).Round(time.Millisecond)
 }
 
 // status returns what this VM tells others of the kind.
@@ -185,20 +196,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at, known := f.ledger.At()
-	return Have{Kind: f.source.Name(), Last: f.ledger.Last(), At: at, Age: f.now().Sub(f.fresh)}, known
+	return Have{Kind: f.source.Name(), Last: f.ledger.Last(), At: at, Age: f.duty.Age(f.now()), By: f.duty.by}, known
 }
 
-// compare takes in what a peer tells of the kind, and tells what to ask it for.
-func (f *follower[T]) compare(h Have) (want Wanted, lacks bool) {
+// compare takes in what a peer tells of the kind.
+func (f *follower[T]) compare(h Have) Compared {
 	at, known := f.have()
 	if !known || h.Last > at {
-		return Wanted{Kind: h.Kind, After: at, Holds: known}, true
+		return Compared{Lacks: true, Wanted: Wanted{Kind: h.Kind, After: at, Holds: known}}
 	}
-	f.confirm(f.now().Add(-h.Age), h.At)
+	fresher := f.confirm(h.By, h.Age, h.At)
 	if h.Age < heardOfLate {
 		f.reached(true)
 	}
-	return Wanted{}, false
+	return Compared{Fresher: fresher}
 }
 
 // wait returns how long the next watch is held open.
@@ -206,7 +217,7 @@
 	if f.failed > 0 {
 		return lostWait
 	}
-	return f.source.Every()
+	return f.source.Timing().Every
 }
 
 // have returns up to which revision this VM knows, if it knows anything.
@@ -232,7 +243,7 @@
 }
 
 // feed takes in what a peer has handed over.
-func (f *follower[T]) feed(d Delta, age time.Duration, from string) {
+func (f *follower[T]) feed(d Delta, age time.Duration, by contract.VMID, from string) {
 	at, known := f.have()
 	if known && d.At <= at || !known && !d.Full {
 		return
@@ -251,7 +262,7 @@
 		f.reached(true)
 	}
 	f.take(c, d.Full)
-	f.confirm(f.now().Add(-age), d.At)
+	f.confirm(by, age, d.At)
 }
 
 // take applies changes, whichever way they came.
--- a/site/listing_test.go
+++ b/site/listing_test.go
@@ -74,8 +74,8 @@
 // silentSource is a store that says nothing.
 type silentSource struct{}
 
-func (silentSource) Name() string         { return "servers" }
-func (silentSource) Every() time.Duration { return time.Second }
+func (silentSource) Name() string   { return "servers" }
+func (silentSource) Timing() Timing { return testTiming }
 func (silentSource) List(context.Context) (Changes[upstream.Entry], error) {
 	return Changes[upstream.Entry]{}, ErrTooMany
 }
@@ -92,15 +92,15 @@
 	l := listing("a")
 	f := &follower[upstream.Entry]{
 		source: silentSource{}, log: zap.NewNop(), ledger: NewLedger("servers"), now: func() time.Time { return now },
+		duty:    NewDuty("a", testTiming, time.Time{}),
 		reached: func(ok bool) { l.Reached(ok, now) },
 		apply:   func(c Changes[upstream.Entry], full bool) { l.Apply(c, full, now) },
 	}
 	f.ledger.Apply(Delta{Full: true, At: 1, Items: []Raw{{Name: "a", Revision: 1}}})
 	is.True(f.step(t.Context()) != nil) // the store turns this VM away
-	_, lacks := f.compare(Have{Kind: "servers", Last: 1, At: 1})
-	is.True(!lacks)
+	is.True(!f.compare(Have{Kind: "servers", Last: 1, At: 1, By: "b"}).Lacks)
 	now = now.Add(lapseKept)
-	f.feed(Delta{Kind: "servers", At: 9, Items: gone("a").raws()}, 0, "peer")
+	f.feed(Delta{Kind: "servers", At: 9, Items: gone("a").raws()}, 0, "b", "peer")
 	is.Equal(len(l.Entries()), 0)
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -41,6 +41,17 @@
 	// At is the revision up to which the store has said so, Age how long ago.
 	At  contract.Revision `cbor:"3,keyasint"`
 	Age time.Duration     `cbor:"4,keyasint"`
+	// By is the VM that the store has told.
+	By contract.VMID `cbor:"5,keyasint"`
+}
+
+// Compared is what a word of a peer means for a kind of objects here.
+type Compared struct {
+	// Lacks tells that the peer knows something newer, which Wanted asks for.
+	Lacks  bool
+	Wanted Wanted
+	// Fresher tells that the store's word became fresher by it.
+	Fresher bool
 }
 
 // Wanted asks for the changes of a kind after a revision.
@@ -54,9 +65,9 @@
 // shared is a kind of objects that VMs hand to one another.
 type shared interface {
 	status() (Have, bool)
-	compare(h Have) (Wanted, bool)
+	compare(h Have) Compared
 	since(after contract.Revision, holds bool) Delta
-	feed(d Delta, age time.Duration, from string)
+	feed(d Delta, age time.Duration, by contract.VMID, from string)
 }
 
 // Timings of words.
@@ -72,11 +83,13 @@
 	farEvery  = 2
 	// speakers is how many VMs of a data centre speak with other ones.
 	speakers = 2
-	// watchers is how many VMs of a data centre watch the store for all.
-	watchers = 1
 	// newsEvery is the least time between two rounds of news of one VM: changes
 	// come in bursts of dozens, and one word tells them all.
 	newsEvery = 80 * time.Millisecond
+	// pulseEvery is the least time between two rounds that tell only that the
+	// store has nothing newer: a VM watches several kinds, and half of the
+	// shortest watch is fresh enough.
+	pulseEvery = 400 * time.Millisecond
 	// introduceEvery is how often a VM that knows no other looks for some.
 	introduceEvery = time.Second
 )
@@ -87,7 +100,10 @@
 	log      *zap.Logger
 	now      func() time.Time
 	dc       contract.DataCentreID
-	news     *spaced
+	regions  map[contract.DataCentreID]string
+	// news and pulse space the rounds that tell of changes, and that there are
+	// none.
+	news, pulse *spaced
 	// seeds are link addresses at which VMs may be found.
 	seeds []string
 
@@ -103,17 +119,31 @@
 	alive int
 }
 
-// NewPeers returns the peers of the VM self.
-func NewPeers(endpoint *link.Endpoint, self vm.Member, seeds []string, log *zap.Logger, now func() time.Time) *Peers {
+// PeersOptions set up Peers.
+type PeersOptions struct {
+	Endpoint *link.Endpoint
+	Self     vm.Member
+	// Seeds are link addresses at which VMs may be found.
+	Seeds []string
+	// Regions names the region of each data centre. Those of one region share
+	// a watcher of the store; without any, all do.
+	Regions map[contract.DataCentreID]string
+	Log     *zap.Logger
+	Now     func() time.Time
+}
+
+// NewPeers returns the peers of a VM.
+func NewPeers(opts *PeersOptions) *Peers {
 	p := &Peers{
-		endpoint: endpoint, dc: self.DataCentre, news: newSpaced(newsEvery), log: log, now: now, kinds: make(map[string]shared), seeds: seeds,
-		table: vm.NewTable(self), listed: make(map[string]bool), ips: make(map[string]bool),
+		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, news: newSpaced(newsEvery), pulse: newSpaced(pulseEvery),
+		log: opts.Log, now: opts.Now, kinds: make(map[string]shared), seeds: opts.Seeds,
+		table: vm.NewTable(opts.Self), listed: make(map[string]bool), ips: make(map[string]bool),
 	}
-	for _, s := range seeds {
+	for _, s := range opts.Seeds {
 		p.know(s)
 	}
-	link.Handle(endpoint, link.KindWord, p.answerWord)
-	link.Handle(endpoint, link.KindChanges, p.answerChanges)
+	link.Handle(p.endpoint, link.KindWord, p.answerWord)
+	link.Handle(p.endpoint, link.KindChanges, p.answerChanges)
 	return p
 }
 
@@ -234,11 +264,7 @@
 	now := p.now()
 	near := p.table.Near(now)
 	rand.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
-	beats := nearBeats
-	if p.table.Watches(watchers, now) {
-		beats = len(near) // they go by what the watcher tells
-	}
-	for _, m := range near[:min(beats, len(near))] {
+	for _, m := range near[:min(nearBeats, len(near))] {
 		toNear = append(toNear, m.ControlLink)
 	}
 	if tick%farEvery == 0 && p.table.Watches(speakers, now) {
@@ -251,12 +277,30 @@
 	return toNear, toFar
 }
 
-// Place returns this VM's place among those of its data centre that watch the
-// store.
-func (p *Peers) Place() int {
+// Place returns where this VM stands among those that could watch the store for
+// its region.
+func (p *Peers) Place() Place {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Place(p.now())
+	now := p.now()
+	place := Place{Near: p.table.Place(now)}
+	for _, dc := range p.table.DataCentres(now) {
+		if dc < p.dc && p.sameRegion(dc) {
+			place.DataCentre++
+		}
+	}
+	return place
+}
+
+// sameRegion tells whether a data centre shares its watchers with this one's.
+func (p *Peers) sameRegion(dc contract.DataCentreID) bool { return p.regions[dc] == p.regions[p.dc] }
+
+// Confirmed tells the VMs of this region that the store has nothing newer.
+func (p *Peers) Confirmed(ctx context.Context) {
+	p.pulse.ask(func() {
+		p.tellNear(ctx)
+		p.tellFar(ctx, p.sameRegion)
+	})
 }
 
 // News tells the VMs of this data centre, and some of each other one, at once
@@ -264,13 +308,20 @@
 func (p *Peers) News(ctx context.Context) {
 	p.news.ask(func() {
 		p.tellNear(ctx)
-		p.mu.Lock()
-		far := p.table.Far(speakers, p.now())
-		p.mu.Unlock()
-		for _, m := range far {
+		p.tellFar(ctx, func(contract.DataCentreID) bool { return true })
+	})
+}
+
+// tellFar tells those who speak for each other data centre that is wanted.
+func (p *Peers) tellFar(ctx context.Context, wanted func(contract.DataCentreID) bool) {
+	p.mu.Lock()
+	far := p.table.Far(speakers, p.now())
+	p.mu.Unlock()
+	for _, m := range far {
+		if wanted(m.DataCentre) {
 			go p.tell(ctx, m.ControlLink, false)
 		}
-	})
+	}
 }
 
 func (p *Peers) tellNear(ctx context.Context) {
@@ -355,24 +406,32 @@
 		t.Hear(w.Evidence)
 		t.HearAges(w.Orders)
 	}
-	news := false
+	news, fresher := false, false
 	for _, h := range w.Have {
 		s := p.kind(h.Kind)
 		if s == nil {
 			continue
 		}
-		if want, lacks := s.compare(h); lacks {
-			p.pull(ctx, w.Self, s, want, h.Age)
-			news = true
+		c := s.compare(h)
+		if c.Lacks {
+			p.pull(ctx, w.Self, s, c.Wanted, h)
 		}
+		news, fresher = news || c.Lacks, fresher || c.Fresher
+	}
+	if w.Self.DataCentre == p.dc {
+		return
 	}
-	if news && w.Self.DataCentre != p.dc {
-		p.news.ask(func() { p.tellNear(ctx) }) // the others here may have nobody who speaks with that VM
+	// The others here may have nobody who speaks with that VM.
+	switch {
+	case news:
+		p.news.ask(func() { p.tellNear(ctx) })
+	case fresher:
+		p.pulse.ask(func() { p.tellNear(ctx) })
 	}
 }
 
 // pull asks a VM for the changes of a kind.
-func (p *Peers) pull(ctx context.Context, from vm.Member, s shared, want Wanted, age time.Duration) {
+func (p *Peers) pull(ctx context.Context, from vm.Member, s shared, want Wanted, has Have) {
 	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
 	defer cancel()
 	d, err := link.Call[Wanted, Delta](ctx, p.endpoint, from.ControlLink, link.KindChanges, want)
@@ -380,7 +439,7 @@
 		p.log.Warn("pull-failed", append(logs.Failure(err), zap.String("kind", want.Kind))...)
 		return
 	}
-	s.feed(d, age, string(from.VM))
+	s.feed(d, has.Age, has.By, string(from.VM))
 }
 
 func (p *Peers) answerChanges(_ context.Context, _ string, w Wanted) (Delta, error) {
--- a/site/site.go
+++ b/site/site.go
@@ -199,7 +199,8 @@
 		started = s.opts.Now()
 	}
 	return &follower[T]{
-		started: started, source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
-		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, now: s.opts.Now,
+		source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
+		duty:  NewDuty(s.opts.VM, source.Timing(), started),
+		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, confirmed: func() { s.opts.Peers.Confirmed(ctx) }, now: s.opts.Now,
 	}
 }
--- a/site/source.go
+++ b/site/source.go
@@ -52,8 +52,8 @@
 // Source is one kind of the store's objects.
 type Source[T any] interface {
 	Name() string
-	// Every is how long one watch is held open.
-	Every() time.Duration
+	// Timing is how the kind is kept up with.
+	Timing() Timing
 	// List returns all objects.
 	List(ctx context.Context) (Changes[T], error)
 	// Watch waits for changes after a revision. It fails with ErrHistoryGone
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -236,6 +236,9 @@
 	return sources
 }
 
+// DataCentres returns the data centres with live VMs, sorted.
+func (t *Table) DataCentres(now time.Time) []contract.DataCentreID { return dataCentres(t.Live(now)) }
+
 func dataCentres(members []Member) []contract.DataCentreID {
 	var ids []contract.DataCentreID
 	for _, m := range members {
