drain, exchange: nothing that has arrived is lost at a stop; silent connections

Ruled out: the balancer (the connection was an old one), the grace (2.5 s of 8 s had passed). Change: the end of a server closes only connections that have been quiet for 300 ms with nothing unread, and serves meanwhile; both daemons use it. Kept connections to an upstream beside one that went silent are closed, as open connections may go silent together; requests that may not run again go over connections used within a second.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/drain"
 	"woaddoor/keys"
 	"woaddoor/link"
 	"woaddoor/logs"
@@ -67,7 +68,8 @@
 	lines    *logs.Bounded
 	registry metrics.Registry
 	stopping atomic.Bool
-	servers  []*http.Server
+	// callers are the connections of callers.
+	callers *drain.Listener
 }
 
 // gcPercent makes the collector run more often: memory is paid for and the
@@ -173,7 +175,10 @@
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 			ErrorLog: zap.NewStdLog(v.log.With(zap.String("listener", l.name))),
 		}
-		v.servers = append(v.servers, server)
+		if l.handler == front {
+			v.callers = drain.Listen(listener)
+			listener, server.ConnState = v.callers, v.callers.ConnState
+		}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				v.log.Error("listener-failed", logs.Failure(err)...)
@@ -228,8 +233,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), v.settings.Bounds.Grace-graceMargin)
 	defer cancel()
 	time.Sleep(min(balancerSees, v.settings.Bounds.Grace/2))
-	err := v.servers[0].Shutdown(ctx)
-	v.log.Info("stop", zap.Bool("whole", err == nil))
+	whole := v.callers.Drain(ctx)
+	v.log.Info("stop", zap.Bool("whole", whole))
 }
 
 // graceMargin is the part of the grace that is left for the end itself.
--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,146 @@
+// Package drain ends an HTTP server without losing a request that has arrived.
+//
+// http.Server.Shutdown closes each connection that the server takes for idle,
+// also one whose next request has arrived and is not read yet: on a slow VM that
+// is a request without an answer. A Listener knows which connections are quiet,
+// and closes only those.
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Timings of the end of a server.
+const (
+	// quietFor is how long a connection has to have brought no byte to be closed:
+	// a request may have been read and not be known to the server yet.
+	quietFor = 300 * time.Millisecond
+	// lookEvery is how often connections are looked at.
+	lookEvery = 25 * time.Millisecond
+)
+
+// Listener is a listener that knows the state of its connections. Its ConnState
+// has to be that of the server.
+type Listener struct {
+	net.Listener
+	// mu guards conns.
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// Listen returns a listener over another one.
+func Listen(l net.Listener) *Listener {
+	return &Listener{Listener: l, conns: make(map[*conn]bool)}
+}
+
+// conn is one connection of a caller.
+type conn struct {
+	net.Conn
+	idle   atomic.Bool
+	heard  atomic.Int64 // when the last byte came, in Unix nanoseconds
+	listen *Listener
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, listen: l}
+	c.idle.Store(true)
+	c.heard.Store(time.Now().UnixNano())
+	l.mu.Lock()
+	l.conns[c] = true
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Read reads what the caller has sent.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.listen.mu.Lock()
+	delete(c.listen.conns, c)
+	c.listen.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// ConnState takes in the state of a connection.
+func (l *Listener) ConnState(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*conn); ok {
+		c.idle.Store(s == http.StateNew || s == http.StateIdle)
+	}
+}
+
+// Drain closes connections as they become quiet, until none is left or ctx ends.
+// New ones are served meanwhile. It tells whether none was left.
+func (l *Listener) Drain(ctx context.Context) bool {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		if l.closeQuiet(time.Now()) == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeQuiet closes the connections on which nothing is under way, and returns
+// how many are left.
+func (l *Listener) closeQuiet(now time.Time) int {
+	var quiet []*conn
+	l.mu.Lock()
+	for c := range l.conns {
+		if c.quiet(now) {
+			quiet = append(quiet, c)
+		}
+	}
+	left := len(l.conns) - len(quiet)
+	l.mu.Unlock()
+	for _, c := range quiet {
+		_ = c.Close() // its caller finds out by itself
+	}
+	return left
+}
+
+// quiet tells whether no request is under way, or has arrived, on a connection.
+func (c *conn) quiet(now time.Time) bool {
+	return c.idle.Load() && now.Sub(time.Unix(0, c.heard.Load())) > quietFor && !c.unread()
+}
+
+// unread tells whether bytes have arrived that were not read yet.
+func (c *conn) unread() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false // closed already
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -23,6 +23,7 @@
 	"woaddoor/cascade"
 	"woaddoor/clock"
 	"woaddoor/contract"
+	"woaddoor/drain"
 	"woaddoor/engine"
 	"woaddoor/keys"
 	"woaddoor/link"
@@ -145,11 +146,12 @@
 	// Background work outlives ctx: a stop still needs its links.
 	work, end := context.WithCancel(context.Background())
 	defer end()
+	drained := drain.Listen(callers)
 	servers := []*http.Server{
-		{Handler: s.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader},
+		{Handler: s.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: drained.ConnState},
 		{Handler: s.healthRoutes(), ReadHeaderTimeout: headerTimeout},
 	}
-	for i, l := range []net.Listener{callers, health} {
+	for i, l := range []net.Listener{drained, health} {
 		go s.serveHTTP(servers[i], l)
 	}
 	go func() { _ = s.endpoint.Serve(work) }()
@@ -158,7 +160,11 @@
 	}
 	s.log.Info("started", zap.String("callers", callers.Addr().String()), zap.Uint64("incarnation", uint64(s.incarnation)))
 	<-ctx.Done()
-	s.stop(servers)
+	s.stop(drained)
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	s.log.Info("stopped")
 	return s.endpoint.Close()
 }
 
@@ -179,18 +185,16 @@
 const readinessLead = time.Second
 
 // stop ends a planned stop's steps in order; a second signal changes nothing.
-func (s *Server) stop(servers []*http.Server) {
+func (s *Server) stop(callers *drain.Listener) {
 	s.log.Info("stopping", zap.Duration("drain", s.opts.Settings.Entry.Drain))
 	s.stopping.Store(true)
 	time.Sleep(readinessLead)
-	drain, cancel := context.WithTimeout(context.Background(), s.opts.Settings.Entry.Drain)
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Settings.Entry.Drain)
 	defer cancel()
-	if err := servers[0].Shutdown(drain); err != nil {
-		s.log.Error("drain-cut-short", logs.Failure(err)...)
+	if !callers.Drain(ctx) {
+		s.log.Error("drain-cut-short", zap.Duration("drain", s.opts.Settings.Entry.Drain))
 	}
-	s.settleBills(drain)
-	_ = servers[1].Close()
-	s.log.Info("stopped")
+	s.settleBills(ctx)
 }
 
 // locked runs a decision.
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -21,6 +21,7 @@
 	// sent gets the result of writing the present request.
 	sent    chan error
 	closing bool // the upstream closes it after this answer
+	reused  bool // it has answered an earlier request
 	keep    time.Duration
 	idleAt  time.Time
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"woaddoor/contract"
@@ -30,6 +31,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaxIdle bounds how long a kept connection may have been idle to be used
+	// for the request. Zero means any time.
+	MaxIdle time.Duration
 }
 
 // Answer is an answer whose body is still to be read. It is closed by whoever
@@ -97,7 +101,7 @@
 // answer's body can be read; when ctx ends the connection is closed, which is
 // what tells an upstream that nobody waits.
 func (p *Pool) Do(ctx context.Context, r *Request, match Match) (*Answer, error) {
-	c, err := p.take(ctx)
+	c, err := p.take(ctx, r.MaxIdle)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -106,6 +110,9 @@
 	if err != nil {
 		stop()
 		p.drop(c)
+		if c.reused && silent(ctx, err) {
+			p.distrust()
+		}
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
@@ -115,6 +122,15 @@
 	return a, nil
 }
 
+// silent tells whether a request ended because nothing came, and not because its
+// caller left or the connection was closed.
+func silent(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return !errors.Is(context.Cause(ctx), context.Canceled)
+	}
+	return errors.Is(err, syscall.ETIMEDOUT)
+}
+
 func (p *Pool) roundTrip(c *conn, r *Request, match Match) (*Answer, error) {
 	c.sent = make(chan error, 1)
 	go func() { c.sent <- c.write(r) }()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -38,8 +38,9 @@
 	return p.open, p.dialed
 }
 
-// take returns an idle connection that is healthy, or a new one.
-func (p *Pool) take(ctx context.Context) (*conn, error) {
+// take returns an idle connection that is healthy and, unless maxIdle is zero,
+// was used within it; or a new one.
+func (p *Pool) take(ctx context.Context, maxIdle time.Duration) (*conn, error) {
 	for {
 		c, busy := p.reserve()
 		if busy {
@@ -48,8 +49,10 @@
 		if c == nil {
 			break
 		}
-		if c.healthy(time.Now()) {
+		now := time.Now()
+		if c.healthy(now) && (maxIdle == 0 || now.Sub(c.idleAt) <= maxIdle) {
 			c.wrote.Store(false)
+			c.reused = true
 			return c, nil
 		}
 		p.drop(c)
@@ -102,14 +105,28 @@
 	p.mu.Unlock()
 }
 
-// Close closes the idle connections; those in use are closed when they end.
-func (p *Pool) Close() {
+// distrust closes the idle connections after one that was idle beside them has
+// gone silent: whatever took its packets has most likely taken theirs, and only
+// time shows it.
+func (p *Pool) distrust() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections. The caller holds mu.
+func (p *Pool) closeIdle() {
 	for _, c := range p.idle {
-		_ = c.Close()
+		_ = c.Close() // it is given up whatever the reason
 		p.open--
 	}
 	p.idle = nil
 }
+
+// Close closes the idle connections; those in use are closed when they end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.closeIdle()
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -72,6 +72,11 @@
 // maxUnsent bounds how many upstreams are found unreachable for one request.
 const maxUnsent = 4
 
+// onceIdle is how long a connection may have been idle that a request which may
+// not run again goes over: upstreams drop idle connections without a word, and
+// what is then sent over them may have run.
+const onceIdle = time.Second
+
 // send sends the request to an upstream and waits for the head of its answer,
 // at most until wait.
 func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, lastEvent *int64, wait time.Time) (*attempt, error) {
@@ -83,7 +88,11 @@
 	if lastEvent != nil {
 		s.Weights = j.weights
 	}
-	x, err := pool.Do(ctx, r.opts.Dialect.Encode(j.Request, s), func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
+	req := r.opts.Dialect.Encode(j.Request, s)
+	if !j.Route.Repeatable() {
+		req.MaxIdle = onceIdle
+	}
+	x, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
 	if !timer.Stop() && err == nil {
 		x.Close()
 		err = &exchange.Error{Sent: true, Err: errSilent}
