settings: what decides nothing goes; connections and memory have bounds

Ruled out: a bound on requests (places of the upstreams bound them), turning new callers away while others idle.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -47,6 +47,8 @@
 	open, dialed := v.relay.Connections()
 	line := func(name string, value any) string { return fmt.Sprintf("%s %v", name, value) }
 	return []string{
+		line("caller_connections_open", v.callers.Open()),
+		line("caller_connections_turned_away_total", v.callers.TurnedAway.Load()),
 		line("configuration_age_milliseconds", configuration.Milliseconds()),
 		line("configuration_revision", revision),
 		line("configuration_version", version),
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -76,11 +76,18 @@
 // process uses a small part of its processor.
 const gcPercent = 50
 
+// heapShare is the part of the machine's memory from which on the collector works
+// harder: what the kernel holds for connections counts as well.
+const heapShare = 0.6
+
 // closeLogs bounds the wait for lines at the end of the process.
 const closeLogs = 200 * time.Millisecond
 
 func runVM(s *settings.VM, path string) int {
 	debug.SetGCPercent(gcPercent)
+	if limit := s.Machine.Memory; limit > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(limit)))
+	}
 	log, lines := logs.NewBounded(os.Stdout, zap.String("vm", string(s.Name)))
 	defer lines.Close(closeLogs)
 	v := &vm{settings: s, path: path, log: log, lines: lines}
@@ -94,7 +101,7 @@
 		log.Error("start-failed", logs.Failure(err)...)
 		return exitFailed
 	}
-	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store.Address))
+	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store))
 	go v.site.Run(ctx)
 	v.wait()
 	return exitOK
@@ -116,7 +123,7 @@
 	v.peers = site.NewPeers(&site.PeersOptions{
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, Log: v.log, Now: time.Now,
 	})
-	store := platform.NewStore(s.Store.Address)
+	store := platform.NewStore(s.Store)
 	store.Called = v.storeCalled
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
@@ -176,7 +183,7 @@
 			ErrorLog: zap.NewStdLog(v.log.With(zap.String("listener", l.name))),
 		}
 		if l.handler == front {
-			v.callers = drain.Listen(listener)
+			v.callers = drain.Listen(listener, v.settings.Machine.Callers())
 			listener, server.ConnState = v.callers, v.callers.ConnState
 		}
 		go func() {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,4 +1,5 @@
-// Package drain ends an HTTP server without losing a request that has arrived.
+// Package drain keeps the connections of an HTTP server's callers: it bounds how
+// many there are, and ends the server without losing a request that has arrived.
 //
 // http.Server.Shutdown closes each connection that the server takes for idle,
 // also one whose next request has arrived and is not read yet: on a slow VM that
@@ -29,14 +30,18 @@
 // has to be that of the server.
 type Listener struct {
 	net.Listener
+	most int
+	// TurnedAway counts the connections that were closed at once.
+	TurnedAway atomic.Int64
 	// mu guards conns.
 	mu    sync.Mutex
 	conns map[*conn]bool
 }
 
-// Listen returns a listener over another one.
-func Listen(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: make(map[*conn]bool)}
+// Listen returns a listener over another one that keeps at most so many
+// connections; zero means no bound.
+func Listen(l net.Listener, most int) *Listener {
+	return &Listener{Listener: l, most: most, conns: make(map[*conn]bool)}
 }
 
 // conn is one connection of a caller.
@@ -47,19 +52,54 @@
 	listen *Listener
 }
 
-// Accept waits for the next connection.
+// Open returns how many connections there are.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Accept waits for the next connection. Where there are too many, the one that
+// has been idle for longest gives way to it; where none is idle, it is closed
+// before anything is read from it, so that its caller may try another VM.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, listen: l}
+		c.idle.Store(true)
+		c.heard.Store(time.Now().UnixNano())
+		if l.admit(c, time.Now()) {
+			return c, nil
+		}
+		l.TurnedAway.Add(1)
+		_ = nc.Close() // its caller finds out by itself
 	}
-	c := &conn{Conn: nc, listen: l}
-	c.idle.Store(true)
-	c.heard.Store(time.Now().UnixNano())
+}
+
+// admit makes room for a connection and counts it, or returns false.
+func (l *Listener) admit(c *conn, now time.Time) bool {
 	l.mu.Lock()
-	l.conns[c] = true
+	var oldest *conn
+	full := l.most > 0 && len(l.conns) >= l.most
+	if full {
+		for o := range l.conns {
+			if o.quiet(now) && (oldest == nil || o.heard.Load() < oldest.heard.Load()) {
+				oldest = o
+			}
+		}
+	}
+	admitted := !full || oldest != nil
+	if admitted {
+		l.conns[c] = true
+	}
 	l.mu.Unlock()
-	return c, nil
+	if oldest != nil {
+		_ = oldest.Close() // its caller opens another
+	}
+	return admitted
 }
 
 // Read reads what the caller has sent.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l = Listen(inner)
+	l = Listen(inner, 0)
 	t.Cleanup(func() { _ = l.Close() })
 	caller, err = net.Dial("tcp", inner.Addr().String())
 	is.NoErr(err)
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := Listen(inner)
+	l := Listen(inner, 0)
 	begun, end := make(chan struct{}), make(chan struct{})
 	server := &http.Server{ConnState: l.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
@@ -103,3 +103,37 @@
 	is.NoErr(server.Close())
 	is.True(errors.Is(<-served, http.ErrServerClosed))
 }
+
+// TestTooManyConnections shows that the connection that has been idle for longest
+// gives way to a new one, and that none with a request does.
+func TestTooManyConnections(t *testing.T) {
+	is := is.New(t)
+	l, first, caller := pair(t)
+	l.most = 2
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	dial()
+	second, err := l.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = second.Close() })
+	first.(*conn).heard.Store(1)
+	second.(*conn).heard.Store(2)
+	dial()
+	third, err := l.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = third.Close() })
+	_, err = caller.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the first gave way
+
+	l.ConnState(second, http.StateActive)
+	l.ConnState(third, http.StateActive)
+	turnedAway := dial()
+	go func() { _, _ = l.Accept() }() // ends with the listener
+	_, err = turnedAway.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.Equal(l.TurnedAway.Load(), int64(1))
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -146,7 +146,7 @@
 	// Background work outlives ctx: a stop still needs its links.
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	drained := drain.Listen(callers)
+	drained := drain.Listen(callers, 0)
 	servers := []*http.Server{
 		{Handler: s.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: drained.ConnState},
 		{Handler: s.healthRoutes(), ReadHeaderTimeout: headerTimeout},
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -23,12 +23,33 @@
 	// FirstStart is true only when the whole system starts for the first time.
 	FirstStart bool
 	Listen     Listen
-	Store      StoreAt
-	// Memory and Descriptors are what the machine gives the process. Zero means
-	// no bound.
+	// Store is the TCP address of the platform's store.
+	Store   string
+	Machine Machine
+	Bounds  Bounds
+}
+
+// Machine is what the machine gives the process. Zero means no bound.
+type Machine struct {
 	Memory      contract.Bytes
 	Descriptors int
-	Bounds      Bounds
+}
+
+// Parts of the descriptors.
+const (
+	// forFiles are descriptors that the platform keeps for files.
+	forFiles = 200
+	// callersShare is the part of the rest that callers' connections may take;
+	// upstreams' connections and links have the other.
+	callersShare = 0.5
+)
+
+// Callers returns how many connections callers may have.
+func (m Machine) Callers() int {
+	if m.Descriptors == 0 {
+		return 0
+	}
+	return max(int(callersShare*float64(m.Descriptors-forFiles)), 1)
 }
 
 // Listen holds the addresses of a VM.
@@ -45,13 +66,6 @@
 	Metrics string
 }
 
-// StoreAt says where the platform's store is, and for how long it keeps
-// history.
-type StoreAt struct {
-	Address string
-	History time.Duration
-}
-
 // Bounds are what the deployment promises its users.
 type Bounds struct {
 	// Drain is how soon after the store's word an upstream that leaves gets no
@@ -61,36 +75,25 @@
 	Grace time.Duration
 	// Apply is how soon a configuration is in force.
 	Apply time.Duration
-	// Contact is how long a link has to be whole to count as such.
-	Contact time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the repeated sends of all
 	// VMs together.
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
-	// CanaryShare and CanarySlack bound the requests that a bad release gets.
+	// CanaryShare bounds the part of requests that a bad release gets.
 	CanaryShare float64
-	CanarySlack float64
-	// Rollback is how soon a bad release gets no more requests.
-	Rollback time.Duration
-	// Session is how soon one request of a session follows another.
-	Session time.Duration
 }
 
 // Defaults, where a deployment leaves a bound out: the smallest that the
 // deployments known so far have.
 const (
-	defaultDrainBound   = 2 * time.Second
-	defaultGrace        = 8 * time.Second
-	defaultApply        = 2 * time.Second
-	defaultContact      = 3 * time.Second
-	defaultRetryWindow  = 10 * time.Second
-	defaultRollback     = 5 * time.Second
-	defaultSessionBound = 5 * time.Second
-	defaultHistory      = 20 * time.Second
-	defaultRetryRatio   = 0.1
-	defaultCanaryShare  = 0.1
-	maxPort             = 65535
+	defaultDrainBound  = 2 * time.Second
+	defaultGrace       = 8 * time.Second
+	defaultApply       = 2 * time.Second
+	defaultRetryWindow = 10 * time.Second
+	defaultRetryRatio  = 0.1
+	defaultCanaryShare = 0.1
+	maxPort            = 65535
 )
 
 // LoadVM reads and checks the settings file of woaddoor-vm.
@@ -119,10 +122,12 @@
 		v.Regions[contract.DataCentreID(dc)] = regions.Text(dc, "")
 	}
 	readListen(v, section("listen"))
-	readStore(v, section("store"))
+	v.Store = address(section("store"), "address")
 	m := section("machine")
-	v.Memory = contract.Bytes(m.Int("memory-mb", 0, 0, most)) * contract.MiB
-	v.Descriptors = m.Int("descriptors", 0, 0, most)
+	v.Machine = Machine{
+		Memory:      contract.Bytes(m.Int("memory-mb", 0, 0, most)) * contract.MiB,
+		Descriptors: m.Int("descriptors", 0, 0, most),
+	}
 	readBounds(v, section("bounds"))
 	if err := faults.Err(); err != nil {
 		return nil, err
@@ -167,22 +172,14 @@
 	return out
 }
 
-func readStore(v *VM, r *config.Reader) {
-	v.Store = StoreAt{Address: address(r, "address"), History: r.Duration("history", defaultHistory)}
-}
-
 func readBounds(v *VM, r *config.Reader) {
 	v.Bounds = Bounds{
 		Drain:       cmp.Or(r.Duration("drain", 0), defaultDrainBound),
 		Grace:       cmp.Or(r.Duration("grace", 0), defaultGrace),
 		Apply:       cmp.Or(r.Duration("apply", 0), defaultApply),
-		Contact:     cmp.Or(r.Duration("contact", 0), defaultContact),
 		RetryRatio:  r.Number("retry-ratio", defaultRetryRatio, 0, math.MaxInt32),
 		RetryWindow: cmp.Or(r.Duration("retry-window", 0), defaultRetryWindow),
 		RetrySlack:  r.Number("retry-slack", 0, 0, math.MaxInt32),
 		CanaryShare: r.Number("canary-share", defaultCanaryShare, 0, 1),
-		CanarySlack: r.Number("canary-slack", 0, 0, math.MaxInt32),
-		Rollback:    cmp.Or(r.Duration("rollback", 0), defaultRollback),
-		Session:     cmp.Or(r.Duration("session", 0), defaultSessionBound),
 	}
 }
