drain: no new connection is taken once a VM ends

Ruled out: kept connections (they had been closed). Change: the listener is closed first, as http.Server.Shutdown does.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -31,6 +31,7 @@
 type Listener struct {
 	net.Listener
 	most int
+	draining atomic.Bool
 	// TurnedAway counts the connections that were closed at once.
 	TurnedAway atomic.Int64
 	// mu guards conns.
@@ -65,6 +66,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if err != nil && l.draining.Load() {
+			return nil, http.ErrServerClosed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -126,9 +130,12 @@
 	}
 }
 
-// Drain closes connections as they become quiet, until none is left or ctx ends.
-// New ones are served meanwhile. It tells whether none was left.
+// Drain takes no new connections and closes the others as they become quiet, until
+// none is left or ctx ends. It tells whether none was left. A request that came
+// now might not end by the time that the process has to.
 func (l *Listener) Drain(ctx context.Context) bool {
+	l.draining.Store(true)
+	_ = l.Listener.Close() // its connections stay
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -93,6 +93,8 @@
 	}()
 	_, err = idle.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
+	_, err = net.Dial("tcp", inner.Addr().String()) // nothing new is begun
+	is.True(err != nil)
 	close(end)
 	resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
 	is.NoErr(err)
