--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -157,6 +157,7 @@
 func (v *vm) listen() error {
 	front := &platform.Front{
 		Relay: v.relay, Table: v.site.Table, Now: time.Now, Closing: v.stopping.Load,
+		Ending: func() bool { return v.callers.Draining() },
 		Refused: func(id contract.RequestID, status int, why string) {
 			v.log.Info("turned-away", zap.String("request", string(id)), zap.Int("status", status), zap.String("why", why))
 		},
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -30,7 +30,7 @@
 // has to be that of the server.
 type Listener struct {
 	net.Listener
-	most int
+	most     int
 	draining atomic.Bool
 	// TurnedAway counts the connections that were closed at once.
 	TurnedAway atomic.Int64
@@ -123,16 +123,25 @@
 	return c.Conn.Close()
 }
 
-// ConnState takes in the state of a connection.
+// ConnState takes in the state of a connection. One whose answer has ended while
+// the server ends is closed, unless its next request has arrived already.
 func (l *Listener) ConnState(nc net.Conn, s http.ConnState) {
-	if c, ok := nc.(*conn); ok {
-		c.idle.Store(s == http.StateNew || s == http.StateIdle)
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	c.idle.Store(s == http.StateNew || s == http.StateIdle)
+	if s == http.StateIdle && l.draining.Load() && !c.unread() {
+		_ = c.Close() // its caller finds out by itself
 	}
 }
 
+// Draining tells whether the server ends. A request that still comes is better
+// refused: it might not be answered by the time that the process has to end.
+func (l *Listener) Draining() bool { return l.draining.Load() }
+
 // Drain takes no new connections and closes the others as they become quiet, until
-// none is left or ctx ends. It tells whether none was left. A request that came
-// now might not end by the time that the process has to.
+// none is left or ctx ends. It tells whether none was left.
 func (l *Listener) Drain(ctx context.Context) bool {
 	l.draining.Store(true)
 	_ = l.Listener.Close() // its connections stay
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -63,6 +63,27 @@
 	is.Equal(l.closeQuiet(later()), 0)
 }
 
+// TestAnswerEndsWhileDraining shows that a connection whose answer ends while the
+// server ends is not kept, and one with a next request on it is.
+func TestAnswerEndsWhileDraining(t *testing.T) {
+	is := is.New(t)
+	l, server, caller := pair(t)
+	l.draining.Store(true)
+	l.ConnState(server, http.StateActive)
+	_, err := io.WriteString(caller, "GET")
+	is.NoErr(err)
+	for !server.(*conn).unread() { // loopback delivers at once
+	}
+	l.ConnState(server, http.StateIdle)
+	got := make([]byte, 3)
+	_, err = io.ReadFull(server, got)
+	is.NoErr(err)
+	l.ConnState(server, http.StateActive)
+	l.ConnState(server, http.StateIdle)
+	_, err = caller.Read(got)
+	is.Equal(err, io.EOF)
+}
+
 // TestDrainServer ends a server with an idle caller and one whose request is
 // under way: the one is closed, the other gets its whole answer.
 func TestDrainServer(t *testing.T) {
