site: strong VMs watch and speak; words pass on whom one knows; one watcher is left

Ruled out: the store (the first VM knew within 20 ms), the cut (data centres outside it were late too). Change: machines' size ranks watchers and speakers; a word passes on eight near VMs, and all to a newcomer; a word carries the first of the watchers known; at a first start VMs wait 1.5 s for one to ask.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -119,7 +119,10 @@
 	if err != nil {
 		return contract.Fail(contract.StepSettings, v.path+": [listen] links", err)
 	}
-	self := members.Member{VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links}
+	self := members.Member{
+		VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links,
+		Strength: s.Machine.Strength(),
+	}
 	v.peers = site.NewPeers(&site.PeersOptions{
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, Log: v.log, Now: time.Now,
 	})
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -33,6 +33,10 @@
 type Machine struct {
 	Memory      contract.Bytes
 	Descriptors int
+	// Share is the part of its cores that the process gets, times the cores, and
+	// Link how fast its link is.
+	Share    float64
+	LinkMbps float64
 }
 
 // Parts of the descriptors.
@@ -44,6 +48,16 @@
 	callersShare = 0.5
 )
 
+// Units of Strength: the smallest machines known so far.
+const (
+	strengthShare = 0.1  // of a core
+	strengthLink  = 10.0 // megabits a second
+)
+
+// Strength returns how much a machine can do for others, by what it has least of,
+// in whole units; 0 when that is not told.
+func (m Machine) Strength() int { return int(min(m.Share/strengthShare, m.LinkMbps/strengthLink)) }
+
 // Callers returns how many connections callers may have.
 func (m Machine) Callers() int {
 	if m.Descriptors == 0 {
@@ -127,6 +141,8 @@
 	v.Machine = Machine{
 		Memory:      contract.Bytes(m.Int("memory-mb", 0, 0, most)) * contract.MiB,
 		Descriptors: m.Int("descriptors", 0, 0, most),
+		Share:       m.Number("cpu-share", 0, 0, math.MaxInt32) * m.Number("cores", 1, 0, math.MaxInt32),
+		LinkMbps:    m.Number("link-mbps", 0, 0, math.MaxInt32),
 	}
 	readBounds(v, section("bounds"))
 	if err := faults.Err(); err != nil {
--- a/site/duty.go
+++ b/site/duty.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,12 @@
 	return Timing{Every: bound / everyPart, Stale: time.Duration(stalePart * float64(bound)), Step: bound / stepPart}
 }
 
+// Watcher is a VM that could watch.
+type Watcher struct {
+	VM       contract.VMID `cbor:"1,keyasint"`
+	Strength int           `cbor:"2,keyasint,omitempty"`
+}
+
 // Place is where a VM stands among those that could ask the store.
 type Place struct {
 	// Near is its place in its data centre, DataCentre that of its data centre
@@ -52,7 +59,7 @@
 	// introduced is how long a VM waits at the first start of the system, when
 	// all start at once and no caller comes yet, for one to ask the store for
 	// the others.
-	introduced = 500 * time.Millisecond
+	introduced = 1500 * time.Millisecond
 )
 
 func (p Place) wait(t Timing) time.Duration {
@@ -63,26 +70,29 @@
 // others, or goes by what they tell. It is a pure state machine; its owner locks
 // it.
 //
-// Whoever finds the store's word stale begins to watch, and goes on until
-// another VM that comes before it tells of a fresher word. So one VM watches
-// where all can hear one another, and one on each side of a cut; nobody has to
-// agree on who lives.
+// Whoever finds the store's word stale begins to watch, and goes on until it
+// hears of another VM that watches and comes before it. So one VM watches where
+// all can hear one another, and one on each side of a cut; nobody has to agree on
+// who lives.
 type Duty struct {
-	self   contract.VMID
+	self   Watcher
 	timing Timing
 	// started is when this VM began at the first start of the system; zero at
 	// any later one, when callers wait.
 	started time.Time
-	// fresh is when the store last said that nothing newer is there, and by is
-	// the VM that it said so to.
-	fresh    time.Time
-	by       contract.VMID
+	// fresh is when the store last said that nothing newer is there, to whichever
+	// VM.
+	fresh time.Time
+	// lead is the first in order of the VMs that are known to watch, and leadAt
+	// when the store last answered it.
+	lead     Watcher
+	leadAt   time.Time
 	watching bool
 	failing  bool
 }
 
 // NewDuty returns the duty of a VM that knows nothing yet.
-func NewDuty(self contract.VMID, t Timing, started time.Time) *Duty {
+func NewDuty(self Watcher, t Timing, started time.Time) *Duty {
 	return &Duty{self: self, timing: t, started: started}
 }
 
@@ -103,29 +113,48 @@
 func (d *Duty) Asked(ok bool, now time.Time) {
 	d.failing = !ok
 	if ok {
-		d.fresh, d.by = now, d.self
+		d.fresh = now
+		d.follow(d.self, now, now)
 	}
 }
 
-// Told takes in that the store had said so to a VM at a time. It returns whether
-// that is fresher, by more than words differ in age, than what was known.
-func (d *Duty) Told(by contract.VMID, when, now time.Time) bool {
-	if by != d.self && now.Sub(when) < d.timing.Stale && (d.failing || before(by, d.self)) {
+// Told takes in that the store had answered a VM at a time, and lead, which comes
+// first of those that watch, at leadAt. It tells whether the store's word became
+// fresher by more than words differ in age, or another VM leads.
+func (d *Duty) Told(when time.Time, lead Watcher, leadAt, now time.Time) bool {
+	led := d.lead
+	d.follow(lead, leadAt, now)
+	if d.lead != d.self && now.Sub(d.leadAt) < d.timing.Stale && (d.failing || d.lead.before(d.self)) {
 		d.watching = false
 	}
-	if !when.After(d.fresh) {
-		return false
+	news := d.lead != led || when.Sub(d.fresh) > d.timing.Every/2
+	if when.After(d.fresh) {
+		d.fresh = when
 	}
-	news := when.Sub(d.fresh) > d.timing.Every/2
-	d.fresh, d.by = when, by
 	return news
 }
 
+// follow takes in that a VM watches, unless one that comes before it does.
+func (d *Duty) follow(v Watcher, at, now time.Time) {
+	switch {
+	case v == d.lead:
+		if at.After(d.leadAt) {
+			d.leadAt = at
+		}
+	case now.Sub(d.leadAt) >= d.timing.Stale && at.After(d.leadAt), now.Sub(at) < d.timing.Stale && v.before(d.lead):
+		d.lead, d.leadAt = v, at
+	}
+}
+
 // Age returns how old the store's word is.
 func (d *Duty) Age(now time.Time) time.Duration { return now.Sub(d.fresh) }
 
-// before orders two VMs that both watch, the same at both.
-func before(a, b contract.VMID) bool {
-	ha, hb := xxhash.Sum64String("watch\x00"+string(a)), xxhash.Sum64String("watch\x00"+string(b))
-	return ha < hb || ha == hb && a < b
+// before orders two VMs that both watch, the same at both: the stronger one first.
+func (w Watcher) before(o Watcher) bool {
+	if w.Strength != o.Strength {
+		return w.Strength > o.Strength
+	}
+	return cmp.Or(cmp.Compare(w.hash(), o.hash()), cmp.Compare(w.VM, o.VM)) < 0
 }
+
+func (w Watcher) hash() uint64 { return xxhash.Sum64String("watch\x00" + string(w.VM)) }
--- a/site/duty_test.go
+++ b/site/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -16,6 +17,9 @@
 type fleet struct {
 	vms   []*modelVM
 	calls int
+	// hears tells whether a word of one reaches another at once; nil means that
+	// all hear all.
+	hears func(from, to *modelVM) bool
 }
 
 type modelVM struct {
@@ -23,7 +27,6 @@
 	dc    int
 	place Place
 	duty  *Duty
-	by    contract.VMID
 	held  time.Time // until when its watch is held; zero while it holds none
 	// away tells that the store turns it away, dead that it is frozen, group
 	// which VMs hear it: those of the same group.
@@ -37,7 +40,7 @@
 	for dc := range dataCentres {
 		for n := range each {
 			id := contract.VMID(fmt.Sprintf("vm-%d-%d", dc, n))
-			f.vms = append(f.vms, &modelVM{id: id, dc: dc, place: Place{Near: n, DataCentre: dc}, duty: NewDuty(id, timing, started)})
+			f.vms = append(f.vms, &modelVM{id: id, dc: dc, place: Place{Near: n, DataCentre: dc}, duty: NewDuty(Watcher{VM: id}, timing, started)})
 		}
 	}
 	return f
@@ -66,14 +69,20 @@
 	if v.away {
 		return false
 	}
-	v.known, v.by = true, v.id
+	v.known = true
+	f.tell(v, now)
+	return false
+}
+
+// tell has a VM tell those that hear it: all where each speaks to each; else two
+// of its data centre by chance, and another data centre's first.
+func (f *fleet) tell(v *modelVM, now time.Time) {
 	for _, o := range f.vms {
-		if o != v && !o.dead && o.group == v.group {
+		if o != v && !o.dead && o.group == v.group && (f.hears == nil || f.hears(v, o)) {
 			o.known = true
-			o.duty.Told(v.id, now, now)
+			o.duty.Told(v.duty.fresh, v.duty.lead, v.duty.leadAt, now)
 		}
 	}
-	return false
 }
 
 var testTiming = TimingFor(2 * time.Second)
@@ -157,13 +166,54 @@
 	return false
 }
 
+// TestManyWatchersBecomeOne starts a large fleet that knows nothing, all at once
+// and with callers waiting, so that each VM asks the store by itself. Words go to
+// a few near VMs, and only the first of each data centre speaks with the others':
+// one watcher is left all the same.
+func TestManyWatchersBecomeOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(4, 23, testTiming, time.Time{})
+	draw := rand.New(rand.NewPCG(1, 2))
+	f.hears = func(from, to *modelVM) bool {
+		if from.dc != to.dc {
+			return from.place.Near == 0 && to.place.Near == 0
+		}
+		return from.place.Near == 0 || to.place.Near == 0 || draw.IntN(20) < 2
+	}
+	const beat = 50 // model steps: half a second
+	for n := range 2000 {
+		f.step(now)
+		for i, v := range f.vms {
+			if n%beat == i%beat {
+				f.tell(v, now)
+			}
+		}
+		now = now.Add(modelStep)
+		if n == 1000 {
+			f.calls = 0
+		}
+	}
+	is.True(f.calls <= 11) // one a second
+}
+
+// TestStrongerVMWatches shows that of VMs of unlike sizes a strong one watches.
+func TestStrongerVMWatches(t *testing.T) {
+	is := is.New(t)
+	strong := Watcher{VM: "b", Strength: 8}
+	for _, id := range []contract.VMID{"a", "c"} {
+		is.True(strong.before(Watcher{VM: id, Strength: 1}))
+		is.True(!Watcher{VM: id, Strength: 1}.before(strong))
+	}
+}
+
 // TestYields shows that of two watchers that hear each other the same one goes
 // on, and that one whose calls fail yields to any.
 func TestYields(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	a, b := contract.VMID("a"), contract.VMID("b")
-	if before(b, a) {
+	a, b := Watcher{VM: "a"}, Watcher{VM: "b"}
+	if b.before(a) {
 		a, b = b, a
 	}
 	first, second := NewDuty(a, testTiming, time.Time{}), NewDuty(b, testTiming, time.Time{})
@@ -171,11 +221,12 @@
 		is.True(d.Watches(false, Place{}, now))
 		d.Asked(true, now)
 	}
-	first.Told(b, now, now)
-	second.Told(a, now, now)
+	first.Told(now, b, now, now)
+	second.Told(now, a, now, now)
 	is.True(first.Watches(true, Place{}, now))
 	is.True(!second.Watches(true, Place{}, now))
+	now = now.Add(testTiming.Stale) // its own last answer is long ago
 	first.Asked(false, now)
-	first.Told(b, now, now)
+	first.Told(now, b, now, now)
 	is.True(!first.Watches(true, Place{}, now))
 }
--- a/site/follow.go
+++ b/site/follow.go
@@ -167,17 +167,17 @@
 	f.duty.Asked(false, f.now())
 }
 
-// confirm takes in that the store told a VM some time ago that nothing newer is
-// there up to a revision, and tells whether that is news to the others here.
-func (f *follower[T]) confirm(by contract.VMID, age time.Duration, at contract.Revision) bool {
+// confirm takes in what a peer tells of the store's word, and tells whether that
+// is news to the others here.
+func (f *follower[T]) confirm(h Have) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ledger.Confirm(at)
+	f.ledger.Confirm(h.At)
 	now := f.now()
 	was := f.duty.watching
-	news := f.duty.Told(by, now.Add(-age), now)
+	news := f.duty.Told(now.Add(-h.Age), h.Lead, now.Add(-h.LeadAge), now)
 	if was && !f.duty.watching {
-		f.log.Info("watch-ends", zap.String("kind", f.source.Name()), zap.String("watcher", string(by)), zap.Duration("age", age.Round(time.Millisecond)))
+		f.log.Info("watch-ends", zap.String("kind", f.source.Name()), zap.String("watcher", string(h.Lead.VM)), zap.Duration("age", h.LeadAge.Round(time.Millisecond)))
 	}
 	return news
 }
@@ -196,7 +196,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at, known := f.ledger.At()
-	return Have{Kind: f.source.Name(), Last: f.ledger.Last(), At: at, Age: f.duty.Age(f.now()), By: f.duty.by}, known
+	now := f.now()
+	return Have{
+		Kind: f.source.Name(), Last: f.ledger.Last(), At: at, Age: f.duty.Age(now),
+		Lead: f.duty.lead, LeadAge: now.Sub(f.duty.leadAt),
+	}, known
 }
 
 // compare takes in what a peer tells of the kind.
@@ -205,7 +209,7 @@
 	if !known || h.Last > at {
 		return Compared{Lacks: true, Wanted: Wanted{Kind: h.Kind, After: at, Holds: known}}
 	}
-	fresher := f.confirm(h.By, h.Age, h.At)
+	fresher := f.confirm(h)
 	if h.Age < heardOfLate {
 		f.reached(true)
 	}
@@ -243,7 +247,7 @@
 }
 
 // feed takes in what a peer has handed over.
-func (f *follower[T]) feed(d Delta, age time.Duration, by contract.VMID, from string) {
+func (f *follower[T]) feed(d Delta, h Have, from string) {
 	at, known := f.have()
 	if known && d.At <= at || !known && !d.Full {
 		return
@@ -258,11 +262,12 @@
 	}
 	f.log.Info("told-by-peer", zap.String("kind", d.Kind), zap.String("peer", from), zap.Int64("had", int64(at)),
 		zap.Int64("revision", int64(d.At)), zap.Int("objects", len(d.Items)), zap.Bool("full", d.Full))
-	if age < heardOfLate {
+	if h.Age < heardOfLate {
 		f.reached(true)
 	}
 	f.take(c, d.Full)
-	f.confirm(by, age, d.At)
+	h.At = d.At
+	f.confirm(h)
 }
 
 // take applies changes, whichever way they came.
--- a/site/listing_test.go
+++ b/site/listing_test.go
@@ -92,15 +92,15 @@
 	l := listing("a")
 	f := &follower[upstream.Entry]{
 		source: silentSource{}, log: zap.NewNop(), ledger: NewLedger("servers"), now: func() time.Time { return now },
-		duty:    NewDuty("a", testTiming, time.Time{}),
+		duty:    NewDuty(Watcher{VM: "a"}, testTiming, time.Time{}),
 		reached: func(ok bool) { l.Reached(ok, now) },
 		apply:   func(c Changes[upstream.Entry], full bool) { l.Apply(c, full, now) },
 	}
 	f.ledger.Apply(Delta{Full: true, At: 1, Items: []Raw{{Name: "a", Revision: 1}}})
 	is.True(f.step(t.Context()) != nil) // the store turns this VM away
-	is.True(!f.compare(Have{Kind: "servers", Last: 1, At: 1, By: "b"}).Lacks)
+	is.True(!f.compare(Have{Kind: "servers", Last: 1, At: 1, Lead: Watcher{VM: "b"}}).Lacks)
 	now = now.Add(lapseKept)
-	f.feed(Delta{Kind: "servers", At: 9, Items: gone("a").raws()}, 0, "b", "peer")
+	f.feed(Delta{Kind: "servers", At: 9, Items: gone("a").raws()}, Have{Lead: Watcher{VM: "b"}}, "peer")
 	is.Equal(len(l.Entries()), 0)
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -41,8 +41,10 @@
 	// At is the revision up to which the store has said so, Age how long ago.
 	At  contract.Revision `cbor:"3,keyasint"`
 	Age time.Duration     `cbor:"4,keyasint"`
-	// By is the VM that the store has told.
-	By contract.VMID `cbor:"5,keyasint"`
+	// Lead is the first in order of the VMs that are known to watch the kind,
+	// and LeadAge how long ago the store has answered it.
+	Lead    Watcher       `cbor:"5,keyasint"`
+	LeadAge time.Duration `cbor:"6,keyasint"`
 }
 
 // Compared is what a word of a peer means for a kind of objects here.
@@ -67,7 +69,7 @@
 	status() (Have, bool)
 	compare(h Have) Compared
 	since(after contract.Revision, holds bool) Delta
-	feed(d Delta, age time.Duration, by contract.VMID, from string)
+	feed(d Delta, h Have, from string)
 }
 
 // Timings of words.
@@ -81,6 +83,9 @@
 	// farEvery is how many beats there are for each to another one.
 	nearBeats = 2
 	farEvery  = 2
+	// passedOn is how many others of the own data centre a word to one there
+	// tells of: heard of by chance alone, one in seven of 25 would count as dead.
+	passedOn = 8
 	// speakers is how many VMs of a data centre speak with other ones.
 	speakers = 2
 	// newsEvery is the least time between two rounds of news of one VM: changes
@@ -292,6 +297,14 @@
 	return place
 }
 
+// Watcher returns this VM as one that could watch the store.
+func (p *Peers) Watcher() Watcher {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.table.Self()
+	return Watcher{VM: self.VM, Strength: self.Strength}
+}
+
 // sameRegion tells whether a data centre shares its watchers with this one's.
 func (p *Peers) sameRegion(dc contract.DataCentreID) bool { return p.regions[dc] == p.regions[p.dc] }
 
@@ -353,11 +366,20 @@
 	return append(out, p.seeds...)
 }
 
-// word returns what this VM tells.
-func (p *Peers) word(near bool) Word {
+// word returns what this VM tells one of its own data centre, or of another; to one
+// of its own that it had not heard of it tells of all that are near.
+func (p *Peers) word(near, newcomer bool) Word {
 	p.mu.Lock()
 	now := p.now()
 	w := Word{Self: p.table.Self(), Members: p.table.Delegates(speakers, now)}
+	if near {
+		known := p.table.Near(now)
+		rand.Shuffle(len(known), func(a, b int) { known[a], known[b] = known[b], known[a] })
+		if !newcomer {
+			known = known[:min(passedOn, len(known))]
+		}
+		w.Members = append(w.Members, known...)
+	}
 	kinds := slices.Collect(maps.Values(p.kinds))
 	t := p.trials
 	p.mu.Unlock()
@@ -376,7 +398,7 @@
 func (p *Peers) tell(ctx context.Context, address string, near bool) {
 	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
 	defer cancel()
-	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, p.word(near))
+	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, p.word(near, false))
 	if err != nil {
 		p.log.Debug("peer-silent", logs.Failure(err)...)
 		return
@@ -385,8 +407,11 @@
 }
 
 func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
+	p.mu.Lock()
+	newcomer := !p.table.Knows(w.Self)
+	p.mu.Unlock()
 	go p.heard(context.WithoutCancel(ctx), w)
-	return p.word(w.Self.DataCentre == p.dc), nil
+	return p.word(w.Self.DataCentre == p.dc, newcomer), nil
 }
 
 // heard takes in a word, and asks its teller for what is newer there.
@@ -439,7 +464,7 @@
 		p.log.Warn("pull-failed", append(logs.Failure(err), zap.String("kind", want.Kind))...)
 		return
 	}
-	s.feed(d, has.Age, has.By, string(from.VM))
+	s.feed(d, has, string(from.VM))
 }
 
 func (p *Peers) answerChanges(_ context.Context, _ string, w Wanted) (Delta, error) {
--- a/site/site.go
+++ b/site/site.go
@@ -200,7 +200,7 @@
 	}
 	return &follower[T]{
 		source: source, log: s.log, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
-		duty:  NewDuty(s.opts.VM, source.Timing(), started),
+		duty:  NewDuty(s.opts.Peers.Watcher(), source.Timing(), started),
 		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, confirmed: func() { s.opts.Peers.Confirmed(ctx) }, now: s.opts.Now,
 	}
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -29,6 +29,9 @@
 	Leaving  bool              `cbor:"8,keyasint"`
 	// Age is how long ago the sender last heard from it.
 	Age time.Duration `cbor:"9,keyasint"`
+	// Strength ranks VMs of unlike sizes: stronger ones watch and speak for
+	// their data centre first. Any unit will do that all VMs share.
+	Strength int `cbor:"10,keyasint,omitempty"`
 }
 
 // How long a VM may be silent before it counts as gone. Those of other data
@@ -145,6 +148,12 @@
 	return near
 }
 
+// Knows tells whether this life of a VM has been heard of.
+func (t *Table) Knows(m Member) bool {
+	s, ok := t.members[m.VM]
+	return ok && s.member.Incarnation == m.Incarnation
+}
+
 // Digest tells two VMs of a data centre whether they know of the same VMs there.
 func (t *Table) Digest(now time.Time) uint64 {
 	d := xxhash.New()
@@ -183,7 +192,7 @@
 func rank(key string, id contract.VMID) uint64 { return xxhash.Sum64String(key + "\x00" + string(id)) }
 
 // Rank returns the members of a data centre in the order of their rank for a
-// key, leaving ones last.
+// key, stronger ones first and leaving ones last.
 func Rank(members []Member, dc contract.DataCentreID, key string) []Member {
 	var ranked []Member
 	for _, m := range members {
@@ -198,7 +207,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(rank(key, a.VM), rank(key, b.VM))
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(rank(key, a.VM), rank(key, b.VM)))
 	})
 	return ranked
 }
