rollout: a VM that starts late in an order does not end it; relay: cut off is not ready

Ruled out: the evidence (all others had it), the order's age (right). Change: a VM that first sees an order after its trial began neither completes it nor sends more there than a trial until a VM that saw the order from the start, or twelve answers, have told it. TestJoinsLate fails without. Change: a VM whose other data centres are all away, by tries each 250 ms, and that has no upstream of a service near is not ready; a refusal after the first failed try; an upstream where nothing listens shows that its data centre is there. Conclusion: keep, since callers of a cut-off data centre are served elsewhere.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -103,6 +103,7 @@
 	}
 	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store))
 	go v.site.Run(ctx)
+	go v.relay.Reach(ctx)
 	v.wait()
 	return exitOK
 }
@@ -201,7 +202,7 @@
 
 // ready tells the balancer whether to send new connections.
 func (v *vm) ready(w http.ResponseWriter, _ *http.Request) {
-	if v.stopping.Load() || !v.site.Ready() {
+	if v.stopping.Load() || !v.site.Ready() || v.relay.CutOff() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -43,6 +43,15 @@
 // tcpUserTimeout is the option of RFC 5482, in milliseconds.
 const tcpUserTimeout = 18
 
+// Reach tells whether a connection to an address comes up.
+func Reach(ctx context.Context, address string) error {
+	c, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"woaddoor/config"
@@ -22,6 +23,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
+	if j.failures > 0 && r.cutOff(j.service, now) {
+		return upstream.Entry{}, noUpstream(j) // the others would be tried in vain
+	}
 	for _, pools := range r.eligible(j, now) {
 		id, err := r.table.Pick(upstream.Query{
 			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
@@ -198,6 +202,8 @@
 		result = upstream.Abandoned // the caller's doing
 	case errors.Is(err, exchange.ErrBusy):
 		result = upstream.Full
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET) && !sent:
+		result = upstream.Down
 	case !sent:
 		result = upstream.Unreachable
 	}
@@ -205,6 +211,7 @@
 	r.ended(j, j.last, result, took)
 	if errors.Is(err, errSilent) {
 		r.paced(j, took) // it would have taken that long at least
+		r.doubt(j.last)
 	}
 	j.note(outcome, sent)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,8 @@
 	undone map[contract.ServiceID]map[string]bool
 	paces  map[string]*pace
 	wanted cascade.Wanted
+	// alone is since when this VM has been cut off; zero while it is not.
+	alone time.Time
 }
 
 // New returns a relay that knows no upstreams.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -20,7 +20,7 @@
 		c.Update(o)
 		return
 	}
-	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.CanaryShare)
+	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.CanaryShare, r.opts.Now())
 }
 
 // noteEnd notes how an order ended. The caller holds mu.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -245,6 +245,7 @@
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			r.Metrics.stalls.Inc(1)
+			r.doubt(a.entry)
 			return errStalled
 		case err != nil:
 			return err
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -93,6 +93,9 @@
 	// firstHand tells whether this VM saw the order before anything was written
 	// of it, so that its age is known by its own clock.
 	firstHand bool
+	// joinedLate tells that this VM has seen no part of the trial's beginning, and
+	// told that one which had has told it of the order since.
+	joinedLate, told bool
 	// trial and old are what was seen of the two; old gives the rate of
 	// failures that the service has anyway.
 	trial, old Counts
@@ -112,11 +115,13 @@
 	maxGoodRate = 0.6
 )
 
-// NewCanary returns the canary of an order; share is the largest part of the service's requests that a bad release may
+// NewCanary returns the canary of an order that this VM sees for the first time
+// now; share is the largest part of the service's requests that a bad release may
 // get over the whole order.
-func NewCanary(order Order, share float64) *Canary {
+func NewCanary(order Order, share float64, now time.Time) *Canary {
 	c := &Canary{order: order, firstHand: order.Began.IsZero()}
 	c.stages, c.complete = planStages(share)
+	c.joinedLate = c.part(now) > trialFrom
 	c.test = config.Rollout{GoodRate: goodOver, BadRate: goodOver + badOver, FalseAlarm: falseAlarm, Miss: missed}
 	c.alarm = NewAlarm(&c.test, 1)
 	c.slow = NewSlowness()
@@ -155,9 +160,25 @@
 			share = s.share
 		}
 	}
+	if c.blind() {
+		return min(share, c.stages[0].share)
+	}
 	return share
 }
 
+// enoughSeen is how many answers of a release on trial tell a bad one from a good
+// one, where a third of a bad one's fail.
+const enoughSeen = 12
+
+// blind tells whether this VM knows nothing of how the trial has gone.
+func (c *Canary) blind() bool {
+	if !c.joinedLate || c.told {
+		return false
+	}
+	seen := c.sum()
+	return seen.Good+seen.Bad < enoughSeen
+}
+
 // Choose tells whether a request goes to the release on trial.
 func (c *Canary) Choose(session uint64, now time.Time) bool {
 	share := c.Share(now)
@@ -220,6 +241,7 @@
 // order first is right, and so is any against what was read of the time of day.
 func (c *Canary) Told(age time.Duration, now time.Time) {
 	issued := now.Add(-age)
+	c.told = true
 	if !c.firstHand || issued.Before(c.order.Issued) {
 		c.order.Issued, c.firstHand = issued, true
 	}
@@ -335,6 +357,8 @@
 		return c.order.State, false
 	case c.bad:
 		return OrderUndone, true
+	case c.blind():
+		return OrderOpen, false
 	case c.part(now) >= c.complete && c.Suspected():
 		// A service with few requests gives few answers before the end. After
 		// it there is no other release to go back to.
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -27,7 +27,7 @@
 		skew := time.Duration(rapid.IntRange(0, 200).Draw(t, "skew ms")) * time.Millisecond
 		late := o
 		late.Issued = o.Issued.Add(skew)
-		vms := []*Canary{NewCanary(o, 0.15), NewCanary(late, 0.15)}
+		vms := []*Canary{NewCanary(o, 0.15, testOrder().Issued), NewCanary(late, 0.15, testOrder().Issued)}
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		session := rapid.Uint64().Draw(t, "session")
 		moved := time.Time{}
@@ -86,7 +86,7 @@
 	o := testOrder()
 	var canaries []*Canary
 	for range vms {
-		canaries = append(canaries, NewCanary(o, 0.15))
+		canaries = append(canaries, NewCanary(o, 0.15, testOrder().Issued))
 	}
 	total := perSecond * int(o.Length/time.Second)
 	sent := 0
@@ -114,7 +114,7 @@
 	const runs = 400
 	halted := 0
 	for range runs {
-		c := NewCanary(testOrder(), 0.15)
+		c := NewCanary(testOrder(), 0.15, testOrder().Issued)
 		for i := range 1200 {
 			if c.Observe(Answer{OnTrial: i%10 == 0 || i > 900, Failed: r.Float64() < 0.14}, time.Unix(0, 0)) {
 				halted++
@@ -131,7 +131,7 @@
 	is := is.New(t)
 	r := rand.New(rand.NewPCG(5, 5))
 	found := func(times, share, spread float64) (at int) {
-		c := NewCanary(testOrder(), 0.15)
+		c := NewCanary(testOrder(), 0.15, testOrder().Issued)
 		now := time.Unix(0, 0)
 		took := func(times float64) []Time {
 			return []Time{{"first", 0.08 * times * math.Exp(spread*r.NormFloat64())}}
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	for _, share := range []float64{0.03, 0.05, 0.1, 0.15, 0.3} {
 		o := testOrder()
-		c := NewCanary(o, share)
+		c := NewCanary(o, share, testOrder().Issued)
 		sent := 0.0
 		const parts = 10000
 		completed := 0.0
@@ -193,7 +193,7 @@
 	first.Issued = now.Add(-8 * time.Second)
 	second.Issued = now.Add(-7 * time.Second)
 	late.Issued, late.Began = now.Add(-11*time.Second), now.Add(-11*time.Second) // a clock that is off
-	vms := []*Canary{NewCanary(first, 0.15), NewCanary(second, 0.15), NewCanary(late, 0.15)}
+	vms := []*Canary{NewCanary(first, 0.15, testOrder().Issued), NewCanary(second, 0.15, testOrder().Issued), NewCanary(late, 0.15, testOrder().Issued)}
 	for range 2 {
 		for _, from := range vms {
 			age, own := from.Age(now)
@@ -220,7 +220,7 @@
 	answers := func(tell bool) int {
 		var canaries []*Canary
 		for range vms {
-			canaries = append(canaries, NewCanary(testOrder(), 0.15))
+			canaries = append(canaries, NewCanary(testOrder(), 0.15, testOrder().Issued))
 		}
 		var late Evidence
 		for n := 1; ; n++ {
@@ -259,7 +259,7 @@
 	var vms []member
 	for _, dc := range []contract.DataCentreID{"d", "e", "f"} {
 		for i := range 12 {
-			vms = append(vms, member{NewCanary(testOrder(), 0.15), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc})
+			vms = append(vms, member{NewCanary(testOrder(), 0.15, testOrder().Issued), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc})
 		}
 	}
 	for _, m := range vms {
@@ -292,7 +292,7 @@
 	is := is.New(t)
 	end := func(bad int) OrderState {
 		o := testOrder()
-		c := NewCanary(o, 0.15)
+		c := NewCanary(o, 0.15, testOrder().Issued)
 		for i := range 60 {
 			c.Observe(Answer{Failed: i%14 == 0}, o.Issued)
 		}
@@ -307,3 +307,46 @@
 	is.Equal(end(10), OrderUndone)   // five of thirteen
 	is.Equal(end(2), OrderCompleted) // one of thirteen, as the others
 }
+
+// TestJoinsLate shows that a VM which starts when an order is nearly over, and
+// knows nothing of its trial, neither completes it nor sends more there than a
+// trial, until it has heard of one that saw the order from the start, or has seen
+// answers enough. The naive way completed a bad release at once.
+func TestJoinsLate(t *testing.T) {
+	is := is.New(t)
+	o := testOrder()
+	o.Began = o.Issued // written down by another VM
+	now := o.Issued.Add(o.Length - 50*time.Millisecond)
+	joined := func() *Canary { return NewCanary(o, 0.15, now) }
+
+	c := joined()
+	_, due := c.Verdict(now)
+	is.True(!due)
+	is.True(c.Share(now) < 0.1)
+
+	other := Observer{VM: "other", Incarnation: 1}
+	self := Observer{VM: "self", Incarnation: 1}
+	seen := NewCanary(o, 0.15, o.Issued)
+	for range 6 {
+		seen.Observe(Answer{OnTrial: true, Failed: true}, now)
+	}
+	c.Hear(seen.Evidence(other, "d"), self, "d")
+	state, due := c.Verdict(now)
+	is.True(due)
+	is.Equal(state, OrderUndone)
+
+	c = joined()
+	c.Told(now.Sub(o.Issued), now) // by one that saw it from the start, and nothing bad
+	state, due = c.Verdict(now)
+	is.True(due)
+	is.Equal(state, OrderCompleted)
+
+	c = joined()
+	for range enoughSeen {
+		c.Observe(Answer{OnTrial: true}, now)
+	}
+	state, due = c.Verdict(now)
+	is.True(due)
+	is.Equal(state, OrderCompleted)
+	is.Equal(c.Share(now), 1.0)
+}
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -107,8 +107,10 @@
 	failed    float64
 	backoff   time.Duration
 	openUntil time.Time // closed until then
-	first     time.Duration
-	others    time.Duration // the mean of first over all upstreams of its kind
+	// gone tells that no connection came up at the last try.
+	gone   bool
+	first  time.Duration
+	others time.Duration // the mean of first over all upstreams of its kind
 }
 
 // Weights and bounds of health.
@@ -146,32 +148,11 @@
 	h.openUntil = now.Add(h.backoff)
 }
 
-// awayFor is how long a data centre counts as cut off after a connection to one
-// of its upstreams did not come up: its others are passed over meanwhile, but
-// for want of any other.
-const awayFor = 1500 * time.Millisecond
-
-// reachable takes in whether a data centre could be reached.
-func (t *Table) reachable(s *state, r Result, now time.Time) {
-	switch r {
-	case Unreachable:
-		t.away[s.pool.DataCentre] = now.Add(awayFor)
-	case Good, Full:
-		delete(t.away, s.pool.DataCentre)
-	case Failed, Abandoned:
-	}
-}
-
-// isAway tells whether an upstream is in a data centre that looks cut off. The
-// own one never does: a VM that is alone there has nowhere else to go.
-func (t *Table) isAway(s *state, q Query, now time.Time) bool {
-	return s.pool.DataCentre != q.DataCentre && now.Before(t.away[s.pool.DataCentre])
-}
-
 // ended takes in how a request of a listed upstream ended; took is the time to
 // the first answer.
 func (s *state) ended(r Result, took time.Duration, now time.Time) {
 	h := &s.health
+	h.gone = r == Unreachable || r == Down || h.gone && r == Abandoned
 	switch r {
 	case Good:
 		h.failed -= failedWeight * h.failed
@@ -189,7 +170,7 @@
 		if h.failed >= failedLimit {
 			h.close(now)
 		}
-	case Unreachable:
+	case Unreachable, Down:
 		h.failed = max(h.failed, failedLimit)
 		h.close(now)
 	case Full:
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -53,8 +53,10 @@
 	opts   Options
 	states map[contract.UpstreamID]*state
 	// away are the data centres that look cut off, until when.
-	away  map[contract.DataCentreID]time.Time
-	pools map[contract.PoolID][]*state
+	away map[contract.DataCentreID]time.Time
+	// doubted are those with an upstream that has fallen silent.
+	doubted map[contract.DataCentreID]bool
+	pools   map[contract.PoolID][]*state
 }
 
 // state is what is known of one upstream.
@@ -86,7 +88,7 @@
 func NewTable(opts Options) *Table {
 	o := opts.withDefaults()
 	return &Table{
-		opts: o, away: make(map[contract.DataCentreID]time.Time), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
+		opts: o, away: make(map[contract.DataCentreID]time.Time), doubted: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
 	}
 }
 
@@ -161,6 +163,9 @@
 	Abandoned
 	// Unreachable means that no connection came up: nothing was sent.
 	Unreachable
+	// Down means that no connection came up since nothing listens there any more:
+	// nothing was sent, and its machine could be reached.
+	Down
 	// Full means that the upstream refused the request without running it.
 	Full
 )
