--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -70,6 +70,7 @@
 	{"nothing is on trial in the first half", "rollout/canary.go", "trialFrom = 0.52", "trialFrom = 0.4", "./rollout", "TestSessionsMoveOneWay"},
 	{"an order is planned by its share", "rollout/canary.go", "full := 1 - all", "full := 0.7 + 0*all", "./rollout", "TestShareOfAnOrder"},
 	{"who knows nothing of a trial does not end it", "rollout/canary.go", "	case c.blind():\n		return OrderOpen, false\n", "", "./rollout", "TestJoinsLate"},
+	{"a completed release stays under the next order", "relay/rollouts.go", "		r.settled[o.Service] = o.Release\n", "", "./platform", "TestCompletedReleaseStays"},
 	{"slow answers are bad", "rollout/canary.go", "if a.Failed || slow {", "if a.Failed {", "./rollout", "TestSlowRelease"},
 	{"an older object does not come back", "site/ledger.go", "!had && l.known && i.Revision <= l.at && !(d.Full && d.At >= l.at)", "false", "./site", "TestStaleObject"},
 	{"removals between lists are not known", "site/ledger.go", "		l.floor = max(l.floor, d.At) // what came and went before is not known\n", "", "./site", "TestRemovalBetweenLists"},
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -76,17 +76,21 @@
 	onTrial := candidates{release: target, ids: byRelease[target]}
 	out := maps.Clone(r.undone[j.service])
 	out[target] = true
-	others := candidates{ids: all(byRelease, out)}
-	order := []candidates{others}
+	var others []candidates
+	if settled := r.settled[j.service]; settled != "" && !out[settled] {
+		others = append(others, candidates{ids: byRelease[settled]})
+	}
+	others = append(others, candidates{ids: all(byRelease, out)})
+	order := others
 	switch {
 	case !j.began && j.failures > 0 && j.release == target && canary.Suspected():
-		order = []candidates{others, onTrial}
+		order = append(others, onTrial)
 	case j.began && j.release == target: // a stream stays on its release
-		order = []candidates{onTrial, others}
+		order = append([]candidates{onTrial}, others...)
 	case !j.began && canary.Choose(j.Session, now):
-		order = []candidates{onTrial, others}
+		order = append([]candidates{onTrial}, others...)
 	case canary.Moving(now):
-		order = []candidates{others, onTrial}
+		order = append(others, onTrial)
 	}
 	return known(order)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,8 +68,11 @@
 	// undone are the releases found bad, by service: their upstreams drain, and
 	// a later order for another release does not bring them back.
 	undone map[contract.ServiceID]map[string]bool
-	paces  map[string]*pace
-	wanted cascade.Wanted
+	// settled are the releases that were brought in last, by service: sessions
+	// stay there under a later order, whatever else still runs.
+	settled map[contract.ServiceID]string
+	paces   map[string]*pace
+	wanted  cascade.Wanted
 	// alone is since when this VM has been cut off; zero while it is not.
 	alone time.Time
 }
@@ -92,6 +95,7 @@
 		budgets:  make(map[contract.ServiceID]*retry.Window),
 		canaries: make(map[contract.ServiceID]*rollout.Canary),
 		undone:   make(map[contract.ServiceID]map[string]bool),
+		settled:  make(map[contract.ServiceID]string),
 		paces:    make(map[string]*pace),
 	}
 }
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -31,6 +31,9 @@
 	switch o.State {
 	case rollout.OrderUndone:
 		r.undone[o.Service][o.Release] = true
+	case rollout.OrderCompleted:
+		r.settled[o.Service] = o.Release
+		delete(r.undone[o.Service], o.Release)
 	default:
 		delete(r.undone[o.Service], o.Release)
 	}
