relay: silence is judged again while no other upstream could answer

The limit of silence was set once, at the send and at the head: where no other upstream could take the request in that moment (all others suspected for some hundred milliseconds), the hung attempt was waited for to its deadline, though others were back at once. Ruled out: the attempts (one was left), the budget, a slow pace (no event came). Change: an alarm looks again each 200 ms.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -184,8 +184,9 @@
 	return n, err
 }
 
-// Due sets by when the next bytes of the body have to come.
-func (a *Answer) Due(at time.Time) { _ = a.conn.SetReadDeadline(at) }
+// Abort makes the present and any further read of the body fail with
+// os.ErrDeadlineExceeded. It may be called by another goroutine than reads.
+func (a *Answer) Abort() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // Close ends the exchange. A connection whose answer was read whole, with
 // nothing after it, is kept; any other is closed.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"woaddoor/contract"
 	"woaddoor/upstream"
@@ -80,7 +79,7 @@
 // whole makes one attempt and reads its answer to the end.
 func (r *Relay) whole(ctx context.Context, j *job, e upstream.Entry) (*Head, []byte, error) {
 	began := r.opts.Now()
-	a, err := r.send(ctx, j, e, nil, r.silentAt(j, began))
+	a, err := r.send(ctx, j, e, nil, r.silentIn(j))
 	if err != nil {
 		r.failed(j, err, began)
 		return nil, nil, err
@@ -124,24 +123,6 @@
 	return err
 }
 
-// silentAt returns by when an attempt has to show the head of its answer. A
-// request that may run again is tried elsewhere after that; any other is waited
-// for to its deadline.
-func (r *Relay) silentAt(j *job, now time.Time) time.Time {
-	if !j.Route.Repeatable() || j.sends+1 >= j.Route.MaxAttempts || !r.another(j) {
-		return j.patient()
-	}
-	var limit time.Duration
-	r.locked(func() { limit = r.pace(j).limit(j.Route.Objective) })
-	return now.Add(limit)
-}
-
-// patience is how far beyond the deadline silence is looked for when it ends
-// nothing: the deadline itself ends the wait, and says so.
-const patience = time.Second
-
-func (j *job) patient() time.Time { return j.Deadline.Add(patience) }
-
 // retried counts a retry and says why it is made.
 func (r *Relay) retried(j *job, err error) {
 	r.Metrics.retries.Inc(1)
--- a/relay/send.go
+++ b/relay/send.go
@@ -77,13 +77,13 @@
 // what is then sent over them may have run.
 const onceIdle = time.Second
 
-// send sends the request to an upstream and waits for the head of its answer,
-// at most until wait.
-func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, lastEvent *int64, wait time.Time) (*attempt, error) {
+// send sends the request to an upstream and waits for the head of its answer; for
+// longer than silent only while no other upstream could take the request.
+func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, lastEvent *int64, silent time.Duration) (*attempt, error) {
 	now := r.opts.Now()
 	pool := r.pool(e)
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(wait.Sub(now), func() { cancel(errSilent) })
+	silence := r.watch(j, now.Add(silent), func() { cancel(errSilent) })
 	s := Send{Upstream: e, Model: j.model, Left: j.Deadline.Sub(now), LastEvent: lastEvent}
 	if lastEvent != nil {
 		s.Weights = j.weights
@@ -93,7 +93,7 @@
 		req.MaxIdle = onceIdle
 	}
 	x, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
-	if !timer.Stop() && err == nil {
+	if silence.stop() && err == nil {
 		x.Close()
 		err = &exchange.Error{Sent: true, Err: errSilent}
 	}
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+// lookAgain is how often an attempt that has been silent for too long looks
+// whether another upstream could answer in its place: those that are passed over
+// after failures come back within some hundred milliseconds.
+const lookAgain = 200 * time.Millisecond
+
+// alarm ends an attempt that is silent for too long, once another upstream could
+// answer in its place: until then silence is waited out. An attempt whose request
+// may not move on is never ended by it.
+type alarm struct {
+	relay *Relay
+	job   job // as it was when the attempt began; it is only read
+	end   func()
+
+	// mu guards the fields below. It is taken before the relay's, never after.
+	mu    sync.Mutex
+	due   time.Time
+	timer *time.Timer // nil when the request may not move on
+	done  bool
+	fired bool
+}
+
+// mayMove tells whether a request may be sent once more while the present attempt
+// may have run.
+func (j *job) mayMove() bool { return j.Route.Repeatable() && j.sends+1 < j.Route.MaxAttempts }
+
+// watch has end called once an attempt has been silent beyond due.
+func (r *Relay) watch(j *job, due time.Time, end func()) *alarm {
+	a := &alarm{relay: r, job: *j, end: end, due: due}
+	if j.mayMove() {
+		a.mu.Lock()
+		a.timer = time.AfterFunc(due.Sub(r.opts.Now()), a.ring)
+		a.mu.Unlock()
+	}
+	return a
+}
+
+// heard notes that the attempt has said something, and by when it has to again.
+func (a *alarm) heard(due time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.due = due
+	if a.timer != nil && !a.done {
+		a.timer.Reset(due.Sub(a.relay.opts.Now()))
+	}
+}
+
+// ring ends the attempt, or looks again later.
+func (a *alarm) ring() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done {
+		return
+	}
+	if wait := a.due.Sub(a.relay.opts.Now()); wait > 0 { // it has said something meanwhile
+		a.timer.Reset(wait)
+		return
+	}
+	if !a.relay.another(&a.job) {
+		a.timer.Reset(lookAgain)
+		return
+	}
+	a.done, a.fired = true, true
+	a.end()
+}
+
+// stop ends the watch and tells whether it has ended the attempt.
+func (a *alarm) stop() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.done = true
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	return a.fired
+}
+
+// silentIn returns how long an attempt may be silent before its first answer.
+func (r *Relay) silentIn(j *job) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pace(j).limit(j.Route.Objective)
+}
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -118,7 +118,7 @@
 	r, j := s.relay, s.job
 	began := r.opts.Now()
 	s.failure, s.body = nil, nil
-	a, err := r.send(ctx, j, e, s.lastEvent(), s.silentAt(began))
+	a, err := r.send(ctx, j, e, s.lastEvent(), s.silentIn())
 	if err != nil {
 		r.failed(j, err, began)
 		return err
@@ -144,15 +144,12 @@
 	return s.judge(ctx, a, err)
 }
 
-// silentAt returns by when the first event has to come.
-func (s *series) silentAt(now time.Time) time.Time {
-	if s.job.began && !s.mayResume() {
-		return s.job.patient()
-	}
+// silentIn returns how long an attempt may be silent before its first event.
+func (s *series) silentIn() time.Duration {
 	if s.job.began {
-		return now.Add(s.relay.pauseLimit(s.job.Route.Gap))
+		return s.relay.pauseLimit(s.job.Route.Gap)
 	}
-	return s.relay.silentAt(s.job, now)
+	return s.relay.silentIn(s.job)
 }
 
 // other takes in an answer that is not a series of events.
@@ -229,15 +226,17 @@
 	longest := r.pauseLimit(j.Route.Gap)
 	pace := stream.NewPace(stream.PaceOptions{
 		Longest: longest, Shortest: time.Duration(pauseFrom / pauseTo * float64(longest)),
-		First: max(s.silentAt(a.began).Sub(r.opts.Now()), longest),
+		First: max(a.began.Add(s.silentIn()).Sub(r.opts.Now()), longest),
 	}, r.opts.Now())
+	silence := r.watch(j, pace.Due(), a.answer.Abort)
+	defer silence.stop()
 	buf := make([]byte, eventBuffer)
 	for {
-		a.answer.Due(s.due(pace))
 		n, err := a.answer.Read(buf)
 		if perr := s.pass(a, pace, buf[:n]); perr != nil {
 			return perr
 		}
+		silence.heard(pace.Due())
 		switch {
 		case errors.Is(err, io.EOF) && s.events.Partial():
 			return errBroken
@@ -253,21 +252,6 @@
 	}
 }
 
-// due returns by when the next event has to come. A stream that nobody else may
-// go on with is waited for to its deadline.
-func (s *series) due(p *stream.Pace) time.Time {
-	if !s.mayResume() {
-		return s.job.patient()
-	}
-	return p.Due()
-}
-
-// mayResume tells whether another upstream may go on when the present one is
-// silent.
-func (s *series) mayResume() bool {
-	return s.job.Route.Repeatable() && s.job.sends+1 < s.job.Route.MaxAttempts && s.relay.another(s.job)
-}
-
 // pass gives the whole events among the bytes to the caller.
 func (s *series) pass(a *attempt, pace *stream.Pace, p []byte) error {
 	if len(p) == 0 {
