relay: a hung attempt goes to a suspected upstream when there is no other

Ruled out: the limit itself (it had passed ten times over). Change: after three times its limit a silent attempt counts as hung, and a suspected upstream will do. TestHungBesideSuspected.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -65,7 +65,7 @@
 	{"what may not run again is not escalated", "relay/models.go", "|| !j.Route.Repeatable() ", "", "./relay", "TestNoEscalationOfWhatMayNotRepeat"},
 	{"a delivered event is not passed on again", "stream/events.go", "if e.seen && id <= e.last {", "if false {", "./stream", "TestEventsWholeAndOnce"},
 	{"a piece of an event is forgotten at a resume", "relay/streaming.go", "		s.events.Restart()\n", "", "./platform", "TestStreamResumes"},
-	{"silence is waited out where no other could answer", "relay/silence.go", "if !a.relay.another(&a.job) {", "if false {", "./platform", "TestSilenceWithoutAnother"},
+	{"silence is waited out where no other could answer", "relay/silence.go", "if !a.relay.another(&a.job, hung) {", "if false {", "./platform", "TestSilenceWithoutAnother"},
 	{"silence ends once another could answer", "relay/silence.go", "		a.timer.Reset(lookAgain)\n", "", "./platform", "TestSilenceUntilAnother"},
 	{"an undone release stays out", "relay/pick.go", "out := maps.Clone(r.undone[j.service])", "out := maps.Clone(map[string]bool{})", "./platform", "TestBadReleaseIsUndone"},
 	{"nothing is on trial in the first half", "rollout/canary.go", "trialFrom = 0.52", "trialFrom = 0.4", "./rollout", "TestSessionsMoveOneWay"},
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -47,14 +47,14 @@
 }
 
 // another tells whether an upstream other than those that were tried could take
-// the request: without one, silence is waited out.
-func (r *Relay) another(j *job) bool {
+// the request, one that is suspected only if that will do.
+func (r *Relay) another(j *job, suspected bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
 	exclude := append(slices.Clone(j.exclude), j.last.ID)
 	return slices.ContainsFunc(r.eligible(j, now), func(c candidates) bool {
-		return r.table.Another(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: exclude}, now)
+		return r.table.Another(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: exclude}, suspected, now)
 	})
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"woaddoor/contract"
 	"woaddoor/retry"
 	"woaddoor/route"
+	"woaddoor/upstream"
 )
 
 func testRelay() *Relay {
@@ -71,3 +72,41 @@
 	}
 	is.Equal(first(testJob(false), slow), contract.ModelID("small")) // the larger one would be late
 }
+
+// TestHungBesideSuspected checks that a silent attempt is left at its limit for a
+// healthy upstream only, and for a suspected one when it counts as hung.
+func TestHungBesideSuspected(t *testing.T) {
+	const limit = time.Second
+	for name, c := range map[string]struct {
+		suspected bool
+		after     time.Duration
+	}{
+		"healthy":   {false, limit},
+		"suspected": {true, hungAfter * limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			r := New(&Options{Log: zap.NewNop(), Now: func() time.Time { return now }, VMs: func() int { return 1 }, Seed: 1})
+			u1, u2 := upstream.Entry{ID: "u1", Service: "s", Slots: 4}, upstream.Entry{ID: "u2", Service: "s", Slots: 4}
+			r.SetUpstreams([]upstream.Entry{u1, u2}, nil)
+			for range 3 {
+				if c.suspected {
+					r.table.Sent(u2.ID)
+					r.table.Done(u2.ID, upstream.Failed, 0, now)
+				}
+			}
+			j := testJob(true)
+			j.service, j.last = "s", u1
+			ended := time.Time{}
+			a := r.watch(j, now.Add(limit), func() { ended = now })
+			defer a.stop()
+			began := now
+			for ended.IsZero() && now.Sub(began) < time.Minute {
+				now = now.Add(lookAgain / 2)
+				a.ring()
+			}
+			is.Equal(ended.Sub(began), c.after)
+		})
+	}
+}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -10,6 +10,11 @@
 // after failures come back within some hundred milliseconds.
 const lookAgain = 200 * time.Millisecond
 
+// hungAfter is after how many times its limit a silent attempt counts as hung and
+// not as slow, so that one at a suspected upstream is better. Where all are slow,
+// going from one queue to the end of another only adds work.
+const hungAfter = 3
+
 // alarm ends an attempt that is silent for too long, once another upstream could
 // answer in its place: until then silence is waited out. An attempt whose request
 // may not move on is never ended by it.
@@ -20,6 +25,7 @@
 
 	// mu guards the fields below. It is taken before the relay's, never after.
 	mu    sync.Mutex
+	since time.Time // when it last said something
 	due   time.Time
 	timer *time.Timer // nil when the request may not move on
 	done  bool
@@ -32,7 +38,7 @@
 
 // watch has end called once an attempt has been silent beyond due.
 func (r *Relay) watch(j *job, due time.Time, end func()) *alarm {
-	a := &alarm{relay: r, job: *j, end: end, due: due}
+	a := &alarm{relay: r, job: *j, end: end, since: r.opts.Now(), due: due}
 	if j.mayMove() {
 		a.mu.Lock()
 		a.timer = time.AfterFunc(due.Sub(r.opts.Now()), a.ring)
@@ -45,9 +51,9 @@
 func (a *alarm) heard(due time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.due = due
+	a.since, a.due = a.relay.opts.Now(), due
 	if a.timer != nil && !a.done {
-		a.timer.Reset(due.Sub(a.relay.opts.Now()))
+		a.timer.Reset(due.Sub(a.since))
 	}
 }
 
@@ -58,11 +64,13 @@
 	if a.done {
 		return
 	}
-	if wait := a.due.Sub(a.relay.opts.Now()); wait > 0 { // it has said something meanwhile
-		a.timer.Reset(wait)
+	now := a.relay.opts.Now()
+	if now.Before(a.due) { // it has said something meanwhile
+		a.timer.Reset(a.due.Sub(now))
 		return
 	}
-	if !a.relay.another(&a.job) {
+	hung := now.Sub(a.since) >= hungAfter*a.due.Sub(a.since)
+	if !a.relay.another(&a.job, hung) {
 		a.timer.Reset(lookAgain)
 		return
 	}
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -90,11 +90,11 @@
 	return best.upstream.ID, nil
 }
 
-// Another tells whether any upstream that is not known to be ill could take the
-// request.
-func (t *Table) Another(q Query, now time.Time) bool {
+// Another tells whether any upstream could take the request: one that is not
+// known to be ill, unless suspected ones will do.
+func (t *Table) Another(q Query, suspected bool, now time.Time) bool {
 	for _, s := range t.states {
-		if q.allows(s) && t.usable(s, "", now) && s.health.failed < failedLimit && !t.isAway(s, q, now) {
+		if q.allows(s) && t.usable(s, "", now) && (suspected || s.health.failed < failedLimit) && !t.isAway(s, q, now) {
 			return true
 		}
 	}
