retry: one rule for what bars another attempt; the window counts its oldest slot whole

Cause: the drawn test of the fleet's budget failed once: 9 repeats for 211 requests at a ratio of 0.018 and a slack of 5. The window of 20 slots covers 9.5 to 10 s, so that repeats at the end of a slot were forgotten up to half a second early. Ruled out: the margin (it covers it at large numbers only), the change beside it (the rule for what may run again stood in relay as well as in retry, and is one function now). Change: repeats are counted over 21 slots, requests over 20.

--- a/relay/pick.go
+++ b/relay/pick.go
@@ -159,15 +159,13 @@
 // why there is none, or "".
 func (r *Relay) again(j *job, repeatable bool) retry.Reason {
 	now := r.opts.Now()
-	if !repeatable && j.outcome != contract.NotRun {
-		return retry.MayHaveRun
+	a := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, Expected: minLeft}
+	if why := a.Barred(max(j.Route.MaxAttempts, 1), now); why != "" {
+		return why
 	}
-	if j.sends >= max(j.Route.MaxAttempts, 1) || j.failures >= maxUnsent+j.Route.MaxAttempts {
+	if j.failures >= maxUnsent+j.Route.MaxAttempts {
 		return retry.Attempts
 	}
-	if j.Deadline.Sub(now) < minLeft {
-		return retry.TooLate
-	}
 	if j.sends == 0 {
 		return "" // no upstream has seen it, so nothing is repeated
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -88,21 +88,30 @@
 // pauseFactor makes the mean of the drawn pause the backoff.
 const pauseFactor = 2
 
-// Decide takes one retry out of the budget, or says why there is none.
+// Barred returns why there is no other attempt after this one, whatever the budget
+// has left, where most are allowed; "" when there may be one.
 //
 // A request that may not be repeated is tried again only when its attempt is
 // proved not to have run.
-func (b *Budget) Decide(a Attempt, now time.Time, random *rand.Rand) Decision {
-	if !a.Repeatable && a.Outcome != contract.NotRun {
-		return Decision{Why: MayHaveRun}
+func (a Attempt) Barred(most int, now time.Time) Reason {
+	switch {
+	case !a.Repeatable && a.Outcome != contract.NotRun:
+		return MayHaveRun
+	case a.Number >= most:
+		return Attempts
+	case now.Add(a.Expected).After(a.Deadline):
+		return TooLate
 	}
-	if a.Number >= b.opts.MaxAttempts {
-		return Decision{Why: Attempts}
-	}
-	mean := b.opts.Backoff << (a.Number - 1)
+	return ""
+}
+
+// Decide takes one retry out of the budget, or says why there is none.
+func (b *Budget) Decide(a Attempt, now time.Time, random *rand.Rand) Decision {
+	mean := b.opts.Backoff << max(a.Number-1, 0)
 	pause := time.Duration(random.Float64() * pauseFactor * float64(mean))
-	if now.Add(pause + a.Expected).After(a.Deadline) {
-		return Decision{Why: TooLate}
+	a.Expected += pause
+	if why := a.Barred(b.opts.MaxAttempts, now); why != "" {
+		return Decision{Why: why}
 	}
 	if b.saved < 1 {
 		return Decision{Why: OverBudget}
--- a/retry/window.go
+++ b/retry/window.go
@@ -28,6 +28,9 @@
 	defaultMargin  = 0.15
 	defaultReserve = 0.25
 	windowSlots    = 20
+	// keptSlots are one more: the newest slot has only begun, so the oldest one
+	// is still partly in the window.
+	keptSlots = windowSlots + 1
 )
 
 // Window bounds the repeated sends of one VM to one service over a sliding
@@ -36,7 +39,7 @@
 // Its owner locks it.
 type Window struct {
 	opts  WindowOptions
-	slots [windowSlots]slot
+	slots [keptSlots]slot
 	at    int64 // number of the newest slot
 }
 
@@ -50,14 +53,19 @@
 	return &Window{opts: opts}
 }
 
+// slot returns the place of a slot by its number.
+func (w *Window) slot(at int64) *slot { return &w.slots[(at%keptSlots+keptSlots)%keptSlots] }
+
 func (w *Window) turn(now time.Time) *slot {
 	at := now.UnixNano() / int64(w.opts.Length/windowSlots)
-	for n := 0; w.at < at && n < windowSlots; n++ {
+	for n := 0; w.at < at && n < keptSlots; n++ {
 		w.at++
-		w.slots[w.at%windowSlots] = slot{}
+		*w.slot(w.at) = slot{}
+	}
+	if w.at < at { // all slots are empty, whichever is the newest
+		w.at = at
 	}
-	w.at = max(w.at, at)
-	return &w.slots[w.at%windowSlots]
+	return w.slot(w.at)
 }
 
 // Request notes a request of a caller.
@@ -111,8 +119,8 @@
 
 func (w *Window) allowance(vms int) float64 {
 	requests := 0.0
-	for _, s := range w.slots {
-		requests += s.requests
+	for at := w.at; at > w.at-windowSlots; at-- { // those that are in the window whole
+		requests += w.slot(at).requests
 	}
 	return (1 - w.opts.Margin) * (w.opts.Ratio*requests + w.opts.Slack/float64(max(vms, 1)))
 }
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -80,3 +80,19 @@
 	}
 	is.True(retries >= 10)
 }
+
+// TestWindowEdge shows that repeats at the end of a slot count until the whole
+// window has passed since, and not only until their slot's beginning is that old.
+func TestWindowEdge(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(WindowOptions{Slack: 10, Length: 10 * time.Second})
+	at := func(ms int64) time.Time { return time.UnixMilli(1_000_000 + ms) }
+	taken := 0
+	for w.Take(ForRetry, 1, at(490)) {
+		taken++
+	}
+	is.Equal(taken, 8) // the slack less the margin
+	is.True(!w.Take(ForRetry, 1, at(10_200)))
+	is.True(w.Take(ForRetry, 1, at(10_600)))
+	is.True(NewWindow(WindowOptions{Slack: 10}).Take(ForRetry, 1, time.Unix(0, 0))) // a clock that has just begun
+}
