--- a/site/peers.go
+++ b/site/peers.go
@@ -50,6 +50,12 @@
 	pulseEvery = 400 * time.Millisecond
 	// introduceEvery is how often a VM that knows no other looks for some.
 	introduceEvery = time.Second
+	// strangersAtOnce is how many of those are told at a time, and strangersAlone
+	// how many by a VM that knows nobody. VMs of other data centres are heard of
+	// by those who speak for them only, and stay strangers: told all each second,
+	// words grew with the square of the VMs.
+	strangersAtOnce = 2
+	strangersAlone  = 8
 )
 
 // Peers keeps the VMs of a deployment in step.
@@ -275,10 +281,11 @@
 			out = append(out, a)
 		}
 	}
+	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
 	if len(heard) > 1 {
-		return out
+		return out[:min(strangersAtOnce, len(out))]
 	}
-	return append(out, p.seeds...)
+	return append(out[:min(strangersAlone, len(out))], p.seeds...)
 }
 
 // Close ends all links.
