peek: one look at a connection; one check that nothing listens

Cause: read once more, the end of a VM looked at a connection for unread bytes with the same call as the pool of upstreams' connections, and two places in relay told a refused connection from a lost one. Change: peek.Look serves drain and exchange, exchange.NothingListens both places. Behaviour stays: the same call, the same answers (a refused connection is never one that was sent on).

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # The packages with goroutines of their own, and the real programs built with
 # the race detector.
 race:
-	go test -race ./clock ./link ./drain ./exchange ./relay ./engine ./history ./operator ./logs ./site ./platform ./internal/standin/...
+	go test -race ./clock ./link ./peek ./drain ./exchange ./relay ./engine ./history ./operator ./logs ./site ./platform ./internal/standin/...
 	WOADDOOR_RACE=1 go test ./internal/fleet -count 1 -run 'Ruling|Stream|Rollout|Cascade|PlannedStop|Client|ControlKilled'
 
 # A fixed number of inputs on top of the committed corpus.
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -13,8 +13,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"woaddoor/peek"
 )
 
 // Timings of the end of a server.
@@ -183,20 +184,4 @@
 }
 
 // unread tells whether bytes have arrived that were not read yet.
-func (c *conn) unread() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false // closed already
-	}
-	waiting := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = err == nil && n > 0
-	})
-	return err == nil && waiting
-}
+func (c *conn) unread() bool { return peek.Look(c.Conn) == peek.Waiting }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"woaddoor/peek"
 )
 
 // Sizes of the buffers of a connection: answers are read in small pieces, and
@@ -43,6 +46,12 @@
 // tcpUserTimeout is the option of RFC 5482, in milliseconds.
 const tcpUserTimeout = 18
 
+// NothingListens tells whether an address answered that no connection is taken
+// there: its machine could be reached.
+func NothingListens(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Reach tells whether a connection to an address comes up.
 func Reach(ctx context.Context, address string) error {
 	c, err := dial(ctx, address)
@@ -129,20 +138,5 @@
 	if c.keep > 0 && now.Sub(c.idleAt) > time.Duration(keepShare*float64(c.keep)) {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN || err == syscall.EINTR
-		return true
-	})
-	return err == nil && open
+	return peek.Look(c.Conn) == peek.Quiet
 }
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"syscall"
 	"time"
 
 	"woaddoor/config"
@@ -204,7 +203,7 @@
 		result = upstream.Abandoned // the caller's doing
 	case errors.Is(err, exchange.ErrBusy):
 		result = upstream.Full
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET) && !sent:
+	case !sent && exchange.NothingListens(err):
 		result = upstream.Down
 	case !sent:
 		result = upstream.Unreachable
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,7 +41,7 @@
 // reach tries a data centre by one of its upstreams.
 func (r *Relay) reach(ctx context.Context, dc contract.DataCentreID, address string) {
 	err := exchange.Reach(ctx, address)
-	ok := err == nil || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	ok := err == nil || exchange.NothingListens(err)
 	r.locked(func() { r.table.Reached(dc, ok, r.opts.Now()) })
 	if ok {
 		r.log.Info("data-centre-reached", zap.String("data_centre", string(dc)), zap.String("by", address))
