--- /dev/null
+++ b/internal/rounds/main.go
@@ -0,0 +1,136 @@
+// Command rounds measures one build of the product on the users' bench: it
+// plays days of a site file, each on several seeds, and prints the mean worth
+// with its parts, prices and broken rules as a Markdown table. It is the
+// measurement behind each line of docs/POLICY.md.
+//
+// Run it at the root of a checkout:
+//
+//	go run ./internal/rounds --bench BENCH --site SITE --why "round 34: ..."
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/alecthomas/kong"
+)
+
+type arguments struct {
+	Bench string   `help:"The users' bench." required:""`
+	Site  string   `help:"The site file." required:"" type:"path"`
+	Days  []string `help:"Days to play." default:"quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3"`
+	Seeds int      `help:"How many seeds of each day." default:"3"`
+	First int      `help:"The first seed. 0 stands for the day's own." default:"1"`
+	Jobs  int      `help:"Days played at a time." default:"4"`
+	Cost  bool     `help:"Count processor time; runs then repeat less well."`
+	Why   string   `help:"What the run is for; it goes into the journal." required:""`
+}
+
+// play is one day on one seed.
+type play struct {
+	day  string
+	seed int
+	out  *report
+	err  error
+}
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Description("Plays days on several seeds and prints worth, parts and prices."))
+	plays := a.plays()
+	if err := a.run(plays); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	failed := 0
+	for _, p := range plays {
+		if p.err != nil {
+			failed++
+			fmt.Fprintf(os.Stderr, "%s, seed %d: not played: %v\n", p.day, p.seed, p.err)
+		}
+	}
+	printTable(os.Stdout, a.Days, plays)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func (a *arguments) plays() []*play {
+	var plays []*play
+	for _, day := range a.Days {
+		for seed := a.First; seed < a.First+a.Seeds; seed++ {
+			plays = append(plays, &play{day: day, seed: seed})
+		}
+	}
+	return plays
+}
+
+// run plays all, a few at a time, and shows how far it is.
+func (a *arguments) run(plays []*play) error {
+	dir, err := os.MkdirTemp("", "rounds")
+	if err != nil {
+		return fmt.Errorf("folder for reports: %w", err)
+	}
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	if out, err := exec.Command(a.Bench, "build").CombinedOutput(); err != nil { // once, not by each play
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	places := make(chan struct{}, max(a.Jobs, 1))
+	var all sync.WaitGroup
+	var mu sync.Mutex // guards done
+	done := 0
+	for i, p := range plays {
+		places <- struct{}{}
+		all.Add(1)
+		go func() {
+			defer func() { <-places; all.Done() }()
+			p.out, p.err = a.play(p, filepath.Join(dir, strconv.Itoa(i)+".json"))
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+			fmt.Fprintf(os.Stderr, "\r%d of %d days", done, len(plays))
+		}()
+	}
+	all.Wait()
+	fmt.Fprintln(os.Stderr)
+	return nil
+}
+
+// play plays one day and reads its report.
+func (a *arguments) play(p *play, file string) (*report, error) {
+	args := []string{"run", a.Site, p.day, "--report", file, "--jobs", "1", "--why", a.Why}
+	if p.seed > 0 {
+		args = append(args, "--seed", strconv.Itoa(p.seed))
+	}
+	if !a.Cost {
+		args = append(args, "--no-cpu")
+	}
+	out, err := exec.Command(a.Bench, args...).CombinedOutput()
+	r, rerr := readReport(file)
+	if rerr != nil {
+		return nil, cmp.Or(err, rerr, fmt.Errorf("%s", strings.TrimSpace(string(out))))
+	}
+	return r, nil // a day with a broken rule ends with a status of its own
+}
+
+// of returns the plays of a day that were played.
+func of(plays []*play, day string) []*report {
+	var out []*report
+	for _, p := range plays {
+		if p.day == day && p.err == nil {
+			out = append(out, p.out)
+		}
+	}
+	return slices.Clip(out)
+}
