reading, upstream, site: upstreams are chosen by seconds of reading, and VMs tell each other what they send

Cause: the choice weighed tokens with fixed weights and knew this VM's own sends alone. Change: package reading models an engine's queue of prompts, the parts that it keeps by model and the time a token, learnt from the beginnings of answers; upstream compares upstreams by what a request loses there and what its reading costs those behind it; VMs tell each other each prompt that takes 25 ms or more, and a VM that starts alone tells all that the store lists at once.

--- a/link/message.go
+++ b/link/message.go
@@ -38,6 +38,8 @@
 	KindWord
 	// KindChanges asks a VM for the objects changed after a revision.
 	KindChanges
+	// KindReads tells a VM which prompts the teller has sent to upstreams.
+	KindReads
 )
 
 // maxFrame bounds a message: a whole configuration and what goes round it.
--- a/relay/log.go
+++ b/relay/log.go
@@ -60,6 +60,16 @@
 
 func round(x float64) float64 { return math.Round(x*100) / 100 }
 
+// logAttempt says what was expected of an attempt at a prompt, and what came. The
+// caller holds mu.
+func (r *Relay) logAttempt(j *job, h *Head) {
+	w := j.waits
+	r.log.Info("attempt", zap.String("request", string(j.ID)), zap.String("upstream", string(w.upstream)), zap.String("model", string(j.model)),
+		zap.Int("prompt", j.PromptTokens), zap.Int("shared", w.work.Prompt.Shared()), zap.Int("kept", w.expected.Kept),
+		zap.Int64("wait_ms", w.expected.Wait.Milliseconds()), zap.Int64("read_ms", w.expected.Reading.Milliseconds()),
+		zap.Int64("first_ms", r.opts.Now().Sub(w.since).Milliseconds()), zap.Float64("confidence", h.Confidence))
+}
+
 // logRetry says why a request is sent once more.
 func (r *Relay) logRetry(j *job, err error) {
 	why := "failure of the upstream's own"
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -63,10 +63,7 @@
 
 // paced notes the time to a first answer.
 func (r *Relay) paced(j *job, took time.Duration) {
-	r.locked(func() {
-		r.begun(j)
-		r.pace(j).observe(took)
-	})
+	r.locked(func() { r.pace(j).observe(took) })
 }
 
 // observe hands an answer to the verdict on a release on trial.
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -10,6 +10,7 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/exchange"
+	"woaddoor/reading"
 	"woaddoor/retry"
 	"woaddoor/route"
 	"woaddoor/upstream"
@@ -28,13 +29,13 @@
 	for _, pools := range r.eligible(j, now) {
 		id, err := r.table.Pick(upstream.Query{
 			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
-			Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j),
+			Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j, now),
 		}, now, r.random)
 		if err != nil {
 			continue
 		}
 		r.table.Sent(id)
-		r.expect(j, id)
+		r.expect(j, id, now)
 		j.release = pools.release
 		if j.release == "" {
 			j.release = r.entries[id].Release
@@ -114,44 +115,52 @@
 // ended notes how an attempt ended; first is the time to its first answer.
 func (r *Relay) ended(j *job, e upstream.Entry, result upstream.Result, first time.Duration) {
 	r.locked(func() {
-		r.begun(j)
+		r.dropped(j)
 		r.table.Done(e.ID, result, first, r.opts.Now())
 	})
 }
 
-// work returns what a request asks of an upstream. The caller holds mu.
-func (r *Relay) work(j *job) upstream.Work {
-	return upstream.Work{Prompt: float64(j.PromptTokens), Shared: float64(j.SharedTokens), Scale: r.scale(j)}
-}
-
-// scale returns what a token costs with the job's model against the dearest of
-// its service. The caller holds mu.
-func (r *Relay) scale(j *job) float64 {
-	costs := r.costs[j.service]
-	most := 0.0
-	for _, c := range costs {
-		most = max(most, c)
+// work returns what a request asks of an upstream with the job's model. The
+// caller holds mu.
+func (r *Relay) work(j *job, now time.Time) upstream.Work {
+	return upstream.Work{
+		Prompt:    reading.Prompt{Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts},
+		Objective: j.Route.Objective, Elapsed: now.Sub(j.Arrived),
 	}
-	if c, ok := costs[j.model]; ok && most > 0 {
-		return c / most
-	}
-	return 1
 }
 
 // expect notes the work that an attempt leaves to an upstream. The caller holds
 // mu.
-func (r *Relay) expect(j *job, id contract.UpstreamID) {
-	j.waitsFor, j.waitWork = id, r.work(j)
-	r.table.Expect(id, j.waitWork)
+func (r *Relay) expect(j *job, id contract.UpstreamID, now time.Time) {
+	if j.PromptTokens == 0 {
+		return // a call to a plain service, which reads nothing
+	}
+	j.waits = waits{upstream: id, work: r.work(j, now), since: now}
+	j.waits.expected, j.waits.ticket = r.table.Expect(id, j.waits.work, now)
+	if e := j.waits.expected; e.Reading >= leastTold && r.opts.Sent != nil {
+		r.opts.Sent(Sent{
+			Upstream: id, Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts,
+			Unread: j.PromptTokens - e.Kept, Takes: e.Reading,
+		})
+	}
 }
 
-// begun notes that the attempt has begun, or has ended. The caller holds mu.
+// begun notes that the answer of the attempt has begun. The caller holds mu.
 func (r *Relay) begun(j *job) {
-	if j.waitsFor == "" {
-		return
+	if w := j.waits; w.upstream != "" {
+		now := r.opts.Now()
+		r.table.Begun(w.upstream, w.ticket, w.work, w.expected, now.Sub(w.since), now)
+		j.waits.upstream = ""
+	}
+}
+
+// dropped notes that the attempt has ended before its answer began. The caller
+// holds mu.
+func (r *Relay) dropped(j *job) {
+	if w := j.waits; w.upstream != "" {
+		r.table.Dropped(w.upstream, w.ticket, r.opts.Now())
+		j.waits.upstream = ""
 	}
-	r.table.Begun(j.waitsFor, j.waitWork)
-	j.waitsFor = ""
 }
 
 // again decides on another attempt, and takes it out of the budget. It returns
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,9 @@
 	// ListAge returns how old the store's word on the list of upstreams is. May
 	// be nil.
 	ListAge func() time.Duration
+	// Sent is called, without waiting, with each prompt that goes to an upstream
+	// and takes long enough to be told to other VMs. May be nil.
+	Sent func(Sent)
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
@@ -120,6 +125,17 @@
 		r.limits[id] = max(int(connectionShare*float64(s.MaxConnections)/float64(vms)), 2)
 		r.costs[id] = s.Costs
 	}
+	costs := make(map[contract.ModelID]float64)
+	for _, s := range services {
+		maps.Copy(costs, s.Costs)
+	}
+	r.table.SetCosts(costs)
+	entries = slices.Clone(entries)
+	for i, e := range entries {
+		if s := services[e.Service]; s != nil {
+			entries[i].Memory = s.Memory
+		}
+	}
 	r.table.ConfigureList(entries, func(s contract.ServiceID) int { return r.limits[s] })
 	known := make(map[contract.UpstreamID]upstream.Entry, len(entries))
 	r.releases = make(map[contract.ServiceID]map[string][]contract.PoolID)
@@ -213,6 +229,9 @@
 	r.locked(func() {
 		j.service = req.Route.Pick(r.random.Float64())
 		r.budget(j.service).Request(r.opts.Now())
+		if isStream(req) {
+			r.table.Came(req.Route.Objective, r.opts.VMs(), r.opts.Now())
+		}
 		r.chooseModel(j)
 	})
 	var end End
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/reading"
 	"woaddoor/route"
 )
 
@@ -44,8 +45,8 @@
 	// PromptTokens and OutputTokens are the size of the prompt and the most
 	// that may come out; zero when unknown.
 	PromptTokens, OutputTokens int
-	// SharedTokens is the size of the parts of the prompt that others share.
-	SharedTokens int
+	// Parts are those of the prompt, in order; the last one is the request's own.
+	Parts []reading.Part
 	// Subject keys the part of the prompt that other requests share; zero for
 	// none.
 	Subject uint64
--- a/relay/send.go
+++ b/relay/send.go
@@ -7,6 +7,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/exchange"
+	"woaddoor/reading"
 	"woaddoor/rollout"
 	"woaddoor/upstream"
 )
@@ -53,10 +54,17 @@
 	firstAt   time.Time // when the first answer or event came
 	confident float64   // of the answer that is passed on
 	givenUp   float64   // of the smaller model's that was given up
-	// waitsFor is the upstream at which the present attempt has not begun, and
-	// waitWork what it asks of it.
-	waitsFor contract.UpstreamID
-	waitWork upstream.Work
+	// waits is what the present attempt waits for.
+	waits waits
+}
+
+// waits is an attempt whose answer has not begun. The zero value is none.
+type waits struct {
+	upstream contract.UpstreamID // empty once it has begun or ended
+	work     upstream.Work
+	expected upstream.Estimate
+	ticket   reading.Ticket
+	since    time.Time
 }
 
 // attempt is one send that got the head of an answer.
@@ -103,12 +111,21 @@
 	}
 	head := r.opts.Dialect.Decode(x.Status, x.Header)
 	a := &attempt{entry: e, answer: x, head: head, began: now, cancel: func() { cancel(nil) }}
-	if head.Load != nil {
-		r.locked(func() { r.table.Loaded(e.ID, head.Load.Running, head.Load.Waiting, r.opts.Now()) })
-	}
+	r.locked(func() { r.answered(j, head, e) })
 	return a, nil
 }
 
+// answered takes in the head of an answer. The caller holds mu.
+func (r *Relay) answered(j *job, h *Head, e upstream.Entry) {
+	if h.Load != nil {
+		r.table.Loaded(e.ID, h.Load.Running, h.Load.Waiting, r.opts.Now())
+	}
+	if h.Status == http.StatusOK && !h.NotRun && j.waits.upstream != "" {
+		r.logAttempt(j, h)
+		r.begun(j)
+	}
+}
+
 // close ends an attempt; its connection is kept only when the answer was read
 // whole.
 func (a *attempt) close() {
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -179,6 +179,7 @@
 	switch {
 	case err == nil:
 		r.ended(j, a.entry, upstream.Good, first)
+		r.locked(func() { r.table.Held(r.opts.Now().Sub(j.firstAt)) })
 		if s.passed >= eventsCompared && j.failures == 0 {
 			a.took(j, kindEvent, r.opts.Now().Sub(j.firstAt)/time.Duration(s.passed))
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -69,6 +69,9 @@
 	// Costs are what models cost for 1,000 tokens made; a token read counts as
 	// a quarter of one made. Empty for a plain service.
 	Costs map[contract.ModelID]float64
+	// Memory is how many tokens one of its engines keeps; zero for a plain
+	// service.
+	Memory int
 }
 
 // Workspace is a customer that requests run for.
--- a/site/peers.go
+++ b/site/peers.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"woaddoor/clock"
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/relay"
@@ -68,6 +67,10 @@
 	// news and pulse space the rounds that tell of changes, and that there are
 	// none.
 	news, pulse *spaced
+	// introduce asks for the listed VMs to be told at once.
+	introduce chan struct{}
+	// sends gathers the prompts that other VMs are to be told of.
+	sends sends
 	// seeds are link addresses at which VMs may be found.
 	seeds []string
 
@@ -99,7 +102,7 @@
 // NewPeers returns the peers of a VM.
 func NewPeers(opts *PeersOptions) *Peers {
 	p := &Peers{
-		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, news: newSpaced(newsEvery), pulse: newSpaced(pulseEvery),
+		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, news: newSpaced(newsEvery), pulse: newSpaced(pulseEvery), sends: sends{round: newSpaced(readsEvery)}, introduce: make(chan struct{}, 1),
 		log: opts.Log, now: opts.Now, kinds: make(map[string]shared), seeds: opts.Seeds,
 		table: vm.NewTable(opts.Self), listed: make(map[string]bool), ips: make(map[string]bool),
 	}
@@ -108,6 +111,7 @@
 	}
 	link.Handle(p.endpoint, link.KindWord, p.answerWord)
 	link.Handle(p.endpoint, link.KindChanges, p.answerChanges)
+	link.Handle(p.endpoint, link.KindReads, p.answerReads)
 	return p
 }
 
@@ -117,6 +121,7 @@
 	Hear(e rollout.Evidence)
 	OrderAges() []relay.OrderAge
 	HearAges(ages []relay.OrderAge)
+	HearSent(sent []relay.Sent)
 }
 
 // judge makes evidence known to others, and to t what they know.
@@ -168,12 +173,19 @@
 func (p *Peers) Listed(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	alone := len(p.table.Live(p.now())) == 1
 	for _, a := range addresses {
 		if a != p.table.Self().ControlLink {
 			p.listed[a] = true
 			p.know(a)
 		}
 	}
+	if alone {
+		select {
+		case p.introduce <- struct{}{}:
+		default: // asked for already
+		}
+	}
 }
 
 // Expected tells whether this VM has addresses at which others may be.
@@ -205,7 +217,12 @@
 				go p.tell(ctx, address, false)
 			}
 		}
-		clock.Pause(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(beatEvery)))
+		select {
+		case <-ctx.Done():
+		case <-p.introduce: // the store has just told a VM that is alone of others
+			introduced = time.Time{}
+		case <-time.After(time.Duration((0.8 + 0.4*rand.Float64()) * float64(beatEvery))):
+		}
 	}
 }
 
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -18,6 +18,9 @@
 	// Release is the version of its software.
 	Release string
 	Slots   int
+	// Memory is how many tokens it keeps, zero for a plain service or when that
+	// is not known.
+	Memory int
 	// Leaving upstreams get no new work.
 	Leaving bool
 }
@@ -44,8 +47,13 @@
 		pools[id].Upstreams = append(pools[id].Upstreams, config.Upstream{ID: e.ID, URL: e.Address})
 	}
 	t.Configure(pools)
+	t.readers = 0
 	for _, e := range entries {
 		s := t.states[e.ID]
+		s.kept.Bound(e.Memory)
+		if e.Memory > 0 && !e.Leaving {
+			t.readers++
+		}
 		s.leaving = 0
 		if e.Leaving {
 			s.leaving = 1
@@ -111,6 +119,9 @@
 	gone   bool
 	first  time.Duration
 	others time.Duration // the mean of first over all upstreams of its kind
+	// ratio is how long answers to prompts took to begin against what was
+	// expected, zero before any did.
+	ratio float64
 }
 
 // Weights and bounds of health.
@@ -128,8 +139,10 @@
 	fullFor = 60 * time.Millisecond
 	// firstWeight is the weight of the newest time to a first answer.
 	firstWeight = 0.1
-	// slowFrom is how many times the others' mean counts as slow.
-	slowFrom = 2.5
+	// slowFrom is how many times the others' mean, or the time that was expected,
+	// counts as slow; mostRatio bounds what one answer tells.
+	slowFrom  = 2.5
+	mostRatio = 10
 )
 
 // open tells whether the upstream may get new work.
@@ -206,3 +219,37 @@
 	}
 	return float64(h.first) / float64(h.others)
 }
+
+// SetCosts takes in the prices of models, which stand in for times that are not
+// known yet.
+func (t *Table) SetCosts(costs map[contract.ModelID]float64) { t.rates.SetCosts(costs) }
+
+// Held notes for how long an upstream worked on a prompt after its answer had
+// begun.
+func (t *Table) Held(d time.Duration) {
+	if t.held == 0 {
+		t.held = d
+	}
+	t.held += time.Duration(heldWeight * float64(d-t.held))
+}
+
+// heldWeight is the weight of the newest time in Table.held.
+const heldWeight = 0.05
+
+// began takes in when the answer to a prompt began, and when that was expected.
+func (h *health) began(took, expected time.Duration) {
+	ratio := min(float64(took)/float64(expected), mostRatio)
+	if h.ratio == 0 {
+		h.ratio = 1
+	}
+	h.ratio += firstWeight * (ratio - h.ratio)
+}
+
+// slower returns the factor by which a model engine counts as longer than what
+// its queue and its prompts tell.
+func (h *health) slower() float64 {
+	if h.ratio < slowFrom {
+		return 1
+	}
+	return h.ratio
+}
--- a/upstream/listed_test.go
+++ b/upstream/listed_test.go
@@ -10,6 +10,7 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
+	"woaddoor/reading"
 )
 
 // listed returns a table of n upstreams in each of two data centres.
@@ -87,19 +88,30 @@
 	t.Run("long prompt ahead", func(t *testing.T) {
 		is := is.New(t)
 		tb, _ := listed(2)
-		w := Work{Prompt: 50000, Scale: 1}
-		tb.Expect("d0", w)
-		is.Equal(picks(tb, listedQuery, now)["d0"], 0)
-		tb.Begun("d0", w)
-		is.True(picks(tb, listedQuery, now)["d0"] > 0)
+		w := Work{Prompt: reading.Prompt{Model: "m", Tokens: 50000}, Objective: time.Second}
+		e, ticket := tb.Expect("d0", w, now)
+		q := listedQuery
+		q.Work = Work{Prompt: reading.Prompt{Model: "m", Tokens: 100}, Objective: time.Second}
+		is.Equal(picks(tb, q, now)["d0"], 0)
+		now = now.Add(e.Reading)
+		tb.Begun("d0", ticket, w, e, e.First(), now)
+		is.True(picks(tb, q, now)["d0"] > 0)
 	})
 	t.Run("home", func(t *testing.T) {
 		is := is.New(t)
 		tb, _ := listed(3)
 		q := listedQuery
-		q.Prefix, q.Work = 77, Work{Prompt: 9000, Shared: 5000, Scale: 1}
+		q.Prefix, q.Work = 77, Work{Prompt: reading.Prompt{Model: "m", Tokens: 9000}, Objective: time.Second}
 		is.Equal(len(picks(tb, q, now)), 1) // one upstream reads the shared part
 	})
+	t.Run("kept", func(t *testing.T) {
+		is := is.New(t)
+		tb, _ := listed(3)
+		q := listedQuery
+		q.Work = Work{Prompt: reading.Prompt{Model: "m", Tokens: 9000, Parts: []reading.Part{{Key: 7, Tokens: 8000}, {Key: 8, Tokens: 1000}}}, Objective: time.Second}
+		tb.Told("d2", q.Work.Prompt, 9000, 0, now) // another VM has sent it there
+		is.Equal(picks(tb, q, now)["d2"], 40)
+	})
 }
 
 // TestListedNeverLeaving checks, over drawn states, that no pick is of an
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -18,6 +18,7 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
+	"woaddoor/reading"
 )
 
 // Options tune the choice.
@@ -32,6 +33,9 @@
 	// that none has to report before it gets work, and that load is told by
 	// answers. Zero means that each has to report.
 	Listed bool
+	// FreeReading leaves out what the reading of a prompt costs the requests that
+	// come after it: a trial of what the price is worth.
+	FreeReading bool
 }
 
 // Defaults of Options.
@@ -43,6 +47,7 @@
 func (o Options) withDefaults() Options {
 	return Options{
 		Listed:      o.Listed,
+		FreeReading: o.FreeReading,
 		SilentAfter: cmp.Or(o.SilentAfter, defaultSilentAfter),
 		HomeFull:    cmp.Or(o.HomeFull, defaultHomeFull),
 	}
@@ -57,6 +62,14 @@
 	// doubted are those with an upstream that has fallen silent.
 	doubted map[contract.DataCentreID]bool
 	pools   map[contract.PoolID][]*state
+	// rates are how long listed upstreams take to read, demand what comes to be
+	// read, and readers how many of them there are.
+	rates   *reading.Rates
+	demand  demand
+	readers int
+	// held is the mean time for which a listed upstream works on a prompt after
+	// its answer has begun.
+	held time.Duration
 }
 
 // state is what is known of one upstream.
@@ -80,8 +93,10 @@
 	failures  int
 	openUntil time.Time
 	probing   bool
-	health    health  // of a listed upstream
-	pending   float64 // work that this VM's requests have not begun
+	health    health // of a listed upstream
+	// queue and kept are what a listed upstream is believed to read and to keep.
+	queue reading.Queue
+	kept  *reading.Kept
 }
 
 // NewTable returns an empty table.
@@ -89,6 +104,7 @@
 	o := opts.withDefaults()
 	return &Table{
 		opts: o, away: make(map[contract.DataCentreID]time.Time), doubted: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
+		rates: reading.NewRates(nil),
 	}
 }
 
@@ -101,7 +117,7 @@
 		for _, u := range p.Upstreams {
 			s, had := t.states[u.ID]
 			if !had || s.upstream.URL != u.URL {
-				s = &state{seed: xxhash.Sum64String(string(u.ID))}
+				s = &state{seed: xxhash.Sum64String(string(u.ID)), kept: reading.NewKept(0)}
 			}
 			s.upstream, s.pool = u, p
 			states[u.ID] = s
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -1,96 +1,181 @@
 package upstream
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/reading"
 )
 
-// Work is what a request asks of an upstream before its first answer. Prompts
-// differ in length by three orders of magnitude and hold up whatever runs
-// beside them, so requests are weighed and not counted. The zero value is a
-// call to a plain service.
+// Work is what a request asks of an upstream. The zero value is a call to a
+// plain service.
 type Work struct {
-	// Prompt is the prompt's length, Shared that of the part which other
-	// requests share and which a home keeps, both in tokens.
-	Prompt, Shared float64
-	// Scale is what a token costs with the request's model, against one of the
-	// largest model: 0 to 1.
-	Scale float64
+	Prompt reading.Prompt
+	// Objective is within what time of its arrival its answer has to begin, and
+	// Elapsed how long ago it has arrived.
+	Objective, Elapsed time.Duration
 }
 
-// Weights of the choice, in tokens of the largest model.
+// reads tells whether the request asks a model engine to read a prompt.
+func (w Work) reads() bool { return w.Prompt.Tokens > 0 }
+
+// Costs of the choice. The unit is what one request is worth when it is answered
+// in time, so that delay, failure and bytes can be compared.
 const (
-	// farAway is the work that going to another data centre has to save: bytes
-	// between data centres are paid for. A prompt's home elsewhere is worth it
-	// for a large model, and not for a small one.
-	farAway = 8000.0
-	// allPlaces is what an upstream with all its places taken counts for.
-	allPlaces = 12000.0
-	// leastScale is that of kept tokens: what a home saves in reading is paid
-	// for by the token, whichever the model.
-	leastScale = 0.35
-	// kept is the part of the shared tokens that a prompt's home is expected
-	// not to read again: its home among all upstreams, that among those of the
-	// own data centre, and its second home.
-	keptFirst, keptNear, keptSecond = 0.9, 0.7, 0.4
+	// Late is what an answer loses that begins after its objective: on the
+	// sheets of all deployments known so far a late answer is worth 0.3 of one in
+	// time.
+	Late = 0.7
+	// farAway is what going to another data centre costs: bytes between data
+	// centres are paid for, 0.03 to 0.09 of a request's worth.
+	farAway = 0.06
+	// farPlain is the same for a call to a plain service, whose answers take
+	// about as long as the way to another data centre and back is worth.
+	farPlain = 0.13
+	// allPlaces is what an upstream with all its places taken costs.
+	allPlaces = 0.2
 	// failedWork is added for an upstream of which all late requests failed.
-	failedWork = 60000.0
+	failedWork = 1.0
+	// soon is what waiting for all of the objective costs beside the risk of
+	// being late; it decides between upstreams that are all in time.
+	soon = 0.1
+	// homeFirst and homeSecond are what the homes of a subject are preferred by
+	// while nobody is known to keep it, so that VMs agree without a word.
+	homeFirst, homeSecond = 0.02, 0.01
 )
 
-// tokens returns the work that a request leaves to an upstream.
-func (w Work) tokens(kept float64) float64 {
-	return w.Scale*w.Prompt - max(w.Scale, leastScale)*kept*w.Shared
+// lateSpread is how uncertain the time of an answer is, as a part of the
+// objective: what other VMs send meanwhile, and chunks of other prompts.
+const lateSpread = 0.12
+
+// LateRisk returns how likely an answer is late that is expected to begin at a
+// part of its objective; 1 is the objective.
+func LateRisk(part float64) float64 { return 1 / (1 + math.Exp((1-part)/lateSpread)) }
+
+// Estimate is what is expected of a request at an upstream.
+type Estimate struct {
+	// Wait is the time until its prompt is read, Reading how long that takes.
+	Wait, Reading time.Duration
+	// Kept is how many tokens need not be read.
+	Kept int
+}
+
+// First returns when the answer is expected to begin.
+func (e Estimate) First() time.Duration { return e.Wait + e.Reading + reading.Base }
+
+// estimate returns what is expected of a request at an upstream.
+func (t *Table) estimate(s *state, w Work, now time.Time) Estimate {
+	slow := s.health.slower()
+	kept := s.kept.Of(w.Prompt)
+	e := Estimate{Wait: s.queue.Wait(now), Reading: t.rates.Reading(w.Prompt.Model, w.Prompt.Tokens-kept), Kept: kept}
+	e.Wait = time.Duration(slow * float64(e.Wait+t.placeWait(s)))
+	e.Reading = time.Duration(slow * float64(e.Reading))
+	return e
 }
 
-// cheapest returns the upstream at which the request, and those already there,
-// are expected to be done first; equals are drawn.
+// placeWait returns how long a request waits for a place, as far as the load is
+// known.
+func (t *Table) placeWait(s *state) time.Duration {
+	over := s.line() + 1 - float64(s.pool.Slots)
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / float64(s.pool.Slots) * float64(t.held))
+}
+
+// cheapest returns the upstream at which the request costs least: itself, by the
+// time at which it is answered, and those that come after it, by the time that
+// its reading takes.
 func (t *Table) cheapest(usable []*state, q Query, now time.Time, random *rand.Rand) *state {
 	first, second := homes(usable, q.Prefix)
-	nearest, _ := homes(near(usable, q.DataCentre), q.Prefix)
 	return lowest(usable, func(s *state) float64 {
-		kept := 0.0
+		cost := t.cost(s, q, now)
 		switch s {
 		case first:
-			kept = keptFirst
-		case nearest:
-			kept = keptNear
+			cost -= homeFirst
 		case second:
-			kept = keptSecond
-		}
-		cost := s.cost(q, kept)
-		if t.isAway(s, q, now) {
-			cost += failedWork
+			cost -= homeSecond
 		}
 		return cost
 	}, random)
 }
 
-// near returns the upstreams of a data centre; all when it has none.
-func near(usable []*state, dc contract.DataCentreID) []*state {
-	var here []*state
-	for _, s := range usable {
-		if s.pool.DataCentre == dc {
-			here = append(here, s)
-		}
+// cost is what a request costs at an upstream.
+func (t *Table) cost(s *state, q Query, now time.Time) float64 {
+	cost := failedWork * s.health.failed
+	if t.isAway(s, q, now) {
+		cost += failedWork
 	}
-	if len(here) == 0 {
-		return usable
+	far, running := farPlain, (ownWeight*float64(s.inFlight)+s.others)/ownWeight/float64(s.pool.Slots)*allPlaces
+	if q.Work.reads() {
+		far = farAway
+		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
+		e := t.estimate(s, q.Work, now)
+		part := (q.Work.Elapsed + e.First()).Seconds() / max(q.Work.Objective.Seconds(), leastObjective)
+		cost += Late*LateRisk(part) + soon*part + t.Price(e)
+	} else {
+		running *= s.health.slowness()
 	}
-	return here
+	if s.pool.DataCentre != q.DataCentre {
+		cost += far
+	}
+	return cost + running
 }
 
-// cost is the work to be done at an upstream before the request is answered. A
-// request that runs counts as its part of the upstream's places.
-func (s *state) cost(q Query, kept float64) float64 {
-	running := (ownWeight*float64(s.inFlight) + s.others) / float64(s.pool.Slots) * allPlaces / ownWeight
-	cost := (s.pending + q.Work.tokens(kept) + running) * s.health.slowness()
-	cost += failedWork * s.health.failed
-	if s.pool.DataCentre != q.DataCentre {
-		cost += farAway
+// leastObjective, in seconds, stands in for that of a route without any.
+const leastObjective = 0.1
+
+// Price returns what the reading of a prompt costs the requests that come after
+// it. Those that come to the engine while it still reads wait longer by that; a
+// second's wait brings each nearer to its objective by a part, at which it loses
+// Late.
+func (t *Table) Price(e Estimate) float64 {
+	if t.opts.FreeReading {
+		return 0
+	}
+	behind := t.demand.perEngine(t.engines()) * (e.Wait + e.Reading/2).Seconds()
+	return behind * e.Reading.Seconds() * Late / max(t.demand.objective, leastObjective)
+}
+
+// engines returns how many upstreams read prompts.
+func (t *Table) engines() int { return t.readers }
+
+// demand is how many prompts come, from all VMs together.
+type demand struct {
+	// rate is prompts a second of this VM, scaled up by the number of VMs.
+	rate float64
+	at   time.Time
+	// objective is the mean of their objectives, in seconds.
+	objective float64
+}
+
+// demandOver is the time over which demand is averaged: as long as a burst takes
+// to be felt, and longer than the wave of a few requests of one VM.
+const demandOver = 4 * time.Second
+
+// came notes a prompt of this VM, of which there are a number.
+func (d *demand) came(objective time.Duration, vms int, now time.Time) {
+	passed := now.Sub(d.at).Seconds()
+	fade := math.Exp(-passed / demandOver.Seconds())
+	d.rate = d.rate*fade + float64(vms)/demandOver.Seconds()
+	d.at = now
+	if d.objective == 0 {
+		d.objective = objective.Seconds()
 	}
-	return cost
+	d.objective += objectiveWeight * (objective.Seconds() - d.objective)
+}
+
+// objectiveWeight is the weight of the newest objective in their mean.
+const objectiveWeight = 0.05
+
+// perEngine returns how many prompts come to one of a number of engines, a second.
+func (d *demand) perEngine(engines int) float64 { return d.rate / float64(max(engines, 1)) }
+
+// Came notes a prompt that came to this VM, one of a number.
+func (t *Table) Came(objective time.Duration, vms int, now time.Time) {
+	t.demand.came(objective, max(vms, 1), now)
 }
 
 // homes returns the first and the second home of a prefix among upstreams, the
@@ -113,16 +198,65 @@
 	return first, second
 }
 
-// Expect notes the work that a request leaves to an upstream until it begins.
-func (t *Table) Expect(id contract.UpstreamID, w Work) {
-	if s, ok := t.states[id]; ok {
-		s.pending += w.tokens(0)
+// Expect notes that a prompt goes to an upstream, and returns what is expected
+// and the name of its place in the upstream's queue.
+func (t *Table) Expect(id contract.UpstreamID, w Work, now time.Time) (Estimate, reading.Ticket) {
+	s, ok := t.states[id]
+	if !ok || !w.reads() {
+		return Estimate{}, 0
+	}
+	e := t.estimate(s, w, now)
+	ticket := s.queue.Add(e.Reading, true, now)
+	s.kept.Read(w.Prompt)
+	return e, ticket
+}
+
+// Begun notes that the answer to a prompt has begun, after a time since it was
+// sent, and learns from it how long engines take to read.
+func (t *Table) Begun(id contract.UpstreamID, ticket reading.Ticket, w Work, e Estimate, took time.Duration, now time.Time) {
+	s, ok := t.states[id]
+	if !ok {
+		return
+	}
+	s.queue.Began(ticket, now)
+	s.health.began(took, e.First())
+	if s.health.slower() == 1 {
+		whole := e.Wait == 0 && e.Kept == 0
+		t.rates.Observe(w.Prompt.Model, w.Prompt.Tokens-e.Kept, took, whole)
 	}
 }
 
-// Begun notes that a request has begun, or will not.
-func (t *Table) Begun(id contract.UpstreamID, w Work) {
+// Dropped notes that a prompt's request has ended before its answer began.
+func (t *Table) Dropped(id contract.UpstreamID, ticket reading.Ticket, now time.Time) {
 	if s, ok := t.states[id]; ok {
-		s.pending = max(s.pending-w.tokens(0), 0)
+		s.queue.Drop(ticket, now)
+	}
+}
+
+// Told takes in a prompt that another VM has sent to an upstream: how many of its
+// tokens are to be read, and how long that takes.
+func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, unread int, takes time.Duration, now time.Time) {
+	t.rates.Told(p.Model, unread, takes)
+	s, ok := t.states[id]
+	if !ok {
+		return
+	}
+	s.queue.Add(takes, false, now)
+	s.kept.Read(p)
+}
+
+// Best returns what is expected of a request at the upstream that it would go to
+// now.
+func (t *Table) Best(q Query, now time.Time) (Estimate, bool) {
+	var best *state
+	least := 0.0
+	for _, s := range t.candidates(q, now) {
+		if c := t.cost(s, q, now); best == nil || c < least {
+			best, least = s, c
+		}
+	}
+	if best == nil {
+		return Estimate{}, false
 	}
+	return t.estimate(best, q.Work, now), true
 }
