--- a/command/explain.go
+++ b/command/explain.go
@@ -38,6 +38,20 @@
 	return err
 }
 
+// lossesCmd tells why requests were not answered well and in time.
+type lossesCmd struct {
+	Files []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
+}
+
+// Run runs the command.
+func (c *lossesCmd) Run(s *session) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	return explain.Losses(s.out, lines)
+}
+
 // changesCmd tells what changed from log lines.
 type changesCmd struct {
 	Files []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
--- /dev/null
+++ b/explain/losses_test.go
@@ -0,0 +1,46 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const lossSample = `
+time=2026-05-07T06:48:40Z event=attempt vm=a request=r1 model=small wait_ms=10 read_ms=50 first_ms=70
+time=2026-05-07T06:48:40Z event=given-up vm=a request=r1
+time=2026-05-07T06:48:43Z event=attempt vm=a request=r1 model=large wait_ms=100 read_ms=400 first_ms=2500
+time=2026-05-07T06:48:44Z event=delivered vm=a request=r1 route=chat status=200 objective_ms=2000 first_ms=2580
+time=2026-05-07T06:48:43Z event=attempt vm=b request=r2 model=large wait_ms=0 read_ms=2400 first_ms=2500
+time=2026-05-07T06:48:44Z event=delivered vm=b request=r2 route=chat status=200 objective_ms=2000 first_ms=2510
+time=2026-05-07T06:48:44Z event=delivered vm=b request=r3 route=chat status=200 objective_ms=2000 first_ms=1510
+time=2026-05-07T06:48:44Z event=refused vm=b request=r4 route=chat status=0 objective_ms=2000 reason=deadline
+time=2026-05-07T06:48:44Z event=retry vm=b request=r5
+time=2026-05-07T06:48:44Z event=delivered vm=b request=r5 route=page status=200 objective_ms=300 first_ms=900
+time=2026-05-07T06:48:44Z event=delivered vm=b request=r6 route=page status=500 objective_ms=300 first_ms=30
+time=2026-05-07T06:48:44Z event=retry vm=b request=r7
+`
+
+// TestLosses checks that each request has one cause, that all add up, and that
+// one without an end is left out.
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(lossSample))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(Losses(&out, lines))
+	var got []string
+	for _, l := range strings.Split(strings.TrimRight(out.String(), "\n"), "\n") {
+		got = append(got, strings.Join(strings.Fields(l), " "))
+	}
+	is.Equal(got, []string{
+		"chat asked 4 in time 1 25.0%",
+		"late: its prompt was read 1 25.0%",
+		"late: waited at the engine 1 25.0%",
+		"refused: deadline 1 25.0%",
+		"page asked 2 in time 0 0.0%",
+		"failed: the upstream's own answer 1 50.0%",
+		"late: another attempt had failed first 1 50.0%",
+	})
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -19,7 +19,7 @@
 		zap.Int64("revision", int64(j.Revision)), zap.String("upstream", string(j.last.ID)), zap.String("release", j.last.Release),
 		zap.String("model", string(j.model)), zap.Float64("confidence", j.confident),
 		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome), zap.Int("status", j.status),
-		zap.Int64("took_ms", now.Sub(j.Arrived).Milliseconds()),
+		zap.Int64("objective_ms", j.Route.Objective.Milliseconds()), zap.Int64("took_ms", now.Sub(j.Arrived).Milliseconds()),
 	}
 	if j.escalated {
 		fields = append(fields, zap.Float64("given_up_confidence", j.givenUp))
