reading, relay: own times alone are told; a busy engine tells its pace; silence is judged against what is expected

Without that, beliefs stayed a second short for 15 s: no engine was ever idle, and only idle ones told a time; and attempts were given up as silent while their prompts waited, which is work done twice. Ruled out: the prior (twice too low, found within seconds once there are times), words that are lost (membership was whole after 2 s). Change: Sent carries the teller's own time a token and nothing else, within bounds; the time between two answers of an engine that had more to read all along scales the time a token; an attempt at a prompt may be silent for what it is expected to take, and then for what others were later than expected.

--- a/reading/queue.go
+++ b/reading/queue.go
@@ -10,6 +10,8 @@
 type Queue struct {
 	reads []read
 	next  Ticket
+	// began is when the newest answer to an own read began.
+	began time.Time
 }
 
 // Ticket names one read in a Queue. The zero value names none.
@@ -19,6 +21,7 @@
 type read struct {
 	ticket Ticket
 	takes  time.Duration
+	added  time.Time
 	// due is when it is expected to be read.
 	due time.Time
 	// own tells that this VM sent it, so that its end will be seen.
@@ -29,13 +32,18 @@
 func (q *Queue) Add(takes time.Duration, own bool, now time.Time) Ticket {
 	q.expire(now)
 	q.next++
-	q.reads = append(q.reads, read{ticket: q.next, takes: takes, due: q.free(now).Add(takes), own: own})
+	q.reads = append(q.reads, read{ticket: q.next, takes: takes, added: now, due: q.free(now).Add(takes), own: own})
 	return q.next
 }
 
-// expire forgets reads of other VMs that are due: their ends are not seen.
+// expire forgets reads of other VMs that are due: their ends are not seen. Those
+// behind an own one are kept until that has begun, which tells of them.
 func (q *Queue) expire(now time.Time) {
-	q.reads = slices.DeleteFunc(q.reads, func(r read) bool { return !r.own && !r.due.After(now) })
+	n := 0
+	for n < len(q.reads) && !q.reads[n].own && !q.reads[n].due.After(now) {
+		n++
+	}
+	q.reads = slices.Delete(q.reads, 0, n)
 }
 
 // free returns when all that is known will have been read.
@@ -63,15 +71,33 @@
 // silent for longer is left to the judgement on silence.
 const mostOverdue = 2 * time.Second
 
+// Span is a time in which an engine did nothing but read what is known of. The
+// zero value is none.
+type Span struct {
+	// Took is how long it took, Planned how long it was expected to take, and Own
+	// the part of that which the newest read was expected to take.
+	Took, Planned, Own time.Duration
+}
+
 // Began notes that the answer to a read has begun: it has been read, and so has
-// all that came before it.
-func (q *Queue) Began(t Ticket, now time.Time) {
+// all that came before it. Where it was sent before the answer before it began,
+// the engine has read all the time between them.
+func (q *Queue) Began(t Ticket, now time.Time) Span {
 	i := q.index(t)
 	if i < 0 {
-		return
+		return Span{}
+	}
+	var span Span
+	if r := q.reads[i]; !q.began.IsZero() && !r.added.After(q.began) {
+		span = Span{Took: now.Sub(q.began), Own: r.takes}
+		for _, before := range q.reads[:i+1] {
+			span.Planned += before.takes
+		}
 	}
+	q.began = now
 	q.reads = slices.Delete(q.reads, 0, i+1)
 	q.chain(0, now)
+	return span
 }
 
 // Drop notes that a read will not be finished: its request has ended.
--- a/reading/rates.go
+++ b/reading/rates.go
@@ -23,7 +23,11 @@
 	seen    int
 }
 
-func (r *rate) set(log float64) { r.log, r.seconds = log, math.Exp(log) }
+// set sets the time within bounds that no engine leaves.
+func (r *rate) set(log float64) {
+	r.log = min(max(log, math.Log(leastToken)), math.Log(mostToken))
+	r.seconds = math.Exp(r.log)
+}
 
 // Parameters of Rates.
 const (
@@ -47,6 +51,10 @@
 	// firstSteps is the same bound for the first times, falling with their number:
 	// the prior may be several times off.
 	firstSteps = 1.5
+	// leastToken and mostToken bound seconds a token, ten times beyond the fastest
+	// and the slowest that were seen.
+	leastToken = 0.2e-6
+	mostToken  = 2e-3
 	// Base is what an answer takes beside the reading of its prompt: the links
 	// and the first step.
 	Base = 20 * time.Millisecond
@@ -115,6 +123,19 @@
 	x.set(x.log + max(1/float64(x.seen+1), rateWeight)*min(max(seen-x.log, -step), step))
 }
 
+// Scale takes in how long a reading took against what was expected of it, while
+// the engine had more to read all the time: the only times that are there when no
+// engine is ever idle.
+func (r *Rates) Scale(m contract.ModelID, ratio float64) {
+	if ratio <= 0 {
+		return
+	}
+	x := r.known(m)
+	x.seen++
+	step := max(firstSteps/float64(x.seen), rateStep)
+	x.set(x.log + max(1/float64(x.seen+1), rateWeight)*min(max(math.Log(ratio), -step), step))
+}
+
 // known returns what is known of a model, from its prior on.
 func (r *Rates) known(m contract.ModelID) *rate {
 	x, ok := r.models[m]
@@ -126,14 +147,22 @@
 	return x
 }
 
-// Told takes in how long another VM expects a model to read tokens. It stands in
-// for own times until there are some.
-func (r *Rates) Told(m contract.ModelID, tokens int, takes time.Duration) {
-	if tokens < leastRead || takes <= 0 {
-		return
+// Known returns how long a model takes to read a token, if enough own times tell
+// it. What was told by others is not passed on, or VMs would believe each other's
+// echo.
+func (r *Rates) Known(m contract.ModelID) (time.Duration, bool) {
+	x, ok := r.models[m]
+	if !ok || x.seen < fewSeen {
+		return 0, false
 	}
-	if x := r.known(m); x.seen < fewSeen {
-		x.set(math.Log(takes.Seconds() / float64(tokens)))
+	return time.Duration(x.seconds * float64(time.Second)), true
+}
+
+// Told takes in how long a model takes to read a token by another VM's own times.
+// It stands in for own ones until there are some.
+func (r *Rates) Told(m contract.ModelID, token time.Duration) {
+	if x := r.known(m); x.seen < fewSeen && token > 0 {
+		x.set(math.Log(token.Seconds()))
 	}
 }
 
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -57,6 +57,20 @@
 	})
 }
 
+// TestQueueSpans checks what a busy engine tells of its pace: the time between two
+// answers in which it had more to read all along, and nothing where it was idle.
+func TestQueueSpans(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	first := q.Add(time.Second, true, began)
+	q.Add(time.Second, false, began)
+	third := q.Add(3*time.Second, true, began)
+	is.Equal(q.Began(first, began.Add(time.Second)), Span{}) // nothing is known of the time before it
+	is.Equal(q.Began(third, began.Add(9*time.Second)), Span{Took: 8 * time.Second, Planned: 4 * time.Second, Own: 3 * time.Second})
+	late := q.Add(time.Second, true, began.Add(20*time.Second))
+	is.Equal(q.Began(late, began.Add(21*time.Second)), Span{}) // it was idle before
+}
+
 // naiveQueue computes the same by replaying every read from the start.
 type naiveQueue struct {
 	at    time.Time // up to when reads are done
@@ -269,11 +283,31 @@
 func TestRatesTold(t *testing.T) {
 	is := is.New(t)
 	r := NewRates(map[contract.ModelID]float64{"large": 0.1})
-	r.Told("large", 10000, time.Second)
+	r.Told("large", 100*time.Microsecond)
 	is.True(r.Reading("large", 10000) > 990*time.Millisecond)
 	for range 20 {
 		r.Observe("large", 10000, Base+500*time.Millisecond, true)
 	}
-	r.Told("large", 10000, time.Second)
+	r.Told("large", 100*time.Microsecond)
 	is.True(r.Reading("large", 10000) < 600*time.Millisecond)
 }
+
+// TestRatesDoNotEcho replays what happened when VMs took over what the others had
+// taken over, each with a factor for slow engines on top: times grew without
+// bound. Only own times are passed on, and none is beyond what engines take.
+func TestRatesDoNotEcho(t *testing.T) {
+	is := is.New(t)
+	a, b := NewRates(nil), NewRates(nil)
+	for range 50 {
+		for _, pair := range [][2]*Rates{{a, b}, {b, a}} {
+			if token, ok := pair[0].Known("large"); ok {
+				pair[1].Told("large", 3*token)
+			}
+		}
+	}
+	is.True(a.Reading("large", 1) < time.Millisecond)
+	for range 100 {
+		a.Observe("large", leastRead, time.Hour, true)
+	}
+	is.True(a.Reading("large", 1) <= 2*time.Millisecond)
+}
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -29,9 +29,13 @@
 	paceKnown = 10
 )
 
-// pace returns the pace of a job's route and model. The caller holds mu.
+// pace returns the pace of a job: of its route and model, or of all prompts, for
+// which it is how much later answers begin than is expected. The caller holds mu.
 func (r *Relay) pace(j *job) *pace {
 	key := j.Route.Name + "|" + string(j.model)
+	if j.PromptTokens > 0 {
+		key = prompts
+	}
 	p, ok := r.paces[key]
 	if !ok {
 		p = &pace{}
@@ -40,6 +44,9 @@
 	return p
 }
 
+// prompts is the key of the pace of all prompts.
+const prompts = ""
+
 // limit returns how long an upstream may be silent before its first answer.
 func (p *pace) limit(objective time.Duration) time.Duration {
 	seconds := silentFirst * objective.Seconds()
@@ -61,9 +68,9 @@
 	p.deviation += paceWeight * (max(off, -off) - p.deviation)
 }
 
-// paced notes the time to a first answer.
+// paced notes the time to a first answer, from the send on.
 func (r *Relay) paced(j *job, took time.Duration) {
-	r.locked(func() { r.pace(j).observe(took) })
+	r.locked(func() { r.pace(j).observe(max(took-j.waits.expected.First(), 0)) })
 }
 
 // observe hands an answer to the verdict on a release on trial.
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -132,6 +132,7 @@
 // expect notes the work that an attempt leaves to an upstream. The caller holds
 // mu.
 func (r *Relay) expect(j *job, id contract.UpstreamID, now time.Time) {
+	j.waits = waits{}
 	if j.PromptTokens == 0 {
 		return // a call to a plain service, which reads nothing
 	}
@@ -140,7 +141,7 @@
 	if e := j.waits.expected; e.Reading >= leastTold && r.opts.Sent != nil {
 		r.opts.Sent(Sent{
 			Upstream: id, Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts,
-			Unread: j.PromptTokens - e.Kept, Takes: e.Reading,
+			Takes: e.Reading, Token: r.table.TokenTime(j.model),
 		})
 	}
 }
--- a/relay/reads.go
+++ b/relay/reads.go
@@ -14,10 +14,11 @@
 	Model    contract.ModelID    `cbor:"2,keyasint"`
 	Tokens   int                 `cbor:"3,keyasint"`
 	Parts    []reading.Part      `cbor:"4,keyasint"`
-	// Unread is how many of the tokens the teller expects to be read, and Takes
-	// how long that takes.
-	Unread int           `cbor:"5,keyasint"`
-	Takes  time.Duration `cbor:"6,keyasint"`
+	// Takes is how long the teller expects the reading to take.
+	Takes time.Duration `cbor:"5,keyasint"`
+	// Token is how long the model takes a token by the teller's own times; zero
+	// when it has too few.
+	Token time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Opinion is what a model thinks of one of its answers, as VMs tell each other.
@@ -59,6 +60,6 @@
 	defer r.mu.Unlock()
 	now := r.opts.Now()
 	for _, s := range sent {
-		r.table.Told(s.Upstream, reading.Prompt{Model: s.Model, Tokens: s.Tokens, Parts: s.Parts}, s.Unread, s.Takes, now)
+		r.table.Told(s.Upstream, reading.Prompt{Model: s.Model, Tokens: s.Tokens, Parts: s.Parts}, s.Takes, s.Token, now)
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,7 +71,7 @@
 	is.Equal(first(testJob(false), testRelay()), contract.ModelID("large")) // it could not be given up
 	busy := testRelay()
 	busy.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
-	busy.HearSent([]Sent{{Upstream: "u", Model: "large", Tokens: 9000, Unread: 9000, Takes: 900 * time.Millisecond}})
+	busy.HearSent([]Sent{{Upstream: "u", Model: "large", Tokens: 9000, Takes: 900 * time.Millisecond, Token: 100 * time.Microsecond}})
 	j := testJob(false)
 	j.service, j.PromptTokens = "s", 4000
 	is.Equal(first(j, busy), contract.ModelID("small")) // the larger one would be late
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -89,9 +89,11 @@
 	return a.fired
 }
 
-// silentIn returns how long an attempt may be silent before its first answer.
+// silentIn returns how long an attempt may be silent before its first answer. A
+// prompt gets the time that it is expected to take besides: an attempt that is
+// given up while its prompt waits is work done twice, just when there is too much.
 func (r *Relay) silentIn(j *job) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pace(j).limit(j.Route.Objective)
+	return r.pace(j).limit(j.Route.Objective) + j.waits.expected.First()
 }
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -77,7 +77,7 @@
 			p.know(m.ControlLink)
 		}
 	}
-	sent := relay.Sent{Upstream: "u", Model: "m", Tokens: 900, Parts: []reading.Part{{Key: 7, Tokens: 800}, {Key: 8, Tokens: 100}}, Unread: 900, Takes: time.Second}
+	sent := relay.Sent{Upstream: "u", Model: "m", Tokens: 900, Parts: []reading.Part{{Key: 7, Tokens: 800}, {Key: 8, Tokens: 100}}, Takes: time.Second}
 	a.Opinion(relay.Opinion{Model: "m", Largest: "l", Opinion: 0.5})
 	a.Sent(sent)
 	for _, h := range []*hearer{hearB, hearC, hearD} {
--- a/upstream/listed_test.go
+++ b/upstream/listed_test.go
@@ -109,7 +109,7 @@
 		tb, _ := listed(3)
 		q := listedQuery
 		q.Work = Work{Prompt: reading.Prompt{Model: "m", Tokens: 9000, Parts: []reading.Part{{Key: 7, Tokens: 8000}, {Key: 8, Tokens: 1000}}}, Objective: time.Second}
-		tb.Told("d2", q.Work.Prompt, 9000, 0, now) // another VM has sent it there
+		tb.Told("d2", q.Work.Prompt, 0, 0, now) // another VM has sent it there
 		is.Equal(picks(tb, q, now)["d2"], 40)
 	})
 }
@@ -165,7 +165,7 @@
 	load := func(g Group) (*Table, Query) {
 		tb, _ := listed(3)
 		for _, id := range []contract.UpstreamID{"d0", "d1", "d2"} {
-			tb.Told(id, p, 9000, 1500*time.Millisecond, now)
+			tb.Told(id, p, 1500*time.Millisecond, 0, now)
 		}
 		tb.SetGroup(g)
 		tb.Level("d", now)
@@ -190,7 +190,7 @@
 		now := time.Unix(100, 0)
 		price := func(requests int, e Estimate) float64 {
 			tb, _ := listed(2)
-			tb.Told("d0", reading.Prompt{Model: "m", Tokens: 2000}, 2000, time.Millisecond, now)
+			tb.Told("d0", reading.Prompt{Model: "m", Tokens: 2000}, time.Millisecond, 0, now)
 			tb.Level("d", now)
 			for range requests {
 				tb.Came(2*time.Second, 1, 1, now)
@@ -228,7 +228,7 @@
 		return reading.Prompt{Model: "m", Tokens: 9000, Parts: []reading.Part{{Key: uint64(i % 2000), Tokens: 8000}, {Key: uint64(100000 + i), Tokens: 1000}}}
 	}
 	for i := range 4000 {
-		tb.Told(entries[r.IntN(140)].ID, prompt(i), 9000, 100*time.Millisecond, now)
+		tb.Told(entries[r.IntN(140)].ID, prompt(i), 100*time.Millisecond, 0, now)
 	}
 	tb.SetGroup(Group{Cells: 1, Region: true})
 	tb.Level("0", now)
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -62,8 +62,13 @@
 	Kept int
 }
 
-// First returns when the answer is expected to begin.
-func (e Estimate) First() time.Duration { return e.Wait + e.Reading + reading.Base }
+// First returns when the answer is expected to begin; zero for the zero value.
+func (e Estimate) First() time.Duration {
+	if e == (Estimate{}) {
+		return 0
+	}
+	return e.Wait + e.Reading + reading.Base
+}
 
 // estimate returns what is expected of a request at an upstream.
 func (t *Table) estimate(s *state, w Work, dc contract.DataCentreID, now time.Time) Estimate {
@@ -261,14 +266,22 @@
 	if !ok {
 		return
 	}
-	s.queue.Began(ticket, now)
+	span := s.queue.Began(ticket, now)
 	s.health.began(took, e.First())
 	if s.health.slower() == 1 {
+		if span.Own >= leastSpan && span.Own > span.Planned/2 {
+			t.rates.Scale(w.Prompt.Model, float64(span.Took)/float64(span.Planned))
+			return
+		}
 		whole := e.Wait == 0 && e.Kept == 0
 		t.rates.Observe(w.Prompt.Model, w.Prompt.Tokens-e.Kept, took, whole)
 	}
 }
 
+// leastSpan is the shortest reading from which the time of a busy engine is
+// learnt: below, its steps for other requests take as long.
+const leastSpan = 40 * time.Millisecond
+
 // Dropped notes that a prompt's request has ended before its answer began.
 func (t *Table) Dropped(id contract.UpstreamID, ticket reading.Ticket, now time.Time) {
 	if s, ok := t.states[id]; ok {
@@ -276,10 +289,22 @@
 	}
 }
 
-// Told takes in a prompt that another VM has sent to an upstream: how many of its
-// tokens are to be read, and how long that takes.
-func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, unread int, takes time.Duration, now time.Time) {
-	t.rates.Told(p.Model, unread, takes)
+// TokenTime returns how long a model takes to read a token by own times, zero
+// when there are too few.
+func (t *Table) TokenTime(m contract.ModelID) time.Duration {
+	token, _ := t.rates.Known(m)
+	return token
+}
+
+// mostTold bounds how long another VM's prompt is believed to take.
+const mostTold = 30 * time.Second
+
+// Told takes in a prompt that another VM has sent to an upstream, how long its
+// reading takes and how long the model takes a token by that VM's own times; zero
+// when it has none.
+func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, takes, token time.Duration, now time.Time) {
+	t.rates.Told(p.Model, token)
+	takes = min(max(takes, 0), mostTold)
 	s, ok := t.states[id]
 	if !ok {
 		return
