--- a/reading/rates.go
+++ b/reading/rates.go
@@ -17,8 +17,16 @@
 
 // rate is how long a model takes to read, as the logarithm of seconds a token.
 type rate struct {
-	log  float64
-	seen int
+	log float64
+	// seconds a token, kept beside its logarithm since it is read far more often.
+	seconds float64
+	seen    int
+}
+
+// set sets the time within bounds that no engine leaves.
+func (r *rate) set(log float64) {
+	r.log = min(max(log, math.Log(leastToken)), math.Log(mostToken))
+	r.seconds = math.Exp(r.log)
 }
 
 // Parameters of Rates.
@@ -43,6 +51,10 @@
 	// firstSteps is the same bound for the first times, falling with their number:
 	// the prior may be several times off.
 	firstSteps = 1.5
+	// leastToken and mostToken bound seconds a token, ten times beyond the fastest
+	// and the slowest that were seen.
+	leastToken = 0.2e-6
+	mostToken  = 2e-3
 	// Base is what an answer takes beside the reading of its prompt: the links
 	// and the first step.
 	Base = 20 * time.Millisecond
@@ -64,7 +76,7 @@
 // perToken returns seconds a token.
 func (r *Rates) perToken(m contract.ModelID) float64 {
 	if x, ok := r.models[m]; ok {
-		return math.Exp(x.log)
+		return x.seconds
 	}
 	return r.prior(m)
 }
@@ -81,7 +93,7 @@
 	for id, cost := range r.costs {
 		dearest = max(dearest, cost)
 		if x, ok := r.models[id]; ok && x.seen > most && cost > 0 {
-			most, from, rate = x.seen, cost, math.Exp(x.log)
+			most, from, rate = x.seen, cost, x.seconds
 		}
 	}
 	if most == 0 {
@@ -102,33 +114,55 @@
 	x := r.known(m)
 	if !whole {
 		if seen < x.log {
-			x.log += boundWeight * max(seen-x.log, -rateStep)
+			x.set(x.log + boundWeight*max(seen-x.log, -rateStep))
 		}
 		return
 	}
 	x.seen++
 	step := max(firstSteps/float64(x.seen), rateStep)
-	x.log += max(1/float64(x.seen+1), rateWeight) * min(max(seen-x.log, -step), step)
+	x.set(x.log + max(1/float64(x.seen+1), rateWeight)*min(max(seen-x.log, -step), step))
+}
+
+// Scale takes in how long a reading took against what was expected of it, while
+// the engine had more to read all the time: the only times that are there when no
+// engine is ever idle.
+func (r *Rates) Scale(m contract.ModelID, ratio float64) {
+	if ratio <= 0 {
+		return
+	}
+	x := r.known(m)
+	x.seen++
+	step := max(firstSteps/float64(x.seen), rateStep)
+	x.set(x.log + max(1/float64(x.seen+1), rateWeight)*min(max(math.Log(ratio), -step), step))
 }
 
 // known returns what is known of a model, from its prior on.
 func (r *Rates) known(m contract.ModelID) *rate {
 	x, ok := r.models[m]
 	if !ok {
-		x = &rate{log: math.Log(r.prior(m))}
+		x = &rate{}
+		x.set(math.Log(r.prior(m)))
 		r.models[m] = x
 	}
 	return x
 }
 
-// Told takes in how long another VM expects a model to read tokens. It stands in
-// for own times until there are some.
-func (r *Rates) Told(m contract.ModelID, tokens int, takes time.Duration) {
-	if tokens < leastRead || takes <= 0 {
-		return
+// Known returns how long a model takes to read a token, if enough own times tell
+// it. What was told by others is not passed on, or VMs would believe each other's
+// echo.
+func (r *Rates) Known(m contract.ModelID) (time.Duration, bool) {
+	x, ok := r.models[m]
+	if !ok || x.seen < fewSeen {
+		return 0, false
 	}
-	if x := r.known(m); x.seen < fewSeen {
-		x.log = math.Log(takes.Seconds() / float64(tokens))
+	return time.Duration(x.seconds * float64(time.Second)), true
+}
+
+// Told takes in how long a model takes to read a token by another VM's own times.
+// It stands in for own ones until there are some.
+func (r *Rates) Told(m contract.ModelID, token time.Duration) {
+	if x := r.known(m); x.seen < fewSeen && token > 0 {
+		x.set(math.Log(token.Seconds()))
 	}
 }
 
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -62,14 +62,19 @@
 	Kept int
 }
 
-// First returns when the answer is expected to begin.
-func (e Estimate) First() time.Duration { return e.Wait + e.Reading + reading.Base }
+// First returns when the answer is expected to begin; zero for the zero value.
+func (e Estimate) First() time.Duration {
+	if e == (Estimate{}) {
+		return 0
+	}
+	return e.Wait + e.Reading + reading.Base
+}
 
 // estimate returns what is expected of a request at an upstream.
-func (t *Table) estimate(s *state, w Work, now time.Time) Estimate {
+func (t *Table) estimate(s *state, w Work, dc contract.DataCentreID, now time.Time) Estimate {
 	slow := s.health.slower()
 	kept := s.kept.Of(w.Prompt)
-	e := Estimate{Wait: s.queue.Wait(now), Reading: t.rates.Reading(w.Prompt.Model, w.Prompt.Tokens-kept), Kept: kept}
+	e := Estimate{Wait: t.wait(s, dc, now), Reading: t.rates.Reading(w.Prompt.Model, w.Prompt.Tokens-kept), Kept: kept}
 	e.Wait = time.Duration(slow * float64(e.Wait+t.placeWait(s)))
 	e.Reading = time.Duration(slow * float64(e.Reading))
 	return e
@@ -89,7 +94,7 @@
 // time at which it is answered, and those that come after it, by the time that
 // its reading takes.
 func (t *Table) cheapest(usable []*state, q Query, now time.Time, random *rand.Rand) *state {
-	first, second := homes(usable, q.Prefix)
+	first, second := homes(near(usable, q.DataCentre), q.Prefix)
 	return lowest(usable, func(s *state) float64 {
 		cost := t.cost(s, q, now)
 		switch s {
@@ -111,8 +116,11 @@
 	far, running := farPlain, (ownWeight*float64(s.inFlight)+s.others)/ownWeight/float64(s.pool.Slots)*allPlaces
 	if q.Work.reads() {
 		far = farAway
+		if !t.ownCell(s) {
+			cost += otherCell
+		}
 		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
-		e := t.estimate(s, q.Work, now)
+		e := t.estimate(s, q.Work, q.DataCentre, now)
 		part := (q.Work.Elapsed + e.First()).Seconds() / max(q.Work.Objective.Seconds(), leastObjective)
 		cost += Late*LateRisk(part) + soon*part + t.Price(e)
 	} else {
@@ -190,15 +198,31 @@
 	return worth / t.demand.worth
 }
 
-// countReaders counts the engines that read now: those that nobody sends to,
-// such as a release on trial, take nothing off the others.
+// countReaders counts the engines that read now.
 func (t *Table) countReaders(now time.Time) {
 	t.readers = 0
 	for _, s := range t.states {
-		if !s.readAt.IsZero() && now.Sub(s.readAt) < demandOver {
+		if s.reads(now) {
 			t.readers++
 		}
 	}
+	if t.group.Cells > 1 { // others read where this VM does not hear of it
+		t.readers *= t.group.Cells
+	}
+}
+
+// near returns the upstreams of a data centre; all when it has none.
+func near(usable []*state, dc contract.DataCentreID) []*state {
+	here := make([]*state, 0, len(usable))
+	for _, s := range usable {
+		if s.pool.DataCentre == dc {
+			here = append(here, s)
+		}
+	}
+	if len(here) == 0 {
+		return usable
+	}
+	return here
 }
 
 // homes returns the first and the second home of a prefix among upstreams, the
@@ -223,12 +247,12 @@
 
 // Expect notes that a prompt goes to an upstream, and returns what is expected
 // and the name of its place in the upstream's queue.
-func (t *Table) Expect(id contract.UpstreamID, w Work, now time.Time) (Estimate, reading.Ticket) {
+func (t *Table) Expect(id contract.UpstreamID, w Work, dc contract.DataCentreID, now time.Time) (Estimate, reading.Ticket) {
 	s, ok := t.states[id]
 	if !ok || !w.reads() {
 		return Estimate{}, 0
 	}
-	e := t.estimate(s, w, now)
+	e := t.estimate(s, w, dc, now)
 	s.readAt = now
 	ticket := s.queue.Add(e.Reading, true, now)
 	s.kept.Read(w.Prompt)
@@ -242,14 +266,22 @@
 	if !ok {
 		return
 	}
-	s.queue.Began(ticket, now)
+	span := s.queue.Began(ticket, now)
 	s.health.began(took, e.First())
 	if s.health.slower() == 1 {
+		if span.Own >= leastSpan && span.Own > span.Planned/2 {
+			t.rates.Scale(w.Prompt.Model, float64(span.Took)/float64(span.Planned))
+			return
+		}
 		whole := e.Wait == 0 && e.Kept == 0
 		t.rates.Observe(w.Prompt.Model, w.Prompt.Tokens-e.Kept, took, whole)
 	}
 }
 
+// leastSpan is the shortest reading from which the time of a busy engine is
+// learnt: below, its steps for other requests take as long.
+const leastSpan = 40 * time.Millisecond
+
 // Dropped notes that a prompt's request has ended before its answer began.
 func (t *Table) Dropped(id contract.UpstreamID, ticket reading.Ticket, now time.Time) {
 	if s, ok := t.states[id]; ok {
@@ -257,10 +289,22 @@
 	}
 }
 
-// Told takes in a prompt that another VM has sent to an upstream: how many of its
-// tokens are to be read, and how long that takes.
-func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, unread int, takes time.Duration, now time.Time) {
-	t.rates.Told(p.Model, unread, takes)
+// TokenTime returns how long a model takes to read a token by own times, zero
+// when there are too few.
+func (t *Table) TokenTime(m contract.ModelID) time.Duration {
+	token, _ := t.rates.Known(m)
+	return token
+}
+
+// mostTold bounds how long another VM's prompt is believed to take.
+const mostTold = 30 * time.Second
+
+// Told takes in a prompt that another VM has sent to an upstream, how long its
+// reading takes and how long the model takes a token by that VM's own times; zero
+// when it has none.
+func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, takes, token time.Duration, now time.Time) {
+	t.rates.Told(p.Model, token)
+	takes = min(max(takes, 0), mostTold)
 	s, ok := t.states[id]
 	if !ok {
 		return
@@ -283,5 +327,5 @@
 	if best == nil {
 		return Estimate{}, false
 	}
-	return t.estimate(best, q.Work, now), true
+	return t.estimate(best, q.Work, q.DataCentre, now), true
 }
