relay, upstream: what cannot be answered before its deadline is refused at once; mechanisms can be left out by name

Cause: a request behind a queue longer than its caller waits was held to its deadline. And what each mechanism is worth could be measured by editing the code only. Change: where no model could begin an answer before the deadline the request is refused without a try, with a time to come back that is spread over the length of the queue. The setting [policy] without = NAME,... leaves mechanisms out; none is left out by default.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -137,7 +137,7 @@
 			_, age := v.site.Ages()
 			return age
 		},
-		CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.News(context.Background()) },
+		Policy: s.Policy, CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.News(context.Background()) },
 		Wake: func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Group: v.peers.Group,
 	})
 	v.site = site.New(&site.Options{
--- a/relay/models.go
+++ b/relay/models.go
@@ -55,7 +55,7 @@
 
 // untried returns now and then a model of which little is known.
 func (r *Relay) untried(j *job, models []contract.ModelID) (contract.ModelID, bool) {
-	if len(models) < 3 || r.random.Float64() >= tryShare {
+	if len(models) < 3 || !r.opts.Policy.Has(upstream.Untried) || r.random.Float64() >= tryShare {
 		return "", false
 	}
 	largest := models[len(models)-1]
@@ -70,14 +70,15 @@
 // best returns the model that is worth most as the first to answer. The caller
 // holds mu.
 func (r *Relay) best(j *job, choices []choice, now time.Time) (contract.ModelID, string) {
-	giveUp := j.Route.Repeatable() && j.Route.MaxAttempts > 1 // else an answer could not be given up for another
+	giveUp := j.mayGiveUp() && r.opts.Policy.Has(upstream.Escalation) // else an answer could not be given up for another
 	if giveUp {
 		allowed := r.budget(j.service).Steady(retry.ForEscalation)
 		giveUp = r.random.Float64() >= cascade.LargestFirst(allowed, r.wanted.Rate())
 	}
 	model, why, most := choices[0].model, whyAlone, choices[0].Alone()
 	for i, c := range choices {
-		if v := c.Alone(); v > most {
+		first := i < len(choices)-1 || !giveUp || r.opts.Policy.Has(upstream.LargestAlone)
+		if v := c.Alone(); v > most && first {
 			model, why, most = c.model, whyAlone, v
 		}
 		if !giveUp || i == len(choices)-1 {
@@ -93,6 +94,30 @@
 	return model, why
 }
 
+// mayGiveUp tells whether an answer to a request could be given up for another.
+func (j *job) mayGiveUp() bool { return j.Route.Repeatable() && j.Route.MaxAttempts > 1 }
+
+// hopeless returns when a request may come back to which no model could begin an
+// answer before its deadline, and whether that is so: waiting would be in vain.
+// Those that are turned away together come back over as long as the queue takes.
+// The caller holds mu.
+func (r *Relay) hopeless(j *job) (time.Duration, bool) {
+	models := j.Route.Models
+	if !j.ChooseModel || len(models) == 0 || !r.opts.Policy.Has(upstream.EarlyRefusal) {
+		return 0, false
+	}
+	now := r.opts.Now()
+	soonest := time.Duration(math.MaxInt64)
+	for _, c := range r.choices(j, 0, now) {
+		if !c.Never {
+			return 0, false
+		}
+		soonest = min(soonest, c.first)
+	}
+	over := now.Add(soonest).Sub(j.Deadline)
+	return over + time.Duration(r.random.Float64()*float64(soonest)), true
+}
+
 // choices returns the models of a job, smallest first, and what is expected of
 // each when it is asked after a delay. The caller holds mu.
 func (r *Relay) choices(j *job, delay time.Duration, now time.Time) []choice {
@@ -172,7 +197,7 @@
 	if j.release == "" || !r.onTrial(j) {
 		r.opinion(j.model, models[len(models)-1], h.Confidence)
 	}
-	if j.began || !j.Route.Repeatable() || j.model == models[len(models)-1] || j.sends+1 >= j.Route.MaxAttempts {
+	if j.began || !r.opts.Policy.Has(upstream.Escalation) || !j.mayGiveUp() || j.model == models[len(models)-1] || j.sends+1 >= j.Route.MaxAttempts {
 		return "", false
 	}
 	now := r.opts.Now()
--- a/relay/reads.go
+++ b/relay/reads.go
@@ -5,6 +5,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/reading"
+	"woaddoor/upstream"
 )
 
 // Sent is a prompt that a VM has sent to an upstream, as it tells other VMs: what
@@ -31,6 +32,9 @@
 
 // HearOpinions takes in what models think of answers that other VMs got.
 func (r *Relay) HearOpinions(opinions []Opinion) {
+	if !r.opts.Policy.Has(upstream.Telling) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range opinions {
@@ -56,6 +60,9 @@
 
 // HearSent takes in what another VM has sent to upstreams.
 func (r *Relay) HearSent(sent []Sent) {
+	if !r.opts.Policy.Has(upstream.Telling) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -24,6 +24,16 @@
 	return f.WithRetryAfter(retryListed)
 }
 
+// noRoom is the final answer to a request that could not be answered before its
+// deadline, whatever is tried.
+func noRoom(j *job, after time.Duration) *contract.Refusal {
+	f := &contract.Refusal{
+		Kind: contract.RefusedLimit, Outcome: contract.NotRun, Step: contract.StepPick,
+		Detail: "no model could begin an answer before the deadline: engines have more to read than that",
+	}
+	return f.WithRetryAfter(max(after, retrySoon))
+}
+
 // gaveUp is the final answer to a request whose attempts have failed.
 func gaveUp(j *job, why retry.Reason, err error) *contract.Refusal {
 	f := &contract.Refusal{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,8 @@
 	Budget retry.WindowOptions
 	// VMs returns how many VMs share the budget and upstreams' connections.
 	VMs func() int
+	// Policy says which mechanisms are left out.
+	Policy upstream.Policy
 	// CanaryShare is the largest part of a service's requests that a bad release
 	// may get over the whole of its order.
 	CanaryShare float64
@@ -98,7 +100,7 @@
 	return &Relay{
 		opts: opts, log: opts.Log, Metrics: newMetrics(),
 		random:   rand.New(rand.NewPCG(seed, seed>>1)),
-		table:    upstream.NewTable(upstream.Options{Listed: true}),
+		table:    upstream.NewTable(upstream.Options{Listed: true, Policy: opts.Policy}),
 		entries:  make(map[contract.UpstreamID]upstream.Entry),
 		pools:    make(map[contract.UpstreamID]*exchange.Pool),
 		releases: make(map[contract.ServiceID]map[string][]contract.PoolID),
@@ -234,6 +236,8 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, req.Deadline, errDeadline)
 	defer cancel()
 	j := &job{Request: req, outcome: contract.NotRun, confident: -1, weight: 1}
+	var after time.Duration
+	hopeless := false
 	r.locked(func() {
 		j.service = req.Route.Pick(r.random.Float64())
 		r.budget(j.service).Request(r.opts.Now())
@@ -241,11 +245,14 @@
 			j.weight = r.table.Came(req.Route.Objective, r.worth(j), r.opts.VMs(), r.opts.Now())
 		}
 		r.chooseModel(j)
+		after, hopeless = r.hopeless(j)
 	})
 	var end End
 	var refused *contract.Refusal
 	if len(req.Route.Shares) == 0 {
 		end, refused = Refused, noUpstream(j)
+	} else if hopeless {
+		end, refused = Refused, noRoom(j, after)
 	} else if isStream(req) {
 		end, refused = r.stream(ctx, j, c)
 	} else {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -114,3 +114,36 @@
 		})
 	}
 }
+
+// TestHopelessIsRefusedAtOnce checks that a request which no model could answer
+// before its deadline is refused without a try, with a time to come back, and
+// that any other is tried.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		queued time.Duration
+		left   time.Duration
+		refuse bool
+	}{
+		"queue beyond the deadline": {5 * time.Second, time.Second, true},
+		"late but in time to serve": {5 * time.Second, 20 * time.Second, false},
+		"no queue":                  {0, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			r := New(&Options{Log: zap.NewNop(), Now: func() time.Time { return now }, VMs: func() int { return 1 }, Seed: 1})
+			r.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
+			r.HearSent([]Sent{{Upstream: "u", Model: "large", Tokens: 9000, Takes: c.queued}})
+			j := testJob(true)
+			j.service, j.PromptTokens, j.Arrived, j.Deadline = "s", 400, now, now.Add(c.left)
+			var after time.Duration
+			refuse := false
+			r.locked(func() { after, refuse = r.hopeless(j) })
+			is.Equal(refuse, c.refuse)
+			if refuse { // the queue has to be short enough by then, and not all come at once
+				is.True(after >= c.queued-c.left)
+				is.True(after <= 2*c.queued+c.left)
+			}
+		})
+	}
+}
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -10,6 +10,7 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
+	"woaddoor/upstream"
 )
 
 // VM is the settings of woaddoor-vm, the one process of a VM on the users'
@@ -27,6 +28,9 @@
 	Store   string
 	Machine Machine
 	Bounds  Bounds
+	// Policy says which mechanisms of the policy are left out: none, but to
+	// measure what one is worth.
+	Policy upstream.Policy
 }
 
 // Machine is what the machine gives the process. Zero means no bound.
@@ -145,6 +149,10 @@
 		LinkMbps:    m.Number("link-mbps", 0, 0, math.MaxInt32),
 	}
 	readBounds(v, section("bounds"))
+	policy := section("policy")
+	if v.Policy, err = upstream.NewPolicy(policy.List("without")); err != nil {
+		policy.Fault("without", "%v", err)
+	}
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -34,9 +34,8 @@
 	// that none has to report before it gets work, and that load is told by
 	// answers. Zero means that each has to report.
 	Listed bool
-	// FreeReading leaves out what the reading of a prompt costs the requests that
-	// come after it: a trial of what the price is worth.
-	FreeReading bool
+	// Policy says which mechanisms are left out.
+	Policy Policy
 }
 
 // Defaults of Options.
@@ -48,7 +47,7 @@
 func (o Options) withDefaults() Options {
 	return Options{
 		Listed:      o.Listed,
-		FreeReading: o.FreeReading,
+		Policy:      o.Policy,
 		SilentAfter: cmp.Or(o.SilentAfter, defaultSilentAfter),
 		HomeFull:    cmp.Or(o.HomeFull, defaultHomeFull),
 	}
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -73,7 +73,10 @@
 // estimate returns what is expected of a request at an upstream.
 func (t *Table) estimate(s *state, w Work, dc contract.DataCentreID, now time.Time) Estimate {
 	slow := s.health.slower()
-	kept := s.kept.Of(w.Prompt)
+	kept := 0
+	if t.opts.Policy.Has(Kept) {
+		kept = s.kept.Of(w.Prompt)
+	}
 	e := Estimate{Wait: t.wait(s, dc, now), Reading: t.rates.Reading(w.Prompt.Model, w.Prompt.Tokens-kept), Kept: kept}
 	e.Wait = time.Duration(slow * float64(e.Wait+t.placeWait(s)))
 	e.Reading = time.Duration(slow * float64(e.Reading))
@@ -97,10 +100,11 @@
 	first, second := homes(near(usable, q.DataCentre), q.Prefix)
 	return lowest(usable, func(s *state) float64 {
 		cost := t.cost(s, q, now)
-		switch s {
-		case first:
+		switch {
+		case !t.opts.Policy.Has(Homes):
+		case s == first:
 			cost -= homeFirst
-		case second:
+		case s == second:
 			cost -= homeSecond
 		}
 		return cost
@@ -142,7 +146,7 @@
 // at which they lose Late. It is taken also while all are in time: what is saved
 // then is there when a burst comes.
 func (t *Table) Price(e Estimate) float64 {
-	if t.opts.FreeReading {
+	if !t.opts.Policy.Has(Price) {
 		return 0
 	}
 	d := &t.demand
@@ -268,7 +272,7 @@
 	}
 	span := s.queue.Began(ticket, now)
 	s.health.began(took, e.First())
-	if s.health.slower() == 1 {
+	if s.health.slower() == 1 && t.opts.Policy.Has(Pace) {
 		if span.Own >= leastSpan && span.Own > span.Planned/2 {
 			t.rates.Scale(w.Prompt.Model, float64(span.Took)/float64(span.Planned))
 			return
