relay: metrics of scarcity

Cause: an operator could not see engine time become scarce before requests were late. Change: histograms of the expected wait of prompts and of the price of their reading, counters of prompt tokens, of those expected to be kept and of prompts by model. Measured: go test ./relay ./platform ./daemon.

--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"woaddoor/contract"
+	"woaddoor/upstream"
 )
 
 // sampleSize and sampleAlpha set up the reservoirs of the histograms.
@@ -26,7 +27,14 @@
 	escalations metrics.Counter
 	stalls      metrics.Counter
 	first       metrics.Histogram
-	whole       metrics.Histogram
+	// promptWait is how long prompts are expected to wait at the engine that was
+	// chosen, tokens how many they have, kept how many were expected to be kept.
+	promptWait   metrics.Histogram
+	tokens, kept metrics.Counter
+	// price is what a mean reading costs those behind it, in thousandths of what
+	// a mean request is worth.
+	price metrics.Histogram
+	whole metrics.Histogram
 }
 
 func newMetrics() *Metrics {
@@ -47,10 +55,23 @@
 		escalations: metrics.NewRegisteredCounter("escalations_total", r),
 		stalls:      metrics.NewRegisteredCounter("streams_stalled_total", r),
 		first:       histogram("first_answer_milliseconds"),
+		promptWait:  histogram("prompt_wait_milliseconds"),
+		price:       histogram("reading_price_thousandths"),
+		tokens:      metrics.NewRegisteredCounter("prompt_tokens_total", r),
+		kept:        metrics.NewRegisteredCounter("prompt_tokens_kept_total", r),
 		whole:       histogram("whole_answer_milliseconds"),
 	}
 }
 
+// prompt counts a prompt that goes to an upstream.
+func (m *Metrics) prompt(w upstream.Work, e upstream.Estimate, price float64) {
+	m.promptWait.Update(e.Wait.Milliseconds())
+	m.price.Update(int64(1000 * price))
+	m.tokens.Inc(int64(w.Prompt.Tokens))
+	m.kept.Inc(int64(e.Kept))
+	metrics.GetOrRegisterCounter("prompts_"+string(w.Prompt.Model)+"_total", m.Registry).Inc(1)
+}
+
 // count counts how a request ended.
 func (m *Metrics) count(j *job, end End, f *contract.Refusal, now time.Time) {
 	m.requests.Inc(1)
