--- a/cascade/worth.go
+++ b/cascade/worth.go
@@ -21,8 +21,9 @@
 	// poorWorth is what a poor answer is worth: "a small part", 0.05 on the
 	// sheets of all deployments known so far.
 	poorWorth = 0.05
-	// lateLoss is what an answer loses that begins too late: 0.7 on all sheets.
-	lateLoss = 0.7
+	// LateLoss is what an answer loses that begins after its objective: on the
+	// sheets of all deployments known so far a late one is worth 0.3 of one in time.
+	LateLoss = 0.7
 )
 
 // spent is what an option costs, whatever comes of it.
@@ -34,7 +35,7 @@
 	if o.Never {
 		return 0
 	}
-	return (good + (1-good)*poorWorth) * (1 - lateLoss*o.Late)
+	return (good + (1-good)*poorWorth) * (1 - LateLoss*o.Late)
 }
 
 // Alone returns what a request is worth that the option answers for good.
--- a/internal/rounds/report.go
+++ b/internal/rounds/report.go
@@ -137,7 +137,7 @@
 	}
 	var worth stats
 	for _, r := range reports {
-		worth.add(r.Worth)
+		worth.add(r.worth())
 	}
 	cells := []string{name, figure(worth.mean()), figure(worth.deviation())}
 	for i := range reports[0].Parts {
--- a/reading/kept.go
+++ b/reading/kept.go
@@ -102,15 +102,3 @@
 	k.total -= e.tokens
 	delete(k.parts, e.part)
 }
-
-// Forget gives up the belief that the shared parts of a prompt are kept: its
-// answer took as long as if they had been read.
-func (k *Kept) Forget(p Prompt) {
-	for _, part := range p.Parts {
-		id := partOf{p.Model, part.Key}
-		if e, ok := k.parts[id]; ok {
-			k.total -= k.used.Remove(e).(*kept).tokens
-			delete(k.parts, id)
-		}
-	}
-}
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -242,8 +242,6 @@
 	is.Equal(k.Of(Prompt{Model: "large", Tokens: 300, Parts: []Part{{1, 100}, {2, 100}, {4, 100}}}), 200)
 	is.Equal(k.Of(Prompt{Model: "large", Tokens: 300, Parts: []Part{{9, 100}, {2, 100}, {4, 100}}}), 0)
 	is.Equal(k.Of(Prompt{Model: "small", Tokens: 300, Parts: []Part{{1, 100}, {2, 100}, {4, 100}}}), 0)
-	k.Forget(Prompt{Model: "large", Tokens: 300, Parts: []Part{{1, 100}, {2, 100}, {4, 100}}})
-	is.Equal(k.Of(Prompt{Model: "large", Tokens: 300, Parts: []Part{{1, 100}, {2, 100}, {4, 100}}}), 0)
 }
 
 // TestRatesFindTheTime checks that the time a token is found from a prior that
--- a/relay/models.go
+++ b/relay/models.go
@@ -131,7 +131,7 @@
 		}
 		begins := now.Add(delay + c.first)
 		c.Never = begins.After(j.Deadline)
-		c.Late = upstream.LateRisk(begins.Sub(j.Arrived).Seconds() / max(j.Route.Objective.Seconds(), minObjective))
+		c.Late = upstream.LateRisk(upstream.ObjectivePart(begins.Sub(j.Arrived), j.Route.Objective))
 		out[i] = c
 	}
 	return out
@@ -181,9 +181,6 @@
 	return upstream.Estimate{}, false
 }
 
-// minObjective, in seconds, stands in for that of a route without any.
-const minObjective = 0.1
-
 // escalates decides whether the answer that begins with a head is given up for
 // one of a larger model, which it returns, and takes that send out of the
 // budget.
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"woaddoor/cascade"
 	"woaddoor/contract"
 	"woaddoor/reading"
 )
@@ -24,10 +25,6 @@
 // Costs of the choice. The unit is what one request is worth when it is answered
 // in time, so that delay, failure and bytes can be compared.
 const (
-	// Late is what an answer loses that begins after its objective: on the
-	// sheets of all deployments known so far a late answer is worth 0.3 of one in
-	// time.
-	Late = 0.7
 	// farAway is what going to another data centre costs: bytes between data
 	// centres are paid for, 0.03 to 0.09 of a request's worth.
 	farAway = 0.06
@@ -50,6 +47,12 @@
 // objective: what other VMs send meanwhile, and chunks of other prompts.
 const lateSpread = 0.12
 
+// ObjectivePart returns a time from the arrival of a request on as a part of its
+// objective.
+func ObjectivePart(d, objective time.Duration) float64 {
+	return d.Seconds() / max(objective.Seconds(), leastObjective)
+}
+
 // LateRisk returns how likely an answer is late that is expected to begin at a
 // part of its objective; 1 is the objective.
 func LateRisk(part float64) float64 { return 1 / (1 + math.Exp((1-part)/lateSpread)) }
@@ -125,8 +128,8 @@
 		}
 		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
 		e := t.estimate(s, q.Work, q.DataCentre, now)
-		part := (q.Work.Elapsed + e.First()).Seconds() / max(q.Work.Objective.Seconds(), leastObjective)
-		cost += Late*LateRisk(part) + soon*part + t.Price(e)
+		part := ObjectivePart(q.Work.Elapsed+e.First(), q.Work.Objective)
+		cost += cascade.LateLoss*LateRisk(part) + soon*part + t.Price(e)
 	} else {
 		running *= s.health.slowness()
 	}
@@ -139,82 +142,6 @@
 // leastObjective, in seconds, stands in for that of a route without any.
 const leastObjective = 0.1
 
-// Price returns what the reading of a prompt costs the requests that come after
-// it, in what a mean one of them is worth. As many as come to the engine while it
-// has a queue wait longer by the reading, which makes a queue of its own that
-// counts for half of itself; each second's wait brings them nearer to being late,
-// at which they lose Late. It is taken also while all are in time: what is saved
-// then is there when a burst comes.
-func (t *Table) Price(e Estimate) float64 {
-	if !t.opts.Policy.Has(Price) {
-		return 0
-	}
-	d := &t.demand
-	behind := d.rate / float64(max(t.readers, 1)) * (e.Wait + e.Reading/2).Seconds()
-	return behind * e.Reading.Seconds() * Late / max(d.objective, leastObjective)
-}
-
-// demand is what comes to be read, from all VMs together.
-type demand struct {
-	// rate is prompts a second of this VM, scaled up by the number of VMs.
-	rate float64
-	at   time.Time
-	// objective is the mean of their objectives, in seconds.
-	objective float64
-	// worth is the mean of what they are worth.
-	worth float64
-}
-
-// Averages of demand.
-const (
-	// demandOver is the time over which demand is averaged: as long as a burst
-	// takes to be felt, and longer than the wave of a few requests of one VM.
-	demandOver = 4 * time.Second
-	// meanWeight is the weight of the newest prompt in the means.
-	meanWeight = 0.05
-)
-
-// fade lets what was counted before now count less.
-func (d *demand) fade(now time.Time) {
-	left := math.Exp(-now.Sub(d.at).Seconds() / demandOver.Seconds())
-	d.rate *= left
-	d.at = now
-}
-
-// came notes a prompt of this VM, of which there are a number.
-func (d *demand) came(objective time.Duration, worth float64, vms int, now time.Time) {
-	d.fade(now)
-	d.rate += float64(vms) / demandOver.Seconds()
-	if d.objective == 0 {
-		d.objective, d.worth = objective.Seconds(), worth
-	}
-	d.objective += meanWeight * (objective.Seconds() - d.objective)
-	d.worth += meanWeight * (worth - d.worth)
-}
-
-// Came notes a prompt that came to this VM, one of a number, and returns what it
-// is worth against a mean one.
-func (t *Table) Came(objective time.Duration, worth float64, vms int, now time.Time) float64 {
-	t.demand.came(objective, worth, max(vms, 1), now)
-	if t.demand.worth <= 0 {
-		return 1
-	}
-	return worth / t.demand.worth
-}
-
-// countReaders counts the engines that read now.
-func (t *Table) countReaders(now time.Time) {
-	t.readers = 0
-	for _, s := range t.states {
-		if s.reads(now) {
-			t.readers++
-		}
-	}
-	if t.group.Cells > 1 { // others read where this VM does not hear of it
-		t.readers *= t.group.Cells
-	}
-}
-
 // near returns the upstreams of a data centre; all when it has none.
 func near(usable []*state, dc contract.DataCentreID) []*state {
 	here := make([]*state, 0, len(usable))
@@ -249,75 +176,6 @@
 	return first, second
 }
 
-// Expect notes that a prompt goes to an upstream, and returns what is expected
-// and the name of its place in the upstream's queue.
-func (t *Table) Expect(id contract.UpstreamID, w Work, dc contract.DataCentreID, now time.Time) (Estimate, reading.Ticket) {
-	s, ok := t.states[id]
-	if !ok || !w.reads() {
-		return Estimate{}, 0
-	}
-	e := t.estimate(s, w, dc, now)
-	s.readAt = now
-	ticket := s.queue.Add(e.Reading, true, now)
-	s.kept.Read(w.Prompt)
-	return e, ticket
-}
-
-// Begun notes that the answer to a prompt has begun, after a time since it was
-// sent, and learns from it how long engines take to read.
-func (t *Table) Begun(id contract.UpstreamID, ticket reading.Ticket, w Work, e Estimate, took time.Duration, now time.Time) {
-	s, ok := t.states[id]
-	if !ok {
-		return
-	}
-	span := s.queue.Began(ticket, now)
-	s.health.began(took, e.First())
-	if s.health.slower() == 1 && t.opts.Policy.Has(Pace) {
-		if span.Own >= leastSpan && span.Own > span.Planned/2 {
-			t.rates.Scale(w.Prompt.Model, float64(span.Took)/float64(span.Planned))
-			return
-		}
-		whole := e.Wait == 0 && e.Kept == 0
-		t.rates.Observe(w.Prompt.Model, w.Prompt.Tokens-e.Kept, took, whole)
-	}
-}
-
-// leastSpan is the shortest reading from which the time of a busy engine is
-// learnt: below, its steps for other requests take as long.
-const leastSpan = 40 * time.Millisecond
-
-// Dropped notes that a prompt's request has ended before its answer began.
-func (t *Table) Dropped(id contract.UpstreamID, ticket reading.Ticket, now time.Time) {
-	if s, ok := t.states[id]; ok {
-		s.queue.Drop(ticket, now)
-	}
-}
-
-// TokenTime returns how long a model takes to read a token by own times, zero
-// when there are too few.
-func (t *Table) TokenTime(m contract.ModelID) time.Duration {
-	token, _ := t.rates.Known(m)
-	return token
-}
-
-// mostTold bounds how long another VM's prompt is believed to take.
-const mostTold = 30 * time.Second
-
-// Told takes in a prompt that another VM has sent to an upstream, how long its
-// reading takes and how long the model takes a token by that VM's own times; zero
-// when it has none.
-func (t *Table) Told(id contract.UpstreamID, p reading.Prompt, takes, token time.Duration, now time.Time) {
-	t.rates.Told(p.Model, token)
-	takes = min(max(takes, 0), mostTold)
-	s, ok := t.states[id]
-	if !ok {
-		return
-	}
-	s.readAt = now
-	s.queue.Add(takes, false, now)
-	s.kept.Read(p)
-}
-
 // Best returns what is expected of a request at the upstream that it would go to
 // now.
 func (t *Table) Best(q Query, now time.Time) (Estimate, bool) {
