relay: only a queue makes a request hopeless

Cause: a time a token that is far too long would have every long prompt refused without a try, and without a try it would never be corrected. Change: a request is refused at once only where its prompt would wait beyond the deadline; the reading itself does not count.

--- a/relay/models.go
+++ b/relay/models.go
@@ -26,8 +26,9 @@
 type choice struct {
 	model contract.ModelID
 	cascade.Option
-	// first is when its answer is expected to begin, from its send on.
-	first time.Duration
+	// first is when its answer is expected to begin, from its send on, and wait
+	// the part of that for which its prompt waits for others.
+	first, wait time.Duration
 }
 
 // chooseModel names the model that answers first. The caller holds mu.
@@ -97,10 +98,11 @@
 // mayGiveUp tells whether an answer to a request could be given up for another.
 func (j *job) mayGiveUp() bool { return j.Route.Repeatable() && j.Route.MaxAttempts > 1 }
 
-// hopeless returns when a request may come back to which no model could begin an
-// answer before its deadline, and whether that is so: waiting would be in vain.
-// Those that are turned away together come back over as long as the queue takes.
-// The caller holds mu.
+// hopeless returns when a request may come back whose prompt no engine would begin
+// to read before its deadline, and whether that is so: waiting would be in vain.
+// Only queues count: where none is, a try corrects a time that is wrong. Those that
+// are turned away together come back over as long as the queue takes. The caller
+// holds mu.
 func (r *Relay) hopeless(j *job) (time.Duration, bool) {
 	models := j.Route.Models
 	if !j.ChooseModel || len(models) == 0 || !r.opts.Policy.Has(upstream.EarlyRefusal) {
@@ -109,10 +111,10 @@
 	now := r.opts.Now()
 	soonest := time.Duration(math.MaxInt64)
 	for _, c := range r.choices(j, 0, now) {
-		if !c.Never {
+		if !now.Add(c.wait).After(j.Deadline) {
 			return 0, false
 		}
-		soonest = min(soonest, c.first)
+		soonest = min(soonest, c.wait)
 	}
 	over := now.Add(soonest).Sub(j.Deadline)
 	return over + time.Duration(r.random.Float64()*float64(soonest)), true
@@ -127,7 +129,7 @@
 	for i, m := range models {
 		c := choice{model: m, Option: cascade.Option{Good: r.opinions.Good(m, largest), Cost: dearestPart(j) * r.costPart(j, i)}}
 		if e, ok := r.estimate(j, m, now); ok {
-			c.first, c.Price = e.First(), r.table.Price(e)/j.weight
+			c.first, c.wait, c.Price = e.First(), e.Wait, r.table.Price(e)/j.weight
 		}
 		begins := now.Add(delay + c.first)
 		c.Never = begins.After(j.Deadline)
