relay: the expectations of a request's models are made once

Cause: choosing a model looked at all engines up to twelve times a request: for each model now, after each smaller one, and for the refusal. Change: what is expected of a model after a delay follows from what is expected now; the choice and the refusal share it.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -63,7 +63,7 @@
 	{"the upstream is named in each request", "platform/dialect.go", "	set(headerInstance, string(s.Upstream.ID))\n", "", "./platform", "TestAnotherServiceHasTheAddress"},
 	{"what may not run again is sent once", "retry/retry.go", "case !a.Repeatable && a.Outcome != contract.NotRun:", "case false:", "./platform", "TestOnceIsSentOnce"},
 	{"what may not run again is not escalated", "relay/models.go", "return j.Route.Repeatable() && j.Route.MaxAttempts > 1 }", "return j.Route.MaxAttempts > 1 }", "./relay", "TestNoEscalationOfWhatMayNotRepeat"},
-	{"a larger answer after the deadline is none", "relay/models.go", "c.Never = begins.After(j.Deadline)", "c.Never = false", "./relay", "TestNoEscalationOfWhatMayNotRepeat"},
+	{"a larger answer after the deadline is none", "relay/models.go", "o.Never = begins.After(j.Deadline)", "o.Never = false", "./relay", "TestNoEscalationOfWhatMayNotRepeat"},
 	{"only own times are told", "reading/rates.go", "if !ok || x.seen < fewSeen {", "if !ok {", "./reading", "TestRatesDoNotEcho"},
 	{"an engine that is not heard of is not idle", "upstream/group.go", "	if t.heard(s, dc) {", "	if true {", "./upstream", "TestUnheardEngines"},
 	{"what no engine would read in time is refused", "relay/models.go", "return over + time.Duration(r.random.Float64()*float64(soonest)), true", "return over, false", "./relay", "TestHopelessIsRefusedAtOnce"},
--- a/relay/models.go
+++ b/relay/models.go
@@ -31,19 +31,21 @@
 	first, wait time.Duration
 }
 
-// chooseModel names the model that answers first. The caller holds mu.
-func (r *Relay) chooseModel(j *job) {
+// chooseModel names the model that answers first. For a request that is not worth a
+// try it returns when it may come back, and true. The caller holds mu.
+func (r *Relay) chooseModel(j *job) (after time.Duration, hopeless bool) {
 	models := j.Route.Models
 	if !j.ChooseModel || len(models) == 0 {
-		return
+		return 0, false
 	}
 	now := r.opts.Now()
-	choices := r.choices(j, 0, now)
+	choices := r.choices(j, now)
 	if m, ok := r.untried(j, models); ok {
 		j.model, j.why = m, whyUntried
-		return
+	} else {
+		j.model, j.why = r.best(j, choices, now)
 	}
-	j.model, j.why = r.best(j, choices, now)
+	return r.hopeless(j, choices, now)
 }
 
 // Reasons for the model that answers first.
@@ -85,9 +87,8 @@
 		if !giveUp || i == len(choices)-1 {
 			continue
 		}
-		later := r.choices(j, c.first, now)
-		for _, larger := range later[i+1:] {
-			if v := c.Then(larger.Option); v > most {
+		for _, larger := range choices[i+1:] {
+			if v := c.Then(larger.after(j, c.first, now)); v > most {
 				model, why, most = c.model, whyThen, v
 			}
 		}
@@ -103,14 +104,12 @@
 // Only queues count: where none is, a try corrects a time that is wrong. Those that
 // are turned away together come back over as long as the queue takes. The caller
 // holds mu.
-func (r *Relay) hopeless(j *job) (time.Duration, bool) {
-	models := j.Route.Models
-	if !j.ChooseModel || len(models) == 0 || !r.opts.Policy.Has(upstream.EarlyRefusal) {
+func (r *Relay) hopeless(j *job, choices []choice, now time.Time) (time.Duration, bool) {
+	if !r.opts.Policy.Has(upstream.EarlyRefusal) {
 		return 0, false
 	}
-	now := r.opts.Now()
 	soonest := time.Duration(math.MaxInt64)
-	for _, c := range r.choices(j, 0, now) {
+	for _, c := range choices {
 		if !now.Add(c.wait).After(j.Deadline) {
 			return 0, false
 		}
@@ -121,8 +120,8 @@
 }
 
 // choices returns the models of a job, smallest first, and what is expected of
-// each when it is asked after a delay. The caller holds mu.
-func (r *Relay) choices(j *job, delay time.Duration, now time.Time) []choice {
+// each when it is asked now. The caller holds mu.
+func (r *Relay) choices(j *job, now time.Time) []choice {
 	models := j.Route.Models
 	largest := models[len(models)-1]
 	out := make([]choice, len(models))
@@ -131,14 +130,21 @@
 		if e, ok := r.estimate(j, m, now); ok {
 			c.first, c.wait, c.Price = e.First(), e.Wait, r.table.Price(e)/j.weight
 		}
-		begins := now.Add(delay + c.first)
-		c.Never = begins.After(j.Deadline)
-		c.Late = upstream.LateRisk(upstream.ObjectivePart(begins.Sub(j.Arrived), j.Route.Objective))
+		c.Option = c.after(j, 0, now)
 		out[i] = c
 	}
 	return out
 }
 
+// after returns what is expected of a model when it is asked after a delay.
+func (c choice) after(j *job, delay time.Duration, now time.Time) cascade.Option {
+	begins := now.Add(delay + c.first)
+	o := c.Option
+	o.Never = begins.After(j.Deadline)
+	o.Late = upstream.LateRisk(upstream.ObjectivePart(begins.Sub(j.Arrived), j.Route.Objective))
+	return o
+}
+
 // costPart returns what a model of a job costs against the dearest; where costs
 // are not told, by its place among the models, which are in order of size.
 func (r *Relay) costPart(j *job, place int) float64 {
@@ -218,7 +224,7 @@
 // larger returns the larger model for which an answer is worth giving up, or "".
 // The caller holds mu.
 func (r *Relay) larger(j *job, h *Head, now time.Time) contract.ModelID {
-	choices := r.choices(j, 0, now)
+	choices := r.choices(j, now)
 	own := 0
 	for i, c := range choices {
 		if c.model == j.model {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -244,18 +244,18 @@
 		if isStream(req) {
 			j.weight = r.table.Came(req.Route.Objective, r.worth(j), r.opts.VMs(), r.opts.Now())
 		}
-		r.chooseModel(j)
-		after, hopeless = r.hopeless(j)
+		after, hopeless = r.chooseModel(j)
 	})
 	var end End
 	var refused *contract.Refusal
-	if len(req.Route.Shares) == 0 {
+	switch {
+	case len(req.Route.Shares) == 0:
 		end, refused = Refused, noUpstream(j)
-	} else if hopeless {
+	case hopeless:
 		end, refused = Refused, noRoom(j, after)
-	} else if isStream(req) {
+	case isStream(req):
 		end, refused = r.stream(ctx, j, c)
-	} else {
+	default:
 		end, refused = r.plain(ctx, j, c)
 	}
 	r.finish(j, end, refused)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -138,7 +138,7 @@
 			j.service, j.PromptTokens, j.Arrived, j.Deadline = "s", 400, now, now.Add(c.left)
 			var after time.Duration
 			refuse := false
-			r.locked(func() { after, refuse = r.hopeless(j) })
+			r.locked(func() { after, refuse = r.chooseModel(j) })
 			is.Equal(refuse, c.refuse)
 			if refuse { // the queue has to be short enough by then, and not all come at once
 				is.True(after >= c.queued-c.left)
