relay: one query for the choice and for what is expected of it

Cause: pick and estimate built the same query each. Change: Relay.query; behaviour is the same. Measured: go vet ./relay; go test ./relay ./platform.

--- a/relay/models.go
+++ b/relay/models.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"woaddoor/cascade"
-	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/retry"
 	"woaddoor/upstream"
@@ -178,11 +177,7 @@
 	with := *j
 	with.model = m
 	for _, pools := range r.eligible(&with, now) {
-		q := upstream.Query{
-			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
-			Prefix: j.Subject, Exclude: j.exclude, Work: r.work(&with, now),
-		}
-		if e, ok := r.table.Best(q, now); ok {
+		if e, ok := r.table.Best(r.query(&with, pools, now), now); ok {
 			return e, true
 		}
 	}
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -27,10 +27,7 @@
 		return upstream.Entry{}, noUpstream(j) // the others would be tried in vain
 	}
 	for _, pools := range r.eligible(j, now) {
-		id, err := r.table.Pick(upstream.Query{
-			Kind: config.EnginePool, Pools: pools.ids, DataCentre: r.opts.DataCentre,
-			Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j, now),
-		}, now, r.random)
+		id, err := r.table.Pick(r.query(j, pools, now), now, r.random)
 		if err != nil {
 			continue
 		}
@@ -120,6 +117,15 @@
 	})
 }
 
+// query returns what the job needs of an upstream among candidates. The caller
+// holds mu.
+func (r *Relay) query(j *job, c candidates, now time.Time) upstream.Query {
+	return upstream.Query{
+		Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre,
+		Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j, now),
+	}
+}
+
 // work returns what a request asks of an upstream with the job's model. The
 // caller holds mu.
 func (r *Relay) work(j *job, now time.Time) upstream.Work {
