--- a/reading/queue.go
+++ b/reading/queue.go
@@ -60,7 +60,10 @@
 func (q *Queue) Wait(now time.Time) time.Duration {
 	wait := q.free(now).Sub(now)
 	for _, r := range q.reads {
-		if r.own && now.After(r.due) {
+		if !now.After(r.due) {
+			break // those behind it are due later
+		}
+		if r.own {
 			return wait + min(now.Sub(r.due), mostOverdue)
 		}
 	}
--- a/relay/models.go
+++ b/relay/models.go
@@ -177,7 +177,7 @@
 	with := *j
 	with.model = m
 	for _, pools := range r.eligible(&with, now) {
-		if e, ok := r.table.Best(r.query(&with, pools, now), now); ok {
+		if e, ok := r.table.Best(r.query(&with, pools, now), now, r.random); ok {
 			return e, true
 		}
 	}
--- a/upstream/listed_test.go
+++ b/upstream/listed_test.go
@@ -162,6 +162,7 @@
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	p := reading.Prompt{Model: "m", Tokens: 9000}
+	r := random()
 	load := func(g Group) (*Table, Query) {
 		tb, _ := listed(3)
 		for _, id := range []contract.UpstreamID{"d0", "d1", "d2"} {
@@ -174,11 +175,11 @@
 		return tb, q
 	}
 	tb, q := load(Group{})
-	e, ok := tb.Best(q, now)
+	e, ok := tb.Best(q, now, r)
 	is.True(ok)
 	is.True(e.Wait >= time.Second) // an engine that is not heard of is not idle
 	tb, q = load(Group{Region: true})
-	e, ok = tb.Best(q, now)
+	e, ok = tb.Best(q, now, r)
 	is.True(ok)
 	is.Equal(e.Wait, time.Duration(0)) // the far engines are known to be idle
 }
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -35,15 +35,18 @@
 // everywhere. A home is taken while it has room; else the upstream with the
 // least expected wait is.
 func (t *Table) Pick(q Query, now time.Time, random *rand.Rand) (contract.UpstreamID, error) {
-	usable := t.candidates(q, now)
-	if len(usable) == 0 {
-		return t.lastResort(q)
-	}
 	if t.opts.Listed {
-		best := t.cheapest(usable, q, now, random)
+		best := t.cheapest(q, now, t.opts.Policy.Has(Homes), random)
+		if best == nil {
+			return t.lastResort(q)
+		}
 		best.health.picked(now)
 		return best.upstream.ID, nil
 	}
+	usable := t.candidates(q, now)
+	if len(usable) == 0 {
+		return "", ErrNone
+	}
 	best := t.home(usable, q.Prefix)
 	if best == nil {
 		best = least(usable, random)
@@ -54,15 +57,15 @@
 	return best.upstream.ID, nil
 }
 
-// candidates returns the usable upstreams, those of the preferred data centre
-// if there are any.
+// candidates returns the usable upstreams that report, those of the preferred data
+// centre if there are any.
 func (t *Table) candidates(q Query, now time.Time) []*state {
 	near, far := make([]*state, 0, len(t.ordered)), []*state(nil)
 	for _, s := range t.ordered {
 		if !q.allows(s) || !t.usable(s, q.Version, now) {
 			continue
 		}
-		if t.opts.Listed || s.pool.DataCentre == q.DataCentre {
+		if s.pool.DataCentre == q.DataCentre {
 			near = append(near, s)
 		} else {
 			far = append(far, s)
@@ -146,13 +149,14 @@
 
 // least returns the upstream with the least expected wait; equals are drawn.
 func least(usable []*state, random *rand.Rand) *state {
-	return lowest(usable, (*state).score, random)
+	best, _ := lowest(usable, (*state).score, random)
+	return best
 }
 
-// lowest returns the upstream with the lowest cost; equals are drawn.
-func lowest(usable []*state, cost func(*state) float64, random *rand.Rand) *state {
-	var best *state
-	bestCost, ties := 0.0, 0
+// lowest returns the upstream with the lowest cost, and that cost; nil of none.
+// Equals are drawn.
+func lowest(usable []*state, cost func(*state) float64, random *rand.Rand) (best *state, bestCost float64) {
+	ties := 0
 	for _, s := range usable {
 		c := cost(s)
 		switch {
@@ -165,7 +169,7 @@
 			}
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // defaultService stands in for a service time that was never seen.
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -62,6 +62,8 @@
 	// doubted are those with an upstream that has fallen silent.
 	doubted map[contract.DataCentreID]bool
 	pools   map[contract.PoolID][]*state
+	// centres are the states of each data centre, in the order of ordered.
+	centres map[contract.DataCentreID][]*state
 	// ordered are all states by their ids, so that a choice depends on the random
 	// source alone and not on the order of a map.
 	ordered []*state
@@ -137,6 +139,10 @@
 	}
 	t.states = states
 	t.ordered = slices.SortedFunc(maps.Values(states), func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	t.centres = make(map[contract.DataCentreID][]*state)
+	for _, s := range t.ordered {
+		t.centres[s.pool.DataCentre] = append(t.centres[s.pool.DataCentre], s)
+	}
 }
 
 // Reported takes in a load report that was asked for at askedAt. One that
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -98,31 +98,74 @@
 
 // cheapest returns the upstream at which the request costs least: itself, by the
 // time at which it is answered, and those that come after it, by the time that
-// its reading takes.
-func (t *Table) cheapest(usable []*state, q Query, now time.Time, random *rand.Rand) *state {
-	first, second := homes(near(usable, q.DataCentre), q.Prefix)
+// its reading takes; nil when none is usable. The homes of its subject may be
+// preferred. Other data centres are looked at only where the own one costs more than
+// the way there: four of five engines need not be weighed while it has room.
+func (t *Table) cheapest(q Query, now time.Time, atHome bool, random *rand.Rand) *state {
+	near := t.usableOf(t.centres[q.DataCentre], q, now)
+	best, cost := t.lowestOf(near, q, now, atHome, random)
+	if best != nil && cost <= q.farLeast() {
+		return best
+	}
+	var far []*state
+	for _, s := range t.ordered {
+		if s.pool.DataCentre != q.DataCentre {
+			far = append(far, s)
+		}
+	}
+	far = t.usableOf(far, q, now)
+	other, otherCost := t.lowestOf(far, q, now, atHome && best == nil, random)
+	if best == nil || other != nil && otherCost < cost {
+		return other
+	}
+	return best
+}
+
+// usableOf returns those of some upstreams that could take the request.
+func (t *Table) usableOf(states []*state, q Query, now time.Time) []*state {
+	usable := make([]*state, 0, len(states))
+	for _, s := range states {
+		if t.usable(s, q.Version, now) && q.allows(s) {
+			usable = append(usable, s)
+		}
+	}
+	return usable
+}
+
+// lowestOf returns the upstream at which the request costs least, and what.
+func (t *Table) lowestOf(usable []*state, q Query, now time.Time, atHome bool, random *rand.Rand) (*state, float64) {
+	var first, second *state
+	if atHome {
+		first, second = homes(usable, q.Prefix)
+	}
 	return lowest(usable, func(s *state) float64 {
 		cost := t.cost(s, q, now)
-		switch {
-		case !t.opts.Policy.Has(Homes):
-		case s == first:
+		switch s {
+		case first:
 			cost -= homeFirst
-		case s == second:
+		case second:
 			cost -= homeSecond
 		}
 		return cost
 	}, random)
 }
 
+// farLeast is what a request costs at least in another data centre.
+func (q Query) farLeast() float64 {
+	if q.Work.reads() {
+		return farAway
+	}
+	return farPlain
+}
+
 // cost is what a request costs at an upstream.
 func (t *Table) cost(s *state, q Query, now time.Time) float64 {
 	cost := failedWork * s.health.failed
 	if t.isAway(s, q, now) {
 		cost += failedWork
 	}
-	far, running := farPlain, (ownWeight*float64(s.inFlight)+s.others)/ownWeight/float64(s.pool.Slots)*allPlaces
+	running := (ownWeight*float64(s.inFlight)+s.others)/ownWeight/float64(s.pool.Slots)*allPlaces
 	if q.Work.reads() {
-		far = farAway
 		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
 		e := t.estimate(s, q.Work, q.DataCentre, now)
 		part := ObjectivePart(q.Work.Elapsed+e.First(), q.Work.Objective)
@@ -131,7 +174,7 @@
 		running *= s.health.slowness()
 	}
 	if s.pool.DataCentre != q.DataCentre {
-		cost += far
+		cost += q.farLeast()
 	}
 	return cost + running
 }
@@ -139,20 +182,6 @@
 // leastObjective, in seconds, stands in for that of a route without any.
 const leastObjective = 0.1
 
-// near returns the upstreams of a data centre; all when it has none.
-func near(usable []*state, dc contract.DataCentreID) []*state {
-	here := make([]*state, 0, len(usable))
-	for _, s := range usable {
-		if s.pool.DataCentre == dc {
-			here = append(here, s)
-		}
-	}
-	if len(here) == 0 {
-		return usable
-	}
-	return here
-}
-
 // homes returns the first and the second home of a prefix among upstreams, the
 // same at every VM (rendezvous hashing); nil without a prefix.
 func homes(usable []*state, prefix uint64) (first, second *state) {
@@ -175,14 +204,8 @@
 
 // Best returns what is expected of a request at the upstream that it would go to
 // now.
-func (t *Table) Best(q Query, now time.Time) (Estimate, bool) {
-	var best *state
-	least := 0.0
-	for _, s := range t.candidates(q, now) {
-		if c := t.cost(s, q, now); best == nil || c < least {
-			best, least = s, c
-		}
-	}
+func (t *Table) Best(q Query, now time.Time, random *rand.Rand) (Estimate, bool) {
+	best := t.cheapest(q, now, false, random)
 	if best == nil {
 		return Estimate{}, false
 	}
