--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,8 @@
 	wanted  cascade.Wanted
 	// opinions are what models think of their answers, and what that is worth.
 	opinions *cascade.Opinions
+	// group says of which upstreams other VMs tell.
+	group upstream.Group
 	// alone is since when this VM has been cut off; zero while it is not.
 	alone time.Time
 }
@@ -242,7 +244,7 @@
 		j.service = req.Route.Pick(r.random.Float64())
 		r.budget(j.service).Request(r.opts.Now())
 		if isStream(req) {
-			j.weight = r.table.Came(req.Route.Objective, r.worth(j), r.opts.VMs(), r.opts.Now())
+			j.weight = r.table.Came(req.Route.Objective, r.worth(j), r.senders(), r.opts.Now())
 		}
 		after, hopeless = r.chooseModel(j)
 	})
@@ -262,6 +264,16 @@
 	return end, refused
 }
 
+// senders returns how many VMs send to the engines that this VM hears of: the price
+// of their time goes by what comes to them. All VMs of five data centres before the
+// engines of one made it five times too high. The caller holds mu.
+func (r *Relay) senders() int {
+	if r.group.VMs > 0 {
+		return r.group.VMs
+	}
+	return r.opts.VMs()
+}
+
 // errDeadline ends the work on a request whose time is up.
 var errDeadline = errors.New("deadline passed")
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,3 +147,15 @@
 		})
 	}
 }
+
+// TestSendersAreThoseHeardOf checks that the demand before the engines that this VM
+// hears of is that of the VMs which send to them, and not of all there are.
+func TestSendersAreThoseHeardOf(t *testing.T) {
+	is := is.New(t)
+	r := testRelay()
+	r.opts.VMs = func() int { return 295 }
+	is.Equal(r.senders(), 295) // nothing is known of the others yet
+	r.opts.Group = func() upstream.Group { return upstream.Group{VMs: 57} }
+	r.Level()
+	is.Equal(r.senders(), 57)
+}
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -140,6 +140,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.group = g
 	r.table.SetGroup(g)
 	r.table.Level(r.opts.DataCentre, r.opts.Now())
 }
--- a/site/view.go
+++ b/site/view.go
@@ -81,7 +81,10 @@
 	}
 	v.place = p.placeIn(v)
 	v.vms = max(p.countAll(len(own), now), v.live, len(p.listed)+1)
-	v.group = upstream.Group{Region: v.vms <= regionMost}
+	v.group = upstream.Group{Region: v.vms <= regionMost, VMs: len(own)}
+	if v.group.Region {
+		v.group.VMs = v.vms
+	}
 	return v
 }
 
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -11,6 +11,9 @@
 type Group struct {
 	// Region tells that the VMs of other data centres tell of their sends too.
 	Region bool
+	// VMs is how many VMs send to the upstreams that are heard of: those of the
+	// region, or of the data centre. Zero means that it is not known.
+	VMs int
 }
 
 // Beliefs about engines of which this VM does not hear.
