--- a/settings/vm.go
+++ b/settings/vm.go
@@ -77,7 +77,8 @@
 	Callers, Ready string
 	// Links is the UDP address for other VMs.
 	Links string
-	// Seeds are link addresses at which other VMs may be found; they may be
+	// Seeds are link addresses at which VMs may be found, this one's among them
+	// where it is one that others ask; they may be
 	// down or stale.
 	Seeds []string
 	// Metrics is the TCP address at which metrics are served.
@@ -189,9 +190,7 @@
 			r.Fault("seeds", "has %q: expected an address with a port, such as 10.0.0.1:8080", s)
 			continue
 		}
-		if a := net.JoinHostPort(host, port); a != links {
-			out = append(out, a)
-		}
+		out = append(out, net.JoinHostPort(host, port))
 	}
 	return out
 }
