--- a/upstream/work.go
+++ b/upstream/work.go
@@ -40,7 +40,7 @@
 	soon = 0.1
 	// homeFirst and homeSecond are what the homes of a subject are preferred by
 	// while nobody is known to keep it, so that VMs agree without a word.
-	homeFirst, homeSecond = 0.02, 0.01
+	homeFirst, homeSecond = 0.05, 0.03
 )
 
 // lateSpread is how uncertain the time of an answer is, as a part of the
