--- a/bill/holder.go
+++ b/bill/holder.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// Risky returns own records that no peer is known to hold, at most limit.
+func (h *Holder) Risky(limit int) []Record {
+	var risky []Record
+	for _, e := range h.held {
+		if len(risky) == limit {
+			break
+		}
+		if !e.copied {
+			risky = append(risky, e.record)
+		}
+	}
+	return risky
+}
+
 // Due returns the records to file now, at most limit: own ones at once, those
 // of peers once their VM had its time. They stay held until Filed.
 func (h *Holder) Due(now time.Time, limit int) []Record {
--- a/entry/bills.go
+++ b/entry/bills.go
@@ -196,12 +196,37 @@
 	records := protocol.Records{Records: due}
 	if err := s.file(ctx, records); err != nil {
 		s.log.Warn("filing-failed", logs.Failure(err)...)
+		s.copyAgain(ctx)
 		return
 	}
 	s.locked(func() { s.bills.Filed(due) })
 	s.tellFiled(ctx, records)
 }
 
+// copyAgain has a peer hold the records that none took when they were made: while the
+// platform is out, a planned stop waits for them, and ended only with its return.
+func (s *Server) copyAgain(ctx context.Context) {
+	var risky []bill.Record
+	s.locked(func() { risky = s.bills.Risky(fileLimit) })
+	if len(risky) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	for _, m := range s.keepers() {
+		if s.copyTo(ctx, m, protocol.Records{Records: risky}) != nil {
+			continue // logged there
+		}
+		s.kept()
+		s.locked(func() {
+			for _, r := range risky {
+				s.bills.Copied(r)
+			}
+		})
+		return
+	}
+}
+
 // file has a control process write the records to the platform: the own one,
 // or, when it is dead or cut off, a peer's.
 func (s *Server) file(ctx context.Context, records protocol.Records) error {
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -310,6 +310,31 @@
 	})
 }
 
+// TestStopWithRecordAtRisk stops a VM that serves a workspace at risk, while the
+// platform is out and after its peer was frozen: once the peer wakes it holds the
+// record, and the VM ends. It waited for the platform.
+func TestStopWithRecordAtRisk(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ctx := start(t, 1, 2, 0)
+	f.Platform.SetFaults(platform.Faults{Down: true})
+	f.VMs[1].Entry.Freeze()
+	r, err := f.VMs[0].Chat(ctx, KeyMbio, "chat-large", "hello")
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusOK)
+	st, err := f.VMs[0].Status(ctx)
+	is.NoErr(err)
+	is.Equal(st.BillsAtRisk, 1)
+	f.VMs[1].Entry.Wake()
+	f.VMs[0].Entry.Terminate()
+	select {
+	case <-f.VMs[0].Entry.Done():
+	case <-ctx.Done():
+		t.Fatal("the VM does not end")
+	}
+	is.NoErr(f.VMs[0].Entry.Err())
+}
+
 // TestUnbilledIsRefused cuts the only VM off from the platform: a workspace
 // that is not served at risk is refused before anything runs, another is
 // served and the amount at risk is counted.
