--- a/internal/rounds/main.go
+++ b/internal/rounds/main.go
@@ -6,6 +6,11 @@
 // Run it at the root of a checkout:
 //
 //	go run ./internal/rounds --bench BENCH --site SITE --why "round 34: ..."
+//
+// With a regression set it plays all deployments of it, prints what they are worth
+// against what was reached, and fails when a rule breaks or one falls:
+//
+//	go run ./internal/rounds --bench BENCH --set days/landing.ini --sites FOLDER --why "landing"
 package main
 
 import (
@@ -24,7 +29,10 @@
 
 type arguments struct {
 	Bench string   `help:"The users' bench." required:""`
-	Site  string   `help:"The site file." required:"" type:"path"`
+	Site  string   `help:"The site file." type:"path" xor:"what" required:""`
+	Set   string   `help:"A regression set (INI), in place of a site." type:"path" xor:"what" required:""`
+	Sites string   `help:"The folder that the set's site files are in." type:"path"`
+	Small bool     `help:"Play the small twins of a large deployment."`
 	Days  []string `help:"Days to play." default:"quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3"`
 	Seeds int      `help:"How many seeds of each day." default:"3"`
 	First int      `help:"The first seed. 0 stands for the day's own." default:"1"`
@@ -44,6 +52,16 @@
 func main() {
 	var a arguments
 	kong.Parse(&a, kong.Description("Plays days on several seeds and prints worth, parts and prices."))
+	if a.Set != "" {
+		holds, err := a.runSet(os.Stdout)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		if err != nil || !holds {
+			os.Exit(1)
+		}
+		return
+	}
 	plays := a.plays()
 	if err := a.run(plays); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -113,6 +131,9 @@
 	if p.seed > 0 {
 		args = append(args, "--seed", strconv.Itoa(p.seed))
 	}
+	if a.Small {
+		args = append(args, "--small")
+	}
 	if !a.Cost {
 		args = append(args, "--no-cpu")
 	}
--- a/internal/rounds/report_test.go
+++ b/internal/rounds/report_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -35,3 +36,51 @@
 	is.True(strings.Contains(lines[3], "LOST 1, missed 2 of 2"))
 	is.True(strings.HasPrefix(lines[5], "| with trouble | 0.300 |"))
 }
+
+// TestSet checks that a set is read, and that bad input names file, line and key.
+func TestSet(t *testing.T) {
+	is := is.New(t)
+	set, err := readSet("landing.ini", []byte("[a]\nsite = x.toml\nreached = 0.6\n\n[b]\nsite = y.toml\nsmall = yes\ndays = quiet-1, scale-1\nseeds = 3\n"))
+	is.NoErr(err)
+	is.Equal(len(set), 2)
+	is.Equal(set[0].reached, 0.6)
+	is.Equal(len(set[0].days), 6)
+	is.Equal(set[1].days, []string{"quiet-1", "scale-1"})
+	is.True(set[1].small)
+	for text, want := range map[string]string{
+		"[a]\nreached = 0.6\n":                 "site",
+		"[a]\nsite = x\nreached = high\n":      "landing.ini:3",
+		"[a]\nsite = x\nsmall = perhaps\n":     "small",
+		"[a]\nsite = x\nworth = 0.6\n":         "worth",
+		"[a]\nsite = x\n[a]\nsite = y\n":       "landing.ini:3",
+		"[a]\nsite = x.toml\nthis is no key\n": "landing.ini:3",
+	} {
+		_, err := readSet("landing.ini", []byte(text))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), want))
+	}
+}
+
+// TestJudge checks what makes a deployment fail: a day that was not played, a broken
+// rule, a fall beyond the bound; and that quiet days do not count.
+func TestJudge(t *testing.T) {
+	is := is.New(t)
+	day := func(name string, worth float64) *play { return &play{day: name, seed: 1, out: &report{Worth: worth}} }
+	broken := day("trouble-1", 0.7)
+	broken.out.Breaks = map[string]json.RawMessage{"LOST": nil}
+	e := entry{name: "a", reached: 0.6}
+	for _, c := range []struct {
+		plays []*play
+		holds bool
+		says  string
+	}{
+		{[]*play{day("quiet-1", 0.1), day("trouble-1", 0.58)}, true, "holds"},
+		{[]*play{day("quiet-1", 0.9), day("trouble-1", 0.56)}, false, "fell by 0.040"},
+		{[]*play{day("trouble-1", 0.9), broken}, false, "broke LOST"},
+		{[]*play{day("trouble-1", 0.9), {day: "scale-1", seed: 2, err: os.ErrNotExist}}, false, "scale-1 seed 2 not played"},
+	} {
+		row, holds := judge(e, c.plays)
+		is.Equal(holds, c.holds)
+		is.True(strings.Contains(row, c.says))
+	}
+}
