--- a/entry/bills.go
+++ b/entry/bills.go
@@ -213,8 +213,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	for _, m := range s.keepers() {
-		if s.copyTo(ctx, m, protocol.Records{Records: risky}) != nil {
+	for _, keeper := range s.keepers() {
+		if s.copyTo(ctx, keeper, protocol.Records{Records: risky}) != nil {
 			continue // logged there
 		}
 		s.kept()
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -286,6 +286,50 @@
 	is.True(longest <= 2+2*3)
 }
 
+// TestEvidenceThroughHubs passes evidence from leaves to their hubs, between hubs, to
+// another data centre and down to its leaves, late and twice: all know what all have
+// counted, and no more. Two hubs that told each other totals would each hold the larger
+// of two parts for the whole.
+func TestEvidenceThroughHubs(t *testing.T) {
+	is := is.New(t)
+	type member struct {
+		canary *Canary
+		self   Observer
+		dc     contract.DataCentreID
+	}
+	join := func(dc contract.DataCentreID, n int) []member {
+		var out []member
+		for i := range n {
+			m := member{NewCanary(testOrder(), 0.15, testOrder().Issued), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc}
+			for range 5 {
+				m.canary.Observe(Answer{OnTrial: true}, time.Unix(0, 0))
+			}
+			out = append(out, m)
+		}
+		return out
+	}
+	near, far := join("d", 10), join("e", 10)
+	tell := func(from, to member, hears Hearer) {
+		to.canary.Hear(from.canary.Evidence(hears, from.self, from.dc), to.self, to.dc)
+	}
+	for range 3 {
+		for _, all := range [][]member{near, far} {
+			hubs, leaves := all[:2], all[2:]
+			for i, l := range leaves {
+				tell(l, hubs[i%2], HearsNear)
+				tell(hubs[i%2], l, HearsNear)
+			}
+			tell(hubs[0], hubs[1], HearsHub)
+			tell(hubs[1], hubs[0], HearsHub)
+		}
+		tell(near[0], far[0], HearsFar)
+		tell(far[1], near[1], HearsFar)
+	}
+	for _, m := range append(near, far...) {
+		is.Equal(m.canary.sum(), Counts{Good: 100})
+	}
+}
+
 // TestDoubtAtTheEnd shows that a release whose few answers speak against it is
 // not completed, though they are too few to halt it before.
 func TestDoubtAtTheEnd(t *testing.T) {
