--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -87,6 +87,7 @@
 		fmt.Sprintf("vms_live_near %d", st.Near),
 		fmt.Sprintf("vms_silent_near %d", st.Silent),
 		fmt.Sprintf("vm_place %d", st.Place),
+		fmt.Sprintf("watches %d", st.Watches),
 		fmt.Sprintf("vm_leaves %d", st.Leaves))
 }
 
--- a/site/follow.go
+++ b/site/follow.go
@@ -260,6 +260,13 @@
 	}, known
 }
 
+// asks tells whether this VM asks the store for the others.
+func (f *follower[T]) asks() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.duty.watching
+}
+
 // compare takes in what a peer tells of the kind.
 func (f *follower[T]) compare(h Have) Compared {
 	at, known := f.have()
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -77,21 +77,23 @@
 func (p *Peers) shunned(address string, now time.Time) bool { return now.Before(p.shun[address]) }
 
 // answered notes whether a VM has answered, and logs when that changes.
-func (p *Peers) answered(address string, ok bool) {
+func (p *Peers) answered(address string, err error) {
 	p.mu.Lock()
 	now := p.now()
 	was := p.shunned(address, now)
-	if ok {
+	if err == nil {
 		delete(p.shun, address)
 	} else {
 		p.shun[address] = now.Add(shunFor)
 	}
 	p.mu.Unlock()
-	if was == ok {
+	switch {
+	case err != nil && !was:
 		p.changed.Store(true)
-	}
-	if !ok && !was {
-		p.log.Debug("peer-passed-over", zap.String("peer", address), zap.Duration("for", shunFor))
+		p.log.Info("peer-passed-over", append(logs.Failure(err), zap.Duration("for", shunFor))...)
+	case err == nil && was:
+		p.changed.Store(true)
+		p.log.Info("peer-answers", zap.String("peer", address))
 	}
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -25,6 +25,7 @@
 	compare(h Have) Compared
 	since(after contract.Revision, holds bool) Delta
 	feed(d Delta, h Have, from string)
+	asks() bool
 }
 
 // Timings of words.
--- a/site/peers_test.go
+++ b/site/peers_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -133,7 +134,7 @@
 	}
 	is.Equal(p.Place().Near, 2)
 	for _, hub := range ranked[:2] {
-		p.answered(hub.ControlLink, false)
+		p.answered(hub.ControlLink, context.DeadlineExceeded)
 	}
 	p.seen.Store(nil)
 	v := p.look()
--- a/site/standing.go
+++ b/site/standing.go
@@ -1,6 +1,9 @@
 package site
 
 import (
+	"maps"
+	"slices"
+
 	"woaddoor/link"
 	"woaddoor/vm"
 )
@@ -12,6 +15,8 @@
 	Near, Silent int
 	// Place is its place among those that would watch the store.
 	Place int
+	// Watches is for how many kinds of objects it asks the store.
+	Watches int
 	// Leaves is how many VMs have it as their hub.
 	Leaves      int
 	LinksOpened int64
@@ -21,6 +26,14 @@
 func (p *Peers) Standing() Standing {
 	v := p.look()
 	st := Standing{Near: len(v.near) + 1, Place: v.place.Near, Leaves: len(p.children()), LinksOpened: p.endpoint.Dialed()}
+	p.mu.Lock()
+	kinds := slices.Collect(maps.Values(p.kinds))
+	p.mu.Unlock()
+	for _, k := range kinds {
+		if k.asks() {
+			st.Watches++
+		}
+	}
 	for _, m := range p.silentNear() {
 		if m.DataCentre == p.dc {
 			st.Silent++
--- a/site/words.go
+++ b/site/words.go
@@ -170,9 +170,8 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	got, err := link.Call[Word, Word](ctx, p.endpoint, address, link.KindWord, w)
-	p.answered(address, err == nil)
+	p.answered(address, err)
 	if err != nil {
-		p.silent(err)
 		return false
 	}
 	p.meet(got, true)
