--- a/site/reads.go
+++ b/site/reads.go
@@ -135,13 +135,22 @@
 	p.sends.relayed = nil
 	p.sends.mu.Unlock()
 	for _, m := range p.otherHubs(p.look()) {
-		p.noteReads(m, slices.DeleteFunc(slices.Clone(list), func(t told) bool { return t.here || t.from == m.VM }), false)
+		p.noteReads(m, heardBy(list, m.VM, true), false)
 	}
 	for _, m := range p.children() {
-		p.noteReads(m, slices.DeleteFunc(slices.Clone(list), func(t told) bool { return t.from == m.VM }), false)
+		p.noteReads(m, heardBy(list, m.VM, false), false)
 	}
 }
 
+// heardBy returns what a VM is told, as a hub or as a leaf.
+func heardBy(list []told, to contract.VMID, hub bool) []told {
+	return slices.DeleteFunc(slices.Clone(list), func(t told) bool { return !t.goesTo(to, hub) })
+}
+
+// goesTo tells whether a VM is told of something: not of what it has told itself, also
+// where it is a leaf here and a hub by its own view; a hub not of what all hubs know.
+func (t told) goesTo(to contract.VMID, hub bool) bool { return t.from != to && !(hub && t.here) }
+
 // noteReads tells a VM, without waiting, in messages that each fit into a packet.
 func (p *Peers) noteReads(to vm.Member, list []told, passOn bool) {
 	from := p.Watcher().VM
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -126,3 +126,22 @@
 		}
 	}
 }
+
+// TestNobodyIsToldBack checks whom a hub passes something on to.
+func TestNobodyIsToldBack(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		told told
+		hub  bool
+		goes bool
+	}{
+		{told{from: "a"}, false, true},
+		{told{from: "a"}, true, true},
+		{told{from: "a", here: true}, false, true},
+		{told{from: "a", here: true}, true, false}, // all hubs know it
+		{told{from: "b"}, false, false},
+		{told{from: "b"}, true, false}, // a leaf that thinks it is a hub
+	} {
+		is.Equal(c.told.goesTo("b", c.hub), c.goes)
+	}
+}
