--- a/control/members.go
+++ b/control/members.go
@@ -12,7 +12,6 @@
 	"woaddoor/logs"
 	"woaddoor/protocol"
 	"woaddoor/rollout"
-	"woaddoor/store"
 	"woaddoor/vm"
 )
 
@@ -246,10 +245,10 @@
 }
 
 // leavingOf returns the upstreams whose VM is listed as leaving.
-func leavingOf(c *config.Config, entries []store.VMEntry) []contract.UpstreamID {
+func leavingOf(c *config.Config, entries []contract.VMEntry) []contract.UpstreamID {
 	addresses := make(map[string]bool)
 	for _, e := range entries {
-		if e.Upstream && e.State == store.VMLeaving {
+		if e.Upstream && e.State == contract.VMLeaving {
 			addresses["http://"+e.Address] = true
 		}
 	}
--- a/control/orders.go
+++ b/control/orders.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return contract.Fail(contract.StepOrder, "", err)
 	}
-	var v store.Version
+	var v contract.ObjectVersion
 	if p.Version == 0 {
 		v, err = s.store.Create(ctx, ordersLease, value)
 	} else {
--- a/control/server.go
+++ b/control/server.go
@@ -66,7 +66,7 @@
 	changed chan struct{}
 	// root is the version of the platform's root object last read, and
 	// rootRevision the revision that it pointed at.
-	root         store.Version
+	root         contract.ObjectVersion
 	rootRevision contract.Revision
 	table        *vm.Table
 	entry        entryState
--- a/control/status.go
+++ b/control/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"woaddoor/clock"
+	"woaddoor/contract"
 	"woaddoor/datacentre"
 	"woaddoor/logs"
 	"woaddoor/store"
@@ -65,7 +66,7 @@
 // statusWriter remembers what it wrote last, to write only changes.
 type statusWriter struct {
 	store   store.Store
-	version store.Version
+	version contract.ObjectVersion
 	last    datacentre.Status
 }
 
@@ -95,7 +96,7 @@
 // takeOver writes the object though another VM, or an own try whose reply was
 // lost, wrote it last. Two writers in turn are harmless: each says what its
 // data centre has in force.
-func (w *statusWriter) takeOver(ctx context.Context, name string, value []byte) (store.Version, error) {
+func (w *statusWriter) takeOver(ctx context.Context, name string, value []byte) (contract.ObjectVersion, error) {
 	o, err := w.store.Read(ctx, name)
 	if errors.Is(err, store.ErrNotFound) {
 		return w.store.Create(ctx, name, value)
--- a/control/watch.go
+++ b/control/watch.go
@@ -57,7 +57,7 @@
 func (s *Server) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Settings.Control.WatchWait+watchTimeout)
 	defer cancel()
-	var after store.Version
+	var after contract.ObjectVersion
 	var pointed contract.Revision
 	s.locked(func() { after, pointed = s.root, s.rootRevision })
 	asked := s.clock.Now()
@@ -83,7 +83,7 @@
 
 // learn takes in a document that was the platform's newest at freshAt. A
 // version of zero means that it came from a peer.
-func (s *Server) learn(d *document.Document, freshAt time.Time, version store.Version) error {
+func (s *Server) learn(d *document.Document, freshAt time.Time, version contract.ObjectVersion) error {
 	c, err := config.FromDocument(d)
 	if err != nil {
 		return contract.Fail(contract.StepWatch, "", err)
--- a/engine/control.go
+++ b/engine/control.go
@@ -15,8 +15,8 @@
 const maxReport = 64 * contract.KiB
 
 // Load asks an upstream for its report.
-func (c *Client) Load(ctx context.Context, url string) (Load, error) {
-	var l Load
+func (c *Client) Load(ctx context.Context, url string) (contract.Load, error) {
+	var l contract.Load
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+PathLoad, nil)
 	if err != nil {
 		return l, err
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -102,19 +102,6 @@
 	FinishReason *string       `json:"finish_reason"`
 }
 
-// Load is what an engine reports of itself. It lags.
-type Load struct {
-	// Incarnation tells the lives of an upstream under one address apart.
-	Incarnation contract.Incarnation `json:"incarnation"`
-	Draining    bool                 `json:"draining"`
-	Running     int                  `json:"running"`
-	Waiting     int                  `json:"waiting"`
-	// Versions are those it holds now. Routing rests on this, not on orders.
-	Versions []contract.VersionID `json:"versions"`
-	// AgeMillis is how old the figures were when the report was answered.
-	AgeMillis int64 `json:"age_ms"`
-}
-
 // OrderKind is what an order asks for.
 type OrderKind string
 
--- a/history/history.go
+++ b/history/history.go
@@ -22,7 +22,7 @@
 type Snapshot struct {
 	Root document.Root
 	// Version is the root object's; zero means that there is none yet.
-	Version  store.Version
+	Version  contract.ObjectVersion
 	Document *document.Document
 }
 
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -9,7 +9,6 @@
 
 	"woaddoor/contract"
 	"woaddoor/keys"
-	"woaddoor/store"
 )
 
 // addresses are those of one VM.
@@ -43,9 +42,9 @@
 	if err := f.makeKeys(names); err != nil {
 		return err
 	}
-	var list []store.VMEntry
+	var list []contract.VMEntry
 	for i, vm := range f.VMs {
-		list = append(list, store.VMEntry{ID: vm.Name, DataCentre: vm.DataCentre, Address: all[i].controlAdvertised, State: store.VMLive})
+		list = append(list, contract.VMEntry{ID: vm.Name, DataCentre: vm.DataCentre, Address: all[i].controlAdvertised, State: contract.VMLive})
 		if err := os.WriteFile(vm.settings, []byte(f.settingsOf(vm, all, i)), 0o600); err != nil {
 			return err
 		}
--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -7,7 +7,6 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
-	"woaddoor/engine"
 	"woaddoor/internal/measure/model"
 	"woaddoor/upstream"
 )
@@ -94,7 +93,7 @@
 }
 
 func (o *ours) report(i, running, waiting int, age time.Duration, now time.Time) {
-	o.table.Reported(model.UpstreamName(i), engine.Load{
+	o.table.Reported(model.UpstreamName(i), contract.Load{
 		Incarnation: 1, Running: running, Waiting: waiting, AgeMillis: age.Milliseconds(), Versions: []contract.VersionID{version},
 	}, now)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -256,8 +256,8 @@
 }
 
 // report returns the load as it was ReportLag ago. The caller holds mu.
-func (e *Engine) report() engine.Load {
-	l := engine.Load{Incarnation: e.incarnation, Draining: e.draining, AgeMillis: e.opts.ReportLag.Milliseconds()}
+func (e *Engine) report() contract.Load {
+	l := contract.Load{Incarnation: e.incarnation, Draining: e.draining, AgeMillis: e.opts.ReportLag.Milliseconds()}
 	for v := range e.held {
 		l.Versions = append(l.Versions, v)
 	}
--- a/internal/standin/rating/rating.go
+++ b/internal/standin/rating/rating.go
@@ -43,7 +43,7 @@
 func (s *Service) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(engine.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(engine.Load{Incarnation: 1})
+		_ = json.NewEncoder(w).Encode(contract.Load{Incarnation: 1})
 	})
 	r.HandleFunc(rating.Path, s.serve).Methods(http.MethodPost)
 	return r
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -63,7 +63,7 @@
 }
 
 func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(engine.Load{Incarnation: s.incarnation})
+	_ = json.NewEncoder(w).Encode(contract.Load{Incarnation: s.incarnation})
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -51,7 +51,7 @@
 	var err error
 	if wait := r.URL.Query().Get(store.ParamWait); wait != "" {
 		var d time.Duration
-		var after store.Version
+		var after contract.ObjectVersion
 		d, err = time.ParseDuration(wait)
 		if err == nil {
 			after, err = store.ParseETag(r.Header.Get(store.HeaderIfNone))
@@ -76,11 +76,11 @@
 		fail(w, err)
 		return
 	}
-	var version store.Version
+	var version contract.ObjectVersion
 	if r.Header.Get(store.HeaderIfNone) == "*" {
 		version, err = v.Create(r.Context(), objectName(r), value)
 	} else {
-		var has store.Version
+		var has contract.ObjectVersion
 		has, err = store.ParseETag(r.Header.Get(store.HeaderIfHas))
 		if err == nil {
 			version, err = v.Update(r.Context(), objectName(r), value, has)
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -41,10 +41,10 @@
 	mu      sync.Mutex
 	objects map[string]store.Object
 	stale   map[string]store.Object
-	version store.Version
+	version contract.ObjectVersion
 	changed chan struct{}
-	vms     []store.VMEntry
-	oldVMs  []store.VMEntry
+	vms     []contract.VMEntry
+	oldVMs  []contract.VMEntry
 	faults  Faults
 	counts  Counts
 	// cut holds the clients, by name, that cannot reach the platform.
@@ -103,7 +103,7 @@
 }
 
 // SetVMs replaces the VM list.
-func (s *Store) SetVMs(vms []store.VMEntry) {
+func (s *Store) SetVMs(vms []contract.VMEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
@@ -169,7 +169,7 @@
 }
 
 // Create writes a new object.
-func (v *View) Create(ctx context.Context, name string, value []byte) (store.Version, error) {
+func (v *View) Create(ctx context.Context, name string, value []byte) (contract.ObjectVersion, error) {
 	return v.write(ctx, name, value, func(_ store.Object, exists bool) error {
 		if exists {
 			return store.ErrExists
@@ -179,7 +179,7 @@
 }
 
 // Update replaces an object of a known version.
-func (v *View) Update(ctx context.Context, name string, value []byte, version store.Version) (store.Version, error) {
+func (v *View) Update(ctx context.Context, name string, value []byte, version contract.ObjectVersion) (contract.ObjectVersion, error) {
 	return v.write(ctx, name, value, func(o store.Object, exists bool) error {
 		if !exists || o.Version != version {
 			return store.ErrConflict
@@ -188,7 +188,7 @@
 	})
 }
 
-func (v *View) write(ctx context.Context, name string, value []byte, condition func(store.Object, bool) error) (store.Version, error) {
+func (v *View) write(ctx context.Context, name string, value []byte, condition func(store.Object, bool) error) (contract.ObjectVersion, error) {
 	if err := v.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -248,7 +248,7 @@
 }
 
 // Watch waits for another version of an object.
-func (v *View) Watch(ctx context.Context, name string, after store.Version, wait time.Duration) (store.Object, error) {
+func (v *View) Watch(ctx context.Context, name string, after contract.ObjectVersion, wait time.Duration) (store.Object, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	v.store.mu.Lock()
@@ -279,7 +279,7 @@
 }
 
 // VMs returns the VM list.
-func (v *View) VMs(ctx context.Context) ([]store.VMEntry, error) {
+func (v *View) VMs(ctx context.Context) ([]contract.VMEntry, error) {
 	if err := v.enter(ctx); err != nil {
 		return nil, err
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"woaddoor/contract"
-	"woaddoor/store"
 )
 
 // Claim is who holds a lease.
@@ -57,7 +56,7 @@
 type Holder struct {
 	opts    Options
 	object  Object
-	version store.Version
+	version contract.ObjectVersion
 	// seenAt is when the present version was first seen.
 	seenAt time.Time
 	until  time.Time // end of the own lease
@@ -74,7 +73,7 @@
 
 // Saw takes in the object as it was read. A version of zero means that there
 // is none yet. An older version than the one known is a stale read.
-func (h *Holder) Saw(o Object, v store.Version, now time.Time) {
+func (h *Holder) Saw(o Object, v contract.ObjectVersion, now time.Time) {
 	if v < h.version {
 		return
 	}
@@ -90,7 +89,7 @@
 // or a creation when that is zero.
 type Proposal struct {
 	Object  Object
-	Version store.Version
+	Version contract.ObjectVersion
 }
 
 // Propose returns the write to make now, or false when another holds the lease
@@ -116,7 +115,7 @@
 // Wrote takes in that a proposal asked for at askedAt was accepted as version
 // v. A reply that was lost is not told: the next read shows the object, and
 // the lease is taken anew.
-func (h *Holder) Wrote(p Proposal, v store.Version, askedAt time.Time) {
+func (h *Holder) Wrote(p Proposal, v contract.ObjectVersion, askedAt time.Time) {
 	if p.Object.Fencing != h.object.Fencing || h.until.IsZero() {
 		h.took = askedAt
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,7 +8,6 @@
 	"pgregory.net/rapid"
 
 	"woaddoor/contract"
-	"woaddoor/store"
 )
 
 // orderDelay is the longest an order is under way, as Options assumes.
@@ -20,7 +19,7 @@
 	t       *rapid.T
 	now     time.Time
 	object  Object
-	version store.Version
+	version contract.ObjectVersion
 	holders []*Holder
 	// orders under way, with the number they carry.
 	orders []order
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -218,7 +218,7 @@
 	}
 	expected := make(map[contract.VMID]contract.DataCentreID)
 	for _, e := range vms {
-		if !e.Upstream && e.State == store.VMLive {
+		if !e.Upstream && e.State == contract.VMLive {
 			expected[e.ID] = e.DataCentre
 		}
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -12,7 +12,6 @@
 	"woaddoor/contract"
 	"woaddoor/history"
 	standin "woaddoor/internal/standin/store"
-	"woaddoor/store"
 )
 
 const key = "0000000000000000000000000000000000000000000000000000000000000000"
@@ -89,7 +88,7 @@
 	is := is.New(t)
 	o, st, now := setup()
 	ctx := t.Context()
-	st.SetVMs([]store.VMEntry{{ID: "a", DataCentre: "d", State: store.VMLive}})
+	st.SetVMs([]contract.VMEntry{{ID: "a", DataCentre: "d", State: contract.VMLive}})
 	_, err := o.Apply(ctx, "site.ini", file("1h"), -1, by("ana", *now))
 	is.NoErr(err)
 	*now = start.Add(time.Minute)
--- a/store/http.go
+++ b/store/http.go
@@ -28,16 +28,16 @@
 )
 
 // ETag returns the entity tag of a version.
-func ETag(v Version) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
+func ETag(v contract.ObjectVersion) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
 
 // ParseETag returns the version of an entity tag.
-func ParseETag(tag string) (Version, error) {
+func ParseETag(tag string) (contract.ObjectVersion, error) {
 	unquoted, err := strconv.Unquote(tag)
 	if err != nil {
 		return 0, fmt.Errorf("entity tag %q: %w", tag, err)
 	}
 	n, err := strconv.ParseUint(unquoted, 10, 64)
-	return Version(n), err
+	return contract.ObjectVersion(n), err
 }
 
 // Client speaks the object API over HTTP, with entity tags as versions.
@@ -76,7 +76,7 @@
 }
 
 // Watch waits for a version of the object other than after.
-func (c *Client) Watch(ctx context.Context, name string, after Version, wait time.Duration) (Object, error) {
+func (c *Client) Watch(ctx context.Context, name string, after contract.ObjectVersion, wait time.Duration) (Object, error) {
 	return c.get(ctx, name, ETag(after), "?"+ParamWait+"="+min(wait, maxWait).String())
 }
 
@@ -97,16 +97,16 @@
 }
 
 // Create writes a new object.
-func (c *Client) Create(ctx context.Context, name string, value []byte) (Version, error) {
+func (c *Client) Create(ctx context.Context, name string, value []byte) (contract.ObjectVersion, error) {
 	return c.put(ctx, name, value, HeaderIfNone, "*", ErrExists)
 }
 
 // Update replaces an object of a known version.
-func (c *Client) Update(ctx context.Context, name string, value []byte, version Version) (Version, error) {
+func (c *Client) Update(ctx context.Context, name string, value []byte, version contract.ObjectVersion) (contract.ObjectVersion, error) {
 	return c.put(ctx, name, value, HeaderIfHas, ETag(version), ErrConflict)
 }
 
-func (c *Client) put(ctx context.Context, name string, value []byte, header, tag string, clash error) (Version, error) {
+func (c *Client) put(ctx context.Context, name string, value []byte, header, tag string, clash error) (contract.ObjectVersion, error) {
 	// The reader is wrapped so that the transport cannot send it a second time
 	// by itself: whether a write is tried again is decided by its caller.
 	body := io.NopCloser(bytes.NewReader(value))
@@ -135,8 +135,8 @@
 }
 
 // VMs returns the platform's list of VMs.
-func (c *Client) VMs(ctx context.Context) ([]VMEntry, error) {
-	var entries []VMEntry
+func (c *Client) VMs(ctx context.Context) ([]contract.VMEntry, error) {
+	var entries []contract.VMEntry
 	err := c.getJSON(ctx, VMsPath, &entries)
 	return entries, err
 }
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -5,7 +5,6 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
-	"woaddoor/engine"
 )
 
 // Entry is one upstream of the platform's list.
@@ -64,7 +63,7 @@
 		return
 	}
 	s.sentAfter, s.doneAfter = 0, 0
-	s.average(engine.Load{Running: running, Waiting: waiting}, now.Sub(s.heardAt))
+	s.average(contract.Load{Running: running, Waiting: waiting}, now.Sub(s.heardAt))
 	s.heardAt = now
 }
 
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -8,7 +8,6 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
-	"woaddoor/engine"
 )
 
 // Query is what a request needs of its upstream.
@@ -199,7 +198,7 @@
 const averageOver = 5 * time.Second
 
 // average takes a report into the expectation of others' requests.
-func (s *state) average(l engine.Load, passed time.Duration) {
+func (s *state) average(l contract.Load, passed time.Duration) {
 	ownThen := float64(s.inFlight - s.sentAfter + s.doneAfter)
 	others := max(float64(l.Running+l.Waiting)-ownThen, 0)
 	age := time.Duration(l.AgeMillis) * time.Millisecond
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -18,7 +18,6 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
-	"woaddoor/engine"
 	"woaddoor/reading"
 )
 
@@ -89,7 +88,7 @@
 	seed     uint64 // of its rank as a home of prefixes
 
 	incarnation contract.Incarnation
-	load        engine.Load
+	load        contract.Load
 	// heardAt is when the last report was asked for; zero means never.
 	heardAt time.Time
 	// leaving holds the incarnation that is known to leave. A later one under
@@ -147,7 +146,7 @@
 
 // Reported takes in a load report that was asked for at askedAt. One that
 // comes after a later one is dropped, and one of an earlier incarnation too.
-func (t *Table) Reported(id contract.UpstreamID, l engine.Load, askedAt time.Time) {
+func (t *Table) Reported(id contract.UpstreamID, l contract.Load, askedAt time.Time) {
 	s, ok := t.states[id]
 	if !ok || askedAt.Before(s.heardAt) || l.Incarnation < s.incarnation {
 		return
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,7 +10,6 @@
 
 	"woaddoor/config"
 	"woaddoor/contract"
-	"woaddoor/engine"
 )
 
 const v1 = contract.VersionID("m@1")
@@ -25,8 +24,8 @@
 	return t
 }
 
-func report(inc contract.Incarnation) engine.Load {
-	return engine.Load{Incarnation: inc, Versions: []contract.VersionID{v1}}
+func report(inc contract.Incarnation) contract.Load {
+	return contract.Load{Incarnation: inc, Versions: []contract.VersionID{v1}}
 }
 
 var query = Query{Kind: config.EnginePool, DataCentre: "d", Version: v1}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"woaddoor/contract"
-	"woaddoor/store"
 )
 
 // Member is one VM of the system, as it tells of itself.
@@ -49,7 +48,7 @@
 type Table struct {
 	self    Member
 	members map[contract.VMID]seen
-	listed  map[contract.VMID]store.VMState
+	listed  map[contract.VMID]contract.VMState
 }
 
 type seen struct {
@@ -59,7 +58,7 @@
 
 // NewTable returns the table of the VM self.
 func NewTable(self Member) *Table {
-	return &Table{self: self, members: make(map[contract.VMID]seen), listed: make(map[contract.VMID]store.VMState)}
+	return &Table{self: self, members: make(map[contract.VMID]seen), listed: make(map[contract.VMID]contract.VMState)}
 }
 
 // SetSelf replaces what this VM tells of itself.
@@ -93,7 +92,7 @@
 
 // Listed takes in the platform's list. It lags, so it adds to what heartbeats
 // tell and never makes a silent VM live.
-func (t *Table) Listed(entries []store.VMEntry) {
+func (t *Table) Listed(entries []contract.VMEntry) {
 	clear(t.listed)
 	for _, e := range entries {
 		if !e.Upstream {
@@ -116,7 +115,7 @@
 		}
 		m := s.member
 		m.Age = now.Sub(s.at)
-		m.Leaving = m.Leaving || t.listed[m.VM] == store.VMLeaving
+		m.Leaving = m.Leaving || t.listed[m.VM] == contract.VMLeaving
 		live = append(live, m)
 	}
 	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"woaddoor/contract"
-	"woaddoor/store"
 )
 
 func member(id string, inc contract.Incarnation) Member {
@@ -39,7 +38,7 @@
 	leaving.Leaving = true
 	table.Heard(leaving, now)
 	table.Heard(member("b", 1), now.Add(time.Second))
-	table.Listed([]store.VMEntry{{ID: "b", State: store.VMLive}})
+	table.Listed([]contract.VMEntry{{ID: "b", State: contract.VMLive}})
 	is.True(table.Live(now.Add(time.Second))[1].Leaving)
 	table.Heard(member("b", 2), now.Add(2*time.Second)) // a new life
 	is.True(!table.Live(now.Add(2 * time.Second))[1].Leaving)
