--- a/site/view.go
+++ b/site/view.go
@@ -41,7 +41,7 @@
 	viewLeast = 20 * time.Millisecond
 )
 
-// now returns the view of this moment. The caller does not hold mu.
+// look returns the view of this moment. The caller does not hold mu.
 func (p *Peers) look() *view {
 	if v := p.seen.Load(); v != nil {
 		age := p.now().Sub(v.at)
@@ -113,15 +113,13 @@
 // answeringFirst puts the VMs that have not answered this one of late last. The
 // caller holds mu.
 func (p *Peers) answeringFirst(members []vm.Member, now time.Time) []vm.Member {
-	slices.SortStableFunc(members, func(a, b vm.Member) int {
-		return boolOrder(p.shunned(a.ControlLink, now)) - boolOrder(p.shunned(b.ControlLink, now))
-	})
-	return members[:min(speakers, len(members))]
-}
-
-func boolOrder(b bool) int {
-	if b {
-		return 1
+	var first, last []vm.Member
+	for _, m := range members {
+		if p.shunned(m.ControlLink, now) {
+			last = append(last, m)
+		} else {
+			first = append(first, m)
+		}
 	}
-	return 0
+	return append(first, last...)[:min(speakers, len(members))]
 }
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -19,8 +19,8 @@
 // Beliefs about engines of which this VM does not hear.
 const (
 	// unheardWait is the part of the mean wait at the engines that are heard of
-	// that is taken for the wait at the others. Less than all of it, or a cell with
-	// more to do than the others would keep it.
+	// that is taken for the wait at the others. Less than all of it, or a data centre
+	// with more to do than the others would keep it.
 	unheardWait = 0.7
 )
 
