--- a/internal/rounds/set.go
+++ b/internal/rounds/set.go
@@ -34,10 +34,12 @@
 const (
 	mostSeeds, mostJobs   = 20, 16
 	defaultJobs           = 4
-	allDays               = "quiet-1, trouble-1, scale-1, trouble-2, scale-2, trouble-3"
 	defaultSeeds, oneSeed = 1, 1
 )
 
+// allDays are the standard days.
+var allDays = []string{"quiet-1", "trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3"}
+
 // readSet reads a regression set: a section for each deployment, in the order of
 // their names.
 func readSet(name string, text []byte) ([]entry, error) {
@@ -55,8 +57,8 @@
 			small:   r.OneOf("small", "no", "yes", "no") == "yes",
 			reached: r.Number("reached", 0, 0, 1),
 		}
-		for _, day := range strings.Split(r.Text("days", allDays), ",") {
-			e.days = append(e.days, strings.TrimSpace(day))
+		if e.days = r.List("days"); len(e.days) == 0 {
+			e.days = allDays
 		}
 		r.Done()
 		set = append(set, e)
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -78,8 +78,7 @@
 	// Links is the UDP address for other VMs.
 	Links string
 	// Seeds are link addresses at which VMs may be found, this one's among them
-	// where it is one that others ask; they may be
-	// down or stale.
+	// where it is one that others ask; they may be down or stale.
 	Seeds []string
 	// Metrics is the TCP address at which metrics are served.
 	Metrics string
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -100,12 +100,8 @@
 // mesh returns the hubs that this hub speaks with at a beat: a word and its answer
 // tell both, so one of two begins, and the other when it hears nothing.
 func (p *Peers) mesh(v *view) []vm.Member {
-	p.mu.Lock()
-	self := p.table.Self().VM
-	p.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(v.hubs), func(m vm.Member) bool {
-		return m.VM == self || self > m.VM && m.Age < 3*beatEvery
-	})
+	self := p.Watcher().VM
+	return slices.DeleteFunc(p.otherHubs(v), func(m vm.Member) bool { return self > m.VM && m.Age < 3*beatEvery })
 }
 
 // otherHubs returns the hubs of this data centre but this VM.
@@ -182,8 +178,8 @@
 			known[s] = true
 		}
 	}
-	for _, m := range p.table.Silent(strangeFor, now) {
-		if !known[m.ControlLink] && m.DataCentre == p.dc {
+	for _, m := range p.silentNear(strangeFor, now) {
+		if !known[m.ControlLink] {
 			others = append(others, m.ControlLink)
 			known[m.ControlLink] = true
 		}
@@ -208,6 +204,25 @@
 	listedMost = regionMost
 )
 
+// silentNear returns the VMs of this data centre that count as gone and were heard of
+// within an age. The caller holds mu.
+func (p *Peers) silentNear(within time.Duration, now time.Time) []vm.Member {
+	return slices.DeleteFunc(p.table.Silent(within, now), func(m vm.Member) bool { return m.DataCentre != p.dc })
+}
+
+// hasLeaves tells whether any VM has this one as its hub.
+func (p *Peers) hasLeaves() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, l := range p.leaves {
+		if now.Sub(l.at) <= leafFor {
+			return true
+		}
+	}
+	return false
+}
+
 // children returns this VM's leaves, by name.
 func (p *Peers) children() []vm.Member {
 	p.mu.Lock()
--- a/site/peers.go
+++ b/site/peers.go
@@ -323,7 +323,7 @@
 // pause returns the time until the next beat.
 func (p *Peers) pause(now time.Time) time.Duration {
 	if p.joining(now) {
-		return min(joinEvery, beatEvery)
+		return joinEvery
 	}
 	return beatEvery
 }
@@ -345,8 +345,9 @@
 func (p *Peers) beat(ctx context.Context, tick int) {
 	v := p.look()
 	if v.isHub {
+		w := p.word(hearsHub)
 		for _, m := range p.mesh(v) {
-			go p.tell(ctx, m.ControlLink, nearTimeout, p.word(hearsHub))
+			go p.tell(ctx, m.ControlLink, nearTimeout, w)
 		}
 	} else {
 		go p.beatHub(ctx, v)
@@ -354,9 +355,10 @@
 	if tick%farEvery != 0 || v.place.Near >= speakers {
 		return
 	}
+	w := p.word(hearsFar)
 	for _, members := range v.far {
 		if len(members) > 0 {
-			go p.tell(ctx, members[rand.IntN(len(members))].ControlLink, farTimeout, p.word(hearsFar))
+			go p.tell(ctx, members[rand.IntN(len(members))].ControlLink, farTimeout, w)
 		}
 	}
 }
--- a/site/reads.go
+++ b/site/reads.go
@@ -120,7 +120,7 @@
 		p.sends.add(&p.sends.relayed, t)
 	}
 	p.sends.mu.Unlock()
-	if len(p.children()) == 0 {
+	if !p.hasLeaves() {
 		p.relayReads()
 		return
 	}
@@ -208,9 +208,8 @@
 	}
 	// What a leaf or another data centre tells goes to the other hubs and to the
 	// leaves, what another hub tells to the leaves alone.
-	list := m.list(!child && !m.PassOn)
-	if m.PassOn || child || len(p.children()) > 0 {
-		p.passReads(list)
+	if m.PassOn || child || p.hasLeaves() {
+		p.passReads(m.list(!child && !m.PassOn))
 	}
 	return struct{}{}, nil
 }
--- a/site/spread.go
+++ b/site/spread.go
@@ -113,9 +113,9 @@
 	if v.isHub {
 		to = hearsHub
 	}
+	w := p.word(to)
+	w.Deltas = deltas
 	for _, m := range p.otherHubs(v) {
-		w := p.word(to)
-		w.Deltas = deltas
 		go p.tell(ctx, m.ControlLink, nearTimeout, w)
 	}
 }
@@ -136,17 +136,17 @@
 // tellFar tells a VM of each other data centre that is wanted, and another one when
 // that does not answer.
 func (p *Peers) tellFar(ctx context.Context, deltas []Pushed, wanted func(contract.DataCentreID) bool) {
-	v := p.look()
-	for dc, members := range v.far {
+	w := p.word(hearsFar)
+	w.Deltas = deltas
+	for dc, members := range p.look().far {
 		if wanted(dc) {
-			go p.tellOneOf(ctx, members, deltas)
+			go p.tellOneOf(ctx, members, w)
 		}
 	}
 }
 
-func (p *Peers) tellOneOf(ctx context.Context, members []vm.Member, deltas []Pushed) {
-	w := p.word(hearsFar)
-	w.Deltas = deltas
+// tellOneOf tells the first of some VMs that answers.
+func (p *Peers) tellOneOf(ctx context.Context, members []vm.Member, w Word) {
 	done := make(chan bool, len(members))
 	for _, m := range members {
 		go func() { done <- p.tell(ctx, m.ControlLink, farTimeout, w) }()
--- a/site/standing.go
+++ b/site/standing.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"woaddoor/link"
-	"woaddoor/vm"
 )
 
 // Standing is where a VM stands among the others, for operators.
@@ -28,26 +27,15 @@
 	st := Standing{Near: len(v.near) + 1, Place: v.place.Near, Leaves: len(p.children()), LinksOpened: p.endpoint.Dialed()}
 	p.mu.Lock()
 	kinds := slices.Collect(maps.Values(p.kinds))
+	st.Silent = len(p.silentNear(strangeFor, p.now()))
 	p.mu.Unlock()
 	for _, k := range kinds {
 		if k.asks() {
 			st.Watches++
 		}
 	}
-	for _, m := range p.silentNear() {
-		if m.DataCentre == p.dc {
-			st.Silent++
-		}
-	}
 	return st
 }
 
-// silentNear returns the VMs that fell silent within the last minute.
-func (p *Peers) silentNear() []vm.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.Silent(strangeFor, p.now())
-}
-
 // Traffic returns what this VM has told others so far.
 func (p *Peers) Traffic() []link.Sent { return p.endpoint.Sent() }
--- a/site/words.go
+++ b/site/words.go
@@ -214,13 +214,8 @@
 	if w.Agrees {
 		return w
 	}
-	now := p.now()
 	w.Near = append(slices.Clone(v.near), p.table.Self())
-	for _, m := range p.table.Silent(2*vm.DeadAfter, now) {
-		if m.DataCentre == p.dc {
-			w.Near = append(w.Near, m)
-		}
-	}
+	w.Near = append(w.Near, p.silentNear(2*vm.DeadAfter, p.now())...)
 	return w
 }
 
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -102,30 +102,27 @@
 // preferred. Other data centres are looked at only where the own one costs more than
 // the way there: four of five engines need not be weighed while it has room.
 func (t *Table) cheapest(q Query, now time.Time, atHome bool, random *rand.Rand) *state {
-	near := t.usableOf(t.centres[q.DataCentre], q, now)
-	best, cost := t.lowestOf(near, q, now, atHome, random)
+	best, cost := t.lowestOf(t.usableAt(q, true, now), q, now, atHome, random)
 	if best != nil && cost <= q.farLeast() {
 		return best
 	}
-	var far []*state
-	for _, s := range t.ordered {
-		if s.pool.DataCentre != q.DataCentre {
-			far = append(far, s)
-		}
-	}
-	far = t.usableOf(far, q, now)
-	other, otherCost := t.lowestOf(far, q, now, atHome && best == nil, random)
+	other, otherCost := t.lowestOf(t.usableAt(q, false, now), q, now, atHome && best == nil, random)
 	if best == nil || other != nil && otherCost < cost {
 		return other
 	}
 	return best
 }
 
-// usableOf returns those of some upstreams that could take the request.
-func (t *Table) usableOf(states []*state, q Query, now time.Time) []*state {
+// usableAt returns the upstreams that could take the request, in its own data centre
+// or in the others.
+func (t *Table) usableAt(q Query, near bool, now time.Time) []*state {
+	states := t.ordered
+	if near {
+		states = t.centres[q.DataCentre]
+	}
 	usable := make([]*state, 0, len(states))
 	for _, s := range states {
-		if t.usable(s, q.Version, now) && q.allows(s) {
+		if near == (s.pool.DataCentre == q.DataCentre) && t.usable(s, q.Version, now) && q.allows(s) {
 			usable = append(usable, s)
 		}
 	}
