site, relay, upstream, platform: evacuations, cold upstreams, lives under one id, entries of other writers

A cold upstream has up to ten owners by rendezvous among the VMs of its data centre, which send half of the bound together, so that two views that share no owner stay within it. Cold by its entry, its start, its life, own connections that fail, a third of its data centre failing, an evacuation taken back. (id, born) names a life. Entries are decoded field by field into an EntryError; one unreadable object hides none.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"woaddoor/platform"
 )
@@ -24,6 +25,24 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{call=%q,kind=%q}", name, c.Verb, c.Kind), v.registry).Inc(1)
 }
 
+// storeUnreadable logs and counts an object of the store that cannot be read.
+func (v *vm) storeUnreadable(kind string, err error) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("objects_malformed_total{kind=%q,by=%q}", kind, "store"), v.registry).Inc(1)
+	v.log.Error("object-unreadable", zap.String("kind", kind), zap.Error(err))
+}
+
+// evacuationLines returns what is told of data centres that are evacuated.
+func (v *vm) evacuationLines() []string {
+	var lines []string
+	all := v.relay.Evacuated()
+	for _, e := range all {
+		lines = append(lines,
+			fmt.Sprintf("evacuation_age_seconds{data_centre=%q} %.1f", string(e.DataCentre), e.For.Seconds()),
+			fmt.Sprintf("evacuation_requests_running{data_centre=%q} %d", string(e.DataCentre), e.Running))
+	}
+	return append(lines, fmt.Sprintf("evacuations %d", len(all)))
+}
+
 // metricsPage serves the metrics, one name and value a line.
 func (v *vm) metricsPage() http.Handler {
 	mux := http.NewServeMux()
@@ -31,6 +50,7 @@
 		lines := append(v.gauges(), registryLines(v.registry)...)
 		lines = append(lines, registryLines(v.relay.Metrics.Registry)...)
 		lines = append(lines, v.peerLines()...)
+		lines = append(lines, v.evacuationLines()...)
 		sort.Strings(lines)
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = fmt.Fprintln(w, strings.Join(lines, "\n")) // the reader is gone
@@ -63,6 +83,7 @@
 		line("memory_system_bytes", memory.Sys),
 		line("retry_budget_left_ratio", v.relay.BudgetLeft()),
 		line("upstreams", v.relay.Upstreams()),
+		line("upstreams_cold", v.relay.Cold()),
 		line("upstreams_age_milliseconds", upstreams.Milliseconds()),
 		line("vms", v.peers.Count()),
 	}
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -128,7 +128,7 @@
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, FirstStart: s.FirstStart, Log: v.log, Now: time.Now,
 	})
 	store := platform.NewStore(s.Store)
-	store.Called = v.storeCalled
+	store.Called, store.Unreadable = v.storeCalled, v.storeUnreadable
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
@@ -139,13 +139,18 @@
 		},
 		Policy: s.Policy, CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.Grave(context.Background()) },
 		Wake: func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Group: v.peers.Group,
+		Owners: v.peers.Owners, Cold: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
-	v.site = site.New(&site.Options{
+	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.Apply),
 		Upstreams: platform.Upstreams(store, s.Bounds.Drain), Orders: platform.Orders(store), NoteOrder: store.NoteOrder, Relay: v.relay, Log: v.log, Now: time.Now,
 		Peers: v.peers, VMs: store.VMs, Link: s.Listen.Links, Registry: v.registry,
 		PutVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
-	})
+	}
+	if s.Bounds.Evacuation > 0 {
+		options.Evacuations = platform.Evacuations(store, s.Bounds.Evacuation)
+	}
+	v.site = site.New(options)
 	return nil
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,7 +54,10 @@
 		fields = append(fields, zap.Int64("list_age_ms", r.opts.ListAge().Milliseconds()))
 	}
 	r.locked(func() {
-		fields = append(fields, zap.Int("upstreams", len(r.entries)), zap.Int("vms", r.opts.VMs()),
+		if len(r.evacuated) > 0 {
+			fields = append(fields, zap.Any("evacuated", slices.Sorted(maps.Keys(r.evacuated))))
+		}
+		fields = append(fields, zap.Int("upstreams", len(r.entries)), zap.Int("upstreams_cold", r.table.Cold(r.opts.Now())), zap.Int("vms", r.opts.VMs()),
 			zap.Float64("budget_left", round(r.budget(j.service).Left(r.opts.VMs(), r.opts.Now()))))
 	})
 	return fields
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -67,7 +67,7 @@
 	byRelease := r.releases[j.service]
 	canary := r.canaries[j.service]
 	if canary == nil {
-		return known([]candidates{{ids: all(byRelease, nil)}})
+		return r.spared(j, []candidates{{ids: all(byRelease, nil)}}, now)
 	}
 	target := canary.Order().Release
 	onTrial := candidates{release: target, ids: byRelease[target]}
@@ -89,13 +89,7 @@
 	case canary.Moving(now):
 		order = append(others, onTrial)
 	}
-	return known(order)
-}
-
-// known leaves out candidates without any pool: to Pick, no pools would mean
-// all of every service.
-func known(order []candidates) []candidates {
-	return slices.DeleteFunc(order, func(c candidates) bool { return len(c.ids) == 0 })
+	return r.spared(j, order, now)
 }
 
 // all returns the pools of every release but some.
@@ -113,7 +107,10 @@
 func (r *Relay) ended(j *job, e upstream.Entry, result upstream.Result, first time.Duration) {
 	r.locked(func() {
 		r.dropped(j)
-		r.table.Done(e.ID, result, first, r.opts.Now())
+		if r.lives(e.ID, e.Born) {
+			r.table.Done(e.ID, result, first, r.opts.Now())
+			r.logCold()
+		}
 	})
 }
 
@@ -142,12 +139,12 @@
 	if j.PromptTokens == 0 {
 		return // a call to a plain service, which reads nothing
 	}
-	j.waits = waits{upstream: id, work: r.work(j, now), since: now}
+	j.waits = waits{upstream: id, born: r.entries[id].Born, work: r.work(j, now), since: now}
 	j.waits.expected, j.waits.ticket = r.table.Expect(id, j.waits.work, r.opts.DataCentre, now)
 	r.Metrics.prompt(j.waits.work, j.waits.expected, r.table.Price(j.waits.expected))
 	if e := j.waits.expected; e.Reading >= leastTold && r.opts.Sent != nil {
 		r.opts.Sent(Sent{
-			Upstream: id, Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts,
+			Upstream: id, Born: j.waits.born, Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts,
 			Takes: e.Reading, Token: r.table.TokenTime(j.model),
 		})
 	}
@@ -155,19 +152,21 @@
 
 // begun notes that the answer of the attempt has begun. The caller holds mu.
 func (r *Relay) begun(j *job) {
-	if w := j.waits; w.upstream != "" {
+	w := j.waits
+	j.waits.upstream = ""
+	if w.upstream != "" && r.lives(w.upstream, w.born) {
 		now := r.opts.Now()
 		r.table.Begun(w.upstream, w.ticket, w.work, w.expected, now.Sub(w.since), now)
-		j.waits.upstream = ""
 	}
 }
 
 // dropped notes that the attempt has ended before its answer began. The caller
 // holds mu.
 func (r *Relay) dropped(j *job) {
-	if w := j.waits; w.upstream != "" {
+	w := j.waits
+	j.waits.upstream = ""
+	if w.upstream != "" && r.lives(w.upstream, w.born) {
 		r.table.Dropped(w.upstream, w.ticket, r.opts.Now())
-		j.waits.upstream = ""
 	}
 }
 
@@ -224,6 +223,8 @@
 		result = upstream.Down
 	case !sent:
 		result = upstream.Unreachable
+	case x != nil:
+		result = upstream.Broken
 	}
 	took := r.opts.Now().Sub(began)
 	r.ended(j, j.last, result, took)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -96,8 +96,11 @@
 func (r *Relay) judge(j *job, a *attempt, err error) error {
 	took := r.opts.Now().Sub(a.began)
 	h := a.head
+	result := upstream.Failed
 	switch {
+	case errors.Is(err, errTooLong):
 	case err != nil:
+		result = upstream.Broken
 	case h.NotRun:
 		r.ended(j, a.entry, upstream.Full, took)
 		j.note(contract.NotRun, true)
@@ -118,7 +121,7 @@
 		r.ended(j, a.entry, upstream.Good, took)
 		return nil
 	}
-	r.ended(j, a.entry, upstream.Failed, took)
+	r.ended(j, a.entry, result, took)
 	j.note(contract.Ran, true)
 	return err
 }
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -79,9 +79,14 @@
 }
 
 // cutOff tells whether no upstream of a service can be reached since all other
-// data centres are cut off. The caller holds mu.
+// data centres are cut off. Those of the own one count as gone while it is evacuated:
+// an operator's word holds also where nothing else is left, and a VM that is not ready
+// sends callers to where they are served. The caller holds mu.
 func (r *Relay) cutOff(s contract.ServiceID, now time.Time) bool {
-	return r.table.CutOff(r.opts.DataCentre, all(r.releases[s], r.undone[s]), now)
+	if len(r.releases[s]) == 0 {
+		return false
+	}
+	return r.table.CutOff(r.opts.DataCentre, r.open(all(r.releases[s], r.undone[s]), 0, now), now)
 }
 
 // CutOff tells whether this VM has been cut off for a while from all upstreams of
--- a/relay/reads.go
+++ b/relay/reads.go
@@ -20,6 +20,8 @@
 	// Token is how long the model takes a token by the teller's own times; zero
 	// when it has too few.
 	Token time.Duration `cbor:"6,keyasint,omitempty"`
+	// Born tells which life of the upstream it was sent to.
+	Born int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Opinion is what a model thinks of one of its answers, as VMs tell each other.
@@ -67,6 +69,9 @@
 	defer r.mu.Unlock()
 	now := r.opts.Now()
 	for _, s := range sent {
+		if !r.lives(s.Upstream, s.Born) {
+			continue // of an earlier life, or not listed here
+		}
 		r.table.Told(s.Upstream, reading.Prompt{Model: s.Model, Tokens: s.Tokens, Parts: s.Parts}, s.Takes, s.Token, now)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,6 +48,11 @@
 	Sent func(Sent)
 	// Group returns of which upstreams other VMs tell. May be nil: of none.
 	Group func() upstream.Group
+	// Cold bounds what cold upstreams get, beyond what the configuration tells.
+	Cold ColdBounds
+	// Owners returns the VMs that share this data centre's cold upstreams. May be
+	// nil: there is no other.
+	Owners func() upstream.Owners
 	// Opinion is called, without waiting, with each model's opinion of one of its
 	// answers. May be nil.
 	Opinion func(Opinion)
@@ -57,6 +62,14 @@
 	Seed uint64
 }
 
+// ColdBounds bound what a cold upstream gets from all VMs together in any second, from
+// what it bears a second. The zero value bounds nothing beyond that.
+type ColdBounds struct {
+	// Overshoot is the part of what it bears, and Slack the number of requests
+	// besides.
+	Overshoot, Slack float64
+}
+
 // Relay is the request path of one VM.
 type Relay struct {
 	opts    *Options
@@ -91,6 +104,10 @@
 	group upstream.Group
 	// alone is since when this VM has been cut off; zero while it is not.
 	alone time.Time
+	// evacuated are the data centres whose upstreams are to get nothing more.
+	evacuated map[contract.DataCentreID]evacuation
+	// centreOf is the data centre of each pool.
+	centreOf map[contract.PoolID]contract.DataCentreID
 }
 
 // New returns a relay that knows no upstreams.
@@ -148,9 +165,14 @@
 			entries[i].Memory = s.Memory
 		}
 	}
-	r.table.ConfigureList(entries, func(s contract.ServiceID) int { return r.limits[s] })
+	r.table.ConfigureList(upstream.List{
+		Entries: entries, Connections: func(s contract.ServiceID) int { return r.limits[s] },
+		Cold: func(s contract.ServiceID) upstream.ColdBound { return r.opts.Cold.of(services[s]) }, Now: r.opts.Now(),
+	})
+	r.logCold()
 	known := make(map[contract.UpstreamID]upstream.Entry, len(entries))
 	r.releases = make(map[contract.ServiceID]map[string][]contract.PoolID)
+	r.centreOf = make(map[contract.PoolID]contract.DataCentreID)
 	for _, e := range entries {
 		known[e.ID] = e
 		r.addRelease(e)
@@ -159,7 +181,7 @@
 		}
 	}
 	for id, p := range r.pools {
-		if e, ok := known[id]; !ok || e.Address != r.entries[id].Address {
+		if e, ok := known[id]; !ok || e.Address != r.entries[id].Address || e.Born != r.entries[id].Born {
 			_, total := p.Count()
 			r.dialedBefore += total
 			p.Close()
@@ -178,6 +200,7 @@
 		r.releases[e.Service] = byRelease
 	}
 	id := e.PoolOf()
+	r.centreOf[id] = e.DataCentre
 	for _, have := range byRelease[e.Release] {
 		if have == id {
 			return
@@ -186,6 +209,23 @@
 	byRelease[e.Release] = append(byRelease[e.Release], id)
 }
 
+// of returns what an upstream of a service may get while it is cold.
+func (b ColdBounds) of(s *route.Service) upstream.ColdBound {
+	if s == nil || s.Cold.PerSecond <= 0 {
+		return upstream.ColdBound{}
+	}
+	return upstream.ColdBound{
+		For: s.Cold.For, Bears: s.Cold.PerSecond, Most: s.Cold.PerSecond*max(b.Overshoot, 1) + b.Slack,
+	}
+}
+
+// lives tells whether an upstream is still in the life in which it was met. What is
+// told of an earlier one says nothing of this one. The caller holds mu.
+func (r *Relay) lives(id contract.UpstreamID, born int64) bool {
+	e, ok := r.entries[id]
+	return ok && e.Born == born
+}
+
 // pool returns the connections to an upstream.
 func (r *Relay) pool(e upstream.Entry) *exchange.Pool {
 	r.mu.Lock()
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -134,13 +134,19 @@
 // Level compares the upstreams with one another, and is called every second or
 // so.
 func (r *Relay) Level() {
+	// Both before mu: they take a lock of their own.
 	var g upstream.Group
 	if r.opts.Group != nil {
-		g = r.opts.Group() // before mu: it takes a lock of its own
+		g = r.opts.Group()
+	}
+	owners := upstream.Owners{Self: r.opts.Self.VM, VMs: []contract.VMID{r.opts.Self.VM}}
+	if r.opts.Owners != nil {
+		owners = r.opts.Owners()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.group = g
 	r.table.SetGroup(g)
+	r.table.SetOwners(r.opts.DataCentre, owners)
 	r.table.Level(r.opts.DataCentre, r.opts.Now())
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -64,6 +64,7 @@
 // waits is an attempt whose answer has not begun. The zero value is none.
 type waits struct {
 	upstream contract.UpstreamID // empty once it has begun or ended
+	born     int64               // that of its entry
 	work     upstream.Work
 	expected upstream.Estimate
 	ticket   reading.Ticket
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -189,7 +189,7 @@
 		r.ended(j, a.entry, upstream.Abandoned, 0)
 		j.sends++
 	default:
-		r.ended(j, a.entry, upstream.Failed, 0)
+		r.ended(j, a.entry, upstream.Broken, 0)
 		j.note(contract.Ran, true)
 		s.events.Restart()
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -72,6 +72,18 @@
 	// Memory is how many tokens one of its engines keeps; zero for a plain
 	// service.
 	Memory int
+	// Cold says what its upstreams bear after a start.
+	Cold Cold
+}
+
+// Cold is what an upstream bears while it is cold. The zero value is of one that
+// bears all from its start on.
+type Cold struct {
+	// For is how long an upstream stays cold after a start during traffic.
+	For time.Duration
+	// PerSecond is how many requests a second it bears meanwhile, from all VMs
+	// together; zero means no bound.
+	PerSecond float64
 }
 
 // Workspace is a customer that requests run for.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -100,6 +100,12 @@
 	RetrySlack  float64
 	// CanaryShare bounds the part of requests that a bad release gets.
 	CanaryShare float64
+	// Evacuation is how soon the upstreams of a data centre that is evacuated get
+	// nothing more; zero where no data centre ever is.
+	Evacuation time.Duration
+	// ColdOvershoot and ColdSlack bound what a cold upstream gets from all VMs
+	// together in any second: so many times what it bears, and so many requests more.
+	ColdOvershoot, ColdSlack float64
 }
 
 // Defaults, where a deployment leaves a bound out: the smallest that the
@@ -111,7 +117,9 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultRetryRatio  = 0.1
 	defaultCanaryShare = 0.1
-	maxPort            = 65535
+	// defaultColdOvershoot allows a cold upstream what it bears and no more.
+	defaultColdOvershoot = 1
+	maxPort              = 65535
 )
 
 // LoadVM reads and checks the settings file of woaddoor-vm.
@@ -203,5 +211,9 @@
 		RetryWindow: cmp.Or(r.Duration("retry-window", 0), defaultRetryWindow),
 		RetrySlack:  r.Number("retry-slack", 0, 0, math.MaxInt32),
 		CanaryShare: r.Number("canary-share", defaultCanaryShare, 0, 1),
+		Evacuation:  r.Duration("evacuation", 0),
+
+		ColdOvershoot: r.Number("cold-overshoot", defaultColdOvershoot, 1, math.MaxInt32),
+		ColdSlack:     r.Number("cold-slack", 0, 0, math.MaxInt32),
 	}
 }
--- a/site/follow.go
+++ b/site/follow.go
@@ -72,6 +72,8 @@
 	mu     sync.Mutex
 	ledger *Ledger
 	duty   *Duty
+	// malformed says why objects cannot be understood, as was logged last.
+	malformed map[string]string
 }
 
 // run follows the store until ctx ends.
@@ -342,18 +344,36 @@
 	d := Delta{Full: full, At: c.Revision}
 	for _, i := range c.Items {
 		d.Items = append(d.Items, i.Raw)
-		if i.Err != nil {
-			f.log.Error("object-malformed", zap.String("kind", f.source.Name()), zap.String("name", i.Name),
-				zap.Int64("revision", int64(i.Revision)), zap.Error(i.Err))
-		}
 	}
 	news := Changes[T]{Revision: c.Revision}
 	for n, taken := range f.ledger.Apply(d) {
 		if taken {
 			news.Items = append(news.Items, c.Items[n])
+			f.judge(c.Items[n])
 		}
 	}
 	if len(news.Items) > 0 || full {
 		f.apply(news, full)
 	}
 }
+
+// judge logs and counts when an object cannot be understood any more, for another
+// reason than before, or again. The caller holds mu.
+func (f *follower[T]) judge(i Item[T]) {
+	why := ""
+	if i.Err != nil && !i.Deleted {
+		why = i.Err.Error()
+	}
+	if f.malformed[i.Name] == why {
+		return
+	}
+	fields := []zap.Field{zap.String("kind", f.source.Name()), zap.String("name", i.Name), zap.Int64("revision", int64(i.Revision))}
+	if why == "" {
+		delete(f.malformed, i.Name)
+		f.log.Info("object-understood", append(fields, zap.Bool("gone", i.Deleted))...)
+		return
+	}
+	f.malformed[i.Name] = why
+	f.count("objects_malformed_total", "told")
+	f.log.Error("object-malformed", append(fields, zap.String("why", why))...)
+}
--- a/site/listing.go
+++ b/site/listing.go
@@ -61,6 +61,8 @@
 			changed = l.remove(id, now) || changed
 		case i.Err == nil:
 			changed = l.put(i) || changed
+		default:
+			changed = l.drop(id) || changed
 		}
 	}
 	if !full {
@@ -80,7 +82,8 @@
 		return false
 	}
 	l.entries[i.Value.ID] = listed{Entry: i.Value, revision: i.Revision}
-	return !had || old.Entry != i.Value
+	old.Revision = i.Value.Revision // alone it changes nothing, but for what is cold
+	return !had || old.Entry != i.Value || i.Value.Cold > 0
 }
 
 // remove takes out an entry, or keeps it for a while after an outage.
@@ -104,6 +107,14 @@
 	return true
 }
 
+// drop takes out an entry that cannot be understood any more: another writer may have
+// made it, so it names no upstream to use, and is not kept as one that lapsed would be.
+func (l *Listing) drop(id contract.UpstreamID) bool {
+	_, had := l.entries[id]
+	delete(l.entries, id)
+	return had
+}
+
 // Expire takes out the entries that did not come back after an outage, and
 // tells whether there were any.
 func (l *Listing) Expire(now time.Time) bool {
--- a/site/site.go
+++ b/site/site.go
@@ -24,6 +24,9 @@
 	Configurations Source[*route.Table]
 	Upstreams      Source[upstream.Entry]
 	Orders         Source[rollout.Order]
+	// Evacuations are the data centres whose upstreams are to get nothing more. May
+	// be nil: the deployment has none.
+	Evacuations Source[Evacuation]
 	// NoteOrder writes that an order is under way, or how it ended.
 	NoteOrder func(ctx context.Context, o rollout.Order, state rollout.OrderState) error
 	Peers     *Peers
@@ -56,6 +59,8 @@
 	mu      sync.Mutex
 	listing *Listing
 	listedU bool
+	// evacuated are the evacuations in force, by name.
+	evacuated map[string]evacuated
 }
 
 // New returns a site that knows nothing.
@@ -66,7 +71,7 @@
 	return &Site{
 		opts: opts, log: opts.Log, listing: NewListing(), woken: make(chan struct{}, 1),
 		ready: make(chan struct{}), wanted: make(chan struct{}),
-		notes: make(map[noteKey]*note),
+		notes: make(map[noteKey]*note), evacuated: make(map[string]evacuated),
 	}
 }
 
@@ -145,7 +150,13 @@
 	s.opts.Peers.share(s.opts.Upstreams.Name(), upstreams)
 	s.opts.Peers.share(s.opts.Orders.Name(), orders)
 	s.opts.Peers.judge(s.opts.Relay)
-	for _, run := range []func(context.Context){configs.run, upstreams.run, orders.run, s.tick, s.opts.Peers.Run, s.enlist} {
+	runs := []func(context.Context){configs.run, upstreams.run, orders.run, s.tick, s.opts.Peers.Run, s.enlist}
+	if s.opts.Evacuations != nil {
+		evacuations := newFollower(ctx, s, s.opts.Evacuations, s.applyEvacuations, func(bool) {})
+		s.opts.Peers.share(s.opts.Evacuations.Name(), evacuations)
+		runs = append(runs, evacuations.run)
+	}
+	for _, run := range runs {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -249,7 +260,8 @@
 		}
 	}
 	return &follower[T]{
-		source: source, log: s.log, registry: s.opts.Registry, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
+		malformed: make(map[string]string),
+		source:    source, log: s.log, registry: s.opts.Registry, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
 		wanted: s.wanted,
 		duty:   NewDuty(s.opts.Peers.Watcher(), source.Timing(), asks),
 		place:  s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, confirmed: func() { s.opts.Peers.Confirmed(ctx) }, now: s.opts.Now,
--- a/site/view.go
+++ b/site/view.go
@@ -30,6 +30,8 @@
 	place Place
 	isHub bool
 	group upstream.Group
+	// owners share the cold upstreams of this data centre.
+	owners upstream.Owners
 }
 
 // Ages of views.
@@ -85,9 +87,37 @@
 	if v.group.Region {
 		v.group.VMs = v.vms
 	}
+	v.owners = p.ownersIn(v, now)
 	return v
 }
 
+// ownersIn returns the VMs that share the cold upstreams of this data centre: those
+// that live and those that fell silent of late, which may only be cut off from this
+// one and go on sending. A VM that has just started may not know them all yet; one
+// that nobody of its own data centre has answered sends none at first. The caller
+// holds mu.
+func (p *Peers) ownersIn(v *view, now time.Time) upstream.Owners {
+	self := p.table.Self().VM
+	o := upstream.Owners{Self: self, Unsure: p.Expected() && now.Sub(p.started) < settleFor}
+	if p.Expected() && !p.settled {
+		if o.Unsure {
+			return o
+		}
+		o.Unsure = true
+	}
+	o.VMs = append(o.VMs, self)
+	for _, m := range append(slices.Clone(v.near), p.silentNear(ownersKept, now)...) {
+		o.VMs = append(o.VMs, m.VM)
+	}
+	slices.Sort(o.VMs)
+	return o
+}
+
+// ownersKept is how long a silent VM counts as one that shares cold upstreams: as long
+// as a cut between VMs of a data centre is likely to last. A VM that is gone leaves its
+// part unused meanwhile.
+const ownersKept = time.Minute
+
 // placeIn returns where this VM stands among those that could watch the store for
 // its region. The caller holds mu.
 func (p *Peers) placeIn(v *view) Place {
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -22,6 +22,24 @@
 	Memory int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Cold is for how long it stays cold, from when it wrote the entry.
+	Cold time.Duration
+	// Born tells two lives under one id apart: when it started by its own clock, in
+	// milliseconds since 1970; zero where it does not tell. The clock may jump, so
+	// Born orders nothing.
+	Born int64
+	// Revision is the store's of the entry.
+	Revision contract.Revision
+}
+
+// List is what is known of all upstreams.
+type List struct {
+	Entries []Entry
+	// Connections gives how many requests this VM may have at one upstream of a
+	// service at a time, and Cold what one bears while it is cold; it may be nil.
+	Connections func(contract.ServiceID) int
+	Cold        func(contract.ServiceID) ColdBound
+	Now         time.Time
 }
 
 // PoolOf returns the pool that an entry belongs to: the upstreams of a service
@@ -33,27 +51,36 @@
 	return contract.PoolID(string(s) + "|" + release + "|" + string(dc))
 }
 
-// ConfigureList takes in the upstreams that are known. connections gives how
-// many requests this VM may have at one upstream of a service at a time.
-func (t *Table) ConfigureList(entries []Entry, connections func(contract.ServiceID) int) {
+// ConfigureList takes in the upstreams that are known. One that has started again
+// under its id is another upstream: nothing that was believed of the former holds.
+func (t *Table) ConfigureList(l List) {
 	pools := make(map[contract.PoolID]*config.Pool)
-	for _, e := range entries {
+	for _, e := range l.Entries {
+		if s := t.states[e.ID]; s != nil && s.born != e.Born {
+			delete(t.states, e.ID)
+		}
 		id := e.PoolOf()
 		if pools[id] == nil {
-			pools[id] = &config.Pool{ID: id, Kind: config.EnginePool, DataCentre: e.DataCentre, Connections: connections(e.Service)}
+			pools[id] = &config.Pool{ID: id, Kind: config.EnginePool, DataCentre: e.DataCentre, Connections: l.Connections(e.Service)}
 		}
 		pools[id].Slots = max(pools[id].Slots, e.Slots, 1)
 		pools[id].Upstreams = append(pools[id].Upstreams, config.Upstream{ID: e.ID, URL: e.Address})
 	}
+	before := t.states
 	t.Configure(pools)
-	for _, e := range entries {
+	for _, e := range l.Entries {
 		s := t.states[e.ID]
 		s.kept.Bound(e.Memory)
+		s.born = e.Born
 		s.leaving = 0
 		if e.Leaving {
 			s.leaving = 1
 		}
+		if l.Cold != nil {
+			t.chillEntry(s, e, l.Cold(e.Service), before[e.ID] != s, l.Now)
+		}
 	}
+	t.listed = t.listed || len(l.Entries) > 0
 }
 
 // Loaded takes in the load that an answer has told.
@@ -74,13 +101,13 @@
 // lastResort returns the upstream with the fewest failures when the health of
 // all forbids them: a request that may find an upstream well is better than
 // one refused without a try.
-func (t *Table) lastResort(q Query) (contract.UpstreamID, error) {
+func (t *Table) lastResort(q Query, now time.Time) (contract.UpstreamID, error) {
 	if !t.opts.Listed {
 		return "", ErrNone
 	}
 	var best *state
 	for _, s := range t.states {
-		if !q.allows(s) || s.leaving != 0 || !s.hasConnection() {
+		if !q.allows(s) || s.leaving != 0 || !s.hasConnection() || !t.bears(s, now) {
 			continue
 		}
 		if best == nil || s.health.failed < best.health.failed || s.health.failed == best.health.failed && s.upstream.ID < best.upstream.ID {
@@ -90,6 +117,7 @@
 	if best == nil {
 		return "", ErrNone
 	}
+	best.cold.picked(now)
 	return best.upstream.ID, nil
 }
 
@@ -173,7 +201,7 @@
 			h.first = took
 		}
 		h.first += time.Duration(firstWeight * float64(took-h.first))
-	case Failed:
+	case Failed, Broken:
 		h.failed += failedWeight * (1 - h.failed)
 		if h.failed >= failedLimit {
 			h.close(now)
--- a/upstream/listed_test.go
+++ b/upstream/listed_test.go
@@ -23,7 +23,7 @@
 		}
 	}
 	t := NewTable(Options{Listed: true})
-	t.ConfigureList(entries, func(contract.ServiceID) int { return 8 })
+	t.ConfigureList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 8 }})
 	return t, entries
 }
 
@@ -129,7 +129,7 @@
 			switch rapid.SampledFrom([]string{"leave", "pick", "done"}).Draw(t, "event") {
 			case "leave":
 				entries[i].Leaving = true
-				tb.ConfigureList(entries, func(contract.ServiceID) int { return 8 })
+				tb.ConfigureList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 8 }})
 			case "pick":
 				q := listedQuery
 				q.Exclude = []contract.UpstreamID{entries[i].ID}
@@ -222,7 +222,7 @@
 		entries = append(entries, Entry{ID: id, Service: "s", Address: string(id), DataCentre: contract.DataCentreID(fmt.Sprint(i % 3)), Release: "v1", Slots: 48, Memory: 460000})
 	}
 	tb := NewTable(Options{Listed: true})
-	tb.ConfigureList(entries, func(contract.ServiceID) int { return 80 })
+	tb.ConfigureList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 80 }})
 	now := time.Unix(100, 0)
 	r := random()
 	prompt := func(i int) reading.Prompt {
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -37,9 +37,10 @@
 	if t.opts.Listed {
 		best := t.cheapest(q, now, t.opts.Policy.Has(Homes), random)
 		if best == nil {
-			return t.lastResort(q)
+			return t.lastResort(q, now)
 		}
 		best.health.picked(now)
+		best.cold.picked(now)
 		return best.upstream.ID, nil
 	}
 	usable := t.candidates(q, now)
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -20,7 +20,7 @@
 		t.away[s.pool.DataCentre] = now.Add(awayFor)
 	case Good, Full, Down:
 		delete(t.away, s.pool.DataCentre)
-	case Failed, Abandoned:
+	case Failed, Broken, Abandoned:
 	}
 }
 
--- a/upstream/replay_test.go
+++ b/upstream/replay_test.go
@@ -86,7 +86,7 @@
 	}
 	for range vms {
 		tb := NewTable(Options{Listed: true, Policy: policy})
-		tb.ConfigureList(entries, func(contract.ServiceID) int { return 100 })
+		tb.ConfigureList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 100 }})
 		tb.SetCosts(map[contract.ModelID]float64{"small": 0.008, "large": 0.12})
 		tb.SetGroup(Group{Region: true})
 		r.vms = append(r.vms, tb)
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -79,6 +79,11 @@
 	// held is the mean time for which a listed upstream works on a prompt after
 	// its answer has begun.
 	held time.Duration
+	// listed tells that a list was taken in before, and owned who may send to cold
+	// upstreams; chilled are the changes that the owner of the table has not taken.
+	listed  bool
+	owned   owned
+	chilled []Chill
 }
 
 // state is what is known of one upstream.
@@ -108,6 +113,9 @@
 	kept  *reading.Kept
 	// readAt is when a prompt was last known to be sent there.
 	readAt time.Time
+	// born is that of the entry, and cold what is believed of its warmth.
+	born int64
+	cold coldness
 }
 
 // NewTable returns an empty table.
@@ -182,6 +190,15 @@
 	}
 }
 
+// Running returns how many requests of this VM run at the upstreams of a data centre.
+func (t *Table) Running(dc contract.DataCentreID) int {
+	n := 0
+	for _, s := range t.centres[dc] {
+		n += s.inFlight
+	}
+	return n
+}
+
 // Result says how a request ended at an upstream.
 type Result uint8
 
@@ -200,6 +217,9 @@
 	Down
 	// Full means that the upstream refused the request without running it.
 	Full
+	// Broken means that the connection ended, or fell silent, before the answer was
+	// whole: the upstream may have ended with it.
+	Broken
 )
 
 // Circuit breaker of one upstream.
@@ -221,6 +241,7 @@
 	s.probing = false
 	if t.opts.Listed {
 		t.reachable(s, r, now)
+		t.feelCold(s, r, now)
 		s.ended(r, took, now)
 		return
 	}
@@ -232,7 +253,7 @@
 			s.service = took
 		}
 		s.service += time.Duration(serviceSmall * float64(took-s.service))
-	case Failed:
+	case Failed, Broken:
 		s.failures++
 		if s.failures >= breakAfter {
 			backoff := min(breakBase<<min(s.failures-breakAfter, 8), breakMax)
@@ -296,7 +317,7 @@
 // takes an upstream out: it has to say, every few seconds, that it is there.
 func (t *Table) usable(s *state, v contract.VersionID, now time.Time) bool {
 	if t.opts.Listed {
-		return s.leaving == 0 && s.hasConnection() && s.health.open(now)
+		return s.leaving == 0 && s.hasConnection() && s.health.open(now) && t.bears(s, now)
 	}
 	if s.heardAt.IsZero() || now.Sub(s.heardAt) >= t.opts.SilentAfter {
 		return false
