cascade: a price for repeats in place of the largest model first by chance

Ruled out: opinions that tell too little (few lie near the middle); the price of models. Change: RepeatPrice rises with the part of the budget that is used; by it the requests that lose least have the largest model answer at once.

--- a/relay/models.go
+++ b/relay/models.go
@@ -73,10 +73,7 @@
 // holds mu.
 func (r *Relay) best(j *job, choices []choice, now time.Time) (contract.ModelID, string) {
 	giveUp := j.mayGiveUp() && r.opts.Policy.Has(upstream.Escalation) // else an answer could not be given up for another
-	if giveUp {
-		allowed := r.budget(j.service).Steady(retry.ForEscalation)
-		giveUp = r.random.Float64() >= cascade.LargestFirst(allowed, r.wanted.Rate())
-	}
+	repeat := r.repeatPrice(j, now)
 	model, why, most := choices[0].model, whyAlone, choices[0].Alone()
 	for i, c := range choices {
 		first := i < len(choices)-1 || !giveUp || r.opts.Policy.Has(upstream.LargestAlone)
@@ -87,7 +84,9 @@
 			continue
 		}
 		for _, larger := range choices[i+1:] {
-			if v := c.Then(larger.after(j, c.first, now)); v > most {
+			second := larger.after(j, c.first, now)
+			second.Price += repeat
+			if v := c.Then(second); v > most {
 				model, why, most = c.model, whyThen, v
 			}
 		}
@@ -95,6 +94,12 @@
 	return model, why
 }
 
+// repeatPrice returns what one more send of the job's service costs the requests that
+// will want one. The caller holds mu.
+func (r *Relay) repeatPrice(j *job, now time.Time) float64 {
+	return cascade.RepeatPrice(r.budget(j.service).Used(retry.ForEscalation, r.opts.VMs(), now))
+}
+
 // mayGiveUp tells whether an answer to a request could be given up for another.
 func (j *job) mayGiveUp() bool { return j.Route.Repeatable() && j.Route.MaxAttempts > 1 }
 
@@ -202,7 +207,6 @@
 	}
 	now := r.opts.Now()
 	larger := r.larger(j, h, now)
-	r.wanted.Observe(larger != "")
 	if larger == "" || !r.budget(j.service).Take(retry.ForEscalation, r.opts.VMs(), now) {
 		return "", false
 	}
@@ -234,7 +238,9 @@
 		answer.Late = 1
 	}
 	model, most := contract.ModelID(""), answer.Kept(good)
+	repeat := r.repeatPrice(j, now)
 	for _, c := range choices[own+1:] {
+		c.Price += repeat
 		if v := c.After(answer, good); v > most {
 			model, most = c.model, v
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,7 +97,6 @@
 	// stay there under a later order, whatever else still runs.
 	settled map[contract.ServiceID]string
 	paces   map[string]*pace
-	wanted  cascade.Wanted
 	// opinions are what models think of their answers, and what that is worth.
 	opinions *cascade.Opinions
 	// group says of which upstreams other VMs tell.
--- a/retry/window.go
+++ b/retry/window.go
@@ -107,14 +107,17 @@
 	return max(0, 1-w.used()/allowed)
 }
 
-// Steady returns how many repeated sends for a purpose each request pays for in
-// the long run, without the slack.
-func (w *Window) Steady(p Purpose) float64 {
-	steady := (1 - w.opts.Margin) * w.opts.Ratio
+// Used returns the part of the allowance for a purpose that is used, 0 to 1.
+func (w *Window) Used(p Purpose, vms int, now time.Time) float64 {
+	w.turn(now)
+	allowed := w.allowance(vms)
 	if p == ForEscalation {
-		steady *= 1 - w.opts.Reserve
+		allowed *= 1 - w.opts.Reserve
+	}
+	if allowed <= 0 {
+		return 1
 	}
-	return steady
+	return min(w.used()/allowed, 1)
 }
 
 func (w *Window) allowance(vms int) float64 {
