--- a/site/hear.go
+++ b/site/hear.go
@@ -143,10 +143,16 @@
 			continue
 		}
 		have, known := s.status()
-		if known && have.At >= d.After && have.Last < h.Last {
-			s.feed(d.Delta, h, string(w.Self.VM))
-			return true
+		if !known || have.At < d.After || have.Last >= h.Last {
+			continue
+		}
+		delta, err := d.Delta.unpack()
+		if err != nil {
+			p.log.Warn("push-malformed", zap.String("kind", h.Kind), zap.String("peer", string(w.Self.VM)), zap.Error(err))
+			continue
 		}
+		s.feed(delta, h, string(w.Self.VM))
+		return true
 	}
 	return false
 }
@@ -185,6 +191,9 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	d, err := link.Call[Wanted, Delta](ctx, p.endpoint, from.ControlLink, link.KindChanges, want)
+	if err == nil {
+		d, err = d.unpack()
+	}
 	if err != nil {
 		p.log.Warn("pull-failed", append(logs.Failure(err), zap.String("kind", want.Kind))...)
 		return false
@@ -225,5 +234,13 @@
 	if s == nil {
 		return Delta{}, ErrNotFound
 	}
-	return s.since(w.After, w.Holds), nil
+	have, _ := s.status()
+	if d, ok := p.packs.full(w.Kind, have.At); ok && !w.Holds {
+		return d, nil
+	}
+	d, err := s.since(w.After, w.Holds).pack()
+	if err == nil && d.Full {
+		p.packs.keep(d)
+	}
+	return d, err
 }
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -140,12 +140,35 @@
 	w := p.word(hearsFar)
 	w.Joins = true
 	go func() {
-		if p.tell(ctx, p.seeds[rand.IntN(len(p.seeds))], farTimeout, w) && !p.Settled() {
+		if p.tell(ctx, p.seedToAsk(), farTimeout, w) && !p.Settled() {
 			notify(p.introduce) // its hub is known now
 		}
 	}()
 }
 
+// seedToAsk returns a seed, drawn: one of this data centre where some are known to live
+// there, since an answer holds all that is known of the VMs here. With any seed, 281
+// VMs that started together sent 2 MB of such answers between data centres in 3 s.
+func (p *Peers) seedToAsk() string {
+	seeds := p.seeds
+	if near := p.nearOf(seeds); len(near) > 0 {
+		seeds = near
+	}
+	return seeds[rand.IntN(len(seeds))]
+}
+
+// nearOf returns those of some link addresses at which a VM of this data centre lives.
+func (p *Peers) nearOf(addresses []string) []string {
+	v := p.look()
+	var near []string
+	for _, m := range v.near {
+		if slices.Contains(addresses, m.ControlLink) {
+			near = append(near, m.ControlLink)
+		}
+	}
+	return near
+}
+
 // Settled tells whether this VM knows where it stands.
 func (p *Peers) Settled() bool {
 	p.mu.Lock()
--- a/site/ledger.go
+++ b/site/ledger.go
@@ -15,6 +15,8 @@
 	// At is the revision of the store up to which the delta holds.
 	At    contract.Revision `cbor:"3,keyasint"`
 	Items []Raw             `cbor:"4,keyasint,omitempty"`
+	// Packed takes the place of Items where there are many.
+	Packed []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // Ledger is what a VM knows of one kind of objects, as the store holds them, so
--- a/site/listing.go
+++ b/site/listing.go
@@ -107,6 +107,13 @@
 	return true
 }
 
+// Knows tells whether an item is what is known already: a list that is handed over
+// once more holds thousands of them.
+func (l *Listing) Knows(i Item[upstream.Entry]) bool {
+	e, had := l.entries[contract.UpstreamID(i.Name)]
+	return had && !i.Deleted && i.Err == nil && e.revision == i.Revision && e.keepUntil.IsZero()
+}
+
 // drop takes out an entry that cannot be understood any more: another writer may have
 // made it, so it names no upstream to use, and is not kept as one that lapsed would be.
 func (l *Listing) drop(id contract.UpstreamID) bool {
--- a/site/peers.go
+++ b/site/peers.go
@@ -80,6 +80,8 @@
 	// introduce asks for the listed VMs to be told at once, and stranger tells
 	// that one speaks that the store has not listed to this VM yet.
 	introduce, stranger chan struct{}
+	// packs are lists of objects in the form in which they are handed over.
+	packs packs
 	// sends gathers the prompts that other VMs are to be told of.
 	sends sends
 	// seeds are link addresses at which VMs may be found, without this one's, and
--- a/site/site.go
+++ b/site/site.go
@@ -214,6 +214,9 @@
 	defer s.mu.Unlock()
 	s.listedU = true
 	for _, i := range c.Items {
+		if s.listing.Knows(i) {
+			continue
+		}
 		s.log.Info("upstream", zap.String("upstream", i.Name), zap.Bool("gone", i.Deleted), zap.Bool("leaving", i.Value.Leaving),
 			zap.String("service", string(i.Value.Service)), zap.String("release", i.Value.Release),
 			zap.String("address", i.Value.Address), zap.Int64("revision", int64(i.Revision)))
--- a/site/spread.go
+++ b/site/spread.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"woaddoor/contract"
 	"woaddoor/vm"
 )
@@ -89,7 +91,16 @@
 		if !before || have.Last <= after {
 			continue
 		}
-		if d := kinds[name].since(after, true); !d.Full && d.size() <= pushMost {
+		d := kinds[name].since(after, true)
+		if d.Full {
+			continue
+		}
+		d, err := d.pack()
+		if err != nil {
+			p.log.Warn("pack-failed", zap.String("kind", name), zap.Error(err))
+			continue
+		}
+		if d.size() <= pushMost {
 			out = append(out, Pushed{after, d})
 		}
 	}
@@ -99,7 +110,7 @@
 // size returns about how many bytes a delta takes.
 func (d Delta) size() int {
 	const each = 40 // its name, revision and marks
-	n := 0
+	n := len(d.Packed)
 	for _, i := range d.Items {
 		n += each + len(i.Name) + len(i.Spec) + len(i.Status)
 	}
