--- a/site/hear.go
+++ b/site/hear.go
@@ -238,7 +238,7 @@
 	if d, ok := p.packs.full(w.Kind, have.At); ok && !w.Holds {
 		return d, nil
 	}
-	d, err := s.since(w.After, w.Holds).pack()
+	d, err := p.packs.pack(s.since(w.After, w.Holds))
 	if err == nil && d.Full {
 		p.packs.keep(d)
 	}
--- a/site/pack.go
+++ b/site/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"errors"
 	"io"
@@ -29,9 +30,10 @@
 // errUnpacked means that a delta is larger than any list of objects.
 var errUnpacked = errors.New("delta is over 64 MiB")
 
-// pack returns the delta in the form in which it is handed over.
-func (d Delta) pack() (Delta, error) {
-	if d.size() < packFrom {
+// pack returns the delta in the form in which it is handed over: compressed from a
+// size on.
+func (d Delta) pack(from int) (Delta, error) {
+	if d.size() < from {
 		return d, nil
 	}
 	raw, err := link.Encode(d.Items)
@@ -72,6 +74,8 @@
 // packs keeps the newest full delta of each kind as it is handed over: at a start, all
 // leaves of a hub ask for the same one.
 type packs struct {
+	// from is the size from which deltas are compressed; zero means packFrom.
+	from int
 	// mu guards newest.
 	mu     sync.Mutex
 	newest map[string]Delta
@@ -85,6 +89,9 @@
 	return d, ok && d.At == at
 }
 
+// pack returns a delta in the form in which it is handed over.
+func (p *packs) pack(d Delta) (Delta, error) { return d.pack(cmp.Or(p.from, packFrom)) }
+
 // keep keeps a packed full delta.
 func (p *packs) keep(d Delta) {
 	p.mu.Lock()
--- a/site/pack_test.go
+++ b/site/pack_test.go
@@ -31,7 +31,7 @@
 func TestPacked(t *testing.T) {
 	is := is.New(t)
 	list := upstreamsOf(3000)
-	packed, err := list.pack()
+	packed, err := list.pack(packFrom)
 	is.NoErr(err)
 	is.True(packed.size() < list.size()/10)
 	got, err := packed.unpack()
@@ -42,7 +42,7 @@
 		for range rapid.IntRange(0, 60).Draw(t, "items") {
 			d.Items = append(d.Items, Raw{Name: rapid.String().Draw(t, "name"), Deleted: rapid.Bool().Draw(t, "deleted"), Spec: rapid.SliceOf(rapid.Byte()).Draw(t, "spec")})
 		}
-		packed, err := d.pack()
+		packed, err := d.pack(packFrom)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -110,13 +110,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	packed, err := list.pack()
+	packed, err := list.pack(packFrom)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Run("pack", func(b *testing.B) {
 		for range b.N {
-			_, _ = list.pack() // seen to work above
+			_, _ = list.pack(packFrom) // seen to work above
 		}
 		b.ReportMetric(float64(len(raw)), "bytes")
 		b.ReportMetric(float64(packed.size()), "packed-bytes")
--- a/site/rest_test.go
+++ b/site/rest_test.go
@@ -17,8 +17,9 @@
 )
 
 // startFleet starts the peers of VMs in data centres of one process, each of which
-// knows three seeds alone, and returns them.
-func startFleet(b *testing.B, ctx context.Context, dataCentres, each int) []*Peers {
+// knows three seeds alone, and returns them. prepare may change the peers of the nth VM
+// before they run.
+func startFleet(b testing.TB, ctx context.Context, dataCentres, each int, prepare func(n int, p *Peers)) []*Peers {
 	b.Helper()
 	var selves []vm.Member
 	var endpoints []*link.Endpoint
@@ -44,6 +45,7 @@
 			seeds = append(seeds, endpoints[dc*each].Address())
 		}
 		p := NewPeers(&PeersOptions{Endpoint: e, Self: selves[i], Seeds: seeds, Log: zap.NewNop(), Now: time.Now})
+		prepare(len(all), p)
 		all = append(all, p)
 		go p.Run(ctx)
 	}
@@ -59,7 +61,7 @@
 			ctx, cancel := context.WithCancel(b.Context())
 			defer cancel()
 			started := processorTime(b)
-			all := startFleet(b, ctx, size.dataCentres, size.each)
+			all := startFleet(b, ctx, size.dataCentres, size.each, func(int, *Peers) {})
 			n := float64(len(all))
 			for _, p := range all {
 				for p.Count() < len(all) {
--- a/site/spread.go
+++ b/site/spread.go
@@ -95,7 +95,7 @@
 		if d.Full {
 			continue
 		}
-		d, err := d.pack()
+		d, err := p.packs.pack(d)
 		if err != nil {
 			p.log.Warn("pack-failed", zap.String("kind", name), zap.Error(err))
 			continue
