--- a/cascade/repeats.go
+++ b/cascade/repeats.go
@@ -6,22 +6,23 @@
 const (
 	// repeatFree is the part of the budget up to which a repeat is free.
 	repeatFree = 0.5
-	// repeatMost is the price at which no more of the budget is left, in parts of what
-	// a request is worth: a largest model's answer at once costs 0.03 to 0.1 more than
-	// one after a poor answer, so the price is enough to turn the cheapest of them.
-	repeatMost = 0.15
+	// DefaultRepeatPrice is the price at which no more of the budget is left, in parts
+	// of what a request is worth: a largest model's answer at once costs 0.03 to 0.1
+	// more than one after a poor answer, so it is enough to turn the cheapest of them.
+	DefaultRepeatPrice = 0.15
 )
 
 // RepeatPrice returns what giving an answer up for another costs the requests that will
-// want the same, by the part of the budget of repeats that is used. Where all poor
+// want the same, by the part of the budget of repeats that is used, and at the most.
+// Where all poor
 // answers were given up until the budget had run out, 6% of all answers were poor and
 // stood. By its price the repeats go to the requests that gain most: a chat, for which
 // the largest model costs little, has it answer at once, and leaves its repeat to a
 // summary, for which that costs a third of its worth.
 // Without end at a budget that is used up: the answer that is given up would stand.
-func RepeatPrice(used float64) float64 {
+func RepeatPrice(used, most float64) float64 {
 	if used >= 1 {
 		return math.Inf(1)
 	}
-	return repeatMost * max(0, used-repeatFree) / (1 - repeatFree)
+	return most * max(0, used-repeatFree) / (1 - repeatFree)
 }
--- a/cascade/repeats_test.go
+++ b/cascade/repeats_test.go
@@ -61,14 +61,15 @@
 func TestRepeatsWhereTheyGainMost(t *testing.T) {
 	is := is.New(t)
 	free := func(float64) float64 { return 0 }
+	dear := func(used float64) float64 { return RepeatPrice(used, DefaultRepeatPrice) }
 	for _, allowed := range []float64{0.2, 0.3, 0.4} {
 		poorFree, worthFree := standing(allowed, free)
-		poor, worth := standing(allowed, RepeatPrice)
+		poor, worth := standing(allowed, dear)
 		is.True(poorFree > 0.05)
 		is.True(poor < poorFree/2)
 		is.True(worth > worthFree)
 	}
-	poor, worth := standing(1, RepeatPrice)
+	poor, worth := standing(1, dear)
 	_, worthFree := standing(1, free)
 	is.Equal(poor, 0.0)
 	is.True(worth > worthFree-0.001)
@@ -76,11 +77,11 @@
 
 // TestRepeatPrice checks that the price is nothing while much is left, and rises.
 func TestRepeatPrice(t *testing.T) {
-	is.New(t).Equal(RepeatPrice(repeatFree), 0.0)
-	is.New(t).True(math.IsInf(RepeatPrice(1), 1))
+	is.New(t).Equal(RepeatPrice(repeatFree, 1), 0.0)
+	is.New(t).True(math.IsInf(RepeatPrice(1, 1), 1))
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := rapid.Float64Range(0, 0.999).Draw(t, "a"), rapid.Float64Range(0, 0.999).Draw(t, "b")
-		if p, q := RepeatPrice(min(a, b)), RepeatPrice(max(a, b)); p > q || p < 0 || q > repeatMost {
+		if p, q := RepeatPrice(min(a, b), 1), RepeatPrice(max(a, b), 1); p > q || p < 0 || q > 1 {
 			t.Fatalf("%v at %v, %v at %v", p, min(a, b), q, max(a, b))
 		}
 	})
--- /dev/null
+++ b/internal/rounds/experiment.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"woaddoor/config"
+	"woaddoor/settings"
+)
+
+// An experiment compares ways of deciding, each a set of settings of the policy, on the
+// same deployments, days and seeds. Its file has a section for each way and deployment:
+//
+//	[experiment]
+//	days = quiet-1, scale-1
+//	seeds = 3
+//	jobs = 3
+//
+//	[way plain]
+//	without = price, homes
+//
+//	[way dearer]
+//	worth-of-cost = 30
+//
+//	[deployment further]
+//	site = further/platterhop-eu.toml
+//	small = no
+//
+// The way that stands, with no setting, is always among them, and is what the others
+// are compared with.
+type experiment struct {
+	days        []string
+	seeds, jobs int
+	ways        []way
+	deployments []entry
+}
+
+// way is one way of deciding.
+type way struct {
+	name string
+	// settings are the lines of its section [policy].
+	settings []string
+}
+
+// landed is the name of the way that stands.
+const landed = "as it stands"
+
+// Prefixes of the sections of an experiment's file.
+const (
+	prefixWay         = "way "
+	prefixDeployment  = "deployment "
+	sectionExperiment = "experiment"
+)
+
+// readExperiment reads an experiment's file. All faults are told at once.
+func readExperiment(name string, text []byte) (*experiment, error) {
+	f, err := config.ReadFile(name, text)
+	if err != nil {
+		return nil, err
+	}
+	var faults config.Faults
+	x := &experiment{ways: []way{{name: landed}}}
+	for _, section := range slices.Sorted(maps.Keys(f.Sections())) {
+		r := config.NewReader(f, section, &faults)
+		switch {
+		case section == sectionExperiment:
+			x.days = r.List("days")
+			x.seeds, x.jobs = r.Int("seeds", defaultSeeds, oneSeed, mostSeeds), r.Int("jobs", defaultJobs, 1, mostJobs)
+			r.Done()
+		case strings.HasPrefix(section, prefixWay):
+			x.ways = append(x.ways, readWay(strings.TrimPrefix(section, prefixWay), r))
+		case strings.HasPrefix(section, prefixDeployment):
+			x.deployments = append(x.deployments, readDeployment(strings.TrimPrefix(section, prefixDeployment), r))
+		default:
+			r.Fault("", "is not known: expected [experiment], [way NAME] or [deployment NAME]")
+		}
+	}
+	if len(x.days) == 0 {
+		x.days = allDays
+	}
+	switch {
+	case len(faults) > 0:
+		return nil, faults
+	case len(x.ways) < 2:
+		return nil, fmt.Errorf("%s: has no [way NAME]: expected one at least, to be compared with the way that stands", name)
+	case len(x.deployments) == 0:
+		return nil, fmt.Errorf("%s: has no [deployment NAME]: expected one at least", name)
+	}
+	return x, nil
+}
+
+func readWay(name string, r *config.Reader) way {
+	w := way{name: name}
+	for _, key := range r.Keys() {
+		if !slices.Contains(settings.PolicyKeys, key) {
+			r.Fault(key, "is no setting of the policy: expected some of %s", strings.Join(settings.PolicyKeys, ", "))
+			continue
+		}
+		w.settings = append(w.settings, key+" = "+r.Text(key, ""))
+	}
+	if err := settings.CheckPolicy(strings.Join(w.settings, "\n")); err != nil {
+		r.Fault(r.Keys()[0], "%v", err)
+	}
+	return w
+}
+
+func readDeployment(name string, r *config.Reader) entry {
+	e := entry{name: name, site: r.Need("site", "expected a site file"), small: r.OneOf("small", "yes", "yes", "no") == "yes"}
+	r.Done()
+	return e
+}
+
+// id names a way, a deployment, a day and a seed in the folder of reports.
+func (x *experiment) id(w way, e entry, day string, seed int) string {
+	name := strings.Map(func(c rune) rune {
+		if c == ' ' || c == '/' {
+			return '-'
+		}
+		return c
+	}, w.name+"."+e.name+"."+day)
+	return fmt.Sprintf("%s.%d.json", name, seed)
+}
--- /dev/null
+++ b/internal/rounds/experiment_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const sampleExperiment = `[experiment]
+days = quiet-1, scale-1
+seeds = 2
+jobs = 3
+
+[way plain]
+without = price, homes
+
+[way dearer]
+worth-of-cost = 30
+
+[deployment further]
+site = further/x.toml
+small = no
+`
+
+// TestExperiment checks that an experiment is read, with the way that stands first.
+func TestExperiment(t *testing.T) {
+	is := is.New(t)
+	x, err := readExperiment("e.ini", []byte(sampleExperiment))
+	is.NoErr(err)
+	is.Equal(x.days, []string{"quiet-1", "scale-1"})
+	is.Equal(len(x.ways), 3)
+	is.Equal(x.ways[0], way{name: landed})
+	is.Equal(x.ways[1], way{"dearer", []string{"worth-of-cost = 30"}})
+	is.Equal(x.deployments, []entry{{name: "further", site: "further/x.toml"}})
+	is.Equal(x.id(x.ways[0], x.deployments[0], "quiet-1", 1), "as-it-stands.further.quiet-1.1.json")
+}
+
+// TestExperimentFaults checks that bad input names file, line and key.
+func TestExperimentFaults(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, want string }{
+		"a setting that is none":   {"worth-of-cost = 30", "worth = 30", "e.ini:10: [way dearer] worth"},
+		"a value out of bounds":    {"worth-of-cost = 30", "worth-of-cost = -3", "[way dearer] worth-of-cost"},
+		"a mechanism that is none": {"without = price, homes", "without = luck", "luck"},
+		"a section that is none":   {"[way plain]", "[path plain]", "[path plain]"},
+		"no way":                   {"[way plain]\nwithout = price, homes\n\n[way dearer]\nworth-of-cost = 30\n", "", "[way NAME]"},
+		"no site":                  {"site = further/x.toml", "sites = x", "site"},
+		"seeds beyond all":         {"seeds = 2", "seeds = 2000", "seeds"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(sampleExperiment, c.from, c.to, 1)
+			is.True(text != sampleExperiment)
+			_, err := readExperiment("e.ini", []byte(text))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+// TestGoesOn checks that what was played is not played again.
+func TestGoesOn(t *testing.T) {
+	is := is.New(t)
+	x, err := readExperiment("e.ini", []byte(sampleExperiment))
+	is.NoErr(err)
+	out := t.TempDir()
+	is.Equal(len(x.missing(out, x.ways[0])), 4)
+	is.NoErr(os.WriteFile(filepath.Join(out, x.id(x.ways[0], x.deployments[0], "quiet-1", 2)), []byte("{}"), 0o600))
+	is.Equal(len(x.missing(out, x.ways[0])), 3)
+	is.Equal(len(x.missing(out, x.ways[1])), 4)
+}
+
+// trialsOf returns days of two ways whose worth differs by what is given.
+func trialsOf(differences ...float64) []trial {
+	var all []trial
+	for i, d := range differences {
+		base := 0.5 + 0.1*float64(i)
+		all = append(all,
+			trial{landed, "d", "quiet-1", i, &report{Worth: base}},
+			trial{"other", "d", "quiet-1", i, &report{Worth: base + d}})
+	}
+	return all
+}
+
+// TestPaired checks the difference of two ways and what is said of it. That days are
+// worth very different amounts does not matter, since the same ones are compared.
+func TestPaired(t *testing.T) {
+	worth := func(r *report) float64 { return r.Worth }
+	for name, c := range map[string]struct {
+		differences []float64
+		verdict     string
+	}{
+		"better":       {[]float64{0.02, 0.03, 0.025, 0.02}, "better"},
+		"worse":        {[]float64{-0.02, -0.03, -0.025, -0.02}, "worse"},
+		"within":       {[]float64{0.02, -0.03, 0.01, -0.005}, "no difference seen"},
+		"a single one": {[]float64{0.3}, "no difference seen"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(paired(trialsOf(c.differences...), "d", landed, "other", worth).verdict(), c.verdict)
+		})
+	}
+	is := is.New(t)
+	d := paired(trialsOf(0.01, 0.03), "d", landed, "other", worth)
+	is.True(math.Abs(d.mean-0.02) < 1e-9)
+	is.True(math.Abs(d.half-0.127) < 0.001) // 12.706 times 0.01414 over the root of 2
+	is.Equal(d.pairs, 2)
+}
+
+// TestResults checks that the table notes broken rules, and that CSV and plot are
+// written.
+func TestResults(t *testing.T) {
+	is := is.New(t)
+	x := &experiment{ways: []way{{name: landed}, {name: "other"}}, deployments: []entry{{name: "d"}}}
+	trials := trialsOf(0.02, 0.03)
+	trials[1].report.Breaks = map[string]json.RawMessage{"LOST": nil}
+	var table strings.Builder
+	printPairs(&table, x, trials)
+	is.True(strings.Contains(table.String(), "| d | "))
+	is.True(strings.Contains(table.String(), "LOST quiet-1 seed 0"))
+	var csv strings.Builder
+	is.NoErr(writeCSV(&csv, trials))
+	is.Equal(strings.Count(csv.String(), "\n"), 5)
+	file := filepath.Join(t.TempDir(), "worth.svg")
+	is.NoErr(plotPairs(file, x, trials))
+	raw, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(strings.Contains(string(raw), "<svg"))
+}
+
+// TestAblationFile checks the experiment that the project keeps.
+func TestAblationFile(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join("..", "..", "days", "ablation.ini")
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	x, err := readExperiment(file, text)
+	is.NoErr(err)
+	is.Equal(len(x.ways), 11)
+}
--- a/internal/rounds/main.go
+++ b/internal/rounds/main.go
@@ -11,11 +11,18 @@
 // against what was reached, and fails when a rule breaks or one falls:
 //
 //	go run ./internal/rounds --bench BENCH --set days/landing.ini --sites FOLDER --why "landing"
+//
+// With an experiment it plays several ways of deciding on the same days and seeds, and
+// prints by how much each differs from the way that stands, as Markdown, CSV and SVG:
+//
+//	go run ./internal/rounds --bench BENCH --experiment days/ablation.ini --sites FOLDER --out FOLDER --why "..."
 package main
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,17 +35,19 @@
 )
 
 type arguments struct {
-	Bench string   `help:"The users' bench." required:""`
-	Site  string   `help:"The site file." type:"path" xor:"what" required:""`
-	Set   string   `help:"A regression set (INI), in place of a site." type:"path" xor:"what" required:""`
-	Sites string   `help:"The folder that the set's site files are in." type:"path"`
-	Small bool     `help:"Play the small twins of a large deployment."`
-	Days  []string `help:"Days to play." default:"quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3"`
-	Seeds int      `help:"How many seeds of each day." default:"3"`
-	First int      `help:"The first seed. 0 stands for the day's own." default:"1"`
-	Jobs  int      `help:"Days played at a time." default:"4"`
-	Cost  bool     `help:"Count processor time; runs then repeat less well."`
-	Why   string   `help:"What the run is for; it goes into the journal." required:""`
+	Bench      string   `help:"The users' bench." required:""`
+	Site       string   `help:"The site file." type:"path" xor:"what" required:""`
+	Set        string   `help:"A regression set (INI), in place of a site." type:"path" xor:"what" required:""`
+	Experiment string   `help:"An experiment (INI), in place of a site." type:"path" xor:"what" required:""`
+	Sites      string   `help:"The folder that the site files of a set or an experiment are in." type:"path"`
+	Out        string   `help:"The folder for an experiment's reports and results; what it holds is not played again." type:"path" default:"trial/experiment"`
+	Small      bool     `help:"Play the small twins of a large deployment."`
+	Days       []string `help:"Days to play." default:"quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3"`
+	Seeds      int      `help:"How many seeds of each day." default:"3"`
+	First      int      `help:"The first seed. 0 stands for the day's own." default:"1"`
+	Jobs       int      `help:"Days played at a time." default:"4"`
+	Cost       bool     `help:"Count processor time; runs then repeat less well."`
+	Why        string   `help:"What the run is for; it goes into the journal." required:""`
 }
 
 // play is one day on one seed.
@@ -62,6 +71,13 @@
 		}
 		return
 	}
+	if a.Experiment != "" {
+		if err := a.compare(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	plays := a.plays()
 	if err := a.run(plays); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -80,6 +96,26 @@
 	}
 }
 
+// compare plays an experiment and writes its results.
+func (a *arguments) compare(w io.Writer) error {
+	text, err := os.ReadFile(a.Experiment)
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	x, err := readExperiment(a.Experiment, text)
+	if err != nil {
+		return err
+	}
+	trials, failed := a.runExperiment(x)
+	printPairs(w, x, trials)
+	file, err := os.Create(filepath.Join(a.Out, "trials.csv"))
+	if err != nil {
+		return errors.Join(failed, err)
+	}
+	err = errors.Join(writeCSV(file, trials), file.Close())
+	return errors.Join(failed, err, plotPairs(filepath.Join(a.Out, "worth.svg"), x, trials))
+}
+
 func (a *arguments) plays() []*play {
 	var plays []*play
 	for _, day := range a.Days {
--- /dev/null
+++ b/internal/rounds/plot.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// intervals are points with their confidence intervals, for a plot.
+type intervals struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+// plotPairs draws the difference in worth of each way to the way that stands, by
+// deployment.
+func plotPairs(file string, x *experiment, trials []trial) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("worth against the way that stands, %g%% confidence", 100*confidence)
+	p.Y.Label.Text = "difference"
+	var names []string
+	for _, e := range x.deployments {
+		names = append(names, e.name)
+	}
+	for n, w := range x.ways[1:] {
+		points := intervals{}
+		for i, e := range x.deployments {
+			d := paired(trials, e.name, landed, w.name, func(r *report) float64 { return r.Worth })
+			half := d.half
+			if math.IsInf(half, 1) {
+				half = 0
+			}
+			at := float64(i) + 0.8*(float64(n)+0.5)/float64(len(x.ways)-1) - 0.4
+			points.XYs = append(points.XYs, plotter.XY{X: at, Y: d.mean})
+			points.YErrors = append(points.YErrors, struct{ Low, High float64 }{half, half})
+		}
+		if err := addIntervals(p, n, w.name, points); err != nil {
+			return err
+		}
+	}
+	p.Add(plotter.NewGrid())
+	p.NominalX(names...)
+	p.Legend.Top = true
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+func addIntervals(p *plot.Plot, n int, name string, points intervals) error {
+	dots, err := plotter.NewScatter(points.XYs)
+	if err != nil {
+		return err
+	}
+	dots.Color = plotutil.Color(n)
+	bars, err := plotter.NewYErrorBars(points)
+	if err != nil {
+		return err
+	}
+	bars.Color = plotutil.Color(n)
+	p.Add(dots, bars)
+	p.Legend.Add(name, dots)
+	return nil
+}
--- /dev/null
+++ b/internal/rounds/ways.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+)
+
+// trial is one day of one way, at one deployment and on one seed.
+type trial struct {
+	way, deployment, day string
+	seed                 int
+	report               *report
+}
+
+// runExperiment plays what has not been played before, and returns all of it. Reports
+// are kept in a folder, so that an experiment which was broken off goes on there.
+func (a *arguments) runExperiment(x *experiment) ([]trial, error) {
+	if err := os.MkdirAll(a.Out, 0o755); err != nil {
+		return nil, fmt.Errorf("folder for reports: %w", err)
+	}
+	var all []trial
+	var failed error
+	for _, w := range x.ways {
+		trials, err := a.runWay(x, w)
+		all = append(all, trials...)
+		failed = errors.Join(failed, err)
+	}
+	return all, failed
+}
+
+// runWay plays all of one way in a copy of the commit that is checked out.
+func (a *arguments) runWay(x *experiment, w way) ([]trial, error) {
+	todo := x.missing(a.Out, w)
+	if len(todo) > 0 {
+		if err := a.playAll(x, w, todo); err != nil {
+			return nil, fmt.Errorf("way %s: %w", w.name, err)
+		}
+	}
+	var trials []trial
+	var failed error
+	for _, e := range x.deployments {
+		for _, day := range x.days {
+			for seed := range x.seeds {
+				r, err := readReport(filepath.Join(a.Out, x.id(w, e, day, seed+1)))
+				if err != nil {
+					failed = errors.Join(failed, fmt.Errorf("way %s, %s, %s, seed %d: not played: %w", w.name, e.name, day, seed+1, err))
+					continue
+				}
+				trials = append(trials, trial{w.name, e.name, day, seed + 1, r})
+			}
+		}
+	}
+	return trials, failed
+}
+
+// todo is one day that has not been played.
+type todo struct {
+	entry entry
+	day   string
+	seed  int
+}
+
+func (x *experiment) missing(out string, w way) []todo {
+	var list []todo
+	for _, e := range x.deployments {
+		for _, day := range x.days {
+			for seed := range x.seeds {
+				if _, err := os.Stat(filepath.Join(out, x.id(w, e, day, seed+1))); err != nil {
+					list = append(list, todo{e, day, seed + 1})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// playAll plays days of a way, a few at a time, and shows how far it is.
+func (a *arguments) playAll(x *experiment, w way, list []todo) error {
+	dir, err := a.copyFor(w)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	places := make(chan struct{}, x.jobs)
+	var all sync.WaitGroup
+	var mu sync.Mutex // guards done
+	done := 0
+	for _, t := range list {
+		places <- struct{}{}
+		all.Add(1)
+		go func() {
+			defer func() { <-places; all.Done() }()
+			one := *a
+			one.Site, one.Small, one.Why = filepath.Join(a.Sites, t.entry.site), t.entry.small, a.Why+": "+w.name
+			err := one.playIn(dir, t, filepath.Join(a.Out, x.id(w, t.entry, t.day, t.seed)))
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "\n%s, %s, %s, seed %d: %v\n", w.name, t.entry.name, t.day, t.seed, err)
+			}
+			fmt.Fprintf(os.Stderr, "\r%s: %d of %d days", w.name, done, len(list))
+		}()
+	}
+	all.Wait()
+	fmt.Fprintln(os.Stderr)
+	return keepJournal(dir)
+}
+
+// playIn plays one day in a folder and keeps its report.
+func (a *arguments) playIn(dir string, t todo, report string) error {
+	args := []string{"run", a.Site, t.day, "--report", report, "--jobs", "1", "--seed", fmt.Sprint(t.seed), "--why", a.Why}
+	if a.Small {
+		args = append(args, "--small")
+	}
+	if !a.Cost {
+		args = append(args, "--no-cpu")
+	}
+	cmd := exec.Command(a.Bench, args...)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	if _, rerr := readReport(report); rerr != nil { // a broken rule ends with a status of its own
+		return errors.Join(err, fmt.Errorf("%.400s", out))
+	}
+	return nil
+}
+
+// template is the settings file that a way's settings are added to.
+const template = "deploy/vm.ini"
+
+// copyFor makes a copy of the commit that is checked out, with a way's settings, and
+// builds it.
+func (a *arguments) copyFor(w way) (string, error) {
+	dir, err := os.MkdirTemp("", "way")
+	if err != nil {
+		return "", fmt.Errorf("folder for a copy: %w", err)
+	}
+	if out, err := exec.Command("git", "clone", "--quiet", ".", dir).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("copy: %w\n%s", err, out)
+	}
+	if len(w.settings) > 0 {
+		file, err := os.OpenFile(filepath.Join(dir, template), os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			return "", fmt.Errorf("settings: %w", err)
+		}
+		_, err = file.WriteString("\n[policy]\n" + strings.Join(w.settings, "\n") + "\n")
+		if err := errors.Join(err, file.Close()); err != nil {
+			return "", fmt.Errorf("settings: %w", err)
+		}
+	}
+	build := exec.Command(a.Bench, "build")
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return dir, nil
+}
+
+// journal is where the bench keeps an entry of each run.
+const journal = "journal"
+
+// keepJournal brings the entries of a copy's runs here.
+func keepJournal(dir string) error {
+	entries, err := filepath.Glob(filepath.Join(dir, journal, "*.json"))
+	if err != nil {
+		return err
+	}
+	for _, from := range entries {
+		to := filepath.Join(journal, filepath.Base(from))
+		if _, err := os.Stat(to); err == nil {
+			continue
+		}
+		raw, err := os.ReadFile(from)
+		if err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+		if err := os.WriteFile(to, raw, 0o644); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+	}
+	return nil
+}
--- a/relay/models.go
+++ b/relay/models.go
@@ -97,7 +97,7 @@
 // repeatPrice returns what one more send of the job's service costs the requests that
 // will want one. The caller holds mu.
 func (r *Relay) repeatPrice(j *job, now time.Time) float64 {
-	return cascade.RepeatPrice(r.budget(j.service).Used(retry.ForEscalation, r.opts.VMs(), now))
+	return cascade.RepeatPrice(r.budget(j.service).Used(retry.ForEscalation, r.opts.VMs(), now), r.opts.RepeatPrice)
 }
 
 // mayGiveUp tells whether an answer to a request could be given up for another.
@@ -130,7 +130,7 @@
 	largest := models[len(models)-1]
 	out := make([]choice, len(models))
 	for i, m := range models {
-		c := choice{model: m, Option: cascade.Option{Good: r.opinions.Good(m, largest), Cost: dearestPart(j) * r.costPart(j, i)}}
+		c := choice{model: m, Option: cascade.Option{Good: r.opinions.Good(m, largest), Cost: r.dearestPart(j) * r.costPart(j, i)}}
 		if e, ok := r.estimate(j, m, now); ok {
 			c.first, c.wait, c.Price = e.First(), e.Wait, r.table.Price(e)/j.weight
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -48,6 +49,12 @@
 	Sent func(Sent)
 	// Group returns of which upstreams other VMs tell. May be nil: of none.
 	Group func() upstream.Group
+	// WorthOfCost is what a request of the first rank is worth, in what the dearest
+	// model's answer to it costs; zero means DefaultWorthOfCost.
+	WorthOfCost float64
+	// RepeatPrice is what a repeat costs when the budget is used up, in parts of what a
+	// request is worth.
+	RepeatPrice float64
 	// Cold bounds what cold upstreams get, beyond what the configuration tells.
 	Cold ColdBounds
 	// Owners returns the VMs that share this data centre's cold upstreams. May be
@@ -111,6 +118,7 @@
 
 // New returns a relay that knows no upstreams.
 func New(opts *Options) *Relay {
+	opts.WorthOfCost = cmp.Or(opts.WorthOfCost, DefaultWorthOfCost)
 	seed := opts.Seed
 	if seed == 0 {
 		seed = uint64(opts.Now().UnixNano())
--- a/relay/worth.go
+++ b/relay/worth.go
@@ -6,7 +6,9 @@
 // generation is worth 9 to 21 times that cost at the first rank, 6 at the second
 // and 3 to 6 at the third.
 const (
-	worthOfCost = 15.0
+	// DefaultWorthOfCost is what a request of the first rank is taken to be worth, in
+	// what the dearest model's answer to it costs.
+	DefaultWorthOfCost = 15.0
 	// A token read costs a quarter of one made; costs are told for 1,000 tokens.
 	readToken  = 0.25
 	costTokens = 1000.0
@@ -16,9 +18,11 @@
 // where no cost is told. The caller holds mu.
 func (r *Relay) worth(j *job) float64 {
 	tokens := readToken*float64(j.PromptTokens) + float64(j.OutputTokens)
-	return r.dearest(j) * tokens / costTokens * worthOfCost / float64(1+max(j.Route.Priority, 0))
+	return r.dearest(j) * tokens / costTokens * r.opts.WorthOfCost / float64(1+max(j.Route.Priority, 0))
 }
 
 // dearestPart returns what the dearest model's answer costs, in parts of what the
 // request is worth.
-func dearestPart(j *job) float64 { return float64(1+max(j.Route.Priority, 0)) / worthOfCost }
+func (r *Relay) dearestPart(j *job) float64 {
+	return float64(1+max(j.Route.Priority, 0)) / r.opts.WorthOfCost
+}
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -8,8 +8,10 @@
 	"strconv"
 	"time"
 
+	"woaddoor/cascade"
 	"woaddoor/config"
 	"woaddoor/contract"
+	"woaddoor/relay"
 	"woaddoor/upstream"
 )
 
@@ -31,6 +33,45 @@
 	// Policy says which mechanisms of the policy are left out: none, but to
 	// measure what one is worth.
 	Policy upstream.Policy
+	// WorthOfCost is what a request of the first rank is worth against what the
+	// dearest model's answer costs, and RepeatPrice what a repeat costs at most, in
+	// parts of what a request is worth.
+	WorthOfCost, RepeatPrice float64
+}
+
+// PolicyKeys are the keys of [policy].
+var PolicyKeys = []string{keyWithout, keyWorthOfCost, keyRepeatPrice}
+
+const (
+	keyWithout     = "without"
+	keyWorthOfCost = "worth-of-cost"
+	keyRepeatPrice = "repeat-price"
+)
+
+// Bounds of [policy].
+const (
+	leastWorthOfCost, mostWorthOfCost = 0.1, 1000
+	mostRepeatPrice                   = 10
+)
+
+// CheckPolicy checks lines of [policy].
+func CheckPolicy(lines string) error {
+	f, err := config.ReadFile("policy", []byte("[policy]\n"+lines+"\n"))
+	if err != nil {
+		return err
+	}
+	var faults config.Faults
+	readPolicy(&VM{}, config.NewReader(f, "policy", &faults))
+	return faults.Err()
+}
+
+func readPolicy(v *VM, r *config.Reader) {
+	var err error
+	if v.Policy, err = upstream.NewPolicy(r.List(keyWithout)); err != nil {
+		r.Fault(keyWithout, "%v", err)
+	}
+	v.WorthOfCost = r.Number(keyWorthOfCost, relay.DefaultWorthOfCost, leastWorthOfCost, mostWorthOfCost)
+	v.RepeatPrice = r.Number(keyRepeatPrice, cascade.DefaultRepeatPrice, 0, mostRepeatPrice)
 }
 
 // Machine is what the machine gives the process. Zero means no bound.
@@ -157,10 +198,7 @@
 		LinkMbps:    m.Number("link-mbps", 0, 0, math.MaxInt32),
 	}
 	readBounds(v, section("bounds"))
-	policy := section("policy")
-	if v.Policy, err = upstream.NewPolicy(policy.List("without")); err != nil {
-		policy.Fault("without", "%v", err)
-	}
+	readPolicy(v, section("policy"))
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
