entry: what is known of a VM does not go back by an answer that knows less

Cause (KNOWN-RED TestBilledThoughKilled): the lists of VMs of two control processes took each other's place; one that knew a peer without its entry process, or not at all, left this VM without a keeper for its bills a moment after it had one, and with the platform out the answer was refused. Change: answers are merged by life; a VM that is not named counts for 3 s more. bill-at-risk says how many keepers there are.

--- a/entry/bills.go
+++ b/entry/bills.go
@@ -72,7 +72,7 @@
 		s.locked(func() { s.bills.Copied(r) })
 		return nil
 	}
-	s.log.Warn("bill-at-risk", append(logs.Failure(err), zap.String("request", string(r.ID)), zap.Int64("amount", int64(r.Amount)))...)
+	s.log.Warn("bill-at-risk", append(logs.Failure(err), zap.String("request", string(r.ID)), zap.Int64("amount", int64(r.Amount)), zap.Int("keepers", len(s.keepers())))...)
 	if req.workspace.Bill == config.BillServe {
 		return nil
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -23,6 +23,8 @@
 	know     permit.Knowledge
 	revision contract.Revision
 	members  []vm.Member
+	// named is when an answer has named each of them last.
+	named map[contract.VMID]time.Time
 	// askedMembers is when members were last brought.
 	askedMembers time.Time
 	// replica is used under Server.learning alone; held is what it held then.
@@ -190,7 +192,8 @@
 	next.held = v.replica.Held()
 	next.revision = next.held.Revision
 	if got.Members != nil {
-		next.members, next.askedMembers = got.Members, asked
+		next.members, next.named = mergeMembers(v.members, v.named, got.Members, asked)
+		next.askedMembers = asked
 	}
 	if next.revision != v.revision {
 		c, err := config.FromDocument(v.replica.Held())
