--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -139,7 +139,7 @@
 		},
 		Policy: s.Policy, WorthOfCost: s.WorthOfCost, RepeatPrice: s.RepeatPrice, CanaryShare: s.Bounds.CanaryShare, BadAnswer: func() { go v.peers.Grave(context.Background()) },
 		Wake: func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Group: v.peers.Group,
-		Owners: v.peers.Owners, Cold: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
+		Evacuation: s.Bounds.Evacuation, Owners: v.peers.Owners, Cold: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
 	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.Apply),
--- a/internal/rounds/main.go
+++ b/internal/rounds/main.go
@@ -35,7 +35,7 @@
 )
 
 type arguments struct {
-	Bench      string   `help:"The users' bench." required:""`
+	Bench      string   `help:"The users' bench." type:"path" required:""`
 	Site       string   `help:"The site file." type:"path" xor:"what" required:""`
 	Set        string   `help:"A regression set (INI), in place of a site." type:"path" xor:"what" required:""`
 	Experiment string   `help:"An experiment (INI), in place of a site." type:"path" xor:"what" required:""`
@@ -140,32 +140,40 @@
 	if out, err := exec.Command(a.Bench, "build").CombinedOutput(); err != nil { // once, not by each play
 		return fmt.Errorf("build: %w\n%s", err, out)
 	}
-	places := make(chan struct{}, max(a.Jobs, 1))
+	atOnce(len(plays), a.Jobs, "", func(i int) {
+		p := plays[i]
+		p.out, p.err = a.play(".", p.day, p.seed, filepath.Join(dir, strconv.Itoa(i)+".json"))
+	})
+	return nil
+}
+
+// atOnce does a number of things, a few at a time, and shows how far it is.
+func atOnce(n, jobs int, name string, do func(i int)) {
+	places := make(chan struct{}, max(jobs, 1))
 	var all sync.WaitGroup
 	var mu sync.Mutex // guards done
 	done := 0
-	for i, p := range plays {
+	for i := range n {
 		places <- struct{}{}
 		all.Add(1)
 		go func() {
 			defer func() { <-places; all.Done() }()
-			p.out, p.err = a.play(p, filepath.Join(dir, strconv.Itoa(i)+".json"))
+			do(i)
 			mu.Lock()
 			defer mu.Unlock()
 			done++
-			fmt.Fprintf(os.Stderr, "\r%d of %d days", done, len(plays))
+			fmt.Fprintf(os.Stderr, "\r%s%d of %d days", name, done, n)
 		}()
 	}
 	all.Wait()
 	fmt.Fprintln(os.Stderr)
-	return nil
 }
 
-// play plays one day and reads its report.
-func (a *arguments) play(p *play, file string) (*report, error) {
-	args := []string{"run", a.Site, p.day, "--report", file, "--jobs", "1", "--why", a.Why}
-	if p.seed > 0 {
-		args = append(args, "--seed", strconv.Itoa(p.seed))
+// play plays one day in a folder that holds the project, and reads its report.
+func (a *arguments) play(dir, day string, seed int, file string) (*report, error) {
+	args := []string{"run", a.Site, day, "--report", file, "--jobs", "1", "--why", a.Why}
+	if seed > 0 {
+		args = append(args, "--seed", strconv.Itoa(seed))
 	}
 	if a.Small {
 		args = append(args, "--small")
@@ -173,7 +181,9 @@
 	if !a.Cost {
 		args = append(args, "--no-cpu")
 	}
-	out, err := exec.Command(a.Bench, args...).CombinedOutput()
+	cmd := exec.Command(a.Bench, args...)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
 	r, rerr := readReport(file)
 	if rerr != nil {
 		return nil, cmp.Or(err, rerr, fmt.Errorf("%s", strings.TrimSpace(string(out))))
--- a/internal/rounds/ways.go
+++ b/internal/rounds/ways.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 )
 
 // trial is one day of one way, at one deployment and on one seed.
@@ -90,50 +89,17 @@
 			fmt.Fprintln(os.Stderr, err)
 		}
 	}()
-	places := make(chan struct{}, x.jobs)
-	var all sync.WaitGroup
-	var mu sync.Mutex // guards done
-	done := 0
-	for _, t := range list {
-		places <- struct{}{}
-		all.Add(1)
-		go func() {
-			defer func() { <-places; all.Done() }()
-			one := *a
-			one.Site, one.Small, one.Why = filepath.Join(a.Sites, t.entry.site), t.entry.small, a.Why+": "+w.name
-			err := one.playIn(dir, t, filepath.Join(a.Out, x.id(w, t.entry, t.day, t.seed)))
-			mu.Lock()
-			defer mu.Unlock()
-			done++
-			if err != nil {
-				fmt.Fprintf(os.Stderr, "\n%s, %s, %s, seed %d: %v\n", w.name, t.entry.name, t.day, t.seed, err)
-			}
-			fmt.Fprintf(os.Stderr, "\r%s: %d of %d days", w.name, done, len(list))
-		}()
-	}
-	all.Wait()
-	fmt.Fprintln(os.Stderr)
+	atOnce(len(list), x.jobs, w.name+": ", func(i int) {
+		t := list[i]
+		one := *a
+		one.Site, one.Small, one.Why = filepath.Join(a.Sites, t.entry.site), t.entry.small, a.Why+": "+w.name
+		if _, err := one.play(dir, t.day, t.seed, filepath.Join(a.Out, x.id(w, t.entry, t.day, t.seed))); err != nil {
+			fmt.Fprintf(os.Stderr, "\n%s, %s, %s, seed %d: %v\n", w.name, t.entry.name, t.day, t.seed, err)
+		}
+	})
 	return keepJournal(dir)
 }
 
-// playIn plays one day in a folder and keeps its report.
-func (a *arguments) playIn(dir string, t todo, report string) error {
-	args := []string{"run", a.Site, t.day, "--report", report, "--jobs", "1", "--seed", fmt.Sprint(t.seed), "--why", a.Why}
-	if a.Small {
-		args = append(args, "--small")
-	}
-	if !a.Cost {
-		args = append(args, "--no-cpu")
-	}
-	cmd := exec.Command(a.Bench, args...)
-	cmd.Dir = dir
-	out, err := cmd.CombinedOutput()
-	if _, rerr := readReport(report); rerr != nil { // a broken rule ends with a status of its own
-		return errors.Join(err, fmt.Errorf("%.400s", out))
-	}
-	return nil
-}
-
 // template is the settings file that a way's settings are added to.
 const template = "deploy/vm.ini"
 
--- a/relay/evacuated.go
+++ b/relay/evacuated.go
@@ -16,14 +16,28 @@
 	since time.Time // when this VM has heard of it
 }
 
-// rampFor is how long the load of a data centre takes to move to the others after its
-// evacuation was heard of. Bounds are seconds, and words take milliseconds; all of it
-// at once would meet engines that have not been sent the shared parts of its prompts.
-const rampFor = time.Second
+// The load of a data centre moves to the others over a while after its evacuation was
+// heard of: all of it at once would meet engines that have not been sent the shared parts
+// of its prompts.
+const (
+	// rampPart is the part of the bound of an evacuation that this takes: half of the
+	// bound may pass before a watch that was cut is made again.
+	rampPart = 5 // divided
+	// rampMost bounds it: longer saves nothing.
+	rampMost = time.Second
+)
+
+// ramp returns how long the load of a data centre takes to move.
+func (r *Relay) ramp() time.Duration {
+	if r.opts.Evacuation <= 0 {
+		return rampMost
+	}
+	return min(r.opts.Evacuation/rampPart, rampMost)
+}
 
 // moved returns the part of the load that has moved away.
-func (e evacuation) moved(now time.Time) float64 {
-	return min(max(float64(now.Sub(e.since))/float64(rampFor), 0), 1)
+func (e evacuation) moved(ramp time.Duration, now time.Time) float64 {
+	return min(max(float64(now.Sub(e.since))/float64(ramp), 0), 1)
 }
 
 // SetEvacuated takes in all data centres whose upstreams are to get nothing more. What
@@ -98,7 +112,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(ids), func(id contract.PoolID) bool {
 		e, ok := r.evacuated[r.centreOf[id]]
-		moved := e.moved(now)
+		moved := e.moved(r.ramp(), now)
 		return ok && (moved == 1 || when < moved)
 	})
 }
--- a/relay/evacuated_test.go
+++ b/relay/evacuated_test.go
@@ -26,7 +26,7 @@
 	return r
 }
 
-// TestEvacuationIsARamp checks that the load of a data centre moves over rampFor, that
+// TestEvacuationIsARamp checks that the load of a data centre moves over rampMost, that
 // a request which has moved stays so, and that none is left after it.
 func TestEvacuationIsARamp(t *testing.T) {
 	is := is.New(t)
@@ -56,12 +56,23 @@
 		return count
 	}
 	is.Equal(at(0), 0)
-	half := at(rampFor / 2)
+	half := at(rampMost / 2)
 	is.True(half > 4*n/10 && half < 6*n/10)
-	is.Equal(at(rampFor), n)
+	is.Equal(at(rampMost), n)
 	r.SetEvacuated(nil)
 	clear(moved)
-	is.Equal(at(rampFor), 0)
+	is.Equal(at(rampMost), 0)
+}
+
+// TestRampFitsTheBound checks that the ramp leaves four fifths of a short bound.
+func TestRampFitsTheBound(t *testing.T) {
+	is := is.New(t)
+	r := testRelay()
+	is.Equal(r.ramp(), rampMost)
+	r.opts.Evacuation = 2 * time.Second
+	is.Equal(r.ramp(), 400*time.Millisecond)
+	r.opts.Evacuation = time.Minute
+	is.Equal(r.ramp(), rampMost)
 }
 
 // TestEvacuatedAndCutOff checks that a VM cut off from all but its own data centre says
@@ -74,7 +85,7 @@
 	r.note()
 	is.True(r.alone.IsZero())
 	r.SetEvacuated([]contract.DataCentreID{"d"})
-	now = now.Add(rampFor)
+	now = now.Add(rampMost)
 	r.locked(func() { r.table.Reached("e", false, now) })
 	r.note()
 	now = now.Add(aloneFor)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,9 @@
 	Sent func(Sent)
 	// Group returns of which upstreams other VMs tell. May be nil: of none.
 	Group func() upstream.Group
+	// Evacuation is how soon the upstreams of a data centre that is evacuated get
+	// nothing more; zero where there is no bound.
+	Evacuation time.Duration
 	// WorthOfCost is what a request of the first rank is worth, in what the dearest
 	// model's answer to it costs; zero means DefaultWorthOfCost.
 	WorthOfCost float64
