--- a/entry/bills.go
+++ b/entry/bills.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -72,7 +73,7 @@
 		s.locked(func() { s.bills.Copied(r) })
 		return nil
 	}
-	s.log.Warn("bill-at-risk", append(logs.Failure(err), zap.String("request", string(r.ID)), zap.Int64("amount", int64(r.Amount)), zap.Int("keepers", len(s.keepers())))...)
+	s.log.Warn("bill-at-risk", append(logs.Failure(err), zap.String("request", string(r.ID)), zap.Int64("amount", int64(r.Amount)))...)
 	if req.workspace.Bill == config.BillServe {
 		return nil
 	}
@@ -88,7 +89,8 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
 	defer cancel()
 	var ways []func() error
-	for _, m := range s.keepers() {
+	keepers := s.keepers()
+	for _, m := range keepers {
 		ways = append(ways, func() error { return s.copyTo(ctx, m, records) })
 	}
 	ways = append(ways, func() error { return s.file(ctx, records) })
@@ -116,7 +118,7 @@
 			hedge.Reset(0)
 		}
 	}
-	return failed
+	return fmt.Errorf("%d keepers asked: %w", len(keepers), failed)
 }
 
 func (s *Server) copyTo(ctx context.Context, m vm.Member, records protocol.Records) error {
--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -60,3 +60,17 @@
 	lines.Close(10 * time.Millisecond)
 	_ = w.Close()
 }
+
+// TestFieldThatCannotBeEncoded checks that a field which the encoder cannot write costs
+// the line its fields, and not whoever logs its request.
+func TestFieldThatCannotBeEncoded(t *testing.T) {
+	is := is.New(t)
+	type name string
+	var out strings.Builder
+	log := New(&out, zap.String("vm", "v"))
+	log.Info("refused", zap.Any("names", []name{"a"}))
+	log.Info("delivered")
+	is.True(strings.Contains(out.String(), "event=refused"))
+	is.True(strings.Contains(out.String(), "fields_left_out="))
+	is.True(strings.Contains(out.String(), "event=delivered vm=v"))
+}
--- a/relay/evacuated_test.go
+++ b/relay/evacuated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/logs"
 	"woaddoor/reading"
 	"woaddoor/upstream"
 )
@@ -123,3 +125,18 @@
 	is.Equal(told(1), 0)
 	is.Equal(told(2), 3000)
 }
+
+// TestRefusalTellsOfEvacuations checks that a request which is refused while a data
+// centre is evacuated is logged with it, as lines are written in production.
+func TestRefusalTellsOfEvacuations(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := clocked(&now)
+	var lines strings.Builder
+	r.log = logs.New(&lines)
+	r.SetEvacuated([]contract.DataCentreID{"d", "e"})
+	j := testJob(true)
+	r.finish(j, Refused, noUpstream(j))
+	is.True(strings.Contains(lines.String(), "event=refused"))
+	is.True(strings.Contains(lines.String(), "evacuated=d,e") || strings.Contains(lines.String(), `evacuated="d,e"`) || strings.Contains(lines.String(), "evacuated=\"[d,e]\""))
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -55,7 +55,11 @@
 	}
 	r.locked(func() {
 		if len(r.evacuated) > 0 {
-			fields = append(fields, zap.Any("evacuated", slices.Sorted(maps.Keys(r.evacuated))))
+			var centres []string
+			for _, dc := range slices.Sorted(maps.Keys(r.evacuated)) {
+				centres = append(centres, string(dc))
+			}
+			fields = append(fields, zap.Strings("evacuated", centres))
 		}
 		fields = append(fields, zap.Int("upstreams", len(r.entries)), zap.Int("upstreams_cold", r.table.Cold(r.opts.Now())), zap.Int("vms", r.opts.VMs()),
 			zap.Float64("budget_left", round(r.budget(j.service).Left(r.opts.VMs(), r.opts.Now()))))
