--- a/relay/evacuated.go
+++ b/relay/evacuated.go
@@ -52,7 +52,7 @@
 		e, known := was[dc]
 		if !known {
 			e = evacuation{since: now}
-			r.log.Info("evacuation-begins", zap.String("data_centre", string(dc)), zap.Int("running", r.runningAt(dc)))
+			r.log.Info("evacuation-begins", zap.String("data_centre", string(dc)), zap.Int("running", r.table.Running(dc)))
 		}
 		r.evacuated[dc] = e
 	}
@@ -65,10 +65,6 @@
 	r.logCold()
 }
 
-// runningAt returns how many requests of this VM run at the upstreams of a data
-// centre. The caller holds mu.
-func (r *Relay) runningAt(dc contract.DataCentreID) int { return r.table.Running(dc) }
-
 // Evacuated is what a VM tells of a data centre that is evacuated.
 type Evacuated struct {
 	DataCentre contract.DataCentreID
@@ -85,7 +81,7 @@
 	now := r.opts.Now()
 	var out []Evacuated
 	for dc, e := range r.evacuated {
-		out = append(out, Evacuated{dc, now.Sub(e.since), r.runningAt(dc)})
+		out = append(out, Evacuated{dc, now.Sub(e.since), r.table.Running(dc)})
 	}
 	return out
 }
@@ -121,29 +117,3 @@
 func part(id contract.RequestID) float64 {
 	return float64(xxhash.Sum64String(string(id))) / math.MaxUint64
 }
-
-// logCold says which upstreams are taken to be cold now. The caller holds mu.
-func (r *Relay) logCold() {
-	for _, c := range r.table.Chilled() {
-		r.log.Info("upstreams-cold", zap.String("why", c.Why), zap.Int("count", len(c.Upstreams)), zap.Duration("for", c.For),
-			zap.Strings("upstreams", idsOf(c.Upstreams)))
-	}
-}
-
-// idsLogged bounds how many upstreams one line names.
-const idsLogged = 64
-
-func idsOf(ids []contract.UpstreamID) []string {
-	out := make([]string, 0, min(len(ids), idsLogged))
-	for _, id := range ids[:min(len(ids), idsLogged)] {
-		out = append(out, string(id))
-	}
-	return out
-}
-
-// Cold returns how many upstreams are taken to be cold.
-func (r *Relay) Cold() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.table.Cold(r.opts.Now())
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,14 +72,6 @@
 	Seed uint64
 }
 
-// ColdBounds bound what a cold upstream gets from all VMs together in any second, from
-// what it bears a second. The zero value bounds nothing beyond that.
-type ColdBounds struct {
-	// Overshoot is the part of what it bears, and Slack the number of requests
-	// besides.
-	Overshoot, Slack float64
-}
-
 // Relay is the request path of one VM.
 type Relay struct {
 	opts    *Options
@@ -230,16 +222,6 @@
 	byRelease[e.Release] = append(byRelease[e.Release], id)
 }
 
-// of returns what an upstream of a service may get while it is cold.
-func (b ColdBounds) of(s *route.Service) upstream.ColdBound {
-	if s == nil || s.Cold.PerSecond <= 0 {
-		return upstream.ColdBound{}
-	}
-	return upstream.ColdBound{
-		For: s.Cold.For, Bears: s.Cold.PerSecond, Most: s.Cold.PerSecond*max(b.Overshoot, 1) + b.Slack,
-	}
-}
-
 // lives tells whether an upstream is still in the life in which it was met. What is
 // told of an earlier one says nothing of this one. The caller holds mu.
 func (r *Relay) lives(id contract.UpstreamID, born int64) bool {
