site: few VMs of a data centre ask the store for callers, one after the other

Cause: with processor time counted, 281 VMs that started together each read the first part of the list (80 pages of 500 objects a second is what the store served): the last had it 4 s after the start. Change: while callers wait, VMs of a data centre ask by their places, 0.1 s apart, 1 s at the most; one that knows no other by a place it draws, 5 ms apart. A VM that reads a list goes on without a pause unless it is told.

--- a/site/duty.go
+++ b/site/duty.go
@@ -48,6 +48,8 @@
 	// Near is its place in its data centre, DataCentre that of its data centre
 	// among those that share a watcher; both from 0.
 	Near, DataCentre int
+	// Alone tells that no other VM of its data centre has answered it yet.
+	Alone bool
 }
 
 const (
@@ -81,6 +83,29 @@
 	return t.Step*time.Duration(steps) + dataCentreStep*time.Duration(p.DataCentre)
 }
 
+// Places among VMs that start together while callers wait.
+const (
+	// wantedStep is what each waits for the one before it: a short list is read and
+	// told within it. A store served 80 pages of 500 objects a second: 281 VMs that
+	// each read 3,000 upstreams at once had them after 4 s and more.
+	wantedStep = 100 * time.Millisecond
+	// wantedPlaces is how many wait for each other, and from how many places a VM draws
+	// its own that does not know the others.
+	wantedPlaces = 10
+	// aloneStep takes the place of wantedStep for a VM that knows no other yet: its
+	// first caller is served within firstWait.
+	aloneStep = 5 * time.Millisecond
+)
+
+// wantedWait returns what a VM waits for others of its data centre that callers come to
+// as well, before it asks the store.
+func (p Place) wantedWait(drawn int) time.Duration {
+	if p.Alone {
+		return aloneStep * time.Duration(drawn)
+	}
+	return wantedStep * time.Duration(min(p.Near, wantedPlaces))
+}
+
 // Duty decides whether this VM watches a kind of the store's objects for the
 // others, or goes by what they tell. It is a pure state machine; its owner locks
 // it.
@@ -95,8 +120,11 @@
 	// asks is from when on a VM that knows nothing asks the store, but for its
 	// place: zero for one that expects nobody to tell it.
 	asks time.Time
-	// wanted tells that callers wait for what this VM does not know.
-	wanted bool
+	// wanted is since when callers wait for what this VM does not know; zero while
+	// none does. drawn is its place among those that ask for them while it does not
+	// know the others.
+	wanted time.Time
+	drawn  int
 	// fresh is when the store last said that nothing newer is there, to whichever
 	// VM.
 	fresh time.Time
@@ -124,16 +152,17 @@
 // Due returns after when this VM is to ask the store, unless it is told before.
 func (d *Duty) Due(known bool, p Place) time.Time {
 	switch {
-	case !known && d.wanted:
-		return time.Time{}
+	case !known && !d.wanted.IsZero():
+		return d.wanted.Add(p.wantedWait(d.drawn))
 	case !known:
 		return d.asks.Add(p.wait(d.timing))
 	}
 	return d.fresh.Add(d.timing.Stale + p.wait(d.timing))
 }
 
-// Wanted notes that callers wait for what this VM may not know.
-func (d *Duty) Wanted() { d.wanted = true }
+// Wanted notes that callers wait for what this VM may not know. drawn is its place among
+// those that ask the store for them, as long as it does not know the others.
+func (d *Duty) Wanted(drawn int, now time.Time) { d.wanted, d.drawn = now, drawn }
 
 // Asked notes how this VM's own question ended.
 func (d *Duty) Asked(ok bool, now time.Time) {
--- a/site/duty_test.go
+++ b/site/duty_test.go
@@ -285,3 +285,27 @@
 	}
 	return n
 }
+
+// TestFewAskForCallers replays 100 VMs of a data centre that start together while
+// callers wait: one asks the store at once, and the others after it by their places, so
+// that a long list is read by few before it is told. VMs that know nobody yet are spread.
+func TestFewAskForCallers(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	asked := func(alone bool, within time.Duration) int {
+		n := 0
+		for place := range 100 {
+			d := NewDuty(Watcher{VM: "v"}, testTiming, start.Add(time.Hour))
+			d.Wanted(place%wantedPlaces, start)
+			if d.Watches(false, Place{Near: place, Alone: alone}, start.Add(within)) {
+				n++
+			}
+		}
+		return n
+	}
+	const soon = time.Millisecond
+	is.Equal(asked(false, soon), 1)
+	is.Equal(asked(false, 3*wantedStep+soon), 4)
+	is.Equal(asked(true, soon), 10)
+	is.Equal(asked(false, wantedPlaces*wantedStep+soon), 100) // none waits for longer
+}
--- a/site/first_test.go
+++ b/site/first_test.go
@@ -15,22 +15,28 @@
 // use does not read the rest once another VM has told it all.
 func TestRestIsNotReadWhenTold(t *testing.T) {
 	is := is.New(t)
-	early := 0
+	early, told := 0, func() {}
 	f := &follower[Evacuation]{
 		source: namedSource{}, log: zap.NewNop(), registry: metrics.NewRegistry(), ledger: NewLedger("k"), duty: NewDuty(Watcher{VM: "v"}, testTiming, time.Time{}),
 		malformed: make(map[string]string), apply: func(Changes[Evacuation], bool) {}, reached: func(bool) {}, now: time.Now,
 	}
 	f.early = func(c Changes[Evacuation]) {
 		early += len(c.Items)
-		go f.feed(Delta{Kind: "k", Full: true, At: 5, Items: []Raw{{Name: "a", Revision: 1}, {Name: "b", Revision: 2}}}, Have{At: 5}, "peer")
+		told = func() {
+			f.feed(Delta{Kind: "k", Full: true, At: 5, Items: []Raw{{Name: "a", Revision: 1}, {Name: "b", Revision: 2}}}, Have{At: 5}, "peer")
+		}
 	}
 	part := Changes[Evacuation]{Revision: 4, Items: []Item[Evacuation]{asked("a", 1)}}
-	is.True(!f.page(context.Background(), part, true))
+	is.True(f.page(part, true))
 	is.Equal(early, 1)
+	told()
+	is.True(!f.page(part, true))
 	at, known := f.have()
 	is.True(known)
 	is.Equal(int(at), 5)
-	is.True(f.page(context.Background(), part, true)) // a list that is read again is read whole
+	f.relist = true
+	is.True(f.page(part, true)) // a list that is read again is read whole
+	is.Equal(early, 1)
 }
 
 // TestEnoughIsNoFailure checks that a list of which the rest was not wanted does not
--- a/site/follow.go
+++ b/site/follow.go
@@ -33,6 +33,8 @@
 	// been frozen soon after it wakes.
 	lookAgain = 50 * time.Millisecond
 	lookMost  = 500 * time.Millisecond
+	// lookLeast is the same at the least.
+	lookLeast = 2 * time.Millisecond
 	// pauseMin and pauseMax bound the pause after a failed call: refused calls
 	// are paid for, and a configuration has to be known within seconds of the
 	// store's return.
@@ -64,6 +66,9 @@
 	now             func() time.Time
 	// wanted is closed when callers wait for what this VM does not know.
 	wanted <-chan struct{}
+	// drawn is this VM's place among those that ask for callers while it knows no
+	// other VM, the same for all kinds.
+	drawn int
 
 	// failed is the number of calls that failed in a row; only run uses it.
 	failed int
@@ -110,7 +115,7 @@
 func (f *follower[T]) rest(ctx context.Context) {
 	f.mu.Lock()
 	wanted := f.wanted
-	if f.duty.wanted {
+	if !f.duty.wanted.IsZero() {
 		wanted = nil // noted already
 	}
 	f.mu.Unlock()
@@ -118,7 +123,7 @@
 	case <-ctx.Done():
 	case <-wanted:
 		f.mu.Lock()
-		f.duty.Wanted()
+		f.duty.Wanted(f.drawn, f.now())
 		f.mu.Unlock()
 	case <-time.After(f.idle()):
 	}
@@ -162,10 +167,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, known := f.ledger.At()
-	if !known {
-		return lookAgain // its place changes as it meets others, and callers wait
+	due := f.duty.Due(known, place).Sub(f.now())
+	if !known { // its place changes as it meets others, and callers may wait
+		return min(max(due, lookLeast), lookAgain)
 	}
-	return min(max(f.duty.Due(known, place).Sub(f.now()), lookAgain), lookMost)
+	return min(max(due, lookAgain), lookMost)
 }
 
 // pauseAfter returns the pause after n failed calls, spread so that VMs do not
@@ -179,7 +185,7 @@
 func (f *follower[T]) step(ctx context.Context) error {
 	at, known := f.have()
 	if !known || f.relist {
-		c, err := f.source.List(ctx, func(c Changes[T], more bool) bool { return f.page(ctx, c, more) })
+		c, err := f.source.List(ctx, f.page)
 		f.reached(err == nil || errors.Is(err, ErrEnough))
 		switch {
 		case errors.Is(err, ErrEnough):
@@ -208,26 +214,17 @@
 	return nil
 }
 
-// restMost bounds how long a VM that knows nothing waits, with the first part of a long
-// list in use, before it reads the rest: where all VMs start together, one that reads it
-// whole tells the others. With 281 VMs before 3,000 upstreams, each of which read all
-// 1.3 MB at once, none had the list before 1.1 s.
-const restMost = 1500 * time.Millisecond
-
-// page takes in a part of the first list, and tells whether the rest is wanted.
-func (f *follower[T]) page(ctx context.Context, c Changes[T], more bool) bool {
-	if _, known := f.have(); known || !more {
-		return true
-	}
+// page takes in a part of the first list, and tells whether the rest is wanted: not when
+// another VM has told all of it meanwhile.
+func (f *follower[T]) page(c Changes[T], more bool) bool {
 	f.mu.Lock()
-	f.early(c)
-	f.mu.Unlock()
-	f.log.Info("first-part", zap.String("kind", f.source.Name()), zap.Int("objects", len(c.Items)))
-	for end := f.now().Add(rand.N(restMost)); f.now().Before(end) && ctx.Err() == nil; {
-		clock.Pause(ctx, lookAgain)
-		if _, known := f.have(); known {
-			return false
-		}
+	defer f.mu.Unlock()
+	if _, known := f.ledger.At(); known {
+		return f.relist
+	}
+	if more {
+		f.early(c)
+		f.log.Info("first-part", zap.String("kind", f.source.Name()), zap.Int("objects", len(c.Items)))
 	}
 	return true
 }
--- a/site/site.go
+++ b/site/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	// wanted once a caller's request came before.
 	ready, wanted       chan struct{}
 	readyOnce, wantOnce sync.Once
+	// drawn is this VM's place among those that start together and know no other.
+	drawn int
 	// notes are what is to be written of orders; only tick uses them.
 	notes map[noteKey]*note
 
@@ -73,6 +76,7 @@
 	return &Site{
 		opts: opts, log: opts.Log, listing: NewListing(), woken: make(chan struct{}, 1),
 		ready: make(chan struct{}), wanted: make(chan struct{}),
+		drawn: rand.IntN(wantedPlaces),
 		notes: make(map[noteKey]*note), evacuated: make(map[string]evacuated),
 	}
 }
@@ -278,8 +282,8 @@
 	return &follower[T]{
 		malformed: make(map[string]string), early: func(Changes[T]) {},
 		source: source, log: s.log, registry: s.opts.Registry, apply: apply, reached: reached, ledger: NewLedger(source.Name()),
-		wanted: s.wanted,
-		duty:   NewDuty(s.opts.Peers.Watcher(), source.Timing(), asks),
-		place:  s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, confirmed: func() { s.opts.Peers.Confirmed(ctx) }, now: s.opts.Now,
+		wanted: s.wanted, drawn: s.drawn,
+		duty:  NewDuty(s.opts.Peers.Watcher(), source.Timing(), asks),
+		place: s.opts.Peers.Place, news: func() { s.opts.Peers.News(ctx) }, confirmed: func() { s.opts.Peers.Confirmed(ctx) }, now: s.opts.Now,
 	}
 }
--- a/site/view.go
+++ b/site/view.go
@@ -122,7 +122,7 @@
 // its region. The caller holds mu.
 func (p *Peers) placeIn(v *view) Place {
 	self := p.table.Self().VM
-	place := Place{Near: slices.IndexFunc(v.ranked, func(m vm.Member) bool { return m.VM == self })}
+	place := Place{Alone: len(v.near) == 0 && p.Expected(), Near: slices.IndexFunc(v.ranked, func(m vm.Member) bool { return m.VM == self })}
 	for dc := range v.far {
 		if dc < p.dc && p.sameRegion(dc) {
 			place.DataCentre++
