cascade: the replay of repeats holds the price apart from its end

Cause: the mutant without the gradual price passed: at a budget that is used up the largest model answers at once, which alone lets no poor answer stand.

--- a/cascade/repeats_test.go
+++ b/cascade/repeats_test.go
@@ -57,14 +57,18 @@
 
 // TestRepeatsWhereTheyGainMost replays a budget of repeats that is smaller than the
 // poor answers. Given to whoever comes first, many poor answers stand; with a price few
-// do, and the mean request is worth more. Where the budget is ample, both are the same.
+// do, and the mean request is worth more, also than where repeats are free until the
+// budget has been used up. Where the budget is ample, both are the same.
 func TestRepeatsWhereTheyGainMost(t *testing.T) {
 	is := is.New(t)
 	free := func(float64) float64 { return 0 }
+	atEnd := func(used float64) float64 { return RepeatPrice(used, 0) } // no price until it is used up
 	dear := func(used float64) float64 { return RepeatPrice(used, DefaultRepeatPrice) }
 	for _, allowed := range []float64{0.2, 0.3, 0.4} {
 		poorFree, worthFree := standing(allowed, free)
 		poor, worth := standing(allowed, dear)
+		_, worthAtEnd := standing(allowed, atEnd)
+		is.True(worth > worthAtEnd+0.005)
 		is.True(poorFree > 0.05)
 		is.True(poor < poorFree/2)
 		is.True(worth > worthFree)
