--- a/command/explain.go
+++ b/command/explain.go
@@ -49,7 +49,10 @@
 	if err != nil {
 		return err
 	}
-	return explain.Losses(s.out, lines)
+	if err := explain.Losses(s.out, lines); err != nil {
+		return err
+	}
+	return explain.Models(s.out, lines)
 }
 
 // changesCmd tells what changed from log lines.
