--- a/cascade/repeats.go
+++ b/cascade/repeats.go
@@ -13,13 +13,14 @@
 )
 
 // RepeatPrice returns what giving an answer up for another costs the requests that will
-// want the same, by the part of the budget of repeats that is used, and at the most.
-// Where all poor
-// answers were given up until the budget had run out, 6% of all answers were poor and
-// stood. By its price the repeats go to the requests that gain most: a chat, for which
-// the largest model costs little, has it answer at once, and leaves its repeat to a
-// summary, for which that costs a third of its worth.
-// Without end at a budget that is used up: the answer that is given up would stand.
+// want the same, by the part of the budget of repeats that is used; most is the price
+// just before it is used up. Then it is without end: the answer that is given up would
+// have to stand.
+//
+// Where all poor answers were given up until the budget had run out, 6% of all answers
+// were poor and stood. By its price the repeats go to the requests that gain most: a chat,
+// for which the largest model costs little, has it answer at once, and leaves its repeat
+// to a summary, for which that costs a third of its worth.
 func RepeatPrice(used, most float64) float64 {
 	if used >= 1 {
 		return math.Inf(1)
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -11,8 +11,8 @@
 // ColdBounds bound what a cold upstream gets from all VMs together in any second, from
 // what it bears a second. The zero value bounds nothing beyond that.
 type ColdBounds struct {
-	// Overshoot is the part of what it bears, and Slack the number of requests
-	// besides.
+	// Overshoot is how many times what it bears, at least 1, and Slack how many requests
+	// more.
 	Overshoot, Slack float64
 }
 
