internal/rounds: one plan of what an experiment plays

Cause: read again: the same three loops stood twice, for what is missing and for what is read. plan() is both; behaviour and reports' names are the same. Measured: go test ./internal/rounds, all assertions as they were.

--- a/internal/rounds/experiment.go
+++ b/internal/rounds/experiment.go
@@ -112,13 +112,13 @@
 	return e
 }
 
-// id names a way, a deployment, a day and a seed in the folder of reports.
-func (x *experiment) id(w way, e entry, day string, seed int) string {
+// id names the report of a way's day in the folder of reports.
+func (x *experiment) id(w way, p planned) string {
 	name := strings.Map(func(c rune) rune {
 		if c == ' ' || c == '/' {
 			return '-'
 		}
 		return c
-	}, w.name+"."+e.name+"."+day)
-	return fmt.Sprintf("%s.%d.json", name, seed)
+	}, w.name+"."+p.entry.name+"."+p.day)
+	return fmt.Sprintf("%s.%d.json", name, p.seed)
 }
--- a/internal/rounds/experiment_test.go
+++ b/internal/rounds/experiment_test.go
@@ -37,7 +37,7 @@
 	is.Equal(x.ways[0], way{name: landed})
 	is.Equal(x.ways[1], way{"dearer", []string{"worth-of-cost = 30"}})
 	is.Equal(x.deployments, []entry{{name: "further", site: "further/x.toml"}})
-	is.Equal(x.id(x.ways[0], x.deployments[0], "quiet-1", 1), "as-it-stands.further.quiet-1.1.json")
+	is.Equal(x.id(x.ways[0], planned{x.deployments[0], "quiet-1", 1}), "as-it-stands.further.quiet-1.1.json")
 }
 
 // TestExperimentFaults checks that bad input names file, line and key.
@@ -69,7 +69,7 @@
 	is.NoErr(err)
 	out := t.TempDir()
 	is.Equal(len(x.missing(out, x.ways[0])), 4)
-	is.NoErr(os.WriteFile(filepath.Join(out, x.id(x.ways[0], x.deployments[0], "quiet-1", 2)), []byte("{}"), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(out, x.id(x.ways[0], planned{x.deployments[0], "quiet-1", 2})), []byte("{}"), 0o600))
 	is.Equal(len(x.missing(out, x.ways[0])), 3)
 	is.Equal(len(x.missing(out, x.ways[1])), 4)
 }
--- a/internal/rounds/ways.go
+++ b/internal/rounds/ways.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -34,52 +35,56 @@
 
 // runWay plays all of one way in a copy of the commit that is checked out.
 func (a *arguments) runWay(x *experiment, w way) ([]trial, error) {
-	todo := x.missing(a.Out, w)
-	if len(todo) > 0 {
-		if err := a.playAll(x, w, todo); err != nil {
+	if missing := x.missing(a.Out, w); len(missing) > 0 {
+		if err := a.playAll(x, w, missing); err != nil {
 			return nil, fmt.Errorf("way %s: %w", w.name, err)
 		}
 	}
 	var trials []trial
 	var failed error
-	for _, e := range x.deployments {
-		for _, day := range x.days {
-			for seed := range x.seeds {
-				r, err := readReport(filepath.Join(a.Out, x.id(w, e, day, seed+1)))
-				if err != nil {
-					failed = errors.Join(failed, fmt.Errorf("way %s, %s, %s, seed %d: not played: %w", w.name, e.name, day, seed+1, err))
-					continue
-				}
-				trials = append(trials, trial{w.name, e.name, day, seed + 1, r})
-			}
+	for _, p := range x.plan() {
+		r, err := readReport(filepath.Join(a.Out, x.id(w, p)))
+		if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("way %s, %s: not played: %w", w.name, p, err))
+			continue
 		}
+		trials = append(trials, trial{w.name, p.entry.name, p.day, p.seed, r})
 	}
 	return trials, failed
 }
 
-// todo is one day that has not been played.
-type todo struct {
+// planned is one day that each way plays.
+type planned struct {
 	entry entry
 	day   string
 	seed  int
 }
 
-func (x *experiment) missing(out string, w way) []todo {
-	var list []todo
+func (p planned) String() string { return fmt.Sprintf("%s, %s, seed %d", p.entry.name, p.day, p.seed) }
+
+// plan returns all days that each way plays.
+func (x *experiment) plan() []planned {
+	var list []planned
 	for _, e := range x.deployments {
 		for _, day := range x.days {
 			for seed := range x.seeds {
-				if _, err := os.Stat(filepath.Join(out, x.id(w, e, day, seed+1))); err != nil {
-					list = append(list, todo{e, day, seed + 1})
-				}
+				list = append(list, planned{e, day, seed + 1})
 			}
 		}
 	}
 	return list
 }
 
+// missing returns the days of a way that have no report yet.
+func (x *experiment) missing(out string, w way) []planned {
+	return slices.DeleteFunc(x.plan(), func(p planned) bool {
+		_, err := os.Stat(filepath.Join(out, x.id(w, p)))
+		return err == nil
+	})
+}
+
 // playAll plays days of a way, a few at a time, and shows how far it is.
-func (a *arguments) playAll(x *experiment, w way, list []todo) error {
+func (a *arguments) playAll(x *experiment, w way, list []planned) error {
 	dir, err := a.copyFor(w)
 	if err != nil {
 		return err
@@ -90,11 +95,11 @@
 		}
 	}()
 	atOnce(len(list), x.jobs, w.name+": ", func(i int) {
-		t := list[i]
+		p := list[i]
 		one := *a
-		one.Site, one.Small, one.Why = filepath.Join(a.Sites, t.entry.site), t.entry.small, a.Why+": "+w.name
-		if _, err := one.play(dir, t.day, t.seed, filepath.Join(a.Out, x.id(w, t.entry, t.day, t.seed))); err != nil {
-			fmt.Fprintf(os.Stderr, "\n%s, %s, %s, seed %d: %v\n", w.name, t.entry.name, t.day, t.seed, err)
+		one.Site, one.Small, one.Why = filepath.Join(a.Sites, p.entry.site), p.entry.small, a.Why+": "+w.name
+		if _, err := one.play(dir, p.day, p.seed, filepath.Join(a.Out, x.id(w, p))); err != nil {
+			fmt.Fprintf(os.Stderr, "\n%s, %s: %v\n", w.name, p, err)
 		}
 	})
 	return keepJournal(dir)
