upstream, relay: what upstreams say of themselves in answers is remembered and told

Nothing that is decided changes yet. Lines upstream-leaves, upstream-rests, upstream-rest-ends, word-not-understood, with life, request and time; counters of sends to upstreams that want none.

--- a/contract/ids.go
+++ b/contract/ids.go
@@ -44,6 +44,14 @@
 // UpstreamID names one upstream: a replica of an engine or of a plain service.
 type UpstreamID string
 
+// Life is one life of an upstream: it may start again under its id, and is another then.
+// What was said of one life says nothing of the next.
+type Life struct {
+	Upstream UpstreamID `cbor:"1,keyasint"`
+	// Born tells lives under one id apart; zero where an id is never used again.
+	Born int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // ServiceID names a plain service.
 type ServiceID string
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -68,6 +68,7 @@
 		version, revision = t.Version, int64(t.Revision)
 	}
 	open, dialed := v.relay.Connections()
+	resting, leaving := v.relay.Resting()
 	line := func(name string, value any) string { return fmt.Sprintf("%s %v", name, value) }
 	return []string{
 		line("caller_connections_open", v.callers.Open()),
@@ -85,6 +86,8 @@
 		line("retry_budget_left_ratio", v.relay.BudgetLeft()),
 		line("upstreams", v.relay.Upstreams()),
 		line("upstreams_cold", v.relay.Cold()),
+		line("upstreams_resting", resting),
+		line("upstreams_say_leaving", leaving),
 		line("upstreams_age_milliseconds", upstreams.Milliseconds()),
 		line("vms", v.peers.Count()),
 	}
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -33,7 +33,7 @@
 func BenchmarkTold(b *testing.B) {
 	table, now := NewTable(), time.Unix(1000, 0)
 	for n := range 4000 {
-		table.End(Print{byte(n), byte(n >> 8)}, About{}, End{Life{"u", 1}, now, now}, now)
+		table.End(Print{byte(n), byte(n >> 8)}, About{}, End{contract.Life{Upstream: "u", Born: 1}, now, now}, now)
 	}
 	now = now.Add(time.Minute)
 	b.ReportAllocs()
--- a/quarantine/doubts.go
+++ b/quarantine/doubts.go
@@ -6,12 +6,6 @@
 	"woaddoor/contract"
 )
 
-// Life is one life of an upstream: it may start again under its id.
-type Life struct {
-	Upstream contract.UpstreamID `cbor:"1,keyasint"`
-	Born     int64               `cbor:"2,keyasint,omitempty"`
-}
-
 // Suspect is a request whose connection broke off at an upstream that may have ended.
 type Suspect struct {
 	Print     Print
@@ -38,7 +32,7 @@
 // ended only when its machine answers that nothing listens there, or when another life
 // has its address. Its owner locks it.
 type Doubts struct {
-	lives map[Life]*doubt
+	lives map[contract.Life]*doubt
 }
 
 type doubt struct {
@@ -49,11 +43,11 @@
 }
 
 // NewDoubts returns no doubts.
-func NewDoubts() *Doubts { return &Doubts{lives: make(map[Life]*doubt)} }
+func NewDoubts() *Doubts { return &Doubts{lives: make(map[contract.Life]*doubt)} }
 
 // Broke takes in that the connection of a request to a life broke off. It tells whether
 // the life is to be tried now, and whether it is known to have ended already.
-func (d *Doubts) Broke(l Life, address string, s Suspect) (try, ended bool) {
+func (d *Doubts) Broke(l contract.Life, address string, s Suspect) (try, ended bool) {
 	known := d.lives[l]
 	if known == nil {
 		known = &doubt{address: address}
@@ -71,7 +65,7 @@
 }
 
 // Ended takes in that a life has ended, and returns the requests that ran there.
-func (d *Doubts) Ended(l Life) []Suspect {
+func (d *Doubts) Ended(l contract.Life) []Suspect {
 	known := d.lives[l]
 	if known == nil || known.ended {
 		return nil
@@ -83,8 +77,8 @@
 
 // Replaced returns the doubted lives that have ended by the list: another life has the
 // address.
-func (d *Doubts) Replaced(at func(address string) (Life, bool)) []Life {
-	var out []Life
+func (d *Doubts) Replaced(at func(address string) (contract.Life, bool)) []contract.Life {
+	var out []contract.Life
 	for l, known := range d.lives {
 		if known.ended {
 			continue
--- a/quarantine/doubts_test.go
+++ b/quarantine/doubts_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"woaddoor/contract"
 )
 
 // TestDoubtsAreSettledOnce follows lives whose connections broke off: each is tried
@@ -14,7 +16,7 @@
 	is := is.New(t)
 	d := NewDoubts()
 	now := time.Unix(1000, 0)
-	one, two := Life{"u1", 1}, Life{"u2", 1}
+	one, two := contract.Life{Upstream: "u1", Born: 1}, contract.Life{Upstream: "u2", Born: 1}
 	suspect := func(id string) Suspect { return Suspect{Route: id, Broke: now} }
 	try, ended := d.Broke(one, "a:1", suspect("1"))
 	is.True(try && !ended)
@@ -26,11 +28,11 @@
 	is.True(ended) // what breaks off later ran there as well
 
 	d.Broke(two, "b:1", suspect("4"))
-	listed := Life{"u2", 1}
-	at := func(string) (Life, bool) { return listed, true }
+	listed := contract.Life{Upstream: "u2", Born: 1}
+	at := func(string) (contract.Life, bool) { return listed, true }
 	is.Equal(len(d.Replaced(at)), 0) // still there: its connection alone broke off
-	listed = Life{"u2", 2}
-	is.Equal(d.Replaced(at), []Life{two})
+	listed = contract.Life{Upstream: "u2", Born: 2}
+	is.Equal(d.Replaced(at), []contract.Life{two})
 	is.Equal(len(d.Ended(two)), 1)
 	d.Expire(now.Add(doubtFor))
 	is.True(d.Any())
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -106,7 +106,7 @@
 	sent, table := s.now, v.table
 	s.sends = append(s.sends, simulatedSend{s.now, s.now - v.up, s.now - v.cutUntil})
 	s.lives++
-	life := Life{contract.UpstreamID(fmt.Sprint("u", s.lives)), 1}
+	life := contract.Life{Upstream: contract.UpstreamID(fmt.Sprint("u", s.lives)), Born: 1}
 	s.later(rapid.IntRange(20, 300).Draw(s.t, "ran"), func() {
 		s.ends = append(s.ends, s.now)
 		if v.table != table {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -52,7 +52,7 @@
 
 // End is the end of an upstream under a request, by the clock of this VM.
 type End struct {
-	Life
+	contract.Life
 	Sent, Broke time.Time
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -18,7 +18,7 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func end(upstream string, sent, broke int) End {
-	return End{Life{contract.UpstreamID(upstream), 1}, at(sent), at(broke)}
+	return End{contract.Life{Upstream: contract.UpstreamID(upstream), Born: 1}, at(sent), at(broke)}
 }
 
 // TestHeldAfterThree follows a content through three upstreams, each of which it was sent
@@ -74,7 +74,7 @@
 	for _, life := range rapid.SliceOfNDistinct(rapid.IntRange(0, mostEnds-1), 0, mostEnds, rapid.ID[int]).Draw(t, label+"lives") {
 		broke := rapid.IntRange(0, 20).Draw(t, fmt.Sprint(label, "broke", life))
 		out.Ends = append(out.Ends, ToldEnd{
-			Life{contract.UpstreamID(fmt.Sprint("u", life)), 1},
+			contract.Life{Upstream: contract.UpstreamID(fmt.Sprint("u", life)), Born: 1},
 			time.Duration(broke+rapid.IntRange(1, 5).Draw(t, fmt.Sprint(label, "ran", life))) * time.Second, time.Duration(broke) * time.Second,
 		})
 	}
--- a/quarantine/told.go
+++ b/quarantine/told.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"woaddoor/contract"
 )
 
 // Told is what VMs tell each other of one content. Times are ages: clocks differ.
@@ -17,7 +19,7 @@
 
 // ToldEnd is an end as VMs tell each other.
 type ToldEnd struct {
-	Life  Life          `cbor:"1,keyasint"`
+	Life  contract.Life `cbor:"1,keyasint"`
 	Sent  time.Duration `cbor:"2,keyasint"`
 	Broke time.Duration `cbor:"3,keyasint"`
 }
--- a/relay/ends.go
+++ b/relay/ends.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"woaddoor/contract"
 	"woaddoor/exchange"
 	"woaddoor/quarantine"
 	"woaddoor/upstream"
@@ -39,7 +40,7 @@
 	if !j.there && now.Sub(j.sentAt) < thereAfter || !r.mayCrash(e) {
 		return
 	}
-	life := quarantine.Life{Upstream: e.ID, Born: e.Born}
+	life := contract.Life{Upstream: e.ID, Born: e.Born}
 	s := quarantine.Suspect{
 		Print: j.print(), Request: j.ID, Service: j.service, Workspace: j.Workspace, Route: j.Route.Name, Sent: j.sentAt, Broke: now,
 	}
@@ -65,7 +66,7 @@
 }
 
 // tryLife tries the address of an upstream whose connections broke off.
-func (r *Relay) tryLife(l quarantine.Life, address string) {
+func (r *Relay) tryLife(l contract.Life, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), tryWithin)
 	defer cancel()
 	err := exchange.Reach(ctx, address)
@@ -82,11 +83,11 @@
 	if !r.doubts.Any() {
 		return
 	}
-	lives := make(map[string]quarantine.Life, len(r.entries))
+	lives := make(map[string]contract.Life, len(r.entries))
 	for _, e := range r.entries {
-		lives[e.Address] = quarantine.Life{Upstream: e.ID, Born: e.Born}
+		lives[e.Address] = contract.Life{Upstream: e.ID, Born: e.Born}
 	}
-	at := func(address string) (quarantine.Life, bool) {
+	at := func(address string) (contract.Life, bool) {
 		l, ok := lives[address]
 		return l, ok
 	}
@@ -96,7 +97,7 @@
 }
 
 // noteEnds takes in that an upstream has ended under requests. The caller holds mu.
-func (r *Relay) noteEnds(l quarantine.Life, by string, suspects []quarantine.Suspect) {
+func (r *Relay) noteEnds(l contract.Life, by string, suspects []quarantine.Suspect) {
 	for _, s := range suspects {
 		r.suspect(l, s, s.Broke)
 		r.log.Warn("upstream-ended", zap.String("upstream", string(l.Upstream)), zap.Int64("born", l.Born), zap.String("by", by),
--- a/relay/held.go
+++ b/relay/held.go
@@ -50,7 +50,7 @@
 
 // suspect takes in that an upstream ended under a request, and has other VMs told. The
 // caller holds mu.
-func (r *Relay) suspect(l quarantine.Life, s quarantine.Suspect, now time.Time) {
+func (r *Relay) suspect(l contract.Life, s quarantine.Suspect, now time.Time) {
 	about := quarantine.About{Service: s.Service, Workspace: s.Workspace, Route: s.Route, By: r.opts.Self.VM}
 	if !r.cases.End(s.Print, about, quarantine.End{Life: l, Sent: s.Sent, Broke: s.Broke}, now) {
 		return
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -37,6 +37,9 @@
 	whole metrics.Histogram
 	// upstreamsEnded counts the upstreams that ended under requests.
 	upstreamsEnded metrics.Counter
+	// leaves and rests count the answers by which upstreams first said that they leave, or
+	// asked for a longer rest; toLeaving and toResting the sends to such ones.
+	leaves, rests, toLeaving, toResting metrics.Counter
 }
 
 func newMetrics() *Metrics {
@@ -64,6 +67,10 @@
 		whole:       histogram("whole_answer_milliseconds"),
 
 		upstreamsEnded: metrics.NewRegisteredCounter("upstreams_ended_total", r),
+		leaves:         metrics.NewRegisteredCounter("upstream_leaves_total", r),
+		rests:          metrics.NewRegisteredCounter("upstream_rests_total", r),
+		toLeaving:      metrics.NewRegisteredCounter("sends_to_leaving_total", r),
+		toResting:      metrics.NewRegisteredCounter("sends_to_resting_total", r),
 	}
 }
 
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -38,6 +38,7 @@
 		if r.endsLast(j, id, pools, now) {
 			return upstream.Entry{}, lastOne(j)
 		}
+		r.noteSend(id, now)
 		r.table.Sent(id)
 		r.expect(j, id, now)
 		j.release = pools.release
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,6 +15,7 @@
 	"woaddoor/contract"
 	"woaddoor/reading"
 	"woaddoor/route"
+	"woaddoor/upstream"
 )
 
 // Request is one caller's request.
@@ -74,6 +75,10 @@
 	Weights string
 	// Load is what the upstream tells of itself, if it does.
 	Load *Load
+	// Said is what it asks of those that send to it, and Unread why a part of that could
+	// not be understood.
+	Said   upstream.Said
+	Unread error
 }
 
 // Load is what an upstream has to do.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -149,6 +149,7 @@
 	r.table.SetGroup(g)
 	r.table.SetOwners(r.opts.DataCentre, owners)
 	r.table.Level(r.opts.DataCentre, r.opts.Now())
+	r.noteRests(r.opts.Now())
 	r.doubts.Expire(r.opts.Now())
 	r.cases.Expire(r.opts.Now())
 }
--- /dev/null
+++ b/relay/said.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/contract"
+	"woaddoor/upstream"
+)
+
+// hear takes in what the head of an answer says of its upstream, whatever becomes of the
+// answer: of one that is not passed on too.
+func (r *Relay) hear(j *job, h *Head, e upstream.Entry) {
+	if h.Unread != nil {
+		r.log.Warn("word-not-understood", zap.String("upstream", string(e.ID)), zap.String("request", string(j.ID)), zap.Int("status", h.Status), zap.Error(h.Unread))
+	}
+	if h.Said == (upstream.Said{}) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fresh := r.table.TakeWord(lifeOf(e), h.Said, r.opts.Now())
+	fields := []zap.Field{zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("address", e.Address),
+		zap.String("service", string(e.Service)), zap.String("request", string(j.ID)), zap.Int("status", h.Status)}
+	if fresh.Leaving {
+		r.Metrics.leaves.Inc(1)
+		r.log.Info("upstream-leaves", append(fields, zap.Bool("listed_leaving", r.entries[e.ID].Leaving))...)
+	}
+	if fresh.Rest > 0 {
+		r.Metrics.rests.Inc(1)
+		r.log.Info("upstream-rests", append(fields, zap.Duration("for", fresh.Rest))...)
+	}
+}
+
+func lifeOf(e upstream.Entry) contract.Life { return contract.Life{Upstream: e.ID, Born: e.Born} }
+
+// noteSend counts a send to an upstream that wants none. The caller holds mu.
+func (r *Relay) noteSend(id contract.UpstreamID, now time.Time) {
+	resting, leaving := r.table.WordOf(id, now)
+	if resting {
+		r.Metrics.toResting.Inc(1)
+	}
+	if leaving {
+		r.Metrics.toLeaving.Inc(1)
+	}
+}
+
+// noteRests says which rests have ended. The caller holds mu.
+func (r *Relay) noteRests(now time.Time) {
+	for _, l := range r.table.RestsEnded(now) {
+		r.log.Info("upstream-rest-ends", zap.String("upstream", string(l.Upstream)), zap.Int64("born", l.Born))
+	}
+}
+
+// Resting returns how many of the listed upstreams rest, and how many have said that they
+// leave.
+func (r *Relay) Resting() (resting, leaving int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Resting(r.opts.Now())
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -111,15 +111,18 @@
 		req.MaxIdle = onceIdle
 	}
 	x, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
-	if silence.stop() && err == nil {
-		x.Close()
-		err = &exchange.Error{Sent: true, Err: errSilent}
-	}
+	late := silence.stop()
 	if err != nil {
 		cancel(nil)
 		return nil, err
 	}
 	head := r.opts.Dialect.Decode(x.Status, x.Header)
+	r.hear(j, head, e)
+	if late {
+		x.Close()
+		cancel(nil)
+		return nil, &exchange.Error{Sent: true, Err: errSilent}
+	}
 	a := &attempt{entry: e, answer: x, head: head, began: now, cancel: func() { cancel(nil) }}
 	j.there = true
 	r.locked(func() { r.answered(j, head, e) })
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -74,6 +74,7 @@
 		s := t.states[e.ID]
 		s.kept.Bound(e.Memory)
 		s.born = e.Born
+		s.said = t.said[contract.Life{Upstream: e.ID, Born: e.Born}]
 		s.leaving = 0
 		if e.Leaving {
 			s.leaving = 1
@@ -222,6 +223,7 @@
 func (t *Table) Level(dc contract.DataCentreID, now time.Time) {
 	t.countReaders(now)
 	t.meanWaits(dc, now)
+	t.forget(now)
 	for _, states := range t.pools {
 		total, n := time.Duration(0), 0
 		for _, s := range states {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -84,6 +84,8 @@
 	listed  bool
 	owned   owned
 	chilled []Chill
+	// said is what lives of upstreams have said in answers.
+	said map[contract.Life]*heldTo
 }
 
 // state is what is known of one upstream.
@@ -116,6 +118,8 @@
 	// born is that of the entry, and cold what is believed of its warmth.
 	born int64
 	cold coldness
+	// said is what the upstream has said in this life; nil for nothing.
+	said *heldTo
 }
 
 // NewTable returns an empty table.
@@ -123,7 +127,7 @@
 	o := opts.withDefaults()
 	return &Table{
 		opts: o, away: make(map[contract.DataCentreID]time.Time), doubted: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
-		rates: reading.NewRates(nil),
+		rates: reading.NewRates(nil), said: make(map[contract.Life]*heldTo),
 	}
 }
 
