upstream, relay: what an upstream says in an answer holds until it starts again

Cause: an answer's word about its upstream was read nowhere. Only the store's list said who leaves, and each list set it anew; Retry-After was not read, so that an upstream that asked for 3 s of rest was passed over for 60 ms. Ruled out: a word that a list overwrites (none came in the outage), a request chosen before and sent after (2.2 s), the last resort (others had room). Change: words are kept by life of an upstream, apart from lists and from health; state.takes is the one place that every choice asks, the last resort too; asked once more when the connection is there, before the first byte. Where all rest, a caller is told to come back no sooner than the first is back, drawn over as long as it had rested. A retry that nobody would take takes nothing out of the budget; a ready answer is not given up where no upstream would take the larger model's request; an upstream that has said that it leaves ends as planned and is no crash.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), connState: connState{idleAt: time.Now()}}, nil
 }
 
 // write writes a request. The head and a small body leave in one packet.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -34,6 +34,9 @@
 	// MaxIdle bounds how long a kept connection may have been idle to be used
 	// for the request. Zero means any time.
 	MaxIdle time.Duration
+	// Barred is asked once a connection is there, right before the first byte is
+	// written: an error keeps the request from being sent. Nil bars nothing.
+	Barred func() error
 }
 
 // Answer is an answer whose body is still to be read. It is closed by whoever
@@ -108,6 +111,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.Barred != nil {
+		if err := r.Barred(); err != nil {
+			p.put(c)
+			return nil, &Error{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	a, err := p.roundTrip(c, r, match)
 	if err != nil {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -84,8 +84,15 @@
 	return nil, false
 }
 
-// give keeps a connection for the next request.
+// give keeps a connection that was used for the next request.
 func (p *Pool) give(c *conn) {
+	c.idleAt = time.Now()
+	p.put(c)
+}
+
+// put keeps a connection that was not used for the next request: it has been idle for as
+// long as it was.
+func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.open > p.limit {
@@ -93,7 +100,6 @@
 		_ = c.Close()
 		return
 	}
-	c.idleAt = time.Now()
 	p.idle = append(p.idle, c)
 }
 
--- a/relay/ends.go
+++ b/relay/ends.go
@@ -58,6 +58,9 @@
 // holds mu.
 func (r *Relay) mayCrash(e upstream.Entry) bool {
 	listed, ok := r.entries[e.ID]
+	if _, leaving := r.table.WordOf(e.ID, r.opts.Now()); leaving {
+		return false
+	}
 	if !ok || listed.Born != e.Born || listed.Leaving || r.undone[e.Service][e.Release] {
 		return false
 	}
--- a/relay/evacuated_test.go
+++ b/relay/evacuated_test.go
@@ -136,7 +136,7 @@
 	r.log = logs.New(&lines)
 	r.SetEvacuated([]contract.DataCentreID{"d", "e"})
 	j := testJob(true)
-	r.finish(j, Refused, noUpstream(j))
+	r.finish(j, Refused, r.noUpstream(j, r.opts.Now()))
 	is.True(strings.Contains(lines.String(), "event=refused"))
 	is.True(strings.Contains(lines.String(), "evacuated=d,e") || strings.Contains(lines.String(), `evacuated="d,e"`) || strings.Contains(lines.String(), "evacuated=\"[d,e]\""))
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -38,8 +38,9 @@
 	// upstreamsEnded counts the upstreams that ended under requests.
 	upstreamsEnded metrics.Counter
 	// leaves and rests count the answers by which upstreams first said that they leave, or
-	// asked for a longer rest; toLeaving and toResting the sends to such ones.
-	leaves, rests, toLeaving, toResting metrics.Counter
+	// asked for a longer rest; toLeaving and toResting the choices of such ones, and barred
+	// the sends that did not go out since their upstream had said so meanwhile.
+	leaves, rests, toLeaving, toResting, barred metrics.Counter
 }
 
 func newMetrics() *Metrics {
@@ -70,6 +71,7 @@
 		leaves:         metrics.NewRegisteredCounter("upstream_leaves_total", r),
 		rests:          metrics.NewRegisteredCounter("upstream_rests_total", r),
 		toLeaving:      metrics.NewRegisteredCounter("sends_to_leaving_total", r),
+		barred:         metrics.NewRegisteredCounter("sends_barred_total", r),
 		toResting:      metrics.NewRegisteredCounter("sends_to_resting_total", r),
 	}
 }
--- a/relay/models.go
+++ b/relay/models.go
@@ -28,6 +28,8 @@
 	// first is when its answer is expected to begin, from its send on, and wait
 	// the part of that for which its prompt waits for others.
 	first, wait time.Duration
+	// could tells whether an upstream would take a request for it now.
+	could bool
 }
 
 // chooseModel names the model that answers first. For a request that is not worth a
@@ -132,7 +134,7 @@
 	for i, m := range models {
 		c := choice{model: m, Option: cascade.Option{Good: r.opinions.Good(m, largest), Cost: r.dearestPart(j) * r.costPart(j, i)}}
 		if e, ok := r.estimate(j, m, now); ok {
-			c.first, c.wait, c.Price = e.First(), e.Wait, r.table.Price(e)/j.weight
+			c.first, c.wait, c.Price, c.could = e.First(), e.Wait, r.table.Price(e)/j.weight, true
 		}
 		c.Option = c.after(j, 0, now)
 		out[i] = c
@@ -240,6 +242,9 @@
 	model, most := contract.ModelID(""), answer.Kept(good)
 	repeat := r.repeatPrice(j, now)
 	for _, c := range choices[own+1:] {
+		if !c.could {
+			continue // a ready answer is not given up for none
+		}
 		c.Price += repeat
 		if v := c.After(answer, good); v > most {
 			model, most = c.model, v
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -28,7 +28,7 @@
 		return upstream.Entry{}, refused
 	}
 	if j.failures > 0 && r.cutOff(j.service, now) {
-		return upstream.Entry{}, noUpstream(j) // the others would be tried in vain
+		return upstream.Entry{}, r.noUpstream(j, now) // the others would be tried in vain
 	}
 	for _, pools := range r.eligible(j, now) {
 		id, err := r.table.Pick(r.query(j, pools, now), now, r.random)
@@ -48,7 +48,28 @@
 		j.last, j.sentAt, j.there = r.entries[id], now, false
 		return j.last, nil
 	}
-	return upstream.Entry{}, noUpstream(j)
+	return upstream.Entry{}, r.noUpstream(j, now)
+}
+
+// any tells whether any upstream would be chosen for the next attempt. The caller holds
+// mu.
+func (r *Relay) any(j *job, now time.Time) bool {
+	return slices.ContainsFunc(r.eligible(j, now), func(c candidates) bool {
+		return r.table.Any(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: j.exclude}, now)
+	})
+}
+
+// outlook returns what the upstreams that a request may go to say of their next time. The
+// caller holds mu.
+func (r *Relay) outlook(j *job, now time.Time) upstream.Outlook {
+	var ids []contract.PoolID
+	for _, c := range r.eligible(j, now) {
+		ids = append(ids, c.ids...)
+	}
+	if len(ids) == 0 {
+		return upstream.Outlook{} // no pools would mean all
+	}
+	return r.table.Outlook(upstream.Query{Kind: config.EnginePool, Pools: ids}, now)
 }
 
 // another tells whether an upstream other than those that were tried could take
@@ -195,9 +216,12 @@
 	if j.sends == 0 {
 		return "" // no upstream has seen it, so nothing is repeated
 	}
-	taken := false
-	r.locked(func() { taken = r.budget(j.service).Take(retry.ForRetry, r.opts.VMs(), now) })
-	if !taken {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.any(j, now) {
+		return retry.NoOther // others may want what is left of the budget
+	}
+	if !r.budget(j.service).Take(retry.ForRetry, r.opts.VMs(), now) {
 		return retry.OverBudget
 	}
 	return ""
@@ -228,6 +252,8 @@
 	switch {
 	case errors.Is(err, context.Canceled), errors.Is(err, errDeadline):
 		result = upstream.Abandoned // the caller's doing
+	case errors.Is(err, errTakesNone):
+		result = upstream.Abandoned // nothing was learnt of the upstream
 	case errors.Is(err, exchange.ErrBusy):
 		result = upstream.Full
 	case !sent && exchange.NothingListens(err):
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -43,7 +43,7 @@
 			if failure != nil {
 				return r.deliver(j, c, failure, failed)
 			}
-			return Refused, gaveUp(j, why, err)
+			return Refused, r.gaveUp(j, why, err)
 		}
 		r.retried(j, err)
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -7,6 +7,7 @@
 	"woaddoor/contract"
 	"woaddoor/quarantine"
 	"woaddoor/retry"
+	"woaddoor/upstream"
 )
 
 // Times after which another try by the caller makes sense.
@@ -39,14 +40,43 @@
 	return f.WithRetryAfter(backRetry)
 }
 
-func noUpstream(j *job) *contract.Refusal {
+// unlisted is the final answer to a request of whose service no upstream is known.
+func unlisted(j *job) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: "no upstream of the service can take the request now",
+		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick, Detail: "no upstream of the service is listed",
 	}
 	return f.WithRetryAfter(retryListed)
 }
 
+// noUpstream is the final answer to a request that no upstream can take now. The caller
+// holds mu.
+func (r *Relay) noUpstream(j *job, now time.Time) *contract.Refusal {
+	o := r.outlook(j, now)
+	if o.Listed == 0 {
+		return unlisted(j)
+	}
+	f := &contract.Refusal{
+		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
+		Detail: fmt.Sprintf("none of %d upstreams of the service can take the request now: %d rest, %d leave", o.Listed, o.Resting, o.Leaving),
+	}
+	return f.WithRetryAfter(r.backIn(o, retryListed))
+}
+
+// backIn returns when a caller may come back: usually after a time, and where all upstreams
+// rest not before the first of them takes requests again. Those that were turned away
+// meanwhile return over as long as that has lasted, so that they are no more at a time than
+// come by themselves. The caller holds mu.
+func (r *Relay) backIn(o upstream.Outlook, usually time.Duration) time.Duration {
+	if !o.Closed() {
+		return usually
+	}
+	return o.In + time.Duration(r.random.Float64()*float64(min(o.Rest, mostSpread)))
+}
+
+// mostSpread bounds over how long callers return after a rest: beyond, they wait longer
+// than most of them have.
+const mostSpread = 5 * time.Second
+
 // noRoom is the final answer to a request that could not be answered before its
 // deadline, whatever is tried.
 func noRoom(j *job, after time.Duration) *contract.Refusal {
@@ -58,7 +88,7 @@
 }
 
 // gaveUp is the final answer to a request whose attempts have failed.
-func gaveUp(j *job, why retry.Reason, err error) *contract.Refusal {
+func (r *Relay) gaveUp(j *job, why retry.Reason, err error) *contract.Refusal {
 	f := &contract.Refusal{
 		Kind: contract.RefusedUpstream, Outcome: j.outcome, Step: contract.StepSend, Peer: string(j.last.ID),
 		Detail: fmt.Sprintf("%v; not tried again: %s", err, why),
@@ -66,7 +96,8 @@
 	if j.outcome == contract.NotRun {
 		f.Kind = contract.RefusedLimit
 	}
-	return f.WithRetryAfter(retrySoon)
+	r.locked(func() { f.RetryAfter = r.backIn(r.outlook(j, r.opts.Now()), retrySoon) })
+	return f
 }
 
 // tooLate is the final answer to a request whose time is up.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,9 @@
 	// WorthOfCost is what a request of the first rank is worth, in what the dearest
 	// model's answer to it costs; zero means cascade.DefaultWorthOfCost.
 	WorthOfCost float64
+	// LongestRest bounds for how long an upstream is obeyed that asks for a rest; zero means
+	// upstream.DefaultLongestRest.
+	LongestRest time.Duration
 	// RepeatPrice is what a repeat costs when the budget is used up, in parts of what a
 	// request is worth.
 	RepeatPrice float64
@@ -122,6 +125,7 @@
 // New returns a relay that knows no upstreams.
 func New(opts *Options) *Relay {
 	opts.WorthOfCost = cmp.Or(opts.WorthOfCost, cascade.DefaultWorthOfCost)
+	opts.LongestRest = cmp.Or(opts.LongestRest, upstream.DefaultLongestRest)
 	seed := opts.Seed
 	if seed == 0 {
 		seed = uint64(opts.Now().UnixNano())
@@ -305,7 +309,7 @@
 	var refused *contract.Refusal
 	switch {
 	case len(req.Route.Shares) == 0:
-		end, refused = Refused, noUpstream(j)
+		end, refused = Refused, unlisted(j)
 	case hopeless:
 		end, refused = Refused, noRoom(j, after)
 	case isStream(req):
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -50,7 +50,10 @@
 			j := testJob(true)
 			c.change(j)
 			is := is.New(t)
-			to, up := testRelay().escalates(j, poor)
+			r := testRelay()
+			j.service, j.weight = "s", 1
+			r.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
+			to, up := r.escalates(j, poor)
 			is.Equal(up, c.up)
 			is.Equal(to == "large", c.up)
 		})
--- a/relay/said.go
+++ b/relay/said.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fresh := r.table.TakeWord(lifeOf(e), h.Said, r.opts.Now())
+	said := h.Said
+	said.Rest = min(said.Rest, r.opts.LongestRest)
+	fresh := r.table.TakeWord(lifeOf(e), said, r.opts.Now())
 	fields := []zap.Field{zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("address", e.Address),
 		zap.String("service", string(e.Service)), zap.String("request", string(j.ID)), zap.Int("status", h.Status)}
 	if fresh.Leaving {
@@ -29,10 +32,26 @@
 	}
 	if fresh.Rest > 0 {
 		r.Metrics.rests.Inc(1)
-		r.log.Info("upstream-rests", append(fields, zap.Duration("for", fresh.Rest))...)
+		r.log.Info("upstream-rests", append(fields, zap.Duration("for", fresh.Rest), zap.Duration("asked", h.Said.Rest))...)
 	}
 }
 
+// errTakesNone means that an upstream has said, while a connection to it was awaited, that
+// it wants no more.
+var errTakesNone = errors.New("the upstream has said meanwhile that it wants no more")
+
+// barredMeanwhile tells why a request does not go to the upstream that was chosen for it.
+// A connection may take 250 ms to come up, in which other requests hear answers.
+func (r *Relay) barredMeanwhile(e upstream.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table.Takes(lifeOf(e), r.opts.Now()) {
+		return nil
+	}
+	r.Metrics.barred.Inc(1)
+	return errTakesNone
+}
+
 func lifeOf(e upstream.Entry) contract.Life { return contract.Life{Upstream: e.ID, Born: e.Born} }
 
 // noteSend counts a send to an upstream that wants none. The caller holds mu.
--- a/relay/send.go
+++ b/relay/send.go
@@ -110,6 +110,7 @@
 	if !j.Route.Repeatable() {
 		req.MaxIdle = onceIdle
 	}
+	req.Barred = func() error { return r.barredMeanwhile(e) }
 	x, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
 	late := silence.stop()
 	if err != nil {
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -67,7 +67,7 @@
 			return s.giveUp(refused)
 		}
 		if why := r.again(j, j.Route.Repeatable()); why != "" {
-			return s.giveUp(gaveUp(j, why, err))
+			return s.giveUp(r.gaveUp(j, why, err))
 		}
 		r.retried(j, err)
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -83,6 +83,7 @@
 	Attempts   Reason = "attempts used up"
 	TooLate    Reason = "cannot end by the deadline"
 	OverBudget Reason = "retry budget used up"
+	NoOther    Reason = "no other upstream takes it"
 )
 
 // pauseFactor makes the mean of the drawn pause the backoff.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -140,6 +140,8 @@
 	RetrySlack  float64
 	// CanaryShare bounds the part of requests that a bad release gets.
 	CanaryShare float64
+	// LongestRest bounds for how long an upstream is obeyed that asks for a rest.
+	LongestRest time.Duration
 	// Evacuation is how soon the upstreams of a data centre that is evacuated get
 	// nothing more; zero where no data centre ever is.
 	Evacuation time.Duration
@@ -249,6 +251,7 @@
 		RetrySlack:  r.Number("retry-slack", 0, 0, math.MaxInt32),
 		CanaryShare: r.Number("canary-share", defaultCanaryShare, 0, 1),
 		Evacuation:  r.Duration("evacuation", 0),
+		LongestRest: cmp.Or(r.Duration("longest-rest", 0), upstream.DefaultLongestRest),
 
 		ColdOvershoot: r.Number("cold-overshoot", defaultColdOvershoot, 1, math.MaxInt32),
 		ColdSlack:     r.Number("cold-slack", 0, 0, math.MaxInt32),
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -45,9 +45,9 @@
 }
 
 // reads tells whether an engine is sent prompts now. One that nobody sends to,
-// such as one of a release on trial, takes nothing off the others.
+// such as one of a release on trial or one that rests, takes nothing off the others.
 func (s *state) reads(now time.Time) bool {
-	return !s.readAt.IsZero() && now.Sub(s.readAt) < demandOver
+	return !s.readAt.IsZero() && now.Sub(s.readAt) < demandOver && s.takes(now)
 }
 
 // wait returns how long a prompt is expected to wait at an upstream.
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -108,20 +108,35 @@
 	if !t.opts.Listed {
 		return "", ErrNone
 	}
+	best := t.leastFailed(q, now)
+	if best == nil {
+		return "", ErrNone
+	}
+	best.cold.picked(now)
+	return best.upstream.ID, nil
+}
+
+// leastFailed returns the upstream with the fewest failures among those that a query
+// allows and that want work, however ill; nil when there is none.
+func (t *Table) leastFailed(q Query, now time.Time) *state {
 	var best *state
 	for _, s := range t.states {
-		if !q.allows(s) || s.leaving != 0 || !s.hasConnection() || !t.bears(s, now) {
+		if !q.allows(s) || !s.takes(now) || !s.hasConnection() || !t.bears(s, now) {
 			continue
 		}
 		if best == nil || s.health.failed < best.health.failed || s.health.failed == best.health.failed && s.upstream.ID < best.upstream.ID {
 			best = s
 		}
 	}
-	if best == nil {
-		return "", ErrNone
+	return best
+}
+
+// Any tells whether Pick would choose any upstream.
+func (t *Table) Any(q Query, now time.Time) bool {
+	if t.opts.Listed {
+		return t.leastFailed(q, now) != nil
 	}
-	best.cold.picked(now)
-	return best.upstream.ID, nil
+	return len(t.candidates(q, now)) > 0
 }
 
 // Another tells whether any upstream could take the request: one that is not
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -40,7 +40,7 @@
 	seen := make(map[contract.DataCentreID]int)
 	for _, s := range t.ordered {
 		dc := s.pool.DataCentre
-		if !now.Before(t.away[dc]) && !t.doubted[dc] || s.leaving != 0 {
+		if !now.Before(t.away[dc]) && !t.doubted[dc] || s.leaves() {
 			continue
 		}
 		seen[dc]++
@@ -78,7 +78,7 @@
 	}
 	for _, id := range pools {
 		for _, s := range t.pools[id] {
-			if s.pool.DataCentre == dc && s.leaving == 0 && !s.health.gone {
+			if s.pool.DataCentre == dc && !s.leaves() && !s.health.gone {
 				return false
 			}
 		}
--- a/upstream/said.go
+++ b/upstream/said.go
@@ -14,14 +14,20 @@
 	Rest time.Duration
 }
 
+// DefaultLongestRest bounds for how long an upstream is obeyed that asks for a rest: one
+// that asks for weeks by mistake is back after it without anybody's help, and one that
+// means it asks again.
+const DefaultLongestRest = 10 * time.Minute
+
 // heldTo is what an upstream has said in one life and is held to until it starts again.
 // No list ends it: the store may be away or behind, and an entry may be missing for a
 // while.
 type heldTo struct {
 	leaving bool
-	// restUntil is when the longest of its rests ends. An earlier answer may come later:
-	// nothing shortens a rest.
+	// restUntil is when the longest of its rests ends, and rest how long that is. An earlier
+	// answer may come later: nothing shortens a rest.
 	restUntil time.Time
+	rest      time.Duration
 	// seen is when the life was last listed or said something.
 	seen time.Time
 }
@@ -49,7 +55,7 @@
 		h.leaving, fresh.Leaving = true, true
 	}
 	if until := now.Add(s.Rest); until.After(h.restUntil) {
-		h.restUntil, fresh.Rest = until, s.Rest
+		h.restUntil, h.rest, fresh.Rest = until, s.Rest, s.Rest
 	}
 	return fresh
 }
@@ -83,6 +89,25 @@
 	return ok && s.rests(now), ok && s.saysLeaving()
 }
 
+// takes tells whether an upstream wants new work, by whoever says so: the store's list, a
+// report, or itself in an answer. Every choice asks it, the last resort too: what an
+// upstream wants is not a matter of health.
+func (s *state) takes(now time.Time) bool { return !s.leaves() && !s.rests(now) }
+
+// leaves tells whether an upstream is to end soon.
+func (s *state) leaves() bool {
+	return s.leaving != 0 && s.leaving >= s.incarnation || s.saysLeaving()
+}
+
+// Takes tells whether a life of an upstream that was chosen wants new work still.
+func (t *Table) Takes(l contract.Life, now time.Time) bool {
+	if s := t.states[l.Upstream]; s != nil && s.born == l.Born {
+		return s.takes(now)
+	}
+	h := t.said[l] // it is not listed any more, and may be chosen still
+	return h == nil || !h.leaving && !now.Before(h.restUntil)
+}
+
 // saysLeaving tells whether the upstream has said in this life that it leaves.
 func (s *state) saysLeaving() bool { return s.said != nil && s.said.leaving }
 
@@ -101,3 +126,38 @@
 	}
 	return resting, leaving
 }
+
+// Outlook is what the upstreams that could answer a request say of their next time.
+type Outlook struct {
+	// Listed is how many there are, Resting and Leaving how many of them rest, and leave.
+	Listed, Resting, Leaving int
+	// In is how long the first that rests goes on resting, and Rest for how long it has
+	// asked: about as long as callers have been turned away since.
+	In, Rest time.Duration
+}
+
+// Closed tells whether none wants a request now, and one will.
+func (o Outlook) Closed() bool { return o.Resting > 0 && o.Resting+o.Leaving == o.Listed }
+
+// Outlook returns what the upstreams that a query allows say, those that have failed it
+// among them.
+func (t *Table) Outlook(q Query, now time.Time) Outlook {
+	q.Exclude = nil
+	var o Outlook
+	for _, s := range t.ordered {
+		if !q.allows(s) {
+			continue
+		}
+		o.Listed++
+		switch {
+		case s.leaves():
+			o.Leaving++
+		case s.rests(now):
+			o.Resting++
+			if in := s.said.restUntil.Sub(now); o.Resting == 1 || in < o.In {
+				o.In, o.Rest = in, s.said.rest
+			}
+		}
+	}
+	return o
+}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -320,15 +320,15 @@
 // The platform's list may lag, and the platform may be out, so silence alone
 // takes an upstream out: it has to say, every few seconds, that it is there.
 func (t *Table) usable(s *state, v contract.VersionID, now time.Time) bool {
+	if !s.takes(now) {
+		return false
+	}
 	if t.opts.Listed {
-		return s.leaving == 0 && s.hasConnection() && s.health.open(now) && t.bears(s, now)
+		return s.hasConnection() && s.health.open(now) && t.bears(s, now)
 	}
 	if s.heardAt.IsZero() || now.Sub(s.heardAt) >= t.opts.SilentAfter {
 		return false
 	}
-	if s.leaving != 0 && s.leaving >= s.incarnation {
-		return false
-	}
 	if now.Before(s.openUntil) {
 		return false
 	}
