relay, explain: from a refusal to what its upstreams had said

A refusal because all upstreams rest was told as 'no upstream', as is an empty list. It has a kind of its own (upstreams-rest), counts who rests and leaves and says when the first is back; explain shows what an upstream had said beside what the list says; losses counts it apart.

--- a/contract/errors.go
+++ b/contract/errors.go
@@ -83,6 +83,7 @@
 	RefusedSession         RefusalKind = "session-invalid"
 	RefusedLimit           RefusalKind = "limit-reached"
 	RefusedNoUpstream      RefusalKind = "no-upstream"
+	RefusedResting         RefusalKind = "upstreams-rest"
 	RefusedUpstream        RefusalKind = "upstream-failed"
 	RefusedHeld            RefusalKind = "request-held"
 	RefusedDeadline        RefusalKind = "deadline-passed"
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -39,6 +39,7 @@
 	contract.RefusedLimit:           http.StatusTooManyRequests,
 	contract.RefusedNoUpstream:      http.StatusServiceUnavailable,
 	contract.RefusedUpstream:        http.StatusBadGateway,
+	contract.RefusedResting:         http.StatusServiceUnavailable,
 	contract.RefusedHeld:            http.StatusServiceUnavailable,
 	contract.RefusedDeadline:        http.StatusGatewayTimeout,
 	contract.RefusedTicketNeeded:    http.StatusPreconditionRequired,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -154,6 +154,8 @@
 var beliefs = []belief{
 	{"configuration", "", []string{"version", "revision", "from"}},
 	{"upstream", "upstream", []string{"leaving", "gone", "release", "address", "revision"}},
+	{"upstream-leaves", "upstream", []string{"born", "listed_leaving", "status"}},
+	{"upstream-rests", "upstream", []string{"born", "for", "asked", "status"}},
 	{"order", "", []string{"service", "release", "state", "revision"}},
 	{"release-bad", "", []string{"service", "release", "trial_bad", "trial_good", "others_bad", "others_good"}},
 	{"request-held", "print", []string{"print", "ended", "first_seen_by", "by", "workspace", "route"}},
@@ -205,11 +207,12 @@
 }
 
 // changes are the events that the audit trail holds: what changed in the
-// configuration, upstreams, orders and evacuations, which contents are held, and which VMs
-// came and went.
+// configuration, upstreams, orders and evacuations, what upstreams said of themselves, which
+// contents are held, and which VMs came and went.
 var changes = map[string]bool{
 	"configuration": true, "upstream": true, "order": true, "order-noted": true, "release-bad": true, "enlisted": true,
 	"request-held": true, "request-released": true, "evacuation": true,
+	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true,
 	"start": true, "stop": true, "signal": true, "reload": true, "store-lost": true, "store-regained": true, "vms": true,
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -59,6 +59,36 @@
 	is.True(!strings.Contains(out.String(), "refused"))
 }
 
+const saidSample = `time=2026-05-07T06:48:41Z level=info event=upstream vm=vm-a upstream=u1 gone=false leaving=false revision=31
+time=2026-05-07T06:48:42Z level=info event=upstream-rests vm=vm-a upstream=u1 born=7 request=r0 status=503 for=3s asked=3s
+time=2026-05-07T06:48:43Z level=info event=upstream-leaves vm=vm-a upstream=u1 born=7 request=r0 status=200 listed_leaving=false
+time=2026-05-07T06:48:44Z level=warn event=refused vm=vm-a request=r1 upstream=u1 reason=upstreams-rest detail="none of 1 upstreams ..."
+`
+
+// TestWhatUpstreamsSay leads from a refusal to what its upstream had said, beside what the
+// list says of it.
+func TestWhatUpstreamsSay(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(saidSample))
+	is.NoErr(err)
+	var out strings.Builder
+	_, err = Request(&out, lines, "r1")
+	is.NoErr(err)
+	for _, want := range []string{
+		"believed upstream since 06:48:41.000 (3s before) leaving=false gone=false revision=31",
+		"believed upstream-rests since 06:48:42.000 (2s before) born=7 for=3s asked=3s status=503",
+		"believed upstream-leaves since 06:48:43.000 (1s before) born=7 listed_leaving=false status=200",
+	} {
+		is.True(strings.Contains(out.String(), want))
+	}
+	out.Reset()
+	is.NoErr(Changes(&out, lines))
+	is.Equal(strings.Count(out.String(), "upstream-"), 2)
+	out.Reset()
+	is.NoErr(Losses(&out, lines))
+	is.True(strings.Contains(out.String(), "refused: upstreams-rest"))
+}
+
 const heldSample = `time=2026-05-07T06:48:41Z level=warn event=request-held vm=vm-a print=aa01 route=r workspace=w1 by=vm-b first_seen_by=vm-b ended=u1,u2,u3 epoch=0
 time=2026-05-07T06:48:41.1Z level=warn event=request-held vm=vm-b print=aa01 route=r workspace=w1 by=own first_seen_by=vm-b ended=u1,u2,u3 epoch=0
 time=2026-05-07T06:48:42Z level=warn event=request-held vm=vm-a print=bb02 route=r workspace=w2 by=own first_seen_by=vm-a ended=u4,u5,u6 epoch=0
--- a/relay/log.go
+++ b/relay/log.go
@@ -57,6 +57,9 @@
 		fields = append(fields, zap.Int64("list_age_ms", r.opts.ListAge().Milliseconds()))
 	}
 	r.locked(func() {
+		if resting, leaving := r.table.Resting(r.opts.Now()); resting+leaving > 0 {
+			fields = append(fields, zap.Int("upstreams_resting", resting), zap.Int("upstreams_say_leaving", leaving))
+		}
 		if len(r.evacuated) > 0 {
 			var centres []string
 			for _, dc := range slices.Sorted(maps.Keys(r.evacuated)) {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -59,6 +59,10 @@
 		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
 		Detail: fmt.Sprintf("none of %d upstreams of the service can take the request now: %d rest, %d leave", o.Listed, o.Resting, o.Leaving),
 	}
+	if o.Closed() {
+		f.Kind = contract.RefusedResting
+		f.Detail += fmt.Sprintf(", the first is back in %v", o.In.Round(time.Millisecond))
+	}
 	return f.WithRetryAfter(r.backIn(o, retryListed))
 }
 
