--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 		return
 	}
 	replica.SetWait(req, callerWaits)
+	via := c.fleet.upstreams.words.sends(id, v.name)
+	req.Header.Set(headerVia, via)
 	began := time.Now()
 	inReach := v.inReach()
 	c.mu.Lock()
@@ -91,6 +94,9 @@
 		return // a closed connection promises nothing
 	}
 	defer resp.Body.Close()
+	if life, err := strconv.Atoi(resp.Header.Get(headerLife)); err == nil {
+		c.fleet.upstreams.words.passed(via, life)
+	}
 	raw, err := io.ReadAll(resp.Body)
 	if key == keyRevoked {
 		if revoked && inReach && v.inReach() {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -17,6 +17,8 @@
 	promiseSettings = "a removed key is refused once that is in force everywhere"
 	promiseBudget   = "repeated sends stay within the budget"
 	promiseBack     = "requests are served again after the last fault"
+	promiseLeft     = "an upstream that says that it leaves gets nothing more after the bound"
+	promiseRest     = "an upstream that asks for a rest gets two requests in it at most"
 	promiseSpace    = "memory, goroutines and descriptors stay bounded"
 )
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -55,6 +57,17 @@
 			f.upstreams.setFailing(true)
 			time.AfterFunc(d, func() { f.upstreams.setFailing(false) })
 		},
+		"upstream-leaves": func(n int, d time.Duration) {
+			if p := f.upstreams.some(n); p != nil {
+				f.upstreams.leave(p, d)
+			}
+		},
+		"upstream-rests": func(n int, d time.Duration) {
+			if p := f.upstreams.some(n); p != nil {
+				f.rests([]*place{p}, n, 2*d)
+			}
+		},
+		"upstreams-rest": func(n int, d time.Duration) { f.rests(f.upstreams.places, n, d/2) },
 		"upstream-mute": func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.setMute(p, true)
@@ -79,13 +92,24 @@
 	"vm-killed", "vm-paused", "vm-reloaded", "vm-stopped", "vms-killed",
 }
 
+// wordNames are those by which upstreams say something. They are drawn apart from the
+// others, so that a seed goes on to draw the same of those.
+var wordNames = []string{"upstream-leaves", "upstream-rests", "upstreams-rest"}
+
 // plan draws faults by the seed: who, what and when. They come in series and overlap.
 func (f *fleet) plan(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 2))
+	out := append(f.draw(kindNames, seed, 2, length), f.draw(wordNames, seed, 3, length)...)
+	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+// draw draws faults of some kinds by a seed and a stream of its own.
+func (f *fleet) draw(names []string, seed, stream uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, stream))
 	kinds := f.kinds()
 	var out []fault
 	for at := time.Second; at < length; at += time.Duration(random.Int64N(int64(faultEvery))) {
-		name := kindNames[random.IntN(len(kindNames))]
+		name := names[random.IntN(len(names))]
 		n, d := random.IntN(1000), time.Duration(200+random.IntN(2500))*time.Millisecond
 		out = append(out, fault{at, fmt.Sprintf("%s n=%d for %v", name, n, d), func() { kinds[name](n, d) }})
 	}
@@ -108,11 +132,21 @@
 	time.AfterFunc(d, func() { f.store.SetFaults(objects.Faults{}) })
 }
 
+// rests has upstreams turn requests away and ask for rests of 1 to 3 s, for a time.
+func (f *fleet) rests(places []*place, n int, d time.Duration) {
+	f.upstreams.setRest(places, time.Duration(1+n%3)*time.Second)
+	time.AfterFunc(d, func() { f.upstreams.setRest(places, 0) })
+}
+
 // pause stops a VM's process and wakes it again.
 func (f *fleet) pause(v *vm, d time.Duration) {
 	v.troubled(d)
 	v.signal(syscall.SIGSTOP)
-	time.AfterFunc(d, func() { v.signal(syscall.SIGCONT) })
+	f.upstreams.words.begins(v.name)
+	time.AfterFunc(d, func() {
+		f.upstreams.words.begins(v.name)
+		v.signal(syscall.SIGCONT)
+	})
 }
 
 // restartAfter is how long a process that has ended stays away.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -164,6 +164,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
+	f.upstreams.words.begins(v.name)
 	ended := make(chan struct{})
 	v.mu.Lock()
 	v.command, v.ended, v.stopped = c, ended, false
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,6 +18,8 @@
 	delay time.Duration // of each piece that passes
 	cut   bool          // bytes are held up, both ways
 	conns map[*linkConn]bool
+	// touched is when a fault was last put on the link or taken off.
+	touched time.Time
 }
 
 // linkConn is one connection through a proxy, both of its ends.
@@ -112,13 +114,14 @@
 func (p *proxy) set(delay time.Duration, cut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay, p.cut = delay, cut
+	p.delay, p.cut, p.touched = delay, cut, time.Now()
 }
 
 // silence makes the open connections silent for good.
 func (p *proxy) silence() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.touched = time.Now()
 	for c := range p.conns {
 		c.silent = true
 	}
@@ -128,12 +131,20 @@
 func (p *proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.touched = time.Now()
 	for c := range p.conns {
 		reset(c.caller)
 		reset(c.target)
 	}
 }
 
+// calmSince tells whether no fault has been on the link since a time.
+func (p *proxy) calmSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.cut && p.delay == 0 && p.touched.Before(t)
+}
+
 // close ends the link: new connections are refused.
 func (p *proxy) close() {
 	_ = p.listener.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,8 +29,9 @@
 	is.Equal(plan(7), plan(7))
 	is.True(!slices.Equal(plan(7), plan(8)))
 	is.True(sort.StringsAreSorted(kindNames)) // a plan hangs on their order
-	is.Equal(len(f.kinds()), len(kindNames))
-	for _, name := range kindNames {
+	is.True(sort.StringsAreSorted(wordNames))
+	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames))
+	for _, name := range append(slices.Clone(kindNames), wordNames...) {
 		is.True(f.kinds()[name] != nil)
 	}
 }
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -29,6 +29,7 @@
 type upstreams struct {
 	store *objects.Store
 	tally *tally
+	words *words
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -60,10 +61,13 @@
 	replica    *replica.Replica
 	link       *proxy
 	mute       bool // it takes requests and says nothing
+	life       int
+	leaving    bool          // it says so in all its answers
+	rest       time.Duration // it turns most away and asks for this; zero for none
 }
 
 func newUpstreams(store *objects.Store, t *tally, seed uint64) *upstreams {
-	return &upstreams{store: store, tally: t, random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int)}
+	return &upstreams{store: store, tally: t, words: newWords(t), random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int)}
 }
 
 // start starts an upstream at a new place.
@@ -85,7 +89,7 @@
 	if p.number%2 == 1 {
 		p.id = fmt.Sprintf("u%d-%d", p.number, born)
 	}
-	p.mute = false
+	p.mute, p.leaving, p.rest, p.life = false, false, 0, born
 	r, err := replica.Start(p.id, func(c *replica.Conn, got *replica.Request) bool { return u.serve(p, c, got) })
 	if err != nil {
 		return err
@@ -130,6 +134,15 @@
 func (u *upstreams) serve(p *place, c *replica.Conn, r *replica.Request) bool {
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, arrival{time.Now(), r.ID()})
+	life, link := p.life, p.link
+	said := u.said(p)
+	chance := u.random.IntN(100)
+	if p.rest > 0 && chance < restsPart {
+		rest := p.rest
+		u.mu.Unlock()
+		u.turnAway(c, r, life, link, append(said, replica.Rest(rest)), rest)
+		return true
+	}
 	u.runs[r.ID()]++
 	runs, mute, body := u.runs[r.ID()], p.mute, string(r.Payload)
 	deadly := body == bodyDeadly && !u.harmless
@@ -137,8 +150,8 @@
 		u.deadlyAt = append(u.deadlyAt, time.Now())
 	}
 	fails := u.failing || u.random.IntN(50) == 0
-	chance := u.random.IntN(100)
 	u.mu.Unlock()
+	u.words.came(r, life, link)
 	if strings.HasPrefix(r.URL.Path, "/once/") {
 		u.tally.check(promiseOnce, runs == 1, r.ID(), fmt.Sprintf("runs for the %d. time", runs))
 	}
@@ -154,26 +167,43 @@
 		u.end(p, 700*time.Millisecond)
 		return false
 	case strings.HasPrefix(r.URL.Path, "/stream/") && !fails:
-		return u.stream(c, r, chance)
+		return u.stream(c, r, chance, said)
 	case chance < losesPart: // it runs, and its answer is lost
 		time.Sleep(10 * time.Millisecond)
 		return false
 	case chance < losesPart+crossedPart: // another's answer comes first, late
 		c.Whole(http.StatusOK, "id-of-another", "answer to another")
 	case fails && !strings.HasPrefix(r.URL.Path, "/once/"):
-		c.Whole(http.StatusInternalServerError, r.ID(), "failed")
+		c.Whole(http.StatusInternalServerError, r.ID(), "failed", said...)
 		return true
 	}
 	time.Sleep(10 * time.Millisecond)
-	c.Whole(http.StatusOK, r.ID(), answerTo(r.ID()))
+	c.Whole(http.StatusOK, r.ID(), answerTo(r.ID()), said...)
 	return true
 }
 
+// said returns what an upstream says of itself in an answer. The caller holds mu.
+func (u *upstreams) said(p *place) []string {
+	if !p.leaving {
+		return nil
+	}
+	return []string{replica.Leaving, fmt.Sprintf("%s: %d", headerLife, p.life)}
+}
+
+// turnAway refuses a request and asks for a rest.
+func (u *upstreams) turnAway(c *replica.Conn, r *replica.Request, life int, link *proxy, said []string, rest time.Duration) {
+	u.words.came(r, life, link)
+	u.words.asks(r.Header.Get(headerVia), life, rest)
+	c.Shed(r.ID(), said...)
+}
+
 // Parts in a hundred of answers that are lost or broken off, and before which another's
 // comes.
 const (
 	losesPart   = 2
 	crossedPart = 2
+	// restsPart is the part that an upstream turns away which asks for rests.
+	restsPart = 70
 )
 
 // setFailing has every answer fail that may run again, or no more.
@@ -188,9 +218,9 @@
 
 // stream answers with events, from where the caller has them. By chance it breaks off in
 // the midst of one, or goes on from one event before.
-func (u *upstreams) stream(c *replica.Conn, r *replica.Request, chance int) bool {
+func (u *upstreams) stream(c *replica.Conn, r *replica.Request, chance int, said []string) bool {
 	from := r.LastEvent()
-	c.BeginStream(r.ID())
+	c.BeginStream(r.ID(), said...)
 	if from > 0 && chance >= 50 {
 		from--
 	}
@@ -245,6 +275,41 @@
 	p.mute = mute
 }
 
+// leave has an upstream say in its answers that it leaves, and end when it may; its entry
+// says for a time, or to the end, that it is ready.
+func (u *upstreams) leave(p *place, listedAfter time.Duration) {
+	u.mu.Lock()
+	p.leaving = true
+	life := p.life
+	u.mu.Unlock()
+	present := func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return p.life == life && p.replica != nil
+	}
+	time.AfterFunc(listedAfter, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if p.life == life && p.replica != nil {
+			u.store.PutUpstream(objects.Upstream{ID: p.id, Address: p.link.address(), DataCentre: p.dataCentre, Born: life, Leaving: true})
+		}
+	})
+	time.AfterFunc(listedAfter+drainWithin+time.Second, func() {
+		if present() {
+			u.end(p, 300*time.Millisecond)
+		}
+	})
+}
+
+// setRest has upstreams turn most of what they get away and ask for a rest, or no more.
+func (u *upstreams) setRest(places []*place, rest time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, p := range places {
+		p.rest = rest
+	}
+}
+
 // checkHeld checks how often deadly requests came to upstreams later than contact after the
 // third had ended. No fault excuses more: what is held outlasts them.
 func (u *upstreams) checkHeld() {
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -66,12 +66,18 @@
 	ID, Address, DataCentre string
 	// Born tells its lives apart.
 	Born int
+	// Leaving tells that it is to end soon.
+	Leaving bool
 }
 
 // PutUpstream writes an upstream's entry as it would itself.
 func (s *Store) PutUpstream(u Upstream) {
+	state := "ready"
+	if u.Leaving {
+		state = "draining"
+	}
 	s.Put(kindUpstreams, u.ID, map[string]any{
-		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": "v1", "Slots": 8, "State": "ready", "born": u.Born,
+		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": "v1", "Slots": 8, "State": state, "born": u.Born,
 	})
 }
 
