entry, engine: an engine that refuses with a time of rest gets none within it

The same cause elsewhere: engine decoded Retry-After ('1m' as a millisecond) and nobody asked for it; a refusal with a rest counted as a failure of the engine. The rest is kept as on the platform's path, by the life that the engine reports. exchange.RetryAfter is the one copy that reads it.

--- a/engine/call.go
+++ b/engine/call.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/exchange"
 )
 
 // Call is one request to one upstream.
@@ -41,8 +42,10 @@
 type CallError struct {
 	Outcome contract.Outcome
 	Err     error
-	// RetryAfter is when the upstream asked to come back; zero for no word.
+	// RetryAfter is when the upstream asked to come back; zero for no word. Unread says why
+	// such a word could not be understood.
 	RetryAfter time.Duration
+	Unread     error
 }
 
 // Error returns the cause.
@@ -120,19 +123,19 @@
 	return contract.NotRun
 }
 
-// exchange is an answer that has begun. Its end frees what the call holds.
-type exchange struct {
+// begun is an answer that has begun. Its end frees what the call holds.
+type begun struct {
 	resp   *http.Response
 	cancel context.CancelCauseFunc
 }
 
-func (x *exchange) close() {
+func (x *begun) close() {
 	x.resp.Body.Close()
 	x.cancel(nil)
 }
 
 // send sends the call and returns the head of the answer.
-func (c *Client) send(ctx context.Context, call Call, method, path string) (*exchange, *CallError) {
+func (c *Client) send(ctx context.Context, call Call, method, path string) (*begun, *CallError) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	body := &gatedBody{permit: call.Permit, rest: bytes.NewReader(call.Body)}
 	wrote := make(chan error, 1)
@@ -160,7 +163,7 @@
 	select {
 	case err := <-wrote:
 		if err == nil {
-			return &exchange{x, cancel}, nil
+			return &begun{x, cancel}, nil
 		}
 	case <-ctx.Done():
 	}
@@ -216,7 +219,8 @@
 // protocol, so they prove that nothing ran. Every other error proves nothing.
 func checkHead(call Call, resp *http.Response) *CallError {
 	fail := func(o contract.Outcome, err error) *CallError {
-		return &CallError{Outcome: o, Err: contract.Fail(contract.StepAnswer, string(call.Upstream), err), RetryAfter: retryAfter(resp)}
+		after, unread := exchange.RetryAfter(resp.Header, time.Now())
+		return &CallError{Outcome: o, Err: contract.Fail(contract.StepAnswer, string(call.Upstream), err), RetryAfter: after, Unread: unread}
 	}
 	if got := resp.Header.Get(HeaderRequest); got != "" && got != string(call.RequestID) {
 		return fail(contract.Unknown, ErrCrossed)
@@ -235,14 +239,6 @@
 	return fail(contract.Unknown, fmt.Errorf("upstream answered with status %d", resp.StatusCode))
 }
 
-func retryAfter(resp *http.Response) time.Duration {
-	d, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
-	if err != nil || d < 0 {
-		return 0
-	}
-	return d
-}
-
 // Answer is a whole answer, as it came and as far as it is read.
 type Answer struct {
 	Body       []byte
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -29,7 +29,7 @@
 // event with End set.
 type Stream struct {
 	call     Call
-	exchange *exchange
+	exchange *begun
 	reader   *bufio.Reader
 	checked  string // the id that every chunk carries
 	usage    Usage
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"woaddoor/clock"
 	"woaddoor/config"
 	"woaddoor/contract"
@@ -80,20 +82,43 @@
 func (s *Server) ended(ctx context.Context, j *job, began time.Time, err error) {
 	result := upstream.Good
 	var refused *contract.Refusal
+	rest := s.restAsked(j, err)
 	switch {
 	case err == nil:
 	case errors.As(err, &refused), ctx.Err() != nil:
 		result = upstream.Abandoned // our own doing or the caller's
+	case rest > 0:
+		result = upstream.TurnedAway // it is well, and says when it takes more
 	default:
 		result = upstream.Failed
 	}
 	now := s.clock.Now()
-	s.locked(func() { s.upstreams.Done(j.upstream, result, now.Sub(began), now) })
+	s.locked(func() {
+		s.upstreams.TakeWord(s.upstreams.Life(j.upstream), upstream.Said{Rest: rest}, now)
+		s.upstreams.Done(j.upstream, result, now.Sub(began), now)
+	})
 	if errors.Is(err, engine.ErrWrongVersion) || errors.Is(err, engine.ErrCrossed) {
 		s.metrics.wrongAnswers.Inc(1)
 	}
 }
 
+// restAsked returns for how long an engine that has refused a job wants nothing more from
+// this VM, and logs what of that cannot be understood.
+func (s *Server) restAsked(j *job, err error) time.Duration {
+	var ce *engine.CallError
+	if !errors.As(err, &ce) {
+		return 0
+	}
+	if ce.Unread != nil {
+		s.log.Warn("word-not-understood", zap.String("upstream", string(j.upstream)), zap.String("request", string(j.chat.id)), zap.Error(ce.Unread))
+	}
+	rest := min(ce.RetryAfter, upstream.DefaultLongestRest)
+	if rest > 0 {
+		s.log.Info("upstream-rests", zap.String("upstream", string(j.upstream)), zap.String("request", string(j.chat.id)), zap.Duration("for", rest))
+	}
+	return rest
+}
+
 // attempts has the job answered whole, with retries.
 func (s *Server) attempts(ctx context.Context, j *job) (*engine.Answer, *contract.Refusal) {
 	s.locked(s.budget.First)
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -275,9 +275,10 @@
 	p.mute = mute
 }
 
-// leave has an upstream say in its answers that it leaves, and end when it may; its entry
-// says for a time, or to the end, that it is ready.
-func (u *upstreams) leave(p *place, listedAfter time.Duration) {
+// leave has an upstream say in its answers that it leaves, and end when it may. Its entry
+// says for a time beyond the bound that it is ready, as one of a store that is away.
+func (u *upstreams) leave(p *place, beyond time.Duration) {
+	listedAfter := drainWithin + time.Second + beyond
 	u.mu.Lock()
 	p.leaving = true
 	life := p.life
--- a/upstream/said.go
+++ b/upstream/said.go
@@ -44,6 +44,7 @@
 	}
 	h := t.said[l]
 	if h == nil {
+		t.forget(now)
 		h = &heldTo{}
 		t.said[l] = h
 		if st := t.states[l.Upstream]; st != nil && st.born == l.Born {
@@ -71,6 +72,15 @@
 	}
 }
 
+// Life returns the life in which an upstream is known.
+func (t *Table) Life(id contract.UpstreamID) contract.Life {
+	l := contract.Life{Upstream: id}
+	if s, ok := t.states[id]; ok {
+		l.Born = s.born
+	}
+	return l
+}
+
 // RestsEnded returns the lives whose rests have ended since it was last called.
 func (t *Table) RestsEnded(now time.Time) []contract.Life {
 	var out []contract.Life
--- a/upstream/said_test.go
+++ b/upstream/said_test.go
@@ -160,6 +160,28 @@
 	is.Equal(picked(tb, now), contract.UpstreamID(""))
 }
 
+// TestWordOfOneThatReports has an upstream that reports its load ask for a rest: its reports
+// go on, and neither they nor a good answer end it, but another life does.
+func TestWordOfOneThatReports(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tb := NewTable(Options{})
+	tb.Configure(map[contract.PoolID]*config.Pool{"p": {ID: "p", Kind: config.EnginePool, Slots: 4, Upstreams: []config.Upstream{{ID: "u1", URL: "u1"}}}})
+	report := func(life contract.Incarnation) { tb.Reported("u1", contract.Load{Incarnation: life}, now) }
+	report(5)
+	is.Equal(picked(tb, now), contract.UpstreamID("u1"))
+	tb.TakeWord(tb.Life("u1"), Said{Rest: 2 * time.Second}, now)
+	now = now.Add(time.Second)
+	report(5)
+	tb.Done("u1", Good, 0, now)
+	is.Equal(picked(tb, now), contract.UpstreamID(""))
+	report(6)
+	is.Equal(picked(tb, now), contract.UpstreamID("u1"))
+	now = now.Add(time.Second)
+	report(6)
+	is.Equal(picked(tb, now), contract.UpstreamID("u1"))
+}
+
 // TestTurnedAwayAgain plays 40 requests a second, which one of two upstreams turns away for
 // 5 s without a word of how long: it gets few of them, is back soon after it has answered
 // one, and a connection that is not free says nothing of it.
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -167,6 +167,8 @@
 		// Another life under the same address: nothing known of the former
 		// one holds, but for the requests still in flight.
 		s.incarnation, s.failures, s.openUntil, s.service, s.others = l.Incarnation, 0, time.Time{}, 0, 0
+		s.born = int64(l.Incarnation)
+		s.said = t.said[contract.Life{Upstream: id, Born: s.born}]
 	}
 	if l.Draining {
 		s.leaving = l.Incarnation
