upstream, site: VMs tell each other of rests, as a hint

Cause: an upstream that turns requests away was found out by each VM anew. Its word binds the VM that heard it; to the others it says that they may be turned away too, and costs it half of what failing does. A ramp as rests end was weighed and not built: without one 4 to 6 requests come to a returning upstream within the 50 ms that one takes, where it has 8 places.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,8 @@
 	// Owners returns the VMs that share this data centre's cold upstreams. May be
 	// nil: there is no other.
 	Owners func() upstream.Owners
+	// Rest is called, without waiting, with each rest that an upstream asks for. May be nil.
+	Rest func(Rest)
 	// Opinion is called, without waiting, with each model's opinion of one of its
 	// answers. May be nil.
 	Opinion func(Opinion)
--- a/relay/said.go
+++ b/relay/said.go
@@ -32,10 +32,35 @@
 	}
 	if fresh.Rest > 0 {
 		r.Metrics.rests.Inc(1)
+		if r.opts.Rest != nil {
+			r.opts.Rest(Rest{lifeOf(e), fresh.Rest})
+		}
 		r.log.Info("upstream-rests", append(fields, zap.Duration("for", fresh.Rest), zap.Duration("asked", h.Said.Rest))...)
 	}
 }
 
+// Rest is one that an upstream has asked a VM for, as VMs tell each other: it binds that VM
+// alone, and to the others says that they may be turned away too.
+type Rest struct {
+	Life contract.Life `cbor:"1,keyasint"`
+	// Left is how long it goes on.
+	Left time.Duration `cbor:"2,keyasint"`
+}
+
+// HearRests takes in which upstreams have asked other VMs for a rest.
+func (r *Relay) HearRests(rests []Rest) {
+	if len(rests) == 0 || !r.opts.Policy.Has(upstream.Telling) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, told := range rests {
+		if r.lives(told.Life.Upstream, told.Life.Born) {
+			r.table.RestTold(told.Life.Upstream, min(told.Left, r.opts.LongestRest), r.opts.Now())
+		}
+	}
+}
+
 // errTakesNone means that an upstream has said, while a connection to it was awaited, that
 // it wants no more.
 var errTakesNone = errors.New("the upstream has said meanwhile that it wants no more")
--- a/site/peers.go
+++ b/site/peers.go
@@ -176,6 +176,7 @@
 	HearSuspects(told []quarantine.Told, from contract.VMID) (urgent bool)
 	HearSent(sent []relay.Sent)
 	HearOpinions(opinions []relay.Opinion)
+	HearRests(rests []relay.Rest)
 }
 
 // judge makes evidence known to others, and to t what they know.
--- a/site/reads.go
+++ b/site/reads.go
@@ -24,6 +24,8 @@
 	Opinions []relay.Opinion `cbor:"3,keyasint,omitempty"`
 	// From is the VM that tells.
 	From contract.VMID `cbor:"4,keyasint,omitempty"`
+	// Rests are what upstreams have asked other VMs for.
+	Rests []relay.Rest `cbor:"5,keyasint,omitempty"`
 }
 
 // Timings and bounds of Reads.
@@ -41,6 +43,7 @@
 	maxReads     = 512
 	noteReads    = 10
 	noteOpinions = 8
+	noteRests    = 16
 	// regionMost is up to how many VMs those of other data centres are told too.
 	regionMost = 12
 )
@@ -64,6 +67,7 @@
 	here    bool
 	sent    *relay.Sent
 	opinion *relay.Opinion
+	rest    *relay.Rest
 }
 
 // add puts something into a list that is told in rounds.
@@ -89,6 +93,14 @@
 	p.sends.add(&p.sends.waiting, told{opinion: &o})
 }
 
+// Rest has other VMs told that an upstream has asked this one for a rest, without waiting.
+func (p *Peers) Rest(r relay.Rest) {
+	p.sends.mu.Lock()
+	p.sends.add(&p.sends.waiting, told{rest: &r})
+	p.sends.mu.Unlock()
+	p.sends.own.ask(p.tellReads)
+}
+
 // tellReads tells what this VM has sent: its hub, which passes it on; as a hub, the
 // other hubs and its leaves. Where VMs are few, each other data centre is told too.
 func (p *Peers) tellReads() {
@@ -157,17 +169,20 @@
 	var messages []Reads
 	m := Reads{From: from, PassOn: passOn}
 	for _, t := range list {
-		if t.sent != nil {
+		switch {
+		case t.sent != nil:
 			m.Sent = append(m.Sent, *t.sent)
-		} else {
+		case t.rest != nil:
+			m.Rests = append(m.Rests, *t.rest)
+		default:
 			m.Opinions = append(m.Opinions, *t.opinion)
 		}
-		if len(m.Sent) == noteReads || len(m.Opinions) == noteOpinions {
+		if len(m.Sent) == noteReads || len(m.Opinions) == noteOpinions || len(m.Rests) == noteRests {
 			messages = append(messages, m)
 			m = Reads{From: from, PassOn: passOn}
 		}
 	}
-	if len(m.Sent)+len(m.Opinions) > 0 {
+	if len(m.Sent)+len(m.Opinions)+len(m.Rests) > 0 {
 		messages = append(messages, m)
 	}
 	if len(messages) == 0 {
@@ -205,6 +220,7 @@
 	if t != nil {
 		t.HearSent(m.Sent)
 		t.HearOpinions(m.Opinions)
+		t.HearRests(m.Rests)
 	}
 	// What a leaf or another data centre tells goes to the other hubs and to the
 	// leaves, what another hub tells to the leaves alone.
@@ -223,5 +239,8 @@
 	for i := range m.Opinions {
 		out = append(out, told{from: m.From, here: here, opinion: &m.Opinions[i]})
 	}
+	for i := range m.Rests {
+		out = append(out, told{from: m.From, here: here, rest: &m.Rests[i]})
+	}
 	return out
 }
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -18,14 +18,16 @@
 	"woaddoor/vm"
 )
 
-// hearer notes what it is told of sends and opinions.
+// hearer notes what it is told of sends, opinions and rests; messages without any are left
+// out.
 type hearer struct {
 	sent     chan []relay.Sent
 	opinions chan []relay.Opinion
+	rests    chan []relay.Rest
 }
 
 func newHearer() *hearer {
-	return &hearer{make(chan []relay.Sent, 10), make(chan []relay.Opinion, 10)}
+	return &hearer{make(chan []relay.Sent, 10), make(chan []relay.Opinion, 10), make(chan []relay.Rest, 10)}
 }
 
 func (*hearer) Evidence(rollout.Hearer) rollout.Evidence { return nil }
@@ -35,6 +37,11 @@
 func (*hearer) Suspects() []quarantine.Told              { return nil }
 func (h *hearer) HearSent(s []relay.Sent)                { h.sent <- s }
 func (h *hearer) HearOpinions(o []relay.Opinion)         { h.opinions <- o }
+func (h *hearer) HearRests(r []relay.Rest) {
+	if len(r) > 0 {
+		h.rests <- r
+	}
+}
 
 func (*hearer) HearSuspects([]quarantine.Told, contract.VMID) bool { return false }
 
@@ -81,11 +88,14 @@
 		}
 	}
 	sent := relay.Sent{Upstream: "u", Model: "m", Tokens: 900, Parts: []reading.Part{{Key: 7, Tokens: 800}, {Key: 8, Tokens: 100}}, Takes: time.Second}
+	rest := relay.Rest{Life: contract.Life{Upstream: "u", Born: 3}, Left: time.Second}
 	a.Opinion(relay.Opinion{Model: "m", Largest: "l", Opinion: 0.5})
+	a.Rest(rest)
 	a.Sent(sent)
 	for _, h := range []*hearer{hearB, hearC, hearD} {
 		is.Equal(<-h.sent, []relay.Sent{sent})
 		is.Equal(<-h.opinions, []relay.Opinion{{Model: "m", Largest: "l", Opinion: 0.5}})
+		is.Equal(<-h.rests, []relay.Rest{rest})
 	}
 }
 
--- a/upstream/said.go
+++ b/upstream/said.go
@@ -61,6 +61,22 @@
 	return fresh
 }
 
+// restHint is what an upstream costs more that has asked another VM for a rest: as much as
+// one of which half of the late requests failed. It is asked less, and still where there is
+// no better: its word to one VM is none to the others.
+const restHint = failedWork / 2
+
+// RestTold takes in that an upstream has asked another VM for a rest that goes on for a time.
+func (t *Table) RestTold(id contract.UpstreamID, left time.Duration, now time.Time) {
+	s, ok := t.states[id]
+	if !ok {
+		return
+	}
+	if until := now.Add(left); until.After(s.othersRest) {
+		s.othersRest = until
+	}
+}
+
 // forget drops what was said by lives that have not been listed for long.
 func (t *Table) forget(now time.Time) {
 	for l, h := range t.said {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -118,8 +118,10 @@
 	// born is that of the entry, and cold what is believed of its warmth.
 	born int64
 	cold coldness
-	// said is what the upstream has said in this life; nil for nothing.
-	said *heldTo
+	// said is what the upstream has said in this life; nil for nothing. othersRest is when
+	// the last rest ends that it has asked other VMs for.
+	said       *heldTo
+	othersRest time.Time
 }
 
 // NewTable returns an empty table.
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -161,6 +161,9 @@
 	if t.isAway(s, q, now) {
 		cost += failedWork
 	}
+	if now.Before(s.othersRest) {
+		cost += restHint
+	}
 	running := (ownWeight*float64(s.inFlight) + s.others) / ownWeight / float64(s.pool.Slots) * allPlaces
 	if q.Work.reads() {
 		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
