--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/exchange"
 	"woaddoor/internal/standin/replica"
@@ -149,6 +150,22 @@
 	is.True(!up)
 }
 
+// TestLoadOfAnEarlierLife has an answer come of an upstream that has started again since:
+// what it tells of its load is not the new one's.
+func TestLoadOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	r, now, e, _ := saidRelay(t, upstream.Said{}, 0)
+	again := e
+	again.Born++
+	r.SetUpstreams([]upstream.Entry{again}, nil)
+	j := saidJob(*now)
+	r.table.Held(time.Second) // so that a line takes time
+	r.locked(func() { r.answered(j, &Head{Status: http.StatusOK, Load: &Load{Running: 500}}, e) })
+	estimate, ok := r.table.Best(upstream.Query{Kind: config.EnginePool, DataCentre: e.DataCentre}, *now, r.random)
+	is.True(ok)
+	is.Equal(estimate.Wait, time.Duration(0))
+}
+
 // TestLeavingEndsAsPlanned checks that the end of an upstream which has said that it leaves
 // is no crash under what it runs.
 func TestLeavingEndsAsPlanned(t *testing.T) {
--- a/relay/send.go
+++ b/relay/send.go
@@ -132,10 +132,11 @@
 
 // answered takes in the head of an answer. The caller holds mu.
 func (r *Relay) answered(j *job, h *Head, e upstream.Entry) {
-	if !h.NotRun && r.lives(e.ID, e.Born) {
+	alive := r.lives(e.ID, e.Born) // else it tells of an earlier life
+	if alive && !h.NotRun {
 		r.table.Accepted(e.ID)
 	}
-	if h.Load != nil {
+	if alive && h.Load != nil {
 		r.table.Loaded(e.ID, h.Load.Running, h.Load.Waiting, r.opts.Now())
 	}
 	if h.Status == http.StatusOK && !h.NotRun && j.waits.upstream != "" {
