--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -116,6 +116,28 @@
 	is.True(refused == nil)
 }
 
+// TestReturnOfThoseTurnedAway plays 100 callers a second who are turned away for 3 s. Told to
+// come back as the rest ends they are 300 at a time; they come back spread, at about the
+// rate at which callers come by themselves, and none before a place may be had.
+func TestReturnOfThoseTurnedAway(t *testing.T) {
+	const (
+		rest  = 3 * time.Second
+		every = 10 * time.Millisecond
+		span  = 100 * time.Millisecond
+	)
+	is := is.New(t)
+	r, _, _, _ := saidRelay(t, upstream.Said{}, 0)
+	back := make(map[time.Duration]int)
+	for at := time.Duration(0); at < rest; at += every {
+		after := r.backIn(upstream.Outlook{Listed: 1, Resting: 1, In: rest - at, Rest: rest}, retryListed)
+		is.True(at+after >= rest)
+		back[(at+after)/span]++
+	}
+	for _, n := range back {
+		is.True(n <= 2*int(span/every))
+	}
+}
+
 // TestNoRepeatWithoutAnUpstream checks that a request which nobody could take once more
 // takes nothing out of the budget that others may want.
 func TestNoRepeatWithoutAnUpstream(t *testing.T) {
