--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -19,9 +19,16 @@
 	promiseBack     = "requests are served again after the last fault"
 	promiseLeft     = "an upstream that says that it leaves gets nothing more after the bound"
 	promiseRest     = "an upstream that asks for a rest gets two requests in it at most"
+	promiseEmptied  = "an evacuated data centre gets nothing more after the bound"
 	promiseSpace    = "memory, goroutines and descriptors stay bounded"
 )
 
+// promises are all, each of which a run has to have checked.
+var promises = []string{
+	promiseOnce, promiseNotRun, promiseOwn, promiseEvents, promiseHeld, promiseSettings, promiseBudget, promiseBack, promiseLeft, promiseRest,
+	promiseEmptied, promiseSpace,
+}
+
 // tally counts what was checked, and keeps what failed, with the faults around it.
 type tally struct {
 	began time.Time
@@ -60,6 +67,11 @@
 		lines = append(lines, fmt.Sprintf("%8d  %s", n, p))
 	}
 	sort.Strings(lines)
+	for _, p := range promises {
+		if t.checked[p] == 0 {
+			t.failures = append(t.failures, "not checked in this run: "+p)
+		}
+	}
 	if len(t.failures) == 0 {
 		return lines, false
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,6 +68,8 @@
 			}
 		},
 		"upstreams-rest": func(n int, d time.Duration) { f.rests(f.upstreams.places, n, d/2) },
+		"configurations": func(n int, d time.Duration) { f.storm(2+n%10, d) },
+		"evacuated":      func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) },
 		"upstream-mute": func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.setMute(p, true)
@@ -96,13 +98,30 @@
 // others, so that a seed goes on to draw the same of those.
 var wordNames = []string{"upstream-leaves", "upstream-rests", "upstreams-rest"}
 
+// operatorNames are those that the operator brings about, drawn apart for the same reason.
+var operatorNames = []string{"configurations", "evacuated"}
+
 // plan draws faults by the seed: who, what and when. They come in series and overlap.
 func (f *fleet) plan(seed uint64, length time.Duration) []fault {
 	out := append(f.draw(kindNames, seed, 2, length), f.draw(wordNames, seed, 3, length)...)
+	out = append(out, f.draw(operatorNames, seed, 4, length)...)
+	out = append(out, f.always(seed, length)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
 
+// always are faults without which a promise may go unchecked: words of upstreams that a seed
+// may not draw, or of ones that end right after.
+func (f *fleet) always(seed uint64, length time.Duration) []fault {
+	kinds := f.kinds()
+	var out []fault
+	for k, name := range []string{"evacuated", "upstream-leaves", "upstream-rests", "upstream-leaves"} {
+		n := int(seed%1000) + 5*k
+		out = append(out, fault{length * time.Duration(k+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name](n, time.Second) }})
+	}
+	return out
+}
+
 // draw draws faults of some kinds by a seed and a stream of its own.
 func (f *fleet) draw(names []string, seed, stream uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, stream))
@@ -138,6 +157,33 @@
 	time.AfterFunc(d, func() { f.upstreams.setRest(places, 0) })
 }
 
+// storm writes a number of configurations within a time, each like the one before.
+func (f *fleet) storm(n int, d time.Duration) {
+	for k := range n {
+		time.AfterFunc(d*time.Duration(k)/time.Duration(n), f.configure)
+	}
+}
+
+// configure writes the next version of the configuration.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.store.PutService(deployment(f.version, f.keys...))
+}
+
+// evacuate has the operator empty a data centre, for longer than the bound.
+func (f *fleet) evacuate(dc string, d time.Duration) {
+	if !f.upstreams.evacuate(dc) {
+		return // it is under way
+	}
+	f.store.Evacuate(dc)
+	time.AfterFunc(evacuateWithin+contact+d, func() {
+		f.upstreams.takeBack(dc)
+		f.store.TakeBack(dc)
+	})
+}
+
 // pause stops a VM's process and wakes it again.
 func (f *fleet) pause(v *vm, d time.Duration) {
 	v.troubled(d)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -26,7 +26,9 @@
 	retrySlack   = 10.0
 	budgetWindow = 10 * time.Second
 	applyWithin  = 2 * time.Second
-	recoverIn    = 12 * time.Second
+	// evacuateWithin is how soon a data centre that is evacuated gets nothing more.
+	evacuateWithin = 3 * time.Second
+	recoverIn      = 12 * time.Second
 )
 
 // Keys of the workspace: one that it keeps, and one that is taken away.
@@ -43,6 +45,11 @@
 	upstreams *upstreams
 	vms       []*vm
 	tally     *tally
+
+	// mu guards the fields below: the newest configuration.
+	mu      sync.Mutex
+	version int
+	keys    []string
 }
 
 // vm is one woaddoor-vm, which is started again under its addresses.
@@ -67,8 +74,8 @@
 
 // newFleet starts vms VMs and twice as many upstreams in three data centres.
 func newFleet(folder string, vms int, seed uint64, t *tally) (*fleet, error) {
-	f := &fleet{folder: folder, store: objects.New(), tally: t}
-	f.store.PutService(deployment(1, keyKept, keyRevoked))
+	f := &fleet{folder: folder, store: objects.New(), tally: t, keys: []string{keyKept, keyRevoked}}
+	f.configure()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -137,8 +144,8 @@
 		_, metricsPort, _ := net.SplitHostPort(a[3])
 		v := &vm{name: fmt.Sprintf("vm%d", k), settings: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", k)), ready: a[1], metrics: "127.0.0.1:" + metricsPort}
 		text := fmt.Sprintf("[vm]\nname = %s\ndata-centre = %s\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\nseeds = %s\nmetrics-port = %s\n\n"+
-			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = 2s\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\n",
-			v.name, dataCentre(k), a[0], a[1], a[2], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), grace, applyWithin, retryRatio, retrySlack, budgetWindow)
+			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = %v\nevacuation = %v\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\n",
+			v.name, dataCentre(k), a[0], a[1], a[2], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), grace, applyWithin, drainWithin, evacuateWithin, retryRatio, retrySlack, budgetWindow)
 		if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -165,6 +172,7 @@
 		return err
 	}
 	f.upstreams.words.begins(v.name)
+	f.upstreams.words.knows(v)
 	ended := make(chan struct{})
 	v.mu.Lock()
 	v.command, v.ended, v.stopped = c, ended, false
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -153,7 +153,10 @@
 	if !c.revokedAt.IsZero() {
 		return false
 	}
-	c.fleet.store.PutService(deployment(2, keyKept))
+	c.fleet.mu.Lock()
+	c.fleet.keys = []string{keyKept}
+	c.fleet.mu.Unlock()
+	c.fleet.configure()
 	c.revokedAt = time.Now()
 	return true
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,9 +29,9 @@
 	is.Equal(plan(7), plan(7))
 	is.True(!slices.Equal(plan(7), plan(8)))
 	is.True(sort.StringsAreSorted(kindNames)) // a plan hangs on their order
-	is.True(sort.StringsAreSorted(wordNames))
-	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames))
-	for _, name := range append(slices.Clone(kindNames), wordNames...) {
+	is.True(sort.StringsAreSorted(wordNames) && sort.StringsAreSorted(operatorNames))
+	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames)+len(operatorNames))
+	for _, name := range slices.Concat(kindNames, wordNames, operatorNames) {
 		is.True(f.kinds()[name] != nil)
 	}
 }
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -45,6 +45,8 @@
 	harmless          bool
 	// failing has every answer that may run again fail.
 	failing bool
+	// evacuated is since when data centres are evacuated.
+	evacuated map[string]time.Time
 }
 
 // arrival is a request that came to an upstream.
@@ -67,7 +69,7 @@
 }
 
 func newUpstreams(store *objects.Store, t *tally, seed uint64) *upstreams {
-	return &upstreams{store: store, tally: t, words: newWords(t), random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int)}
+	return &upstreams{store: store, tally: t, words: newWords(t), random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int), evacuated: make(map[string]time.Time)}
 }
 
 // start starts an upstream at a new place.
@@ -150,7 +152,11 @@
 		u.deadlyAt = append(u.deadlyAt, time.Now())
 	}
 	fails := u.failing || u.random.IntN(50) == 0
+	evacuated, emptied := u.evacuated[p.dataCentre]
 	u.mu.Unlock()
+	if emptied {
+		u.words.cameTo(r, time.Since(evacuated))
+	}
 	u.words.came(r, life, link)
 	if strings.HasPrefix(r.URL.Path, "/once/") {
 		u.tally.check(promiseOnce, runs == 1, r.ID(), fmt.Sprintf("runs for the %d. time", runs))
@@ -302,6 +308,25 @@
 	})
 }
 
+// evacuate notes that a data centre is evacuated, and tells whether it was not yet.
+func (u *upstreams) evacuate(dc string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, already := u.evacuated[dc]; already {
+		return false
+	}
+	u.evacuated[dc] = time.Now()
+	u.tally.check(promiseEmptied, true, "", "")
+	return true
+}
+
+// takeBack notes that the evacuation of a data centre ends.
+func (u *upstreams) takeBack(dc string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.evacuated, dc)
+}
+
 // setRest has upstreams turn most of what they get away and ask for a rest, or no more.
 func (u *upstreams) setRest(places []*place, rest time.Duration) {
 	u.mu.Lock()
--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -40,6 +40,8 @@
 	// leaving is when a VM has passed on that an upstream leaves.
 	leaving map[spoken]time.Time
 	rests   map[spoken][]*rest
+	// inReach tells of each VM whether no fault excuses it.
+	inReach map[string]func() bool
 }
 
 // spoken is a life of an upstream and the life of the VM that it spoke to.
@@ -58,10 +60,17 @@
 func newWords(t *tally) *words {
 	return &words{
 		tally: t, present: make(map[string]int), sent: make(map[string]time.Time), leaving: make(map[spoken]time.Time),
-		rests: make(map[spoken][]*rest),
+		rests: make(map[spoken][]*rest), inReach: make(map[string]func() bool),
 	}
 }
 
+// knows notes a VM.
+func (w *words) knows(v *vm) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.inReach[v.name] = v.inReach
+}
+
 // begins notes that another life of a VM begins, or that it wakes from a pause.
 func (w *words) begins(vm string) {
 	w.mu.Lock()
@@ -101,6 +110,18 @@
 	w.tally.check(promiseRest, true, "", "")
 }
 
+// cameTo checks a request that has come to an upstream of a data centre which has been
+// evacuated for a time.
+func (w *words) cameTo(r *replica.Request, since time.Duration) {
+	vm, _, _ := strings.Cut(r.Header.Get(headerVia), " ")
+	w.mu.Lock()
+	inReach := w.inReach[vm]
+	w.mu.Unlock()
+	if inReach != nil && inReach() {
+		w.tally.check(promiseEmptied, since <= evacuateWithin, r.ID(), fmt.Sprintf("came by %s, %v after its data centre was evacuated", vm, since))
+	}
+}
+
 // came checks a request that has come to an upstream over a link, which is nil once the
 // upstream has ended.
 func (w *words) came(r *replica.Request, life int, link *proxy) {
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -84,4 +84,13 @@
 // DeleteUpstream removes an upstream's entry, as the platform does once it is silent.
 func (s *Store) DeleteUpstream(id string) { s.Delete(kindUpstreams, id) }
 
+// Evacuate asks, as the operator would, that the upstreams of a data centre get nothing more,
+// and TakeBack takes that back.
+func (s *Store) Evacuate(dataCentre string) { s.Put(kindEvacuations, dataCentre, map[string]any{}) }
+
+// TakeBack ends an evacuation.
+func (s *Store) TakeBack(dataCentre string) { s.Delete(kindEvacuations, dataCentre) }
+
+const kindEvacuations = "evacuations"
+
 const kindUpstreams = "servers"
