--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -172,19 +173,20 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Framed: framed, body: resp.Body, conn: c, pool: p}
 }
 
-// keepAlive returns how long the upstream keeps an idle connection; zero when
-// it does not say.
+// mostKept bounds for how long an upstream is believed to keep an idle connection.
+const mostKept = 24 * time.Hour
+
+// keepAlive returns how long the upstream keeps an idle connection; zero when it does not
+// say. Other parameters may stand beside the time, such as "timeout=5, max=100".
 func keepAlive(h http.Header) time.Duration {
-	const key = "timeout="
-	text := h.Get("Keep-Alive")
-	if len(text) <= len(key) || text[:len(key)] != key {
-		return 0
-	}
-	seconds, err := strconv.Atoi(text[len(key):])
-	if err != nil {
-		return 0
+	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds > 0 && seconds <= int(mostKept/time.Second) {
+			return time.Duration(seconds) * time.Second
+		}
 	}
-	return time.Duration(seconds) * time.Second
+	return 0
 }
 
 // Read reads the body. io.EOF means that it is whole.
