--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -10,6 +10,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,25 +29,28 @@
 )
 
 type arguments struct {
-	Seed   uint64        `help:"Decides every fault and its moment; 0 draws one."`
-	For    time.Duration `help:"How long faults come." default:"30s"`
-	VMs    int           `help:"How many VMs." name:"vms" default:"6"`
-	Folder string        `help:"Where logs go." default:"bench-out/soak"`
+	Seed uint64        `help:"Decides every fault and its moment; 0 draws one."`
+	For  time.Duration `help:"How long faults come." default:"30s"`
+	VMs  int           `help:"How many VMs." name:"vms" default:"6"`
+	// Callers is bounded apart: many VMs start and fail as many do with few callers.
+	Callers int    `help:"How many callers in all; 0 means three for each VM." default:"0"`
+	Folder  string `help:"Where logs go." default:"bench-out/soak"`
 }
 
 func main() {
 	var a arguments
 	parser := kong.Parse(&a, kong.Name("soak"), kong.Description("Runs real processes under faults and checks the product's promises."))
-	if a.VMs < 1 || a.For <= 0 {
-		parser.Fatalf("--vms is %d and --for is %v: both have to be above 0", a.VMs, a.For)
+	if a.VMs < 1 || a.For <= 0 || a.Callers < 0 {
+		parser.Fatalf("--vms is %d, --for is %v and --callers is %d: the first two have to be above 0, the last not below", a.VMs, a.For, a.Callers)
 	}
+	a.Callers = cmp.Or(a.Callers, callersEach*a.VMs)
 	if a.Seed == 0 {
 		a.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
 	failed, err := run(a)
 	parser.FatalIfErrorf(err)
 	if failed {
-		fmt.Printf("logs: %s; again: go run ./internal/soak --seed %d --for %v --vms %d\n", a.Folder, a.Seed, a.For, a.VMs)
+		fmt.Printf("logs: %s; again: go run ./internal/soak --seed %d --for %v --vms %d --callers %d\n", a.Folder, a.Seed, a.For, a.VMs, a.Callers)
 		os.Exit(1)
 	}
 }
@@ -94,7 +98,7 @@
 			run(calling, rand.New(rand.NewPCG(a.Seed, 100+n)))
 		}()
 	}
-	for n := range uint64(callersEach * a.VMs) {
+	for n := range uint64(a.Callers) {
 		begin(c.run, n)
 	}
 	begin(c.runDeadly, 1000)
