--- a/site/spread_test.go
+++ b/site/spread_test.go
@@ -78,10 +78,12 @@
 	}
 	now := time.Now()
 	for _, p := range f.peers {
+		p.mu.Lock() // those that run already speak with it
 		for _, m := range members {
 			p.table.Heard(m, now)
 			p.know(m.ControlLink)
 		}
+		p.mu.Unlock()
 		go p.Run(ctx)
 	}
 	return f
