site: tests take the lock of VMs that are spoken to; a message without a prompt is none

TestChangeReachesAll (and, looked for beside it, TestReadsReachAll): a data race of the tests, which told a VM of the others without its lock while those told before already spoke with it.

--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -35,11 +35,14 @@
 func (*hearer) OrderAges() []relay.OrderAge              { return nil }
 func (*hearer) HearAges([]relay.OrderAge)                {}
 func (*hearer) Suspects() []quarantine.Told              { return nil }
-func (h *hearer) HearSent(s []relay.Sent)                { h.sent <- s }
-func (h *hearer) HearOpinions(o []relay.Opinion)         { h.opinions <- o }
-func (h *hearer) HearRests(r []relay.Rest) {
-	if len(r) > 0 {
-		h.rests <- r
+func (h *hearer) HearSent(s []relay.Sent)                { pass(h.sent, s) }
+func (h *hearer) HearOpinions(o []relay.Opinion)         { pass(h.opinions, o) }
+func (h *hearer) HearRests(r []relay.Rest)               { pass(h.rests, r) }
+
+// pass passes on what a message tells, unless it tells nothing of the kind.
+func pass[T any](to chan []T, told []T) {
+	if len(told) > 0 {
+		to <- told
 	}
 }
 
@@ -72,6 +75,16 @@
 	return p, h, self
 }
 
+// meetAll tells a VM of others. It may be spoken to already by one that was told before.
+func (p *Peers) meetAll(members []vm.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range members {
+		p.table.Heard(m, time.Now())
+		p.know(m.ControlLink)
+	}
+}
+
 // TestSendsAreTold checks that the VMs of the data centre, and those of another
 // one through one of them, hear of a prompt and of an opinion.
 func TestSendsAreTold(t *testing.T) {
@@ -80,12 +93,8 @@
 	b, hearB, memberB := testPeers(t, "b", "d")
 	c, hearC, memberC := testPeers(t, "c", "e")
 	d, hearD, memberD := testPeers(t, "d", "e")
-	now := time.Now()
 	for _, p := range []*Peers{a, b, c, d} {
-		for _, m := range []vm.Member{memberA, memberB, memberC, memberD} {
-			p.table.Heard(m, now)
-			p.know(m.ControlLink)
-		}
+		p.meetAll([]vm.Member{memberA, memberB, memberC, memberD})
 	}
 	sent := relay.Sent{Upstream: "u", Model: "m", Tokens: 900, Parts: []reading.Part{{Key: 7, Tokens: 800}, {Key: 8, Tokens: 100}}, Takes: time.Second}
 	rest := relay.Rest{Life: contract.Life{Upstream: "u", Born: 3}, Left: time.Second}
@@ -112,12 +121,8 @@
 		p, h, m := testPeers(t, fmt.Sprintf("v%d", i), "d")
 		all, hearers, members = append(all, p), append(hearers, h), append(members, m)
 	}
-	now := time.Now()
 	for _, p := range all {
-		for _, m := range members {
-			p.table.Heard(m, now)
-			p.know(m.ControlLink)
-		}
+		p.meetAll(members)
 	}
 	for _, p := range all { // leaves make themselves known to their hubs
 		if v := p.look(); !v.isHub {
--- a/site/spread_test.go
+++ b/site/spread_test.go
@@ -76,14 +76,8 @@
 			f.peers, f.counters, members = append(f.peers, p), append(f.counters, c), append(members, m)
 		}
 	}
-	now := time.Now()
 	for _, p := range f.peers {
-		p.mu.Lock() // those that run already speak with it
-		for _, m := range members {
-			p.table.Heard(m, now)
-			p.know(m.ControlLink)
-		}
-		p.mu.Unlock()
+		p.meetAll(members)
 		go p.Run(ctx)
 	}
 	return f
