--- a/internal/layers/fields_test.go
+++ b/internal/layers/fields_test.go
@@ -100,19 +100,16 @@
 		if s == nil || slices.Contains(written, ast.Expr(sel)) {
 			return true
 		}
+		way := s.Index()
+		if s.Kind() != types.FieldVal {
+			way = way[:len(way)-1] // the last one is a method's
+		}
 		at := s.Recv()
-		for _, i := range s.Index() {
+		for _, i := range way {
 			if p, ok := at.Underlying().(*types.Pointer); ok {
 				at = p.Elem()
 			}
-			st, ok := at.Underlying().(*types.Struct)
-			if !ok {
-				break // a method
-			}
-			if i >= st.NumFields() {
-				break
-			}
-			field := st.Field(i)
+			field := at.Underlying().(*types.Struct).Field(i)
 			read[field] = true
 			at = field.Type()
 		}
--- a/relay/ends.go
+++ b/relay/ends.go
@@ -40,7 +40,7 @@
 	if !j.there && now.Sub(j.sentAt) < thereAfter || !r.mayCrash(e) {
 		return
 	}
-	life := contract.Life{Upstream: e.ID, Born: e.Born}
+	life := e.Life()
 	s := quarantine.Suspect{
 		Print: j.print(), Request: j.ID, Service: j.service, Workspace: j.Workspace, Route: j.Route.Name, Sent: j.sentAt, Broke: now,
 	}
@@ -58,10 +58,7 @@
 // holds mu.
 func (r *Relay) mayCrash(e upstream.Entry) bool {
 	listed, ok := r.entries[e.ID]
-	if _, leaving := r.table.WordOf(e.ID, r.opts.Now()); leaving {
-		return false
-	}
-	if !ok || listed.Born != e.Born || listed.Leaving || r.undone[e.Service][e.Release] {
+	if !ok || listed.Born != e.Born || r.table.Leaves(e.ID) || r.undone[e.Service][e.Release] {
 		return false
 	}
 	settled := r.settled[e.Service]
@@ -88,7 +85,7 @@
 	}
 	lives := make(map[string]contract.Life, len(r.entries))
 	for _, e := range r.entries {
-		lives[e.Address] = contract.Life{Upstream: e.ID, Born: e.Born}
+		lives[e.Address] = e.Life()
 	}
 	at := func(address string) (contract.Life, bool) {
 		l, ok := lives[address]
--- a/relay/held.go
+++ b/relay/held.go
@@ -5,10 +5,8 @@
 
 	"go.uber.org/zap"
 
-	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/quarantine"
-	"woaddoor/upstream"
 )
 
 // printed has the content of a request hashed where any content is suspected: before mu
@@ -44,8 +42,7 @@
 			but = append(but, e.Upstream)
 		}
 	}
-	others := upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: but}
-	return !r.table.Another(others, true, now)
+	return !r.table.Another(r.among(c, but), true, now)
 }
 
 // suspect takes in that an upstream ended under a request, and has other VMs told. The
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -55,7 +55,7 @@
 // mu.
 func (r *Relay) any(j *job, now time.Time) bool {
 	return slices.ContainsFunc(r.eligible(j, now), func(c candidates) bool {
-		return r.table.Any(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: j.exclude}, now)
+		return r.table.Any(r.among(c, j.exclude), now)
 	})
 }
 
@@ -80,7 +80,7 @@
 	now := r.opts.Now()
 	exclude := append(slices.Clone(j.exclude), j.last.ID)
 	return slices.ContainsFunc(r.eligible(j, now), func(c candidates) bool {
-		return r.table.Another(upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: exclude}, suspected, now)
+		return r.table.Another(r.among(c, exclude), suspected, now)
 	})
 }
 
@@ -149,10 +149,14 @@
 // query returns what the job needs of an upstream among candidates. The caller
 // holds mu.
 func (r *Relay) query(j *job, c candidates, now time.Time) upstream.Query {
-	return upstream.Query{
-		Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre,
-		Prefix: j.Subject, Exclude: j.exclude, Work: r.work(j, now),
-	}
+	q := r.among(c, j.exclude)
+	q.Prefix, q.Work = j.Subject, r.work(j, now)
+	return q
+}
+
+// among returns the query for any upstream among candidates but some.
+func (r *Relay) among(c candidates, exclude []contract.UpstreamID) upstream.Query {
+	return upstream.Query{Kind: config.EnginePool, Pools: c.ids, DataCentre: r.opts.DataCentre, Exclude: exclude}
 }
 
 // work returns what a request asks of an upstream with the job's model. The
--- a/relay/said.go
+++ b/relay/said.go
@@ -23,7 +23,7 @@
 	defer r.mu.Unlock()
 	said := h.Said
 	said.Rest = min(said.Rest, r.opts.LongestRest)
-	fresh := r.table.TakeWord(lifeOf(e), said, r.opts.Now())
+	fresh := r.table.TakeWord(e.Life(), said, r.opts.Now())
 	fields := []zap.Field{zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("address", e.Address),
 		zap.String("service", string(e.Service)), zap.String("request", string(j.ID)), zap.Int("status", h.Status)}
 	if fresh.Leaving {
@@ -33,7 +33,7 @@
 	if fresh.Rest > 0 {
 		r.Metrics.rests.Inc(1)
 		if r.opts.Rest != nil {
-			r.opts.Rest(Rest{lifeOf(e), fresh.Rest})
+			r.opts.Rest(Rest{e.Life(), fresh.Rest})
 		}
 		r.log.Info("upstream-rests", append(fields, zap.Duration("for", fresh.Rest), zap.Duration("asked", h.Said.Rest))...)
 	}
@@ -70,15 +70,13 @@
 func (r *Relay) barredMeanwhile(e upstream.Entry) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table.Takes(lifeOf(e), r.opts.Now()) {
+	if r.table.Takes(e.Life(), r.opts.Now()) {
 		return nil
 	}
 	r.Metrics.barred.Inc(1)
 	return errTakesNone
 }
 
-func lifeOf(e upstream.Entry) contract.Life { return contract.Life{Upstream: e.ID, Born: e.Born} }
-
 // noteSend counts a send to an upstream that wants none. The caller holds mu.
 func (r *Relay) noteSend(id contract.UpstreamID, now time.Time) {
 	resting, leaving := r.table.WordOf(id, now)
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -22,8 +22,8 @@
 // plainDialect sends requests as they are; heads say what it holds.
 type plainDialect struct{ said upstream.Said }
 
-func (plainDialect) Encode(r *Request, s Send) *exchange.Request {
-	return &exchange.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Attempt-Id": {string(r.ID)}}}
+func (plainDialect) Encode(*Request, Send) *exchange.Request {
+	return &exchange.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}
 }
 func (plainDialect) Belongs(*Request, http.Header) bool { return true }
 func (d plainDialect) Decode(status int, h http.Header) *Head {
@@ -68,7 +68,7 @@
 	chosen, refused := r.pick(j)
 	is.True(refused == nil)
 	is.Equal(chosen.ID, e.ID)
-	r.locked(func() { r.table.TakeWord(lifeOf(e), upstream.Said{Leaving: true}, *now) })
+	r.locked(func() { r.table.TakeWord(e.Life(), upstream.Said{Leaving: true}, *now) })
 	_, err := r.send(context.Background(), j, chosen, nil, time.Minute)
 	is.True(errors.Is(err, errTakesNone))
 	r.failed(j, err, *now)
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -48,6 +48,9 @@
 // and release in one data centre.
 func (e Entry) PoolOf() contract.PoolID { return PoolID(e.Service, e.Release, e.DataCentre) }
 
+// Life names the life that an entry is of.
+func (e Entry) Life() contract.Life { return contract.Life{Upstream: e.ID, Born: e.Born} }
+
 // PoolID names a pool of listed upstreams.
 func PoolID(s contract.ServiceID, release string, dc contract.DataCentreID) contract.PoolID {
 	return contract.PoolID(string(s) + "|" + release + "|" + string(dc))
@@ -74,7 +77,7 @@
 		s := t.states[e.ID]
 		s.kept.Bound(e.Memory)
 		s.born = e.Born
-		s.said = t.said[contract.Life{Upstream: e.ID, Born: e.Born}]
+		s.said = t.said[e.Life()]
 		s.leaving = 0
 		if e.Leaving {
 			s.leaving = 1
--- a/upstream/rest_replay_test.go
+++ b/upstream/rest_replay_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -18,7 +19,7 @@
 	vms    []*Table
 	now    time.Time
 	random *rand.Rand
-	ends   []ending
+	events replayEvents
 	// turned counts the requests that were turned away, after holds when requests came to
 	// each upstream that had turned some away, once it takes them again.
 	turned int
@@ -37,12 +38,6 @@
 	return most
 }
 
-// ending is something that happens at a VM at a time.
-type ending struct {
-	at time.Time
-	do func()
-}
-
 // Load of a restFleet: 40 upstreams of 8 places, of which 8 turn requests away.
 const (
 	restUpstreams = 40
@@ -74,21 +69,13 @@
 
 // later has something happen after a time.
 func (f *restFleet) later(d time.Duration, do func()) {
-	f.ends = append(f.ends, ending{f.now.Add(d), do})
+	heap.Push(&f.events, replayEvent{f.now.Add(d), do})
 }
 
 // due has happen what is due.
 func (f *restFleet) due() {
-	var now []ending
-	f.ends = slices.DeleteFunc(f.ends, func(e ending) bool {
-		if e.at.After(f.now) {
-			return false
-		}
-		now = append(now, e)
-		return true
-	})
-	for _, e := range now {
-		e.do()
+	for f.events.Len() > 0 && !f.events[0].at.After(f.now) {
+		heap.Pop(&f.events).(replayEvent).do()
 	}
 }
 
--- a/upstream/said.go
+++ b/upstream/said.go
@@ -112,17 +112,17 @@
 // WordOf tells whether an upstream rests, and whether it has said that it leaves.
 func (t *Table) WordOf(id contract.UpstreamID, now time.Time) (resting, leaving bool) {
 	s, ok := t.states[id]
-	return ok && s.rests(now), ok && s.saysLeaving()
+	return ok && s.said.rests(now), ok && s.said.leaves()
 }
 
 // takes tells whether an upstream wants new work, by whoever says so: the store's list, a
 // report, or itself in an answer. Every choice asks it, the last resort too: what an
 // upstream wants is not a matter of health.
-func (s *state) takes(now time.Time) bool { return !s.leaves() && !s.rests(now) }
+func (s *state) takes(now time.Time) bool { return !s.leaves() && !s.said.rests(now) }
 
 // leaves tells whether an upstream is to end soon.
 func (s *state) leaves() bool {
-	return s.leaving != 0 && s.leaving >= s.incarnation || s.saysLeaving()
+	return s.leaving != 0 && s.leaving >= s.incarnation || s.said.leaves()
 }
 
 // Takes tells whether a life of an upstream that was chosen wants new work still.
@@ -131,22 +131,28 @@
 		return s.takes(now)
 	}
 	h := t.said[l] // it is not listed any more, and may be chosen still
-	return h == nil || !h.leaving && !now.Before(h.restUntil)
+	return !h.leaves() && !h.rests(now)
 }
 
-// saysLeaving tells whether the upstream has said in this life that it leaves.
-func (s *state) saysLeaving() bool { return s.said != nil && s.said.leaving }
+// Leaves tells whether an upstream is to end soon, by the list or by its own word.
+func (t *Table) Leaves(id contract.UpstreamID) bool {
+	s, ok := t.states[id]
+	return ok && s.leaves()
+}
+
+// leaves tells whether a life has said that it ends soon; nil has said nothing.
+func (h *heldTo) leaves() bool { return h != nil && h.leaving }
 
-// rests tells whether the upstream has asked this VM for a rest that goes on.
-func (s *state) rests(now time.Time) bool { return s.said != nil && now.Before(s.said.restUntil) }
+// rests tells whether a life has asked this VM for a rest that goes on; nil has said nothing.
+func (h *heldTo) rests(now time.Time) bool { return h != nil && now.Before(h.restUntil) }
 
 // Resting returns how many of the listed upstreams rest, and how many say that they leave.
 func (t *Table) Resting(now time.Time) (resting, leaving int) {
 	for _, s := range t.ordered {
-		if s.rests(now) {
+		if s.said.rests(now) {
 			resting++
 		}
-		if s.saysLeaving() {
+		if s.said.leaves() {
 			leaving++
 		}
 	}
@@ -178,7 +184,7 @@
 		switch {
 		case s.leaves():
 			o.Leaving++
-		case s.rests(now):
+		case s.said.rests(now):
 			o.Resting++
 			if in := s.said.restUntil.Sub(now); o.Resting == 1 || in < o.In {
 				o.In, o.Rest = in, s.said.rest
