--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -86,6 +86,7 @@
 		line("retry_budget_left_ratio", v.relay.BudgetLeft()),
 		line("upstreams", v.relay.Upstreams()),
 		line("upstreams_cold", v.relay.Cold()),
+		line("upstreams_limited", v.relay.Limited()),
 		line("upstreams_resting", resting),
 		line("upstreams_say_leaving", leaving),
 		line("upstreams_age_milliseconds", upstreams.Milliseconds()),
--- a/relay/log.go
+++ b/relay/log.go
@@ -60,6 +60,9 @@
 		if resting, leaving := r.table.Resting(r.opts.Now()); resting+leaving > 0 {
 			fields = append(fields, zap.Int("upstreams_resting", resting), zap.Int("upstreams_say_leaving", leaving))
 		}
+		if limited := r.table.CountLimited(); limited > 0 {
+			fields = append(fields, zap.Int("upstreams_limited", limited))
+		}
 		if len(r.evacuated) > 0 {
 			var centres []string
 			for _, dc := range slices.Sorted(maps.Keys(r.evacuated)) {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -41,6 +41,8 @@
 	// asked for a longer rest; toLeaving and toResting the choices of such ones, and barred
 	// the sends that did not go out since their upstream had said so meanwhile.
 	leaves, rests, toLeaving, toResting, barred metrics.Counter
+	// limits counts the changes of upstreams' limits, and toLimited the sends to such ones.
+	limits, toLimited metrics.Counter
 }
 
 func newMetrics() *Metrics {
@@ -72,6 +74,8 @@
 		rests:          metrics.NewRegisteredCounter("upstream_rests_total", r),
 		toLeaving:      metrics.NewRegisteredCounter("sends_to_leaving_total", r),
 		barred:         metrics.NewRegisteredCounter("sends_barred_total", r),
+		limits:         metrics.NewRegisteredCounter("upstream_limits_total", r),
+		toLimited:      metrics.NewRegisteredCounter("sends_to_limited_total", r),
 		toResting:      metrics.NewRegisteredCounter("sends_to_resting_total", r),
 	}
 }
--- a/relay/said.go
+++ b/relay/said.go
@@ -12,15 +12,16 @@
 
 // hear takes in what the head of an answer says of its upstream, whatever becomes of the
 // answer: of one that is not passed on too.
-func (r *Relay) hear(j *job, h *Head, e upstream.Entry) {
+func (r *Relay) hear(j *job, h *Head, e upstream.Entry, sent time.Time) {
 	if h.Unread != nil {
 		r.log.Warn("word-not-understood", zap.String("upstream", string(e.ID)), zap.String("request", string(j.ID)), zap.Int("status", h.Status), zap.Error(h.Unread))
 	}
 	if h.Said == (upstream.Said{}) {
-		return
+		return // nothing, as of most refusals
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.hearLimit(j, h, e, sent)
 	said := h.Said
 	said.Rest = min(said.Rest, r.opts.LongestRest)
 	fresh := r.table.TakeWord(e.Life(), said, r.opts.Now())
@@ -39,6 +40,20 @@
 	}
 }
 
+// hearLimit takes in what the head of an answer says of its upstream's limit. The caller
+// holds mu.
+func (r *Relay) hearLimit(j *job, h *Head, e upstream.Entry, sent time.Time) {
+	before, changed := r.table.TakeLimit(e.Life(), h.Said.Limit, sent, r.opts.Now())
+	if !changed {
+		return
+	}
+	r.Metrics.limits.Inc(1)
+	r.log.Info("upstream-limit", zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("service", string(e.Service)),
+		zap.Bool("named", h.Said.Limit.Word == upstream.LimitNamed), zap.Float64("per_second", h.Said.Limit.PerSecond),
+		zap.Bool("named_before", before.Word == upstream.LimitNamed), zap.Float64("per_second_before", before.PerSecond),
+		zap.String("request", string(j.ID)), zap.Int("status", h.Status))
+}
+
 // Rest is one that an upstream has asked a VM for, as VMs tell each other: it binds that VM
 // alone, and to the others says that they may be turned away too.
 type Rest struct {
@@ -86,6 +101,9 @@
 	if leaving {
 		r.Metrics.toLeaving.Inc(1)
 	}
+	if r.table.Limited(id) {
+		r.Metrics.toLimited.Inc(1)
+	}
 }
 
 // noteRests says which rests have ended. The caller holds mu.
@@ -102,3 +120,10 @@
 	defer r.mu.Unlock()
 	return r.table.Resting(r.opts.Now())
 }
+
+// Limited returns how many of the listed upstreams have named a limit that holds.
+func (r *Relay) Limited() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CountLimited()
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -118,7 +118,7 @@
 		return nil, err
 	}
 	head := r.opts.Dialect.Decode(x.Status, x.Header)
-	r.hear(j, head, e)
+	r.hear(j, head, e, now)
 	if late {
 		x.Close()
 		cancel(nil)
--- a/upstream/said.go
+++ b/upstream/said.go
@@ -12,6 +12,8 @@
 	Leaving bool
 	// Rest is for how long it wants nothing more from this VM.
 	Rest time.Duration
+	// Limit is how much it takes from all VMs together.
+	Limit Limit
 }
 
 // DefaultLongestRest bounds for how long an upstream is obeyed that asks for a rest: one
@@ -28,6 +30,7 @@
 	// answer may come later: nothing shortens a rest.
 	restUntil time.Time
 	rest      time.Duration
+	limit     limit
 	// seen is when the life was last listed or said something.
 	seen time.Time
 }
@@ -39,9 +42,21 @@
 // TakeWord takes in what a life of an upstream has said in an answer, and tells what of it is
 // new: that it leaves, or a rest that ends later than those before.
 func (t *Table) TakeWord(l contract.Life, s Said, now time.Time) (fresh Said) {
-	if s == (Said{}) {
+	if !s.Leaving && s.Rest == 0 {
 		return Said{}
 	}
+	h := t.hold(l, now)
+	if s.Leaving && !h.leaving {
+		h.leaving, fresh.Leaving = true, true
+	}
+	if until := now.Add(s.Rest); until.After(h.restUntil) {
+		h.restUntil, h.rest, fresh.Rest = until, s.Rest, s.Rest
+	}
+	return fresh
+}
+
+// hold returns what a life is held to, which it has said something of.
+func (t *Table) hold(l contract.Life, now time.Time) *heldTo {
 	h := t.said[l]
 	if h == nil {
 		t.forget(now)
@@ -52,13 +67,7 @@
 		}
 	}
 	h.seen = now
-	if s.Leaving && !h.leaving {
-		h.leaving, fresh.Leaving = true, true
-	}
-	if until := now.Add(s.Rest); until.After(h.restUntil) {
-		h.restUntil, h.rest, fresh.Rest = until, s.Rest, s.Rest
-	}
-	return fresh
+	return h
 }
 
 // restHint is what an upstream costs more that has asked another VM for a rest: as much as
