--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -149,6 +149,10 @@
 // Rest is the header by which an upstream that refuses asks for a time of rest.
 func Rest(d time.Duration) string { return fmt.Sprintf("Retry-After: %g", d.Seconds()) }
 
+// Limit is the header by which an upstream names how many requests a second it takes from
+// all VMs together.
+func Limit(perSecond float64) string { return fmt.Sprintf("Server-Limit: %g", perSecond) }
+
 // BeginStream writes the head of a stream in chunks.
 func (c *Conn) BeginStream(id string, headers ...string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", id, c.Signature())
