upstream, relay, site: what an upstream takes from all VMs is kept by all VMs

Callers saw nothing, upstreams in need went on getting as much as before: 58 to 74 requests in 4 s where 5 to 17 are allowed. Cause: no answer's limit was read, and a bound on what all VMs send to one upstream, told to one of them, had no place in the choice. Class: a bound on a sum that nobody sums. Change: a limit is kept by the life that named it, with a version that each VM raises which learns something new by an answer, so that news in any order, twice or lost end alike. It is told at once, and again each 2 s (10 s to other data centres); words carry a digest of the limits that hold, and who differs is answered with all. Owners by rendezvous hashing among the VMs of the upstream's data centre (owners.go, shared with cold upstreams) send its limit by a paced share each, counted at the choice, asked again before the first byte, given back when nothing was sent. Once a second at least an owner asks, so the end is learnt by an answer; where owners have no callers, the next VM does after 5 s. Ruled out: each VM alone (six times the limit), equal parts by the number of VMs (nothing where VMs are many).

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -139,7 +139,7 @@
 		},
 		Policy: s.Policy, WorthOfCost: s.WorthOfCost, RepeatPrice: s.RepeatPrice, CanaryShare: s.Bounds.CanaryShare, LongestRest: s.Bounds.LongestRest, BadAnswer: func() { go v.peers.Grave(context.Background()) },
 		Suspected: func() { go v.peers.Grave(context.Background()) },
-		Wake:      func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Rest: v.peers.Rest, Group: v.peers.Group,
+		Wake:      func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Rest: v.peers.Rest, Limit: v.peers.Limit, Group: v.peers.Group,
 		Evacuation: s.Bounds.Evacuation, Owners: v.peers.Owners, Cold: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
 	options := &site.Options{
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -39,6 +39,7 @@
 			return upstream.Entry{}, lastOne(j)
 		}
 		r.noteSend(id, now)
+		r.noteClaim(j, r.entries[id].Life())
 		r.table.Sent(id)
 		r.expect(j, id, now)
 		j.release = pools.release
@@ -267,6 +268,9 @@
 	case x != nil:
 		result, j.there = upstream.Broken, x.Fresh
 	}
+	if !sent {
+		r.giveBack(j)
+	}
 	took := r.opts.Now().Sub(began)
 	r.ended(j, j.last, result, took)
 	if errors.Is(err, errSilent) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,6 +72,9 @@
 	Owners func() upstream.Owners
 	// Rest is called, without waiting, with each rest that an upstream asks for. May be nil.
 	Rest func(Rest)
+	// Limit is called, without waiting, with what an answer tells of its upstream's limit
+	// that others are to hear, those of other data centres too if it says so. May be nil.
+	Limit func(known upstream.LimitKnown, far bool)
 	// Opinion is called, without waiting, with each model's opinion of one of its
 	// answers. May be nil.
 	Opinion func(Opinion)
--- a/relay/said.go
+++ b/relay/said.go
@@ -12,7 +12,7 @@
 
 // hear takes in what the head of an answer says of its upstream, whatever becomes of the
 // answer: of one that is not passed on too.
-func (r *Relay) hear(j *job, h *Head, e upstream.Entry, sent time.Time) {
+func (r *Relay) hear(j *job, h *Head, e upstream.Entry) {
 	if h.Unread != nil {
 		r.log.Warn("word-not-understood", zap.String("upstream", string(e.ID)), zap.String("request", string(j.ID)), zap.Int("status", h.Status), zap.Error(h.Unread))
 	}
@@ -21,7 +21,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hearLimit(j, h, e, sent)
+	r.hearLimit(j, h, e)
 	said := h.Said
 	said.Rest = min(said.Rest, r.opts.LongestRest)
 	fresh := r.table.TakeWord(e.Life(), said, r.opts.Now())
@@ -40,20 +40,6 @@
 	}
 }
 
-// hearLimit takes in what the head of an answer says of its upstream's limit. The caller
-// holds mu.
-func (r *Relay) hearLimit(j *job, h *Head, e upstream.Entry, sent time.Time) {
-	before, changed := r.table.TakeLimit(e.Life(), h.Said.Limit, sent, r.opts.Now())
-	if !changed {
-		return
-	}
-	r.Metrics.limits.Inc(1)
-	r.log.Info("upstream-limit", zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("service", string(e.Service)),
-		zap.Bool("named", h.Said.Limit.Word == upstream.LimitNamed), zap.Float64("per_second", h.Said.Limit.PerSecond),
-		zap.Bool("named_before", before.Word == upstream.LimitNamed), zap.Float64("per_second_before", before.PerSecond),
-		zap.String("request", string(j.ID)), zap.Int("status", h.Status))
-}
-
 // Rest is one that an upstream has asked a VM for, as VMs tell each other: it binds that VM
 // alone, and to the others says that they may be turned away too.
 type Rest struct {
@@ -82,10 +68,10 @@
 
 // barredMeanwhile tells why a request does not go to the upstream that was chosen for it.
 // A connection may take 250 ms to come up, in which other requests hear answers.
-func (r *Relay) barredMeanwhile(e upstream.Entry) error {
+func (r *Relay) barredMeanwhile(j *job, e upstream.Entry) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table.Takes(e.Life(), r.opts.Now()) {
+	if r.table.Takes(e.Life(), r.opts.Now()) && r.claimed(j, e) {
 		return nil
 	}
 	r.Metrics.barred.Inc(1)
@@ -101,9 +87,6 @@
 	if leaving {
 		r.Metrics.toLeaving.Inc(1)
 	}
-	if r.table.Limited(id) {
-		r.Metrics.toLimited.Inc(1)
-	}
 }
 
 // noteRests says which rests have ended. The caller holds mu.
@@ -120,10 +103,3 @@
 	defer r.mu.Unlock()
 	return r.table.Resting(r.opts.Now())
 }
-
-// Limited returns how many of the listed upstreams have named a limit that holds.
-func (r *Relay) Limited() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.table.CountLimited()
-}
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	r, now, e, _ := saidRelay(t, upstream.Said{Rest: time.Minute}, 100*time.Millisecond)
 	j := saidJob(*now)
-	r.hear(j, &Head{Said: upstream.Said{Rest: time.Second}}, e, *now)
+	r.hear(j, &Head{Said: upstream.Said{Rest: time.Second}}, e)
 	_, err := r.send(context.Background(), j, e, nil, time.Minute)
 	is.True(errors.Is(err, errTakesNone))
 	*now = now.Add(time.Second)
@@ -106,7 +106,7 @@
 	r, now, e, _ := saidRelay(t, upstream.Said{}, 0)
 	r.opts.LongestRest = time.Minute
 	j := saidJob(*now)
-	r.hear(j, &Head{Said: upstream.Said{Rest: 1_000_000 * time.Second}}, e, *now)
+	r.hear(j, &Head{Said: upstream.Said{Rest: 1_000_000 * time.Second}}, e)
 	_, refused := r.pick(j)
 	is.True(refused != nil)
 	is.True(refused.RetryAfter >= time.Minute)
@@ -146,7 +146,7 @@
 	j := saidJob(*now)
 	j.last = e
 	j.note(contract.NotRun, true)
-	r.hear(j, &Head{Said: upstream.Said{Rest: time.Second}}, e, *now)
+	r.hear(j, &Head{Said: upstream.Said{Rest: time.Second}}, e)
 	left := r.BudgetLeft()
 	is.Equal(r.again(j, true), retry.NoOther)
 	is.Equal(r.BudgetLeft(), left)
@@ -167,7 +167,7 @@
 	j.service, j.weight = "s", 1
 	_, up := r.escalates(j, poor)
 	is.True(up)
-	r.hear(j, poor, u, r.opts.Now())
+	r.hear(j, poor, u)
 	_, up = r.escalates(j, poor)
 	is.True(!up)
 }
@@ -194,6 +194,6 @@
 	is := is.New(t)
 	r, now, e, _ := saidRelay(t, upstream.Said{}, 0)
 	r.locked(func() { is.True(r.mayCrash(e)) })
-	r.hear(saidJob(*now), &Head{Said: upstream.Said{Leaving: true}}, e, *now)
+	r.hear(saidJob(*now), &Head{Said: upstream.Said{Leaving: true}}, e)
 	r.locked(func() { is.True(!r.mayCrash(e)) })
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -65,6 +65,8 @@
 	sentAt  time.Time
 	there   bool
 	printed *quarantine.Print
+	// claim tells that the present attempt took from this VM's part of its upstream's limit.
+	claim bool
 }
 
 // waits is an attempt whose answer has not begun. The zero value is none.
@@ -110,7 +112,7 @@
 	if !j.Route.Repeatable() {
 		req.MaxIdle = onceIdle
 	}
-	req.Barred = func() error { return r.barredMeanwhile(e) }
+	req.Barred = func() error { return r.barredMeanwhile(j, e) }
 	x, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Dialect.Belongs(j.Request, h) })
 	late := silence.stop()
 	if err != nil {
@@ -118,7 +120,7 @@
 		return nil, err
 	}
 	head := r.opts.Dialect.Decode(x.Status, x.Header)
-	r.hear(j, head, e, now)
+	r.hear(j, head, e)
 	if late {
 		x.Close()
 		cancel(nil)
--- a/site/peers.go
+++ b/site/peers.go
@@ -177,6 +177,9 @@
 	HearSent(sent []relay.Sent)
 	HearOpinions(opinions []relay.Opinion)
 	HearRests(rests []relay.Rest)
+	HearLimits(known []upstream.LimitKnown, from contract.VMID)
+	Limits() []upstream.LimitKnown
+	LimitsDigest() uint64
 }
 
 // judge makes evidence known to others, and to t what they know.
--- a/site/reads.go
+++ b/site/reads.go
@@ -11,6 +11,7 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/relay"
+	"woaddoor/upstream"
 	"woaddoor/vm"
 )
 
@@ -26,6 +27,8 @@
 	From contract.VMID `cbor:"4,keyasint,omitempty"`
 	// Rests are what upstreams have asked other VMs for.
 	Rests []relay.Rest `cbor:"5,keyasint,omitempty"`
+	// Limits are what the teller knows of upstreams' limits.
+	Limits []upstream.LimitKnown `cbor:"6,keyasint,omitempty"`
 }
 
 // Timings and bounds of Reads.
@@ -44,6 +47,7 @@
 	noteReads    = 10
 	noteOpinions = 8
 	noteRests    = 16
+	noteLimits   = 16
 	// regionMost is up to how many VMs those of other data centres are told too.
 	regionMost = 12
 )
@@ -68,6 +72,9 @@
 	sent    *relay.Sent
 	opinion *relay.Opinion
 	rest    *relay.Rest
+	limit   *upstream.LimitKnown
+	// far tells that other data centres hear of it however many VMs there are.
+	far bool
 }
 
 // add puts something into a list that is told in rounds.
@@ -101,8 +108,18 @@
 	p.sends.own.ask(p.tellReads)
 }
 
+// Limit has other VMs told of an upstream's limit, without waiting; those of other data
+// centres too if it says so.
+func (p *Peers) Limit(k upstream.LimitKnown, far bool) {
+	p.sends.mu.Lock()
+	p.sends.add(&p.sends.waiting, told{limit: &k, far: far})
+	p.sends.mu.Unlock()
+	p.sends.own.ask(p.tellReads)
+}
+
 // tellReads tells what this VM has sent: its hub, which passes it on; as a hub, the
-// other hubs and its leaves. Where VMs are few, each other data centre is told too.
+// other hubs and its leaves. Where VMs are few, each other data centre is told too, and
+// of what is far wherever.
 func (p *Peers) tellReads() {
 	p.sends.mu.Lock()
 	list := p.sends.waiting
@@ -117,7 +134,7 @@
 		p.passReads(list)
 	}
 	if !v.group.Region {
-		return
+		list = slices.DeleteFunc(slices.Clone(list), func(t told) bool { return !t.far })
 	}
 	for _, m := range p.oneFar(v) {
 		p.noteReads(m, list, true)
@@ -174,15 +191,17 @@
 			m.Sent = append(m.Sent, *t.sent)
 		case t.rest != nil:
 			m.Rests = append(m.Rests, *t.rest)
+		case t.limit != nil:
+			m.Limits = append(m.Limits, *t.limit)
 		default:
 			m.Opinions = append(m.Opinions, *t.opinion)
 		}
-		if len(m.Sent) == noteReads || len(m.Opinions) == noteOpinions || len(m.Rests) == noteRests {
+		if len(m.Sent) == noteReads || len(m.Opinions) == noteOpinions || len(m.Rests) == noteRests || len(m.Limits) == noteLimits {
 			messages = append(messages, m)
 			m = Reads{From: from, PassOn: passOn}
 		}
 	}
-	if len(m.Sent)+len(m.Opinions)+len(m.Rests) > 0 {
+	if len(m.Sent)+len(m.Opinions)+len(m.Rests)+len(m.Limits) > 0 {
 		messages = append(messages, m)
 	}
 	if len(messages) == 0 {
@@ -221,6 +240,7 @@
 		t.HearSent(m.Sent)
 		t.HearOpinions(m.Opinions)
 		t.HearRests(m.Rests)
+		t.HearLimits(m.Limits, m.From)
 	}
 	// What a leaf or another data centre tells goes to the other hubs and to the
 	// leaves, what another hub tells to the leaves alone.
@@ -242,5 +262,8 @@
 	for i := range m.Rests {
 		out = append(out, told{from: m.From, here: here, rest: &m.Rests[i]})
 	}
+	for i := range m.Limits {
+		out = append(out, told{from: m.From, here: here, limit: &m.Limits[i]})
+	}
 	return out
 }
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -15,6 +15,7 @@
 	"woaddoor/reading"
 	"woaddoor/relay"
 	"woaddoor/rollout"
+	"woaddoor/upstream"
 	"woaddoor/vm"
 )
 
@@ -24,10 +25,16 @@
 	sent     chan []relay.Sent
 	opinions chan []relay.Opinion
 	rests    chan []relay.Rest
+	limits   chan []upstream.LimitKnown
+	known    []upstream.LimitKnown
+	digest   uint64
 }
 
 func newHearer() *hearer {
-	return &hearer{make(chan []relay.Sent, 10), make(chan []relay.Opinion, 10), make(chan []relay.Rest, 10)}
+	return &hearer{
+		sent: make(chan []relay.Sent, 10), opinions: make(chan []relay.Opinion, 10), rests: make(chan []relay.Rest, 10),
+		limits: make(chan []upstream.LimitKnown, 10),
+	}
 }
 
 func (*hearer) Evidence(rollout.Hearer) rollout.Evidence { return nil }
@@ -38,6 +45,11 @@
 func (h *hearer) HearSent(s []relay.Sent)                { pass(h.sent, s) }
 func (h *hearer) HearOpinions(o []relay.Opinion)         { pass(h.opinions, o) }
 func (h *hearer) HearRests(r []relay.Rest)               { pass(h.rests, r) }
+func (h *hearer) Limits() []upstream.LimitKnown          { return h.known }
+func (h *hearer) LimitsDigest() uint64                   { return h.digest }
+func (h *hearer) HearLimits(k []upstream.LimitKnown, _ contract.VMID) {
+	pass(h.limits, k)
+}
 
 // pass passes on what a message tells, unless it tells nothing of the kind.
 func pass[T any](to chan []T, told []T) {
--- a/site/words.go
+++ b/site/words.go
@@ -12,6 +12,7 @@
 	"woaddoor/quarantine"
 	"woaddoor/relay"
 	"woaddoor/rollout"
+	"woaddoor/upstream"
 	"woaddoor/vm"
 )
 
@@ -46,6 +47,11 @@
 	Deltas []Pushed `cbor:"12,keyasint,omitempty"`
 	// Suspects are contents that end upstreams, as far as something has changed of late.
 	Suspects []quarantine.Told `cbor:"14,keyasint,omitempty"`
+	// LimitsDigest tells which limits of upstreams the teller knows to hold. Whoever is asked
+	// and knows others answers with Limits: what was told of them at once may be lost, and a
+	// VM that has just started was not told.
+	LimitsDigest uint64                `cbor:"15,keyasint,omitempty"`
+	Limits       []upstream.LimitKnown `cbor:"16,keyasint,omitempty"`
 }
 
 // Count is how many VMs a data centre has, as counted there an age ago.
@@ -125,6 +131,7 @@
 	p.mu.Unlock()
 	if t != nil {
 		w.Evidence, w.Orders, w.Suspects = t.Evidence(evidenceFor[to]), t.OrderAges(), t.Suspects()
+		w.LimitsDigest = t.LimitsDigest()
 	}
 	for _, s := range kinds {
 		if have, known := s.status(); known {
@@ -179,6 +186,7 @@
 	}
 	p.meet(got, true)
 	p.settle(got)
+	p.agreeOnLimits(got)
 	p.heard(context.WithoutCancel(ctx), got)
 	return true
 }
@@ -186,17 +194,51 @@
 func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
 	p.meet(w, false)
 	go p.heard(context.WithoutCancel(ctx), w)
+	answer := p.wordBack(w)
+	if t := p.judged(); t != nil && answer.LimitsDigest != w.LimitsDigest {
+		answer.Limits = t.Limits()
+	}
+	return answer, nil
+}
+
+// wordBack returns what this VM tells one that has told it a word.
+func (p *Peers) wordBack(w Word) Word {
 	switch {
 	case w.Joins:
-		return p.welcome(w.Self.DataCentre), nil
+		return p.welcome(w.Self.DataCentre)
 	case w.Self.DataCentre != p.dc:
-		return p.word(hearsFar), nil
+		return p.word(hearsFar)
 	case w.Leaf:
-		return p.wordToLeaf(w), nil
+		return p.wordToLeaf(w)
 	case p.look().isHub:
-		return p.word(hearsHub), nil
+		return p.word(hearsHub)
+	}
+	return p.word(hearsNear)
+}
+
+// agreeOnLimits takes in the limits that another VM has answered with, and tells it of those
+// that it does not know.
+func (p *Peers) agreeOnLimits(got Word) {
+	t := p.judged()
+	if t == nil {
+		return
 	}
-	return p.word(hearsNear), nil
+	t.HearLimits(got.Limits, got.Self.VM)
+	if t.LimitsDigest() == got.LimitsDigest {
+		return
+	}
+	var list []told
+	for _, k := range t.Limits() {
+		list = append(list, told{limit: &k})
+	}
+	p.noteReads(got.Self, list, false)
+}
+
+// judged returns who learns of upstreams from other VMs; nil before there is one.
+func (p *Peers) judged() trials {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trials
 }
 
 // farSeldom is one in how many words tells a leaf who speaks for other data centres:
--- a/upstream/cold.go
+++ b/upstream/cold.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"woaddoor/contract"
 )
 
@@ -51,18 +49,6 @@
 	return owners, each
 }
 
-// Owners are the VMs of this data centre that share its cold upstreams. The zero value
-// is of a VM that does not know them yet and sends to none.
-type Owners struct {
-	Self contract.VMID
-	// VMs are all of the data centre, this one among them, in any order: also those
-	// that fell silent of late, which may only be cut off from this one.
-	VMs []contract.VMID
-	// Unsure tells that there may be many more: this VM sends one request a second
-	// to what it owns.
-	Unsure bool
-}
-
 // coldness is what is believed of an upstream's warmth.
 type coldness struct {
 	bound ColdBound
@@ -77,8 +63,6 @@
 	told contract.Revision
 	// sends are when this VM sent to it, within coldWindow.
 	sends []time.Time
-	// place is that of this VM among the owners, as of the owners' version.
-	place, placed int
 }
 
 // Times of cold upstreams.
@@ -210,49 +194,9 @@
 	}
 }
 
-// SetOwners takes in which VMs share the cold upstreams of a data centre.
-func (t *Table) SetOwners(dc contract.DataCentreID, o Owners) {
-	if t.owned.dc == dc && t.owned.Self == o.Self && t.owned.Unsure == o.Unsure && slices.Equal(t.owned.VMs, o.VMs) {
-		return
-	}
-	t.owned = owned{Owners: o, dc: dc, version: t.owned.version + 1}
-	t.owned.hashes = make([]uint64, 0, len(o.VMs))
-	for _, id := range o.VMs {
-		if id != o.Self {
-			t.owned.hashes = append(t.owned.hashes, xxhash.Sum64String(string(id)))
-		}
-	}
-	t.owned.self = xxhash.Sum64String(string(o.Self))
-}
-
-// owned is what a table keeps of Owners.
-type owned struct {
-	Owners
-	dc contract.DataCentreID
-	// version changes with the owners; hashes are those of the other VMs.
-	version int
-	self    uint64
-	hashes  []uint64
-}
-
-// placeAt returns the place of this VM among the owners of an upstream, from 0.
-func (t *Table) placeAt(s *state) int {
-	if s.cold.placed != t.owned.version {
-		own := s.rank(t.owned.self)
-		place := 0
-		for _, h := range t.owned.hashes {
-			if s.rank(h) > own {
-				place++
-			}
-		}
-		s.cold.place, s.cold.placed = place, t.owned.version
-	}
-	return s.cold.place
-}
-
-// bears tells whether an upstream may get one more request of this VM now, as far as
+// warm tells whether an upstream may get one more request of this VM now, as far as
 // its warmth goes.
-func (t *Table) bears(s *state, now time.Time) bool {
+func (t *Table) warm(s *state, now time.Time) bool {
 	if !now.Before(s.cold.until) {
 		return true
 	}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -8,9 +8,9 @@
 
 // Limit is what an answer says of how much its upstream takes.
 type Limit struct {
-	Word LimitWord
+	Word LimitWord `cbor:"1,keyasint"`
 	// PerSecond is how many requests a second it takes from all VMs together.
-	PerSecond float64
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // LimitWord tells whether an answer says anything of a limit.
@@ -26,65 +26,112 @@
 	LimitNamed
 )
 
+// over tells which of two words of one version holds: the stricter.
+func (a Limit) over(b Limit) bool {
+	if a.Word != b.Word {
+		return a.Word > b.Word
+	}
+	return a.PerSecond < b.PerSecond
+}
+
+// LimitKnown is what a VM knows of the limit of a life, as VMs tell each other. It binds all:
+// the upstream has said how much it takes from all of them.
+type LimitKnown struct {
+	Life  contract.Life `cbor:"1,keyasint"`
+	Limit Limit         `cbor:"2,keyasint"`
+	// Version orders what VMs know of a life, whatever way it came: who learns something
+	// new of an answer gives it the next one.
+	Version uint64 `cbor:"3,keyasint"`
+}
+
 // limit is what a life of an upstream is known to take. The zero value is no limit.
 type limit struct {
-	named     bool
-	perSecond float64
+	Limit
+	version uint64
 	// learnt is when this VM learnt it: an answer to a request that was sent before tells
 	// nothing newer.
 	learnt time.Time
+	// heard is when an answer has last named it, here or at a VM that told, or when this VM
+	// last sent a request that asks for one.
+	heard time.Time
+	// told and toldFar are when others were last told, in this data centre and in all, by
+	// this VM or by another.
+	told, toldFar time.Time
+	pace          pace
 }
 
-// takeWord takes in what the answer to a request says that was sent at a time, and tells
-// whether the limit has changed.
-func (l *limit) takeWord(said Limit, sent, now time.Time) bool {
+// Times of telling what holds still.
+const (
+	// tellAgain is after how long VMs of the data centre hear once more that a limit holds.
+	tellAgain = 2 * time.Second
+	// tellFarAgain is the same for other data centres, which ask only when nobody does here.
+	tellFarAgain = 10 * time.Second
+	// tellChange is the least time between two changes of a number that others are told of
+	// at once: an upstream may name another one in each answer.
+	tellChange = 250 * time.Millisecond
+)
+
+// LimitNews is what the word of an answer changes.
+type LimitNews struct {
+	Known  LimitKnown
+	Before Limit
+	// Changed tells that another limit holds, Tell that others are to hear of it, and Far
+	// that those of other data centres are.
+	Changed, Tell, Far bool
+}
+
+// takeWord takes in what the answer to a request says that was sent at a time.
+func (l *limit) takeWord(said Limit, sent, now time.Time) (n LimitNews) {
 	if said.Word == LimitUntold || sent.Before(l.learnt) {
-		return false
+		return LimitNews{}
 	}
-	named := said.Word == LimitNamed
-	if named == l.named && (!named || said.PerSecond == l.perSecond) {
-		return false
+	n.Before = l.Limit
+	if said != l.Limit {
+		ends := said.Word != l.Word
+		l.become(said, l.version+1, now)
+		n.Changed = true
+		n.Far = ends || now.Sub(l.told) >= tellChange
+		n.Tell = n.Far
 	}
-	*l = limit{named: named, perSecond: said.PerSecond, learnt: now}
-	return true
-}
-
-// limited tells whether a life has named a limit that holds; nil has said nothing.
-func (h *heldTo) limited() bool { return h != nil && h.limit.named }
-
-// TakeLimit takes in what the answer of a life says of its limit, to a request that was
-// sent at a time. It returns the limit before, and whether it has changed.
-func (t *Table) TakeLimit(l contract.Life, said Limit, sent, now time.Time) (before Limit, changed bool) {
-	h := t.said[l]
-	if h == nil && said.Word != LimitNamed {
-		return Limit{}, false
+	if said.Word == LimitNamed {
+		l.heard = now
+		n.Far = n.Far || now.Sub(l.toldFar) >= tellFarAgain
+		n.Tell = n.Tell || n.Far || now.Sub(l.told) >= tellAgain
 	}
-	h = t.hold(l, now)
-	before = h.limit.told()
-	return before, h.limit.takeWord(said, sent, now)
+	l.noteTold(n.Tell, n.Far, now)
+	return n
 }
 
-// told returns the limit as an answer would name it.
-func (l *limit) told() Limit {
-	if !l.named {
-		return Limit{Word: LimitNone}
+// merge takes in what another VM knows, and tells whether it holds from now on. The newer
+// holds, and of one version the stricter, in whatever order and however often VMs tell.
+func (l *limit) merge(told LimitKnown, now time.Time) (changed bool) {
+	switch {
+	case told.Version < l.version:
+		return false
+	case told.Version > l.version || told.Limit.over(l.Limit):
+		changed = told.Limit != l.Limit
+		l.become(told.Limit, told.Version, now)
+	case told.Limit != l.Limit:
+		return false
 	}
-	return Limit{LimitNamed, l.perSecond}
+	l.heard = now
+	l.noteTold(true, false, now)
+	return changed
 }
 
-// Limited tells whether a listed upstream has named a limit that holds.
-func (t *Table) Limited(id contract.UpstreamID) bool {
-	s, ok := t.states[id]
-	return ok && s.said.limited()
+// become has another limit hold. Who did not know of one has no part of it saved.
+func (l *limit) become(next Limit, version uint64, now time.Time) {
+	if l.Word != LimitNamed {
+		l.pace = pace{from: now}
+	}
+	l.Limit, l.version, l.learnt = next, version, now
 }
 
-// CountLimited returns how many of the listed upstreams have named a limit that holds.
-func (t *Table) CountLimited() int {
-	n := 0
-	for _, s := range t.ordered {
-		if s.said.limited() {
-			n++
-		}
+func (l *limit) noteTold(near, far bool, now time.Time) {
+	if near {
+		l.told = now
+	}
+	if far {
+		l.toldFar = now
 	}
-	return n
 }
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -86,6 +86,7 @@
 			t.chillEntry(s, e, l.Cold(e.Service), before[e.ID] != s, l.Now)
 		}
 	}
+	t.noteLimited()
 	t.listed = t.listed || len(l.Entries) > 0 && !l.Some
 }
 
@@ -122,7 +123,7 @@
 	if best == nil {
 		return "", ErrNone
 	}
-	best.cold.picked(now)
+	t.chosen(best, now)
 	return best.upstream.ID, nil
 }
 
@@ -141,6 +142,16 @@
 	return best
 }
 
+// bears tells whether an upstream may get one more request of this VM now, as far as the
+// bounds go that all VMs share.
+func (t *Table) bears(s *state, now time.Time) bool { return t.warm(s, now) && t.within(s, now) }
+
+// chosen notes that a request goes to an upstream, in what all VMs share.
+func (t *Table) chosen(s *state, now time.Time) {
+	s.cold.picked(now)
+	t.claim(s, now)
+}
+
 // Any tells whether Pick would choose any upstream.
 func (t *Table) Any(q Query, now time.Time) bool {
 	if t.opts.Listed {
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -35,12 +35,15 @@
 // least expected wait is.
 func (t *Table) Pick(q Query, now time.Time, random *rand.Rand) (contract.UpstreamID, error) {
 	if t.opts.Listed {
-		best := t.cheapest(q, now, t.opts.Policy.Has(Homes), random)
+		best := t.unasked(q, now)
+		if best == nil {
+			best = t.cheapest(q, now, t.opts.Policy.Has(Homes), random)
+		}
 		if best == nil {
 			return t.lastResort(q, now)
 		}
 		best.health.picked(now)
-		best.cold.picked(now)
+		t.chosen(best, now)
 		return best.upstream.ID, nil
 	}
 	usable := t.candidates(q, now)
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -84,8 +84,10 @@
 	listed  bool
 	owned   owned
 	chilled []Chill
-	// said is what lives of upstreams have said in answers.
-	said map[contract.Life]*heldTo
+	// said is what lives of upstreams have said in answers, and limited are the listed
+	// upstreams that have named a limit which holds, by their ids.
+	said    map[contract.Life]*heldTo
+	limited []*state
 }
 
 // state is what is known of one upstream.
@@ -115,6 +117,8 @@
 	kept  *reading.Kept
 	// readAt is when a prompt was last known to be sent there.
 	readAt time.Time
+	// place is that of this VM among those of its data centre, as of the owners' version.
+	place, placed int
 	// born is that of the entry, and cold what is believed of its warmth.
 	born int64
 	cold coldness
