relay, retry: what limits leave over is refused at once, with a time that they have room for

What callers saw: where all upstreams name a limit, a refusal said to come back in 0.6 s whatever the limits were, so that half of 160 a second came back together, in vain. Change: retry.Returns promises what comes at a rate, each caller one time of its own, 5 s at the most; a refusal of its own (upstreams-at-limit) that counts those at their limit.

--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -57,23 +57,31 @@
 	}
 	f := &contract.Refusal{
 		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: fmt.Sprintf("none of %d upstreams of the service can take the request now: %d rest, %d leave", o.Listed, o.Resting, o.Leaving),
+		Detail: fmt.Sprintf("none of %d upstreams of the service can take the request now: %d rest, %d leave, %d have all that they take (%.1f a second)",
+			o.Listed, o.Resting, o.Leaving, o.AtLimit, o.PerSecond),
 	}
-	if o.Closed() {
+	switch {
+	case o.Closed() && o.AtLimit > 0:
+		f.Kind = contract.RefusedAtLimit
+	case o.Closed():
 		f.Kind = contract.RefusedResting
 		f.Detail += fmt.Sprintf(", the first is back in %v", o.In.Round(time.Millisecond))
 	}
-	return f.WithRetryAfter(r.backIn(o, retryListed))
+	return f.WithRetryAfter(r.backIn(j.service, o, retryListed, now))
 }
 
 // backIn returns when a caller may come back: usually after a time, and where all upstreams
 // rest not before the first of them takes requests again. Those that were turned away
 // meanwhile return over as long as that has lasted, so that they are no more at a time than
-// come by themselves. The caller holds mu.
-func (r *Relay) backIn(o upstream.Outlook, usually time.Duration) time.Duration {
+// come by themselves. Where some have a limit they return as it serves them, each VM taking
+// its callers for as many as the others'. The caller holds mu.
+func (r *Relay) backIn(s contract.ServiceID, o upstream.Outlook, usually time.Duration, now time.Time) time.Duration {
 	if !o.Closed() {
 		return usually
 	}
+	if o.AtLimit > 0 {
+		return r.returnsOf(s).Next(o.PerSecond/float64(max(r.opts.VMs(), 1)), mostSpread, r.random.Float64(), now)
+	}
 	return o.In + time.Duration(r.random.Float64()*float64(min(o.Rest, mostSpread)))
 }
 
@@ -81,6 +89,16 @@
 // than most of them have.
 const mostSpread = 5 * time.Second
 
+// returnsOf returns when refused callers of a service may come back. The caller holds mu.
+func (r *Relay) returnsOf(s contract.ServiceID) *retry.Returns {
+	x, ok := r.returns[s]
+	if !ok {
+		x = &retry.Returns{}
+		r.returns[s] = x
+	}
+	return x
+}
+
 // noRoom is the final answer to a request that could not be answered before its
 // deadline, whatever is tried.
 func noRoom(j *job, after time.Duration) *contract.Refusal {
@@ -100,7 +118,10 @@
 	if j.outcome == contract.NotRun {
 		f.Kind = contract.RefusedLimit
 	}
-	r.locked(func() { f.RetryAfter = r.backIn(r.outlook(j, r.opts.Now()), retrySoon) })
+	r.locked(func() {
+		now := r.opts.Now()
+		f.RetryAfter = r.backIn(j.service, r.outlook(j, now), retrySoon, now)
+	})
 	return f
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,7 +103,10 @@
 	limits       map[contract.ServiceID]int
 	costs        map[contract.ServiceID]map[contract.ModelID]float64
 	budgets      map[contract.ServiceID]*retry.Window
-	canaries     map[contract.ServiceID]*rollout.Canary
+	// returns are when callers may come back that were refused since all upstreams of a
+	// service had what they take.
+	returns  map[contract.ServiceID]*retry.Returns
+	canaries map[contract.ServiceID]*rollout.Canary
 	// undone are the releases found bad, by service: their upstreams drain, and
 	// a later order for another release does not bring them back.
 	undone map[contract.ServiceID]map[string]bool
@@ -145,6 +148,7 @@
 		limits:   make(map[contract.ServiceID]int),
 		costs:    make(map[contract.ServiceID]map[contract.ModelID]float64),
 		budgets:  make(map[contract.ServiceID]*retry.Window),
+		returns:  make(map[contract.ServiceID]*retry.Returns),
 		canaries: make(map[contract.ServiceID]*rollout.Canary),
 		undone:   make(map[contract.ServiceID]map[string]bool),
 		settled:  make(map[contract.ServiceID]string),
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -129,7 +129,7 @@
 	r, _, _, _ := saidRelay(t, upstream.Said{}, 0)
 	back := make(map[time.Duration]int)
 	for at := time.Duration(0); at < rest; at += every {
-		after := r.backIn(upstream.Outlook{Listed: 1, Resting: 1, In: rest - at, Rest: rest}, retryListed)
+		after := r.backIn("s", upstream.Outlook{Listed: 1, Resting: 1, In: rest - at, Rest: rest}, retryListed, r.opts.Now())
 		is.True(at+after >= rest)
 		back[(at+after)/span]++
 	}
--- /dev/null
+++ b/site/limits_test.go
@@ -0,0 +1,76 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/contract"
+	"woaddoor/upstream"
+	"woaddoor/vm"
+)
+
+func knownLimit(version uint64) []upstream.LimitKnown {
+	return []upstream.LimitKnown{{
+		Life: contract.Life{Upstream: "u", Born: 3}, Limit: upstream.Limit{Word: upstream.LimitNamed, PerSecond: 1.5}, Version: version,
+	}}
+}
+
+// TestLimitsAreTold checks that all VMs hear at once of a limit that begins or ends, and
+// those of the data centre that it holds still.
+func TestLimitsAreTold(t *testing.T) {
+	is := is.New(t)
+	a, _, memberA := testPeers(t, "a", "d")
+	b, hearB, memberB := testPeers(t, "b", "d")
+	c, hearC, memberC := testPeers(t, "c", "e")
+	d, hearD, memberD := testPeers(t, "d", "e")
+	for _, p := range []*Peers{a, b, c, d} {
+		p.meetAll([]vm.Member{memberA, memberB, memberC, memberD})
+	}
+	a.Limit(knownLimit(1)[0], true)
+	for _, h := range []*hearer{hearB, hearC, hearD} {
+		is.Equal(<-h.limits, knownLimit(1))
+	}
+	a.Limit(knownLimit(2)[0], false)
+	is.Equal(<-hearB.limits, knownLimit(2))
+}
+
+// TestFarHearLimits has many VMs in a data centre: those of others hear of what changes, and
+// not each time that a limit holds still.
+func TestFarHearLimits(t *testing.T) {
+	is := is.New(t)
+	a, _, memberA := testPeers(t, "a", "d")
+	c, hearC, memberC := testPeers(t, "c", "e")
+	members := []vm.Member{memberA, memberC}
+	for n := range regionMost {
+		members = append(members, vm.Member{VM: contract.VMID(fmt.Sprint("silent", n)), DataCentre: "d", Incarnation: 1, ControlLink: fmt.Sprint("127.0.0.1:", n+1)})
+	}
+	for _, p := range []*Peers{a, c} {
+		p.meetAll(members)
+	}
+	a.Limit(knownLimit(1)[0], false)
+	time.Sleep(2 * readsEvery)
+	a.Limit(knownLimit(2)[0], true)
+	is.Equal(<-hearC.limits, knownLimit(2))
+}
+
+// TestWordsAgreeOnLimits has two VMs that know different limits speak: each hears of what the
+// other knows, also where nothing was told at once. Where they agree nothing is told.
+func TestWordsAgreeOnLimits(t *testing.T) {
+	is := is.New(t)
+	a, hearA, memberA := testPeers(t, "a", "d")
+	b, hearB, memberB := testPeers(t, "b", "d")
+	for _, p := range []*Peers{a, b} {
+		p.meetAll([]vm.Member{memberA, memberB})
+	}
+	hearA.known, hearA.digest = knownLimit(1), 1
+	hearB.known, hearB.digest = knownLimit(2), 2
+	is.True(a.tell(t.Context(), memberB.ControlLink, nearTimeout, a.word(hearsHub)))
+	is.Equal(<-hearA.limits, knownLimit(2))
+	is.Equal(<-hearB.limits, knownLimit(1))
+	got, err := b.answerWord(t.Context(), "", Word{Self: memberA, LimitsDigest: 2})
+	is.NoErr(err)
+	is.Equal(len(got.Limits), 0)
+}
--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -26,7 +26,7 @@
 // shareOf returns how many owners a limit has among a number of VMs, and the part of each:
 // as many as may send one request a second, so that the loss of one costs little.
 func shareOf(perSecond float64, vms int) (owners int, s share) {
-	sent := max(perSecond, 1/askEvery.Seconds())
+	sent := asked(perSecond)
 	owners = max(1, min(vms, int(sent)))
 	s = share{every: time.Duration(float64(owners) / sent * float64(time.Second)), burst: limitBurst}
 	if perSecond < sent {
@@ -35,6 +35,10 @@
 	return owners, s
 }
 
+// asked returns how many requests a second an upstream gets that takes so many: one that
+// takes next to nothing is asked all the same.
+func asked(perSecond float64) float64 { return max(perSecond, 1/askEvery.Seconds()) }
+
 // most returns how many requests fit into limitWindow.
 func (s share) most() int { return int(limitWindow/max(s.every, time.Microsecond)) + s.burst }
 
