internal/soak: upstreams name limits, and what comes to them from all VMs is checked

Three upstreams of each run, and drawn ones, name 0, 0.4, 2 or 8 requests a second for some seconds; from 3 s on, what came within 4 s by VMs that were told half a second before is checked as the rule counts it; a VM that started anew or was paused since is excused. What a seed drew before it draws still.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -19,6 +19,7 @@
 	promiseBack     = "requests are served again after the last fault"
 	promiseLeft     = "an upstream that says that it leaves gets nothing more after the bound"
 	promiseRest     = "an upstream that asks for a rest gets two requests in it at most"
+	promiseLimit    = "an upstream that names a limit gets no more than that from all VMs"
 	promiseEmptied  = "an evacuated data centre gets nothing more after the bound"
 	promiseSpace    = "memory, goroutines and descriptors stay bounded"
 )
@@ -26,7 +27,7 @@
 // promises are all, each of which a run has to have checked.
 var promises = []string{
 	promiseOnce, promiseNotRun, promiseOwn, promiseEvents, promiseHeld, promiseSettings, promiseBudget, promiseBack, promiseLeft, promiseRest,
-	promiseEmptied, promiseSpace,
+	promiseLimit, promiseEmptied, promiseSpace,
 }
 
 // tally counts what was checked, and keeps what failed, with the faults around it.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,6 +67,11 @@
 				f.rests([]*place{p}, n, 2*d)
 			}
 		},
+		"upstream-limited": func(n int, d time.Duration) {
+			if p := f.upstreams.some(n); p != nil {
+				f.upstreams.limit(p, limitsNamed[n%len(limitsNamed)], contact+limitWindow+2*d)
+			}
+		},
 		"upstreams-rest": func(n int, d time.Duration) { f.rests(f.upstreams.places, n, d/2) },
 		"configurations": func(n int, d time.Duration) { f.storm(2+n%10, d) },
 		"evacuated":      func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) },
@@ -98,6 +103,10 @@
 // others, so that a seed goes on to draw the same of those.
 var wordNames = []string{"upstream-leaves", "upstream-rests", "upstreams-rest"}
 
+// limitNames are those by which upstreams name how much they take, drawn apart for the same
+// reason.
+var limitNames = []string{"upstream-limited"}
+
 // operatorNames are those that the operator brings about, drawn apart for the same reason.
 var operatorNames = []string{"configurations", "evacuated"}
 
@@ -105,6 +114,7 @@
 func (f *fleet) plan(seed uint64, length time.Duration) []fault {
 	out := append(f.draw(kindNames, seed, 2, length), f.draw(wordNames, seed, 3, length)...)
 	out = append(out, f.draw(operatorNames, seed, 4, length)...)
+	out = append(out, f.draw(limitNames, seed, 5, length)...)
 	out = append(out, f.always(seed, length)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
@@ -119,6 +129,11 @@
 		n := int(seed%1000) + 5*k
 		out = append(out, fault{length * time.Duration(k+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name](n, time.Second) }})
 	}
+	for k := range 3 {
+		const name = "upstream-limited"
+		n := int(seed%1000) + 3*k
+		out = append(out, fault{length * time.Duration(2*k+1) / 16, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name](n, 2*time.Second) }})
+	}
 	return out
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,8 +30,8 @@
 	is.True(!slices.Equal(plan(7), plan(8)))
 	is.True(sort.StringsAreSorted(kindNames)) // a plan hangs on their order
 	is.True(sort.StringsAreSorted(wordNames) && sort.StringsAreSorted(operatorNames))
-	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames)+len(operatorNames))
-	for _, name := range slices.Concat(kindNames, wordNames, operatorNames) {
+	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames)+len(operatorNames)+len(limitNames))
+	for _, name := range slices.Concat(kindNames, wordNames, operatorNames, limitNames) {
 		is.True(f.kinds()[name] != nil)
 	}
 }
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -30,6 +30,8 @@
 	store *objects.Store
 	tally *tally
 	words *words
+	// limits are what upstreams name.
+	limits *limits
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -69,7 +71,8 @@
 }
 
 func newUpstreams(store *objects.Store, t *tally, seed uint64) *upstreams {
-	return &upstreams{store: store, tally: t, words: newWords(t), random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int), evacuated: make(map[string]time.Time)}
+	w := newWords(t)
+	return &upstreams{store: store, tally: t, words: w, limits: &limits{words: w, spans: make(map[int]*limitSpan)}, random: rand.New(rand.NewPCG(seed, 1)), runs: make(map[string]int), evacuated: make(map[string]time.Time)}
 }
 
 // start starts an upstream at a new place.
@@ -137,7 +140,7 @@
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, arrival{time.Now(), r.ID()})
 	life, link := p.life, p.link
-	said := u.said(p)
+	said := append(u.said(p), u.limits.answers(r.Header.Get(headerVia), life)...)
 	chance := u.random.IntN(100)
 	if p.rest > 0 && chance < restsPart {
 		rest := p.rest
@@ -158,6 +161,7 @@
 		u.words.cameTo(r, time.Since(evacuated))
 	}
 	u.words.came(r, life, link)
+	u.limits.came(r, life, link)
 	if strings.HasPrefix(r.URL.Path, "/once/") {
 		u.tally.check(promiseOnce, runs == 1, r.ID(), fmt.Sprintf("runs for the %d. time", runs))
 	}
@@ -199,6 +203,7 @@
 // turnAway refuses a request and asks for a rest.
 func (u *upstreams) turnAway(c *replica.Conn, r *replica.Request, life int, link *proxy, said []string, rest time.Duration) {
 	u.words.came(r, life, link)
+	u.limits.came(r, life, link)
 	u.words.asks(r.Header.Get(headerVia), life, rest)
 	c.Shed(r.ID(), said...)
 }
@@ -308,6 +313,15 @@
 	})
 }
 
+// limit has an upstream name a limit for a time.
+func (u *upstreams) limit(p *place, perSecond float64, d time.Duration) {
+	u.mu.Lock()
+	life := p.life
+	u.mu.Unlock()
+	u.limits.begin(life, perSecond)
+	time.AfterFunc(d, func() { u.limits.end(life) })
+}
+
 // evacuate notes that a data centre is evacuated, and tells whether it was not yet.
 func (u *upstreams) evacuate(dc string) bool {
 	u.mu.Lock()
--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -87,6 +87,14 @@
 	return w.via(vm)
 }
 
+// isPresent tells whether a life of a VM goes on.
+func (w *words) isPresent(via string) bool {
+	vm, _, _ := strings.Cut(via, " ")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return via == w.via(vm)
+}
+
 // via names the present life of a VM. The caller holds mu.
 func (w *words) via(vm string) string { return fmt.Sprintf("%s %d", vm, w.present[vm]) }
 
--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -18,6 +18,18 @@
 	}}
 }
 
+// heardOf returns what a VM is told of limits next.
+func heardOf(t *testing.T, h *hearer) []upstream.LimitKnown {
+	t.Helper()
+	select {
+	case k := <-h.limits:
+		return k
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing was told")
+		return nil
+	}
+}
+
 // TestLimitsAreTold checks that all VMs hear at once of a limit that begins or ends, and
 // those of the data centre that it holds still.
 func TestLimitsAreTold(t *testing.T) {
@@ -31,10 +43,10 @@
 	}
 	a.Limit(knownLimit(1)[0], true)
 	for _, h := range []*hearer{hearB, hearC, hearD} {
-		is.Equal(<-h.limits, knownLimit(1))
+		is.Equal(heardOf(t, h), knownLimit(1))
 	}
 	a.Limit(knownLimit(2)[0], false)
-	is.Equal(<-hearB.limits, knownLimit(2))
+	is.Equal(heardOf(t, hearB), knownLimit(2))
 }
 
 // TestFarHearLimits has many VMs in a data centre: those of others hear of what changes, and
@@ -53,7 +65,7 @@
 	a.Limit(knownLimit(1)[0], false)
 	time.Sleep(2 * readsEvery)
 	a.Limit(knownLimit(2)[0], true)
-	is.Equal(<-hearC.limits, knownLimit(2))
+	is.Equal(heardOf(t, hearC), knownLimit(2))
 }
 
 // TestWordsAgreeOnLimits has two VMs that know different limits speak: each hears of what the
@@ -68,8 +80,8 @@
 	hearA.known, hearA.digest = knownLimit(1), 1
 	hearB.known, hearB.digest = knownLimit(2), 2
 	is.True(a.tell(t.Context(), memberB.ControlLink, nearTimeout, a.word(hearsHub)))
-	is.Equal(<-hearA.limits, knownLimit(2))
-	is.Equal(<-hearB.limits, knownLimit(1))
+	is.Equal(heardOf(t, hearA), knownLimit(2))
+	is.Equal(heardOf(t, hearB), knownLimit(1))
 	got, err := b.answerWord(t.Context(), "", Word{Self: memberA, LimitsDigest: 2})
 	is.NoErr(err)
 	is.Equal(len(got.Limits), 0)
