upstream: an engine whose answers were slow is asked again

What callers saw: nothing; one of two engines got 3 requests and then none for ten seconds (TestRolloutTakenOver, one run in nine), so it ran nothing of a new version, and half of the places stood idle. Cause: how long an engine takes is learnt from its answers alone. After slow first ones it is no home of a prompt (home passes over slow ones), and least always finds the other: nothing asks it again. One of which nothing was known counted 100 ms and came after any that answers sooner. Change: a time holds for 2 s after the last answer; then the upstream counts as one like the others, one request at a time while it works on one. The first answer after that is its time.

--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -50,9 +51,9 @@
 	if len(usable) == 0 {
 		return "", ErrNone
 	}
-	best := t.home(usable, q.Prefix)
+	best := t.home(usable, q.Prefix, now)
 	if best == nil {
-		best = least(usable, random)
+		best = least(usable, random, now)
 	}
 	if best.failures >= breakAfter {
 		best.probing = true
@@ -94,14 +95,14 @@
 }
 
 // home returns the home of a prefix that has room, or nil.
-func (t *Table) home(usable []*state, prefix uint64) *state {
+func (t *Table) home(usable []*state, prefix uint64, now time.Time) *state {
 	if prefix == 0 {
 		return nil
 	}
 	first, second := homes(usable, prefix)
 	mean := meanLine(usable)
 	for _, s := range []*state{first, second} {
-		if s == nil || s.failures > 0 || slow(s, usable) {
+		if s == nil || s.failures > 0 || slow(s, usable, now) {
 			continue
 		}
 		room := max(t.opts.HomeFull*float64(s.pool.Slots), overMean*mean)
@@ -139,20 +140,54 @@
 const slowFactor = 2
 
 // slow tells whether an upstream takes much longer than the others.
-func slow(s *state, usable []*state) bool {
+func slow(s *state, usable []*state, now time.Time) bool {
+	others := meanTakes(usable, s, now)
+	return others > 0 && s.takesFor(now) > slowFactor*others
+}
+
+// meanTakes returns how long upstreams take in the mean, as far as that is known, one of
+// them left out; zero for not known.
+func meanTakes(usable []*state, but *state, now time.Time) time.Duration {
 	total, n := time.Duration(0), 0
-	for _, other := range usable {
-		if other != s && other.service > 0 {
-			total += other.service
+	for _, s := range usable {
+		if takes := s.takesFor(now); s != but && takes > 0 {
+			total += takes
 			n++
 		}
 	}
-	return n > 0 && s.service > slowFactor*total/time.Duration(n)
+	if n == 0 {
+		return 0
+	}
+	return total / time.Duration(n)
+}
+
+// serviceHolds is for how long an upstream that works on nothing is believed to take as
+// long as it last did: only its answers tell, and who is believed to be slow gets no request
+// that could.
+const serviceHolds = 2 * time.Second
+
+// takesFor returns how long an upstream takes for a request; zero for not known.
+func (s *state) takesFor(now time.Time) time.Duration {
+	if s.inFlight == 0 && now.Sub(s.servedAt) >= serviceHolds {
+		return 0
+	}
+	return s.service
+}
+
+// served takes in how long an upstream took for a request.
+func (s *state) served(took time.Duration, now time.Time) {
+	if s.service == 0 || now.Sub(s.servedAt) >= serviceHolds {
+		s.service = took
+	}
+	s.service += time.Duration(serviceSmall * float64(took-s.service))
+	s.servedAt = now
 }
 
-// least returns the upstream with the least expected wait; equals are drawn.
-func least(usable []*state, random *rand.Rand) *state {
-	best, _ := lowest(usable, (*state).score, random)
+// least returns the upstream with the least expected wait; equals are drawn. One of which
+// it is not known how long it takes is taken for one like the others.
+func least(usable []*state, random *rand.Rand, now time.Time) *state {
+	unknown := cmp.Or(meanTakes(usable, nil, now), defaultService)
+	best, _ := lowest(usable, func(s *state) float64 { return s.score(cmp.Or(s.takesFor(now), unknown)) }, random)
 	return best
 }
 
@@ -175,7 +210,7 @@
 	return best, bestCost
 }
 
-// defaultService stands in for a service time that was never seen.
+// defaultService stands in where no service time is known.
 const defaultService = 100 * time.Millisecond
 
 // line returns how many requests an upstream is expected to have: this VM's
@@ -187,12 +222,9 @@
 // alike: going by it, all VMs run to one upstream; see docs/MEASURES.md.
 const ownWeight = 4.0
 
-// score orders upstreams by expected wait, in seconds times a constant.
-func (s *state) score() float64 {
-	service := s.service
-	if service == 0 {
-		service = defaultService
-	}
+// score orders upstreams by expected wait, in seconds times a constant, by how long they
+// take for a request.
+func (s *state) score(service time.Duration) float64 {
 	return (ownWeight*float64(s.inFlight) + s.others + 1) / float64(s.pool.Slots) * service.Seconds()
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -108,6 +108,7 @@
 	doneAfter int     // requests ended since then
 	others    float64 // requests of other VMs, as expected from reports
 	service   time.Duration
+	servedAt  time.Time // when service was last learnt
 	failures  int
 	openUntil time.Time
 	probing   bool
@@ -263,10 +264,7 @@
 	case Good:
 		s.failures = 0
 		s.openUntil = time.Time{}
-		if s.service == 0 {
-			s.service = took
-		}
-		s.service += time.Duration(serviceSmall * float64(took-s.service))
+		s.served(took, now)
 	case Failed, Broken:
 		s.failures++
 		if s.failures >= breakAfter {
