--- a/explain/explain.go
+++ b/explain/explain.go
@@ -3,6 +3,7 @@
 package explain
 
 import (
+	"cmp"
 	"bufio"
 	"fmt"
 	"io"
@@ -156,6 +157,7 @@
 	{"upstream", "upstream", []string{"leaving", "gone", "release", "address", "revision"}},
 	{"upstream-leaves", "upstream", []string{"born", "listed_leaving", "status"}},
 	{"upstream-rests", "upstream", []string{"born", "for", "asked", "status"}},
+	{"upstream-limit", "upstream", []string{"born", "version", "named", "per_second", "request", "peer"}},
 	{"order", "", []string{"service", "release", "state", "revision"}},
 	{"release-bad", "", []string{"service", "release", "trial_bad", "trial_good", "others_bad", "others_good"}},
 	{"request-held", "print", []string{"print", "ended", "first_seen_by", "by", "workspace", "route"}},
@@ -212,12 +214,13 @@
 var changes = map[string]bool{
 	"configuration": true, "upstream": true, "order": true, "order-noted": true, "release-bad": true, "enlisted": true,
 	"request-held": true, "request-released": true, "evacuation": true,
-	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true,
+	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true, "upstream-limit": true,
 	"start": true, "stop": true, "signal": true, "reload": true, "store-lost": true, "store-regained": true, "vms": true,
 }
 
 // Changes writes what changed, in order: each change of an object once, by its
-// revision or a content's print and epoch, with the VM that knew it first.
+// revision, a content's print and epoch, or a limit's life and version, with the VM that knew
+// it first.
 func Changes(w io.Writer, lines []*Line) error {
 	e := &explainer{w: w, lines: lines}
 	told := make(map[string]bool)
@@ -225,8 +228,8 @@
 		if !changes[l.Event] {
 			continue
 		}
-		if revision := l.Value("revision") + l.Value("epoch"); revision != "" {
-			key := l.Event + "|" + revision + "|" + l.Value("upstream") + "|" + l.Value("gone") + "|" + l.Value("print")
+		if revision := cmp.Or(l.Value("revision")+l.Value("epoch"), l.Value("version")); revision != "" {
+			key := l.Event + "|" + revision + "|" + l.Value("upstream") + "|" + l.Value("born") + "|" + l.Value("gone") + "|" + l.Value("print")
 			if told[key] {
 				continue
 			}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -89,6 +89,29 @@
 	is.True(strings.Contains(out.String(), "refused: upstreams-rest"))
 }
 
+const limitSample = `time=2026-05-07T06:48:41Z level=info event=upstream-limit vm=vm-b upstream=u1 born=7 version=1 named=true per_second=1.6 request=r0 status=200
+time=2026-05-07T06:48:41.1Z level=info event=upstream-limit vm=vm-a upstream=u1 born=7 version=1 named=true per_second=1.6 peer=vm-b
+time=2026-05-07T06:48:44Z level=warn event=refused vm=vm-a request=r1 upstream=u1 reason=upstreams-at-limit detail="none of 1 upstreams ..."
+`
+
+// TestLimitOfUpstream leads from a refusal to the limit that another VM has told, and tells
+// each change of a limit once.
+func TestLimitOfUpstream(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(limitSample))
+	is.NoErr(err)
+	var out strings.Builder
+	_, err = Request(&out, lines, "r1")
+	is.NoErr(err)
+	is.True(strings.Contains(out.String(), "believed upstream-limit since 06:48:41.100 (2.9s before) born=7 version=1 named=true per_second=1.6 peer=vm-b"))
+	out.Reset()
+	is.NoErr(Changes(&out, lines))
+	is.Equal(strings.Count(out.String(), "upstream-limit"), 1)
+	out.Reset()
+	is.NoErr(Losses(&out, lines))
+	is.True(strings.Contains(out.String(), "refused: upstreams-at-limit"))
+}
+
 const heldSample = `time=2026-05-07T06:48:41Z level=warn event=request-held vm=vm-a print=aa01 route=r workspace=w1 by=vm-b first_seen_by=vm-b ended=u1,u2,u3 epoch=0
 time=2026-05-07T06:48:41.1Z level=warn event=request-held vm=vm-b print=aa01 route=r workspace=w1 by=own first_seen_by=vm-b ended=u1,u2,u3 epoch=0
 time=2026-05-07T06:48:42Z level=warn event=request-held vm=vm-a print=bb02 route=r workspace=w2 by=own first_seen_by=vm-a ended=u4,u5,u6 epoch=0
--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"woaddoor/contract"
@@ -86,3 +87,21 @@
 	is.NoErr(err)
 	is.Equal(len(got.Limits), 0)
 }
+
+// BenchmarkLimitsTold measures what VMs tell of 200 limited upstreams that go on being
+// limited: bytes of one, and bytes a second that a VM hears.
+func BenchmarkLimitsTold(b *testing.B) {
+	const limited, nearEvery = 200, 2.0 // seconds, as the upstream package tells
+	k := upstream.LimitKnown{Life: contract.Life{Upstream: "i-4b849f82bb", Born: 1796281150056}, Limit: upstream.Limit{Word: upstream.LimitNamed, PerSecond: 1.6}, Version: 12}
+	one, err := cbor.Marshal(k)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := cbor.Marshal(k); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(one)), "bytes/limit")
+	b.ReportMetric(limited/5*float64(len(one))/nearEvery, "bytes/s/VM-of-5-centres")
+}
--- a/upstream/limit_replay_test.go
+++ b/upstream/limit_replay_test.go
@@ -303,3 +303,41 @@
 		})
 	}
 }
+
+// BenchmarkLimits measures what 200 limited upstreams of 3,000 cost a VM: the digest of each
+// word, hearing of one, and a choice among 100 near ones of which 7 are limited.
+func BenchmarkLimits(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tb := NewTable(Options{Listed: true})
+	var entries []Entry
+	for n := range 3000 {
+		entries = append(entries, saidEntry(fmt.Sprintf("i-%08d", n), fmt.Sprint("d", n%30), 1))
+	}
+	saidList(tb, now, entries...)
+	tb.SetOwners("d0", Owners{Self: "vm0", VMs: []contract.VMID{"vm0", "vm1"}})
+	choose := func(b *testing.B) {
+		q, draw := anyEngine, rand.New(rand.NewPCG(1, 1))
+		q.DataCentre = "d0"
+		for b.Loop() {
+			if _, err := tb.Pick(q, now, draw); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.Run("choice, none limited", choose)
+	for _, e := range entries[:200] {
+		tb.TakeLimit(e.Life(), named(8), now, now)
+	}
+	b.Run("choice", choose)
+	b.Run("digest", func(b *testing.B) {
+		for b.Loop() {
+			tb.LimitsDigest()
+		}
+	})
+	b.Run("heard", func(b *testing.B) {
+		k := LimitKnown{entries[0].Life(), named(8), 1}
+		for b.Loop() {
+			tb.HearLimit(k, now)
+		}
+	})
+}
