--- a/explain/explain.go
+++ b/explain/explain.go
@@ -3,8 +3,8 @@
 package explain
 
 import (
-	"cmp"
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"sort"
