upstream, relay: where others are busy, limited upstreams get what they bear

Cause: each upstream got its limit and no more, though the contract lets it have one and a half times that and five in 4 s; and half of what it took were answers given up for a larger model's while callers were refused. Change: a share has two paces. A repeat costs a request while refused callers wait for their time. Who is refused since the others' queues are too long is told the time of the limited ones.

--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -105,3 +105,20 @@
 	r.HearLimits([]upstream.LimitKnown{known}, "vm2")
 	is.Equal(r.Limited(), 1)
 }
+
+// TestNoEscalationWhereCallersWait keeps a poor answer where callers were told to come back
+// since upstreams had all that they take: a larger model's answer would be sent in the place
+// of one of theirs.
+func TestNoEscalationWhereCallersWait(t *testing.T) {
+	is := is.New(t)
+	poor := &Head{Confidence: 0.1}
+	r := testRelay()
+	r.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
+	j := testJob(true)
+	j.service, j.weight = "s", 1
+	_, up := r.escalates(j, poor)
+	is.True(up)
+	r.returnsOf("s").Next(1, mostSpread, 0, r.opts.Now())
+	_, up = r.escalates(j, poor)
+	is.True(!up)
+}
--- a/relay/models.go
+++ b/relay/models.go
@@ -97,8 +97,12 @@
 }
 
 // repeatPrice returns what one more send of the job's service costs the requests that
-// will want one. The caller holds mu.
+// will want one: where callers are told to come back since upstreams have all that they
+// take, it is sent in the place of one of theirs. The caller holds mu.
 func (r *Relay) repeatPrice(j *job, now time.Time) float64 {
+	if r.returnsOf(j.service).Awaited(now) {
+		return 1 / j.weight
+	}
 	return cascade.RepeatPrice(r.budget(j.service).Used(retry.ForEscalation, r.opts.VMs(), now), r.opts.RepeatPrice)
 }
 
@@ -110,7 +114,7 @@
 // Only queues count: where none is, a try corrects a time that is wrong. Those that
 // are turned away together come back over as long as the queue takes. The caller
 // holds mu.
-func (r *Relay) hopeless(j *job, choices []choice, now time.Time) (time.Duration, bool) {
+func (r *Relay) hopeless(j *job, choices []choice, now time.Time) (after time.Duration, hopeless bool) {
 	if !r.opts.Policy.Has(upstream.EarlyRefusal) {
 		return 0, false
 	}
@@ -122,7 +126,11 @@
 		soonest = min(soonest, c.wait)
 	}
 	over := now.Add(soonest).Sub(j.Deadline)
-	return over + time.Duration(r.random.Float64()*float64(soonest)), true
+	after = over + time.Duration(r.random.Float64()*float64(soonest))
+	if o := r.outlook(j, now); o.AtLimit > 0 { // one of those takes it sooner than the queues are read
+		after = min(after, r.backAtLimit(j.service, o, now))
+	}
+	return after, true
 }
 
 // choices returns the models of a job, smallest first, and what is expected of
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -73,18 +73,23 @@
 // backIn returns when a caller may come back: usually after a time, and where all upstreams
 // rest not before the first of them takes requests again. Those that were turned away
 // meanwhile return over as long as that has lasted, so that they are no more at a time than
-// come by themselves. Where some have a limit they return as it serves them, each VM taking
-// its callers for as many as the others'. The caller holds mu.
+// come by themselves. The caller holds mu.
 func (r *Relay) backIn(s contract.ServiceID, o upstream.Outlook, usually time.Duration, now time.Time) time.Duration {
 	if !o.Closed() {
 		return usually
 	}
 	if o.AtLimit > 0 {
-		return r.returnsOf(s).Next(o.PerSecond/float64(max(r.opts.VMs(), 1)), mostSpread, r.random.Float64(), now)
+		return r.backAtLimit(s, o, now)
 	}
 	return o.In + time.Duration(r.random.Float64()*float64(min(o.Rest, mostSpread)))
 }
 
+// backAtLimit returns when a caller may come back that upstreams at their limits are to serve:
+// as they do, each VM promising its part. The caller holds mu.
+func (r *Relay) backAtLimit(s contract.ServiceID, o upstream.Outlook, now time.Time) time.Duration {
+	return r.returnsOf(s).Next(o.PerSecond/float64(max(r.opts.VMs(), 1)), mostSpread, r.random.Float64(), now)
+}
+
 // mostSpread bounds over how long callers return after a rest: beyond, they wait longer
 // than most of them have.
 const mostSpread = 5 * time.Second
--- a/retry/returns.go
+++ b/retry/returns.go
@@ -25,3 +25,6 @@
 	lead := r.until.Sub(now)
 	return lead - time.Duration(draw/2*float64(lead))
 }
+
+// Awaited tells whether callers that were told to come back have not had their time yet.
+func (r *Returns) Awaited(now time.Time) bool { return r.until.After(now) }
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -107,7 +107,7 @@
 	near := s.pool.DataCentre == t.owned.dc
 	place := t.placeAt(s)
 	if t.owned.Unsure {
-		part = share{every: max(part.every, askEvery), burst: 1}
+		part = asker()
 	}
 	if near && place < owners {
 		return part, 0
@@ -116,7 +116,7 @@
 	if !near {
 		after = quietFar + time.Duration(place*len(t.centres)+t.centreOrder())*stepAsk
 	}
-	return share{every: askEvery, burst: 1}, max(l.heard.Add(after).Sub(now), 0)
+	return asker(), max(l.heard.Add(after).Sub(now), 0)
 }
 
 // centreOrder returns the place of this VM's data centre among those with upstreams.
@@ -147,6 +147,21 @@
 	return max(none, s.said.limit.pace.in(part, now))
 }
 
+// beyondLimit is what a request costs an upstream that has all that it takes by its limit, and
+// bears it: it is in need, and answers better than one that would be late.
+const beyondLimit = 0.2
+
+// limitCost returns what one more request of this VM costs an upstream by its limit.
+func (t *Table) limitCost(s *state, now time.Time) float64 {
+	if !s.said.limited() {
+		return 0
+	}
+	if part, _ := t.shareAt(s, now); s.said.limit.pace.beyond(part, now) {
+		return beyondLimit
+	}
+	return 0
+}
+
 // claim takes one request out of this VM's part of a limit.
 func (t *Table) claim(s *state, now time.Time) {
 	if !s.said.limited() {
--- a/upstream/outlook.go
+++ b/upstream/outlook.go
@@ -39,7 +39,7 @@
 			}
 		case !t.within(s, now):
 			o.AtLimit++
-			o.PerSecond += asked(s.said.limit.PerSecond)
+			o.PerSecond += served(s.said.limit.PerSecond)
 		}
 	}
 	return o
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -164,6 +164,7 @@
 	if now.Before(s.othersRest) {
 		cost += restHint
 	}
+	cost += t.limitCost(s, now)
 	running := (ownWeight*float64(s.inFlight) + s.others) / ownWeight / float64(s.pool.Slots) * allPlaces
 	if q.Work.reads() {
 		running = s.line() / float64(s.pool.Slots) * allPlaces / ownWeight
