--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -18,103 +19,113 @@
 	do   func()
 }
 
-// kinds are the faults that a plan is drawn from. n draws whom one strikes, d how long it
-// lasts.
-func (f *fleet) kinds() map[string]func(n int, d time.Duration) {
+// group tells what brings a kind of fault about. Each is drawn apart, so that a seed goes on
+// to draw the same of one when another grows; its number is that of the stream that draws it.
+type group uint64
+
+const (
+	byItself   group = iota + 2 // what fails
+	byWords                     // what upstreams say of themselves
+	byOperator                  // what the operator does
+	byLimits                    // how much upstreams say that they take
+)
+
+// kind is a kind of fault. n draws whom one strikes, d how long it lasts.
+type kind struct {
+	group group
+	do    func(n int, d time.Duration)
+}
+
+// kinds are the faults that a plan is drawn from.
+func (f *fleet) kinds() map[string]kind {
 	one := func(n int) *vm { return f.vms[n%len(f.vms)] }
-	return map[string]func(n int, d time.Duration){
-		"vm-paused":   func(n int, d time.Duration) { f.pause(one(n), d) },
-		"vm-killed":   func(n int, _ time.Duration) { f.kill(one(n)) },
-		"vm-stopped":  func(n int, _ time.Duration) { f.planned(one(n)) },
-		"vm-reloaded": func(n int, _ time.Duration) { one(n).signal(syscall.SIGHUP) },
-		"vms-killed": func(int, time.Duration) {
+	return map[string]kind{
+		"vm-paused":   {byItself, func(n int, d time.Duration) { f.pause(one(n), d) }},
+		"vm-killed":   {byItself, func(n int, _ time.Duration) { f.kill(one(n)) }},
+		"vm-stopped":  {byItself, func(n int, _ time.Duration) { f.planned(one(n)) }},
+		"vm-reloaded": {byItself, func(n int, _ time.Duration) { one(n).signal(syscall.SIGHUP) }},
+		"vms-killed": {byItself, func(int, time.Duration) {
 			for _, v := range f.vms {
 				f.kill(v)
 			}
-		},
-		"callers-reset":  func(n int, _ time.Duration) { one(n).callers.resetAll() },
-		"callers-silent": func(n int, _ time.Duration) { one(n).callers.silence() },
-		"callers-slow": func(n int, d time.Duration) {
+		}},
+		"callers-reset":  {byItself, func(n int, _ time.Duration) { one(n).callers.resetAll() }},
+		"callers-silent": {byItself, func(n int, _ time.Duration) { one(n).callers.silence() }},
+		"callers-slow": {byItself, func(n int, d time.Duration) {
 			one(n).callers.set(50*time.Millisecond, false)
 			time.AfterFunc(d, func() { one(n).callers.set(0, false) })
-		},
-		"store-down":    func(_ int, d time.Duration) { f.storeFault(objects.Faults{Down: true}, d) },
-		"store-silent":  func(_ int, d time.Duration) { f.storeFault(objects.Faults{Silent: true}, d) },
-		"store-loses":   func(int, time.Duration) { f.store.SetFaults(objects.Faults{LoseAnswers: 3}) },
-		"store-forgets": func(int, time.Duration) { f.store.Compact() },
-		"store-cut": func(_ int, d time.Duration) {
+		}},
+		"store-down":    {byItself, func(_ int, d time.Duration) { f.storeFault(objects.Faults{Down: true}, d) }},
+		"store-silent":  {byItself, func(_ int, d time.Duration) { f.storeFault(objects.Faults{Silent: true}, d) }},
+		"store-loses":   {byItself, func(int, time.Duration) { f.store.SetFaults(objects.Faults{LoseAnswers: 3}) }},
+		"store-forgets": {byItself, func(int, time.Duration) { f.store.Compact() }},
+		"store-cut": {byItself, func(_ int, d time.Duration) {
 			f.excuse(d)
 			f.storeLink.set(0, true)
 			time.AfterFunc(d, func() { f.storeLink.set(0, false) })
-		},
-		"store-links-silent": func(int, time.Duration) { f.excuse(0); f.storeLink.silence() },
-		"upstream-ends": func(n int, d time.Duration) {
+		}},
+		"store-links-silent": {byItself, func(int, time.Duration) { f.excuse(0); f.storeLink.silence() }},
+		"upstream-ends": {byItself, func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.end(p, d)
 			}
-		},
-		"upstreams-fail": func(_ int, d time.Duration) {
+		}},
+		"upstreams-fail": {byItself, func(_ int, d time.Duration) {
 			f.upstreams.setFailing(true)
 			time.AfterFunc(d, func() { f.upstreams.setFailing(false) })
-		},
-		"upstream-leaves": func(n int, d time.Duration) {
+		}},
+		"upstream-leaves": {byWords, func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.leave(p, d)
 			}
-		},
-		"upstream-rests": func(n int, d time.Duration) {
+		}},
+		"upstream-rests": {byWords, func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.rests([]*place{p}, n, 2*d)
 			}
-		},
-		"upstream-limited": func(n int, d time.Duration) {
+		}},
+		"upstream-limited": {byLimits, func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.limit(p, limitsNamed[n%len(limitsNamed)], contact+limitWindow+2*d)
 			}
-		},
-		"upstreams-rest": func(n int, d time.Duration) { f.rests(f.upstreams.places, n, d/2) },
-		"configurations": func(n int, d time.Duration) { f.storm(2+n%10, d) },
-		"evacuated":      func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) },
-		"upstream-mute": func(n int, d time.Duration) {
+		}},
+		"upstreams-rest": {byWords, func(n int, d time.Duration) { f.rests(f.upstreams.places, n, d/2) }},
+		"configurations": {byOperator, func(n int, d time.Duration) { f.storm(2+n%10, d) }},
+		"evacuated":      {byOperator, func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) }},
+		"upstream-mute": {byItself, func(n int, d time.Duration) {
 			if p := f.upstreams.some(n); p != nil {
 				f.upstreams.setMute(p, true)
 				time.AfterFunc(d, func() { f.upstreams.setMute(p, false) })
 			}
-		},
-		"upstream-link-cut": func(n int, d time.Duration) {
+		}},
+		"upstream-link-cut": {byItself, func(n int, d time.Duration) {
 			links := f.upstreams.links()
 			l := links[n%len(links)]
 			l.set(0, true)
 			time.AfterFunc(d, func() { l.set(0, false) })
-		},
-		"upstream-links-reset":  func(n int, _ time.Duration) { links := f.upstreams.links(); links[n%len(links)].resetAll() },
-		"upstream-links-silent": func(n int, _ time.Duration) { links := f.upstreams.links(); links[n%len(links)].silence() },
+		}},
+		"upstream-links-reset":  {byItself, func(n int, _ time.Duration) { links := f.upstreams.links(); links[n%len(links)].resetAll() }},
+		"upstream-links-silent": {byItself, func(n int, _ time.Duration) { links := f.upstreams.links(); links[n%len(links)].silence() }},
 	}
 }
 
-// kindNames are the names of kinds, in order: a plan is drawn from them.
-var kindNames = []string{
-	"callers-reset", "callers-silent", "callers-slow", "store-cut", "store-down", "store-forgets", "store-links-silent", "store-loses", "store-silent",
-	"upstream-ends", "upstream-link-cut", "upstream-links-reset", "upstream-links-silent", "upstream-mute", "upstreams-fail",
-	"vm-killed", "vm-paused", "vm-reloaded", "vm-stopped", "vms-killed",
+// namesOf returns the names of a group of kinds, in order: a plan is drawn from them.
+func namesOf(kinds map[string]kind, g group) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		if kinds[name].group == g {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
-// wordNames are those by which upstreams say something. They are drawn apart from the
-// others, so that a seed goes on to draw the same of those.
-var wordNames = []string{"upstream-leaves", "upstream-rests", "upstreams-rest"}
-
-// limitNames are those by which upstreams name how much they take, drawn apart for the same
-// reason.
-var limitNames = []string{"upstream-limited"}
-
-// operatorNames are those that the operator brings about, drawn apart for the same reason.
-var operatorNames = []string{"configurations", "evacuated"}
-
 // plan draws faults by the seed: who, what and when. They come in series and overlap.
 func (f *fleet) plan(seed uint64, length time.Duration) []fault {
-	out := append(f.draw(kindNames, seed, 2, length), f.draw(wordNames, seed, 3, length)...)
-	out = append(out, f.draw(operatorNames, seed, 4, length)...)
-	out = append(out, f.draw(limitNames, seed, 5, length)...)
+	var out []fault
+	for _, g := range []group{byItself, byWords, byOperator, byLimits} {
+		out = append(out, f.draw(g, seed, length)...)
+	}
 	out = append(out, f.always(seed, length)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
@@ -127,25 +138,26 @@
 	var out []fault
 	for k, name := range []string{"evacuated", "upstream-leaves", "upstream-rests", "upstream-leaves"} {
 		n := int(seed%1000) + 5*k
-		out = append(out, fault{length * time.Duration(k+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name](n, time.Second) }})
+		out = append(out, fault{length * time.Duration(k+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name].do(n, time.Second) }})
 	}
 	for k := range 3 {
 		const name = "upstream-limited"
 		n := int(seed%1000) + 3*k
-		out = append(out, fault{length * time.Duration(2*k+1) / 16, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name](n, 2*time.Second) }})
+		out = append(out, fault{length * time.Duration(2*k+1) / 16, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name].do(n, 2*time.Second) }})
 	}
 	return out
 }
 
-// draw draws faults of some kinds by a seed and a stream of its own.
-func (f *fleet) draw(names []string, seed, stream uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, stream))
+// draw draws faults of a group by a seed.
+func (f *fleet) draw(g group, seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, uint64(g)))
 	kinds := f.kinds()
+	names := namesOf(kinds, g)
 	var out []fault
 	for at := time.Second; at < length; at += time.Duration(random.Int64N(int64(faultEvery))) {
 		name := names[random.IntN(len(names))]
 		n, d := random.IntN(1000), time.Duration(200+random.IntN(2500))*time.Millisecond
-		out = append(out, fault{at, fmt.Sprintf("%s n=%d for %v", name, n, d), func() { kinds[name](n, d) }})
+		out = append(out, fault{at, fmt.Sprintf("%s n=%d for %v", name, n, d), func() { kinds[name].do(n, d) }})
 	}
 	return out
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"slices"
-	"sort"
 	"testing"
 	"time"
 
@@ -28,12 +27,11 @@
 	}
 	is.Equal(plan(7), plan(7))
 	is.True(!slices.Equal(plan(7), plan(8)))
-	is.True(sort.StringsAreSorted(kindNames)) // a plan hangs on their order
-	is.True(sort.StringsAreSorted(wordNames) && sort.StringsAreSorted(operatorNames))
-	is.Equal(len(f.kinds()), len(kindNames)+len(wordNames)+len(operatorNames)+len(limitNames))
-	for _, name := range slices.Concat(kindNames, wordNames, operatorNames, limitNames) {
-		is.True(f.kinds()[name] != nil)
+	total := 0
+	for _, g := range []group{byItself, byWords, byOperator, byLimits} {
+		total += len(namesOf(f.kinds(), g))
 	}
+	is.Equal(total, len(f.kinds()))
 }
 
 // TestLink puts each fault on a link: held up while it is cut, silent for good on open
