--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -140,10 +140,11 @@
 		n := int(seed%1000) + 5*k
 		out = append(out, fault{length * time.Duration(k+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name].do(n, time.Second) }})
 	}
-	for k := range 3 {
+	// The last one comes when the faults are over: none of them takes its upstream away.
+	for k, at := range []time.Duration{length / 16, length * 3 / 16, length * 5 / 16, length} {
 		const name = "upstream-limited"
 		n := int(seed%1000) + 3*k
-		out = append(out, fault{length * time.Duration(2*k+1) / 16, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name].do(n, 2*time.Second) }})
+		out = append(out, fault{at, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name].do(n, 2*time.Second) }})
 	}
 	return out
 }
