--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"woaddoor/contract"
 )
 
 const sample = `
@@ -69,24 +71,16 @@
 // list says of it.
 func TestWhatUpstreamsSay(t *testing.T) {
 	is := is.New(t)
-	lines, _, err := Read(strings.NewReader(saidSample))
-	is.NoErr(err)
-	var out strings.Builder
-	_, err = Request(&out, lines, "r1")
-	is.NoErr(err)
+	explained, changes, losses := toldOf(t, saidSample, "r1")
 	for _, want := range []string{
 		"believed upstream since 06:48:41.000 (3s before) leaving=false gone=false revision=31",
 		"believed upstream-rests since 06:48:42.000 (2s before) born=7 for=3s asked=3s status=503",
 		"believed upstream-leaves since 06:48:43.000 (1s before) born=7 listed_leaving=false status=200",
 	} {
-		is.True(strings.Contains(out.String(), want))
+		is.True(strings.Contains(explained, want))
 	}
-	out.Reset()
-	is.NoErr(Changes(&out, lines))
-	is.Equal(strings.Count(out.String(), "upstream-"), 2)
-	out.Reset()
-	is.NoErr(Losses(&out, lines))
-	is.True(strings.Contains(out.String(), "refused: upstreams-rest"))
+	is.Equal(strings.Count(changes, "upstream-"), 2)
+	is.True(strings.Contains(losses, "refused: upstreams-rest"))
 }
 
 const limitSample = `time=2026-05-07T06:48:41Z level=info event=upstream-limit vm=vm-b upstream=u1 born=7 version=1 named=true per_second=1.6 request=r0 status=200
@@ -98,18 +92,24 @@
 // each change of a limit once.
 func TestLimitOfUpstream(t *testing.T) {
 	is := is.New(t)
-	lines, _, err := Read(strings.NewReader(limitSample))
+	explained, changes, losses := toldOf(t, limitSample, "r1")
+	is.True(strings.Contains(explained, "believed upstream-limit since 06:48:41.100 (2.9s before) born=7 version=1 named=true per_second=1.6 peer=vm-b"))
+	is.Equal(strings.Count(changes, "upstream-limit"), 1)
+	is.True(strings.Contains(losses, "refused: upstreams-at-limit"))
+}
+
+// toldOf returns what is told of log lines: of a request, of what changed, and of losses.
+func toldOf(t *testing.T, sample string, request contract.RequestID) (explained, changes, losses string) {
+	t.Helper()
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(sample))
 	is.NoErr(err)
-	var out strings.Builder
-	_, err = Request(&out, lines, "r1")
+	var e, c, l strings.Builder
+	_, err = Request(&e, lines, request)
 	is.NoErr(err)
-	is.True(strings.Contains(out.String(), "believed upstream-limit since 06:48:41.100 (2.9s before) born=7 version=1 named=true per_second=1.6 peer=vm-b"))
-	out.Reset()
-	is.NoErr(Changes(&out, lines))
-	is.Equal(strings.Count(out.String(), "upstream-limit"), 1)
-	out.Reset()
-	is.NoErr(Losses(&out, lines))
-	is.True(strings.Contains(out.String(), "refused: upstreams-at-limit"))
+	is.NoErr(Changes(&c, lines))
+	is.NoErr(Losses(&l, lines))
+	return e.String(), c.String(), l.String()
 }
 
 const heldSample = `time=2026-05-07T06:48:41Z level=warn event=request-held vm=vm-a print=aa01 route=r workspace=w1 by=vm-b first_seen_by=vm-b ended=u1,u2,u3 epoch=0
--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -35,19 +35,13 @@
 // those of the data centre that it holds still.
 func TestLimitsAreTold(t *testing.T) {
 	is := is.New(t)
-	a, _, memberA := testPeers(t, "a", "d")
-	b, hearB, memberB := testPeers(t, "b", "d")
-	c, hearC, memberC := testPeers(t, "c", "e")
-	d, hearD, memberD := testPeers(t, "d", "e")
-	for _, p := range []*Peers{a, b, c, d} {
-		p.meetAll([]vm.Member{memberA, memberB, memberC, memberD})
-	}
+	a, others := fourPeers(t)
 	a.Limit(knownLimit(1)[0], true)
-	for _, h := range []*hearer{hearB, hearC, hearD} {
+	for _, h := range others {
 		is.Equal(heardOf(t, h), knownLimit(1))
 	}
 	a.Limit(knownLimit(2)[0], false)
-	is.Equal(heardOf(t, hearB), knownLimit(2))
+	is.Equal(heardOf(t, others[0]), knownLimit(2))
 }
 
 // TestFarHearLimits has many VMs in a data centre: those of others hear of what changes, and
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -97,10 +97,10 @@
 	}
 }
 
-// TestSendsAreTold checks that the VMs of the data centre, and those of another
-// one through one of them, hear of a prompt and of an opinion.
-func TestSendsAreTold(t *testing.T) {
-	is := is.New(t)
+// fourPeers returns a VM and what three others hear that it knows: one of its data centre and
+// two of another.
+func fourPeers(t *testing.T) (a *Peers, others []*hearer) {
+	t.Helper()
 	a, _, memberA := testPeers(t, "a", "d")
 	b, hearB, memberB := testPeers(t, "b", "d")
 	c, hearC, memberC := testPeers(t, "c", "e")
@@ -108,12 +108,20 @@
 	for _, p := range []*Peers{a, b, c, d} {
 		p.meetAll([]vm.Member{memberA, memberB, memberC, memberD})
 	}
+	return a, []*hearer{hearB, hearC, hearD}
+}
+
+// TestSendsAreTold checks that the VMs of the data centre, and those of another
+// one through one of them, hear of a prompt and of an opinion.
+func TestSendsAreTold(t *testing.T) {
+	is := is.New(t)
+	a, others := fourPeers(t)
 	sent := relay.Sent{Upstream: "u", Model: "m", Tokens: 900, Parts: []reading.Part{{Key: 7, Tokens: 800}, {Key: 8, Tokens: 100}}, Takes: time.Second}
 	rest := relay.Rest{Life: contract.Life{Upstream: "u", Born: 3}, Left: time.Second}
 	a.Opinion(relay.Opinion{Model: "m", Largest: "l", Opinion: 0.5})
 	a.Rest(rest)
 	a.Sent(sent)
-	for _, h := range []*hearer{hearB, hearC, hearD} {
+	for _, h := range others {
 		is.Equal(<-h.sent, []relay.Sent{sent})
 		is.Equal(<-h.opinions, []relay.Opinion{{Model: "m", Largest: "l", Opinion: 0.5}})
 		is.Equal(<-h.rests, []relay.Rest{rest})
