platform: a refusal or a failure lifts no limit

What callers saw: nothing yet; found by reading. A refusal or a failure that comes of something before an upstream, or that its upstream did not write as its other answers, names no limit, and would have let all VMs send as if the need were over. Change: an answer by which the upstream has served a request lifts its limit, and none else.

--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -17,10 +17,10 @@
 type LimitWord uint8
 
 const (
-	// LimitUntold says nothing either way: a refusal of something before the upstream, or
-	// a word that is not understood.
+	// LimitUntold says nothing either way: a refusal, a failure, or a word that is not
+	// understood.
 	LimitUntold LimitWord = iota
-	// LimitNone says that there is none: the upstream has answered and names none.
+	// LimitNone says that there is none: the upstream has served a request and names none.
 	LimitNone
 	// LimitNamed says that there is one.
 	LimitNamed
