site: words tell of limits only what the other VM does not know

Found by reading: two VMs whose lists of upstreams differ know different limits for as long as they do; a leaf then told its hub all that it knew with each word, and the hub told all its leaves: 512 limits of 43 bytes to 59 leaves twice a second. Change: only what the other lacks or knows an older version of. Measured: go test ./site -run 'TestNewerLimits|TestWordsAgreeOnLimits': ok; its mutant fails it.

--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -82,6 +82,25 @@
 	is.Equal(len(got.Limits), 0)
 }
 
+// TestNewerLimits tells another VM of what it does not know, and of nothing else: it tells
+// that to all its leaves.
+func TestNewerLimits(t *testing.T) {
+	is := is.New(t)
+	known := func(id string, version uint64, word upstream.LimitWord) upstream.LimitKnown {
+		return upstream.LimitKnown{Life: contract.Life{Upstream: contract.UpstreamID(id)}, Limit: upstream.Limit{Word: word}, Version: version}
+	}
+	mine := []upstream.LimitKnown{
+		known("same", 2, upstream.LimitNamed), known("older", 2, upstream.LimitNamed), known("newer", 4, upstream.LimitNone),
+		known("lacked", 1, upstream.LimitNamed), known("over and lacked", 2, upstream.LimitNone),
+	}
+	others := []upstream.LimitKnown{known("same", 2, upstream.LimitNamed), known("older", 3, upstream.LimitNamed), known("newer", 3, upstream.LimitNamed)}
+	var told []contract.UpstreamID
+	for _, x := range newer(mine, others) {
+		told = append(told, x.limit.Life.Upstream)
+	}
+	is.Equal(told, []contract.UpstreamID{"newer", "lacked"})
+}
+
 // BenchmarkLimitsTold measures what VMs tell of 200 limited upstreams that go on being
 // limited: bytes of one, and bytes a second that a VM hears.
 func BenchmarkLimitsTold(b *testing.B) {
--- a/site/words.go
+++ b/site/words.go
@@ -227,11 +227,24 @@
 	if t.LimitsDigest() == got.LimitsDigest {
 		return
 	}
+	p.noteReads(got.Self, newer(t.Limits(), got.Limits), false)
+}
+
+// newer returns what is known of limits that another VM does not know or knows an older
+// version of. That one which it does not know is over is nothing to it.
+func newer(known, others []upstream.LimitKnown) []told {
+	versions := make(map[contract.Life]uint64, len(others))
+	for _, k := range others {
+		versions[k.Life] = k.Version
+	}
 	var list []told
-	for _, k := range t.Limits() {
-		list = append(list, told{limit: &k})
+	for _, k := range known {
+		version, has := versions[k.Life]
+		if has && k.Version > version || !has && k.Limit.Word == upstream.LimitNamed {
+			list = append(list, told{limit: &k})
+		}
 	}
-	p.noteReads(got.Self, list, false)
+	return list
 }
 
 // judged returns who learns of upstreams from other VMs; nil before there is one.
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -60,8 +60,8 @@
 func (t *Table) CountLimited() int { return len(t.limited) }
 
 // Limits returns what is known of the limits of listed upstreams, those that hold first:
-// others are there for VMs that do not know yet that they are over. Digest tells two VMs
-// whether they know the same ones to hold.
+// others are there for VMs that do not know yet that they are over. There are not more
+// than most.
 func (t *Table) Limits(most int) []LimitKnown {
 	var out, over []LimitKnown
 	for _, s := range t.ordered {
--- a/upstream/owners.go
+++ b/upstream/owners.go
@@ -13,9 +13,9 @@
 // data centre, the same at every VM without a word between them (rendezvous hashing);
 // the first few own the bound and share it.
 
-// Owners are the VMs of this data centre that share what its upstreams take: of those
-// that are cold or have named a limit. The zero value
-// is of a VM that does not know them yet and sends to none.
+// Owners are the VMs of this data centre that share what its upstreams take, of those
+// that are cold or have named a limit. The zero value is of a VM that does not know them
+// yet and sends to none.
 type Owners struct {
 	Self contract.VMID
 	// VMs are all of the data centre, this one among them, in any order: also those
