--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -52,7 +52,7 @@
 	{"a word outlasts the list", "upstream/listed.go", "		s.said = t.said[e.Life()]\n", "", "./upstream", "TestWordHolds"},
 	{"a rest is not shortened", "upstream/said.go", "until.After(h.restUntil)", "s.Rest > 0", "./upstream", "TestWordHolds"},
 	{"the last resort goes by the word", "upstream/listed.go", "if !q.allows(s) || !s.takes(now) ||", "if !q.allows(s) ||", "./upstream", "TestWordOfTheLastOnes"},
-	{"the word is asked again before the first byte", "relay/said.go", "if r.table.Takes(e.Life(), r.opts.Now()) {", "if true {", "./relay", "TestWordWhileAConnectionIsAwaited"},
+	{"the word is asked again before the first byte", "relay/said.go", "r.table.Takes(e.Life(), r.opts.Now()) && r.claimed", "r.claimed", "./relay", "TestWordWhileAConnectionIsAwaited"},
 	{"an answer's load is of the life that answered", "relay/send.go", "if alive && h.Load != nil {", "if h.Load != nil {", "./relay", "TestLoadOfAnEarlierLife"},
 	{"a limit that an upstream has named is kept", "upstream/listed.go", "t.warm(s, now) && t.within(s, now)", "t.warm(s, now)", "./upstream", "TestLimitOfAll"},
 	{"owners alone send what a limit allows", "upstream/limited.go", "if near && place < owners {", "if near {", "./upstream", "TestLimitOfAll"},
