relay: a repeat is dear only while limits hold

What callers saw: for up to 5 s after the need of upstreams is over, poor answers were kept though there was room for a larger model's. Found by reading: what callers were promised outlasts the limits. Measured: go test ./relay -run TestNoEscalationWhereCallersWait: its last line fails without the change.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -58,7 +58,7 @@
 	{"owners alone send what a limit allows", "upstream/limited.go", "if near && place < owners {", "if near {", "./upstream", "TestLimitOfAll"},
 	{"a part of a limit is paced", "upstream/limited.go", "return max(none, s.said.limit.pace.in(part, now))", "return max(none, 0*s.said.limit.pace.in(part, now))", "./upstream", "TestLimitOfAll"},
 	{"more than a limit goes to an upstream only where others are busy", "upstream/work.go", "	cost += t.limitCost(s, now)\n", "", "./upstream", "TestBeyondLimit"},
-	{"a repeat in the place of a waiting caller is dear", "relay/models.go", "if r.returnsOf(j.service).Awaited(now) {", "if false {", "./relay", "TestNoEscalationWhereCallersWait"},
+	{"a repeat in the place of a waiting caller is dear", "relay/models.go", "if r.table.CountLimited() > 0 && r.returnsOf(j.service).Awaited(now) {", "if false {", "./relay", "TestNoEscalationWhereCallersWait"},
 	{"an answer to an earlier request lifts no limit", "upstream/limit.go", "|| sent.Before(l.learnt)", "", "./upstream", "TestLimitOfAnswers"},
 	{"older news of a limit is passed over", "upstream/limit.go", "case told.Version < l.version:", "case false:", "./upstream", "TestLimitsAgree"},
 	{"a lower limit counts what was sent before", "upstream/pace.go", "if over := len(p.sends) - s.most; over >= 0 {", "if over := len(p.sends) - s.most; over < -1<<30 {", "./upstream", "TestPace"},
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -113,12 +113,21 @@
 	is := is.New(t)
 	poor := &Head{Confidence: 0.1}
 	r := testRelay()
-	r.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
+	u := upstream.Entry{ID: "u", Service: "s", Slots: 8}
+	r.SetUpstreams([]upstream.Entry{u}, nil)
+	r.Level()
 	j := testJob(true)
 	j.service, j.weight = "s", 1
-	_, up := r.escalates(j, poor)
-	is.True(up)
-	r.returnsOf("s").Next(1, mostSpread, 0, r.opts.Now())
-	_, up = r.escalates(j, poor)
-	is.True(!up)
+	escalates := func() bool {
+		_, up := r.escalates(j, poor)
+		return up
+	}
+	now := r.opts.Now()
+	before := now.Add(-time.Minute)
+	r.table.TakeLimit(u.Life(), upstream.Limit{Word: upstream.LimitNamed, PerSecond: 1000}, before, before)
+	is.True(escalates())
+	r.returnsOf("s").Next(1, mostSpread, 0, now)
+	is.True(!escalates())
+	r.table.TakeLimit(u.Life(), upstream.Limit{Word: upstream.LimitNone}, now, now)
+	is.True(escalates()) // the need is over, whoever was told to come back
 }
--- a/relay/models.go
+++ b/relay/models.go
@@ -100,7 +100,7 @@
 // will want one: where callers are told to come back since upstreams have all that they
 // take, it is sent in the place of one of theirs. The caller holds mu.
 func (r *Relay) repeatPrice(j *job, now time.Time) float64 {
-	if r.returnsOf(j.service).Awaited(now) {
+	if r.table.CountLimited() > 0 && r.returnsOf(j.service).Awaited(now) {
 		return 1 / j.weight
 	}
 	return cascade.RepeatPrice(r.budget(j.service).Used(retry.ForEscalation, r.opts.VMs(), now), r.opts.RepeatPrice)
