relay: TestModelFirst chooses by time, not by a weight of 0

A job without a weight made each price infinite, and with it any model but the first dear: the test passed for that. With a weight of 1 it failed (large for small), since the small model's time was not known and both looked as late.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -26,7 +26,7 @@
 		Name: "r", Kind: route.Stream, Resumable: resumable, MaxAttempts: 3, Objective: time.Second,
 		Models: []contract.ModelID{"small", "large"},
 	}
-	return &job{Request: &Request{Route: r, ChooseModel: true, Arrived: now, Deadline: now.Add(time.Minute)}, model: "small"}
+	return &job{Request: &Request{Route: r, ChooseModel: true, Arrived: now, Deadline: now.Add(time.Minute)}, model: "small", weight: 1}
 }
 
 // TestNoEscalationOfWhatMayNotRepeat checks that a poor answer is given up only
@@ -74,7 +74,10 @@
 	is.Equal(first(testJob(false), testRelay()), contract.ModelID("large")) // it could not be given up
 	busy := testRelay()
 	busy.SetUpstreams([]upstream.Entry{{ID: "u", Service: "s", Slots: 8}}, nil)
-	busy.HearSent([]Sent{{Upstream: "u", Model: "large", Tokens: 9000, Takes: 900 * time.Millisecond, Token: 100 * time.Microsecond}})
+	busy.HearSent([]Sent{
+		{Upstream: "u", Model: "large", Tokens: 9000, Takes: 800 * time.Millisecond, Token: 100 * time.Microsecond},
+		{Upstream: "u", Model: "small", Tokens: 100, Takes: time.Millisecond, Token: 10 * time.Microsecond},
+	})
 	j := testJob(false)
 	j.service, j.PromptTokens = "s", 4000
 	is.Equal(first(j, busy), contract.ModelID("small")) // the larger one would be late
