upstream: old news of a limit stands for no answer

Found by reading: two VMs whose lists differ told each other with each word what both knew, and each took that for an answer just heard, so that no owner asked an upstream whether its need is over (unasked) for as long as it went on. Change: what words agree on refreshes nothing; what is told of an answer does. Measured: go test ./upstream -run TestOldNewsAsksNobodyLess: fails without it (its mutant).

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -68,6 +68,7 @@
 	{"other data centres hear of limits", "site/reads.go", "return !t.far })", "return true })", "./site", "TestFarHearLimits"},
 	{"words agree on limits", "site/words.go", "	p.agreeOnLimits(got)\n", "", "./site", "TestWordsAgreeOnLimits"},
 	{"VMs that agree tell each other nothing of limits", "site/words.go", "has && k.Version > version ||", "has && version > 0 ||", "./site", "TestNewerLimits"},
+	{"old news of a limit stands for no answer", "upstream/limit.go", "told.Limit != l.Limit || !fresh:", "told.Limit != l.Limit:", "./upstream", "TestOldNewsAsksNobodyLess"},
 	{"other VMs are told of rests", "upstream/work.go", "if now.Before(s.othersRest) {", "if false {", "./upstream", "TestRestTold"},
 	{"a retry that nobody takes is not paid for", "relay/pick.go", "if !r.any(j, now) {", "if false {", "./relay", "TestNoRepeatWithoutAnUpstream"},
 	{"a ready answer is kept where no other could come", "relay/models.go", "if !c.could {", "if false {", "./relay", "TestNoEscalationWithoutAnUpstream"},
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -19,15 +19,16 @@
 	}
 }
 
-// HearLimits takes in what other VMs know of upstreams' limits.
-func (r *Relay) HearLimits(known []upstream.LimitKnown, from contract.VMID) {
+// HearLimits takes in what another VM knows of upstreams' limits, of answers just heard if
+// that is fresh.
+func (r *Relay) HearLimits(known []upstream.LimitKnown, fresh bool, from contract.VMID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, k := range known {
 		if !r.lives(k.Life.Upstream, k.Life.Born) {
 			continue
 		}
-		if before, changed := r.table.HearLimit(k, r.opts.Now()); changed {
+		if before, changed := r.table.HearLimit(k, fresh, r.opts.Now()); changed {
 			r.logLimit(k, before, zap.String("peer", string(from)))
 		}
 	}
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -99,10 +99,10 @@
 	is := is.New(t)
 	r, _, e, _ := saidRelay(t, upstream.Said{}, 0)
 	known := upstream.LimitKnown{Life: contract.Life{Upstream: e.ID, Born: e.Born + 1}, Limit: upstream.Limit{Word: upstream.LimitNamed}, Version: 1}
-	r.HearLimits([]upstream.LimitKnown{known}, "vm2")
+	r.HearLimits([]upstream.LimitKnown{known}, true, "vm2")
 	is.Equal(r.Limited(), 0)
 	known.Life.Born = e.Born
-	r.HearLimits([]upstream.LimitKnown{known}, "vm2")
+	r.HearLimits([]upstream.LimitKnown{known}, true, "vm2")
 	is.Equal(r.Limited(), 1)
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -177,7 +177,7 @@
 	HearSent(sent []relay.Sent)
 	HearOpinions(opinions []relay.Opinion)
 	HearRests(rests []relay.Rest)
-	HearLimits(known []upstream.LimitKnown, from contract.VMID)
+	HearLimits(known []upstream.LimitKnown, fresh bool, from contract.VMID)
 	Limits() []upstream.LimitKnown
 	LimitsDigest() uint64
 }
--- a/site/reads.go
+++ b/site/reads.go
@@ -240,7 +240,7 @@
 		t.HearSent(m.Sent)
 		t.HearOpinions(m.Opinions)
 		t.HearRests(m.Rests)
-		t.HearLimits(m.Limits, m.From)
+		t.HearLimits(m.Limits, true, m.From)
 	}
 	// What a leaf or another data centre tells goes to the other hubs and to the
 	// leaves, what another hub tells to the leaves alone.
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -47,7 +47,7 @@
 func (h *hearer) HearRests(r []relay.Rest)               { pass(h.rests, r) }
 func (h *hearer) Limits() []upstream.LimitKnown          { return h.known }
 func (h *hearer) LimitsDigest() uint64                   { return h.digest }
-func (h *hearer) HearLimits(k []upstream.LimitKnown, _ contract.VMID) {
+func (h *hearer) HearLimits(k []upstream.LimitKnown, _ bool, _ contract.VMID) {
 	pass(h.limits, k)
 }
 
--- a/site/words.go
+++ b/site/words.go
@@ -223,7 +223,7 @@
 	if t == nil {
 		return
 	}
-	t.HearLimits(got.Limits, got.Self.VM)
+	t.HearLimits(got.Limits, false, got.Self.VM)
 	if t.LimitsDigest() == got.LimitsDigest {
 		return
 	}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -104,14 +104,15 @@
 
 // merge takes in what another VM knows, and tells whether it holds from now on. The newer
 // holds, and of one version the stricter, in whatever order and however often VMs tell.
-func (l *limit) merge(told LimitKnown, now time.Time) (changed bool) {
+// fresh tells that it is of an answer just heard.
+func (l *limit) merge(told LimitKnown, fresh bool, now time.Time) (changed bool) {
 	switch {
 	case told.Version < l.version:
 		return false
 	case told.Version > l.version || told.Limit.over(l.Limit):
 		changed = told.Limit != l.Limit
 		l.become(told.Limit, told.Version, now)
-	case told.Limit != l.Limit:
+	case told.Limit != l.Limit || !fresh:
 		return false
 	}
 	l.heard = now
--- a/upstream/limit_replay_test.go
+++ b/upstream/limit_replay_test.go
@@ -106,10 +106,10 @@
 	}
 	if v.table.LimitsDigest() != other.table.LimitsDigest() {
 		for _, k := range other.table.Limits(100) {
-			v.table.HearLimit(k, f.now)
+			v.table.HearLimit(k, false, f.now)
 		}
 		for _, k := range v.table.Limits(100) {
-			other.table.HearLimit(k, f.now)
+			other.table.HearLimit(k, false, f.now)
 		}
 	}
 	f.later(limitSyncs, func() { f.sync(v) })
@@ -126,7 +126,7 @@
 			times = 2
 		}
 		for range times {
-			f.later(time.Duration(5+f.random.IntN(200))*time.Millisecond, func() { other.table.HearLimit(n.Known, f.now) })
+			f.later(time.Duration(5+f.random.IntN(200))*time.Millisecond, func() { other.table.HearLimit(n.Known, true, f.now) })
 		}
 	}
 }
@@ -337,7 +337,7 @@
 	b.Run("heard", func(b *testing.B) {
 		k := LimitKnown{entries[0].Life(), named(8), 1}
 		for b.Loop() {
-			tb.HearLimit(k, now)
+			tb.HearLimit(k, true, now)
 		}
 	})
 }
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -86,7 +86,7 @@
 		for range 3 {
 			var l limit
 			for _, k := range append(rapid.Permutation(news).Draw(r, "order"), news[0]) {
-				l.merge(k, time.Unix(1000, 0))
+				l.merge(k, rapid.Bool().Draw(r, "fresh"), time.Unix(1000, 0))
 			}
 			known = append(known, l.known(contract.Life{}))
 		}
@@ -186,3 +186,21 @@
 	is.True(busy > idle)
 	is.True(busy <= s.most)
 }
+
+// TestOldNewsAsksNobodyLess has another VM tell again and again what both know already, though
+// nobody hears an answer: an owner asks all the same.
+func TestOldNewsAsksNobodyLess(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tb := saidTable(1, now)
+	tb.SetOwners("d", Owners{Self: "vm", VMs: []contract.VMID{"vm"}})
+	life := contract.Life{Upstream: "u1", Born: 1}
+	tb.TakeLimit(life, named(0), now, now)
+	known := tb.Limits(1)[0]
+	now = now.Add(askEvery)
+	tb.HearLimit(known, true, now)
+	is.True(tb.unasked(anyEngine, now) == nil) // another VM has just heard of it
+	now = now.Add(askEvery)
+	tb.HearLimit(known, false, now)
+	is.True(tb.unasked(anyEngine, now) != nil)
+}
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -27,12 +27,12 @@
 	return n
 }
 
-// HearLimit takes in what another VM knows of a life's limit. It returns what held before,
-// and whether that has changed.
-func (t *Table) HearLimit(told LimitKnown, now time.Time) (before Limit, changed bool) {
+// HearLimit takes in what another VM knows of a life's limit, of an answer just heard if it is
+// fresh. It returns what held before, and whether that has changed.
+func (t *Table) HearLimit(told LimitKnown, fresh bool, now time.Time) (before Limit, changed bool) {
 	h := t.hold(told.Life, now)
 	before = h.limit.Limit
-	if changed = h.limit.merge(told, now); changed {
+	if changed = h.limit.merge(told, fresh, now); changed {
 		t.noteLimited()
 	}
 	return before, changed
