upstream: one of what a limited upstream bears is left to VMs that ask

In a trial (1.4 a second named by 0.9 of the engines, VMs stopped and started in turn) the owner sent 12 within 4 s, and a VM that had started anew one more, 5 s after it had learnt of the limit: it had heard of no answer since. 13 is all that is allowed. Change: owners plan for one less.

--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -33,9 +33,11 @@
 	// than they were sent, one having waited for a connection. Sends under a higher limit
 	// count until they leave it.
 	limitWindow = bearsIn + 400*time.Millisecond
-	// bearsPart is the part of what an upstream bears that owners plan to send: the rest is
-	// for a change of owners.
-	bearsPart = 0.9
+	// bearsPart is the part of what an upstream bears that owners plan to send, but for
+	// askedBeside requests: the rest is for a change of owners, and for VMs that ask since
+	// they hear of none.
+	bearsPart   = 0.9
+	askedBeside = 1
 )
 
 // shareOf returns how many owners a limit has among a number of VMs, and the part of each:
@@ -47,7 +49,8 @@
 	if perSecond < sent {
 		s.burst = 1 // it is asked, and wants no more than that
 	}
-	s.most = max(1, int(bearsPart*(bearsTimes*perSecond*bearsIn.Seconds()+bearsMore)/float64(owners)))
+	borne := bearsPart*(bearsTimes*perSecond*bearsIn.Seconds()+bearsMore) - askedBeside
+	s.most = max(int(borne/float64(owners)), asker().most)
 	s.mostEvery = limitWindow / time.Duration(s.most)
 	return owners, s
 }
