relay, site, upstream: less work for answers and rounds that tell nothing new

Each sealed answer names a limit or none, so hear built its log fields for every one: it returns when nothing is new. Each round of reads cloned its list and drew a VM of each other data centre though nothing was for them. How long it takes until a limit has room was worked out and only compared with zero. What is told in a VM's next round stood three times (Sent, Rest, Limit), who learns from other VMs twice. Behaviour stays; assertions as they were; the mutant of the pace names its new line and fails its test still.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -56,7 +56,7 @@
 	{"an answer's load is of the life that answered", "relay/send.go", "if alive && h.Load != nil {", "if h.Load != nil {", "./relay", "TestLoadOfAnEarlierLife"},
 	{"a limit that an upstream has named is kept", "upstream/listed.go", "t.warm(s, now) && t.within(s, now)", "t.warm(s, now)", "./upstream", "TestLimitOfAll"},
 	{"owners alone send what a limit allows", "upstream/limited.go", "if near && place < owners {", "if near {", "./upstream", "TestLimitOfAll"},
-	{"a part of a limit is paced", "upstream/limited.go", "return max(none, s.said.limit.pace.in(part, now))", "return max(none, 0*s.said.limit.pace.in(part, now))", "./upstream", "TestLimitOfAll"},
+	{"a part of a limit is paced", "upstream/limited.go", "return none == 0 && s.said.limit.pace.in(part, now) == 0", "return none == 0 && s.said.limit.pace.in(part, now) >= 0", "./upstream", "TestLimitOfAll"},
 	{"more than a limit goes to an upstream only where others are busy", "upstream/work.go", "	cost += t.limitCost(s, now)\n", "", "./upstream", "TestBeyondLimit"},
 	{"a repeat in the place of a waiting caller is dear", "relay/models.go", "if r.table.CountLimited() > 0 && r.returnsOf(j.service).Awaited(now) {", "if false {", "./relay", "TestNoEscalationWhereCallersWait"},
 	{"an answer to an earlier request lifts no limit", "upstream/limit.go", "|| sent.Before(l.learnt)", "", "./upstream", "TestLimitOfAnswers"},
--- a/relay/said.go
+++ b/relay/said.go
@@ -25,6 +25,9 @@
 	said := h.Said
 	said.Rest = min(said.Rest, r.opts.LongestRest)
 	fresh := r.table.TakeWord(e.Life(), said, r.opts.Now())
+	if fresh == (upstream.Said{}) {
+		return // as of nearly every answer
+	}
 	fields := []zap.Field{zap.String("upstream", string(e.ID)), zap.Int64("born", e.Born), zap.String("address", e.Address),
 		zap.String("service", string(e.Service)), zap.String("request", string(j.ID)), zap.Int("status", h.Status)}
 	if fresh.Leaving {
--- a/site/hear.go
+++ b/site/hear.go
@@ -105,9 +105,7 @@
 // heard takes in what a word tells of objects and of releases, and asks its teller
 // for what is newer there.
 func (p *Peers) heard(ctx context.Context, w Word) {
-	p.mu.Lock()
-	t := p.trials
-	p.mu.Unlock()
+	t := p.judged()
 	near := w.Self.DataCentre == p.dc
 	if t != nil {
 		worse := t.Hear(w.Evidence)
--- a/site/reads.go
+++ b/site/reads.go
@@ -85,12 +85,7 @@
 }
 
 // Sent has other VMs told of a prompt, without waiting.
-func (p *Peers) Sent(s relay.Sent) {
-	p.sends.mu.Lock()
-	p.sends.add(&p.sends.waiting, told{sent: &s})
-	p.sends.mu.Unlock()
-	p.sends.own.ask(p.tellReads)
-}
+func (p *Peers) Sent(s relay.Sent) { p.tellSoon(told{sent: &s}) }
 
 // Opinion has other VMs told what a model thinks of an answer, with the next prompt
 // that they are told of: it is not urgent.
@@ -101,18 +96,16 @@
 }
 
 // Rest has other VMs told that an upstream has asked this one for a rest, without waiting.
-func (p *Peers) Rest(r relay.Rest) {
-	p.sends.mu.Lock()
-	p.sends.add(&p.sends.waiting, told{rest: &r})
-	p.sends.mu.Unlock()
-	p.sends.own.ask(p.tellReads)
-}
+func (p *Peers) Rest(r relay.Rest) { p.tellSoon(told{rest: &r}) }
 
 // Limit has other VMs told of an upstream's limit, without waiting; those of other data
 // centres too if it says so.
-func (p *Peers) Limit(k upstream.LimitKnown, far bool) {
+func (p *Peers) Limit(k upstream.LimitKnown, far bool) { p.tellSoon(told{limit: &k, far: far}) }
+
+// tellSoon has other VMs told of something in this VM's next round.
+func (p *Peers) tellSoon(t told) {
 	p.sends.mu.Lock()
-	p.sends.add(&p.sends.waiting, told{limit: &k, far: far})
+	p.sends.add(&p.sends.waiting, t)
 	p.sends.mu.Unlock()
 	p.sends.own.ask(p.tellReads)
 }
@@ -135,6 +128,9 @@
 	}
 	if !v.group.Region {
 		list = slices.DeleteFunc(slices.Clone(list), func(t told) bool { return !t.far })
+		if len(list) == 0 {
+			return
+		}
 	}
 	for _, m := range p.oneFar(v) {
 		p.noteReads(m, list, true)
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -132,19 +132,15 @@
 
 // within tells whether an upstream may get one more request of this VM now, as far as the
 // limit goes that it has named.
-func (t *Table) within(s *state, now time.Time) bool { return t.withinIn(s, now) == 0 }
-
-// withinIn returns after what time an upstream may get one more request of this VM, as far as
-// its limit goes; zero for now.
-func (t *Table) withinIn(s *state, now time.Time) time.Duration {
+func (t *Table) within(s *state, now time.Time) bool {
 	if !s.said.limited() {
-		return 0
+		return true
 	}
 	if len(t.owned.VMs) == 0 {
-		return askEvery // who shares the limit is not known yet
+		return false // who shares the limit is not known yet
 	}
 	part, none := t.shareAt(s, now)
-	return max(none, s.said.limit.pace.in(part, now))
+	return none == 0 && s.said.limit.pace.in(part, now) == 0
 }
 
 // beyondLimit is what a request costs an upstream that has all that it takes by its limit, and
