clock, lease: one lease for all that one VM does, by a clock that counts suspensions

Cause: duties that one VM does for all need a number that nobody looks at, so that safety is the holder's alone. The lease for orders came near it: its taker waited by a clock that runs ahead when the time of day is set forward, it could not be given up, and nothing that a holder had decided lasted longer than it. Change: clock.System follows the clock that counts suspensions and is never set, where there is one. A lease is given up at once at a planned stop; who gave it up waits a whole lease. A record in the object is what holders have fixed. Other VMs may tell of a version, and only who has read the record may write. control/orders uses lease.Keeper, the one driver of a lease before a store.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,10 +1,11 @@
 // Package clock gives a time that is safe to end leases by.
 //
 // A VM can be suspended and woken. The monotonic clock of the system stands
-// still through a suspension and the wall clock can be set back, so neither
-// alone tells how long a lease has been held. A Clock adds up, between two
-// readings, the larger of what the two clocks say has passed: it may run fast,
-// which ends a lease early and is safe, and never runs slow.
+// still through a suspension and the wall clock can be set, so neither alone
+// tells how long a lease has been held. Where the system has a clock that counts
+// suspensions and is never set, a Clock follows that one. Elsewhere it adds up,
+// between two readings, the larger of what the two other clocks say has passed:
+// it may run fast, which ends a lease early, and never runs slow.
 package clock
 
 import (
@@ -29,14 +30,29 @@
 	now      time.Time
 }
 
-// NewSystem returns the clock of this VM.
+// NewSystem returns the clock of this VM. It starts at the time of day.
 func NewSystem() *System {
+	if _, ok := sinceBoot(); ok {
+		return newBoot(time.Now().Round(0), func() time.Duration {
+			d, _ := sinceBoot() // a clock that was there once stays
+			return d
+		})
+	}
 	return newSystem(func() (time.Time, time.Time) {
 		t := time.Now()
 		return t.Round(0), t
 	})
 }
 
+// newBoot returns a clock that begins at start and follows one that counts suspensions.
+func newBoot(start time.Time, read func() time.Duration) *System {
+	first := read()
+	return newSystem(func() (time.Time, time.Time) {
+		t := start.Add(read() - first)
+		return t, t
+	})
+}
+
 func newSystem(read func() (wall, mono time.Time)) *System {
 	wall, mono := read()
 	return &System{read: read, lastWall: wall, lastMono: mono, now: wall}
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -28,6 +28,29 @@
 	is.Equal(c.Now().Sub(start), time.Hour+2*time.Second)
 }
 
+// TestTimeOfDaySetForward shows that a clock which counts suspensions does not follow the
+// time of day: a VM that waits until another's lease has ended would else take it early.
+func TestTimeOfDaySetForward(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	sinceBoot := 5 * time.Second
+	c := newBoot(start, func() time.Duration { return sinceBoot })
+	is.Equal(c.Now(), start)
+
+	sinceBoot += 2 * time.Second // the time of day has been set forward by an hour meanwhile
+	is.Equal(c.Now().Sub(start), 2*time.Second)
+}
+
+// TestSystemRuns reads the clock of this machine.
+func TestSystemRuns(t *testing.T) {
+	is := is.New(t)
+	c := NewSystem()
+	before := c.Now()
+	is.True(before.Sub(time.Now()).Abs() < time.Minute) // it starts at the time of day
+	time.Sleep(5 * time.Millisecond)
+	is.True(c.Now().Sub(before) >= 5*time.Millisecond)
+}
+
 // TestNeverSlow checks that the clock never runs slower than either source.
 func TestNeverSlow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/control/orders.go
+++ b/control/orders.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"slices"
 	"time"
 
@@ -12,14 +10,9 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/engine"
-	"woaddoor/lease"
 	"woaddoor/logs"
-	"woaddoor/store"
 )
 
-// ordersLease is the object that says who may give orders to engines.
-const ordersLease = "woaddoor/lease/orders"
-
 // Bounds of orders.
 const (
 	// orderTimeout is below the lease's margin: no order outlasts its lease.
@@ -42,7 +35,7 @@
 	if len(missing) == 0 {
 		return true
 	}
-	if err := s.holdLease(ctx); err != nil {
+	if err := s.holdOrders(ctx); err != nil {
 		s.log.Warn("lease-failed", logs.Failure(err)...)
 		return false
 	}
@@ -93,9 +86,7 @@
 
 // order gives one order, under the lease's fencing number.
 func (s *Server) order(ctx context.Context, t target, v contract.VersionID) error {
-	var number contract.FencingNumber
-	ready := false
-	s.locked(func() { number, ready = s.orders.Ready(s.clock.Now(), t.pool.Fencing != config.FencingRefuses) })
+	number, ready := s.orders.Ready(t.pool.Fencing != config.FencingRefuses)
 	if !ready {
 		return nil
 	}
@@ -108,52 +99,10 @@
 	return err
 }
 
-// holdLease takes or renews the lease for orders, if it may.
-func (s *Server) holdLease(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	if err := s.readLease(ctx); err != nil {
+// holdOrders takes or renews the lease for orders, if it may.
+func (s *Server) holdOrders(ctx context.Context) error {
+	if err := s.orders.Look(ctx); err != nil {
 		return err
 	}
-	var p lease.Proposal
-	due := false
-	asked := s.clock.Now()
-	s.locked(func() { p, due = s.orders.Propose(asked) })
-	if !due {
-		return nil
-	}
-	value, err := json.Marshal(p.Object)
-	if err != nil {
-		return contract.Fail(contract.StepOrder, "", err)
-	}
-	var v contract.ObjectVersion
-	if p.Version == 0 {
-		v, err = s.store.Create(ctx, ordersLease, value)
-	} else {
-		v, err = s.store.Update(ctx, ordersLease, value, p.Version)
-	}
-	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrExists) {
-		return nil // another was first; the next read shows it
-	}
-	if err != nil {
-		return contract.Fail(contract.StepOrder, "platform", err)
-	}
-	s.locked(func() { s.orders.Wrote(p, v, asked) })
-	return nil
-}
-
-func (s *Server) readLease(ctx context.Context) error {
-	o, err := s.store.Read(ctx, ordersLease)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return contract.Fail(contract.StepOrder, "platform", err)
-	}
-	var held lease.Object
-	if err := json.Unmarshal(o.Value, &held); err != nil {
-		return contract.Fail(contract.StepOrder, "platform", err)
-	}
-	s.locked(func() { s.orders.Saw(held, o.Version, s.clock.Now()) })
-	return nil
+	return s.orders.Step(ctx)
 }
--- a/control/server.go
+++ b/control/server.go
@@ -56,6 +56,9 @@
 	// relayTurn is used by the relay loop alone.
 	relayTurn bool
 
+	// orders is this process's part in the lease under which engines get orders.
+	orders *lease.Keeper
+
 	// mu guards the fields below; it is never held across I/O.
 	mu      sync.Mutex
 	replica *document.Replica
@@ -78,7 +81,6 @@
 	differs map[contract.VMID]bool
 	// askedMembers is when the VMs of other data centres were last asked for.
 	askedMembers time.Time
-	orders       *lease.Holder
 }
 
 // entryState is what this VM's entry process told last.
@@ -116,7 +118,10 @@
 		VM: opts.Settings.VM, DataCentre: opts.Settings.DataCentre, Incarnation: s.incarnation,
 		EntryLink: opts.Settings.Entry.Advertise, ControlLink: opts.Settings.Control.Advertise,
 	})
-	s.orders = lease.NewHolder(lease.Options{Self: lease.Claim{VM: opts.Settings.VM, Incarnation: s.incarnation}})
+	s.orders = lease.NewKeeper(&lease.KeeperOptions{
+		Options: lease.Options{Self: lease.Claim{VM: opts.Settings.VM, Incarnation: s.incarnation}},
+		Store:   leaseObject{opts.Store, ordersLease}, Clock: opts.Clock, Timeout: orderTimeout,
+	})
 	s.handleLinks()
 	return s, nil
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,7 +11,7 @@
 )
 
 // orderDelay is the longest an order is under way, as Options assumes.
-const orderDelay = defaultMargin - time.Millisecond
+const orderDelay = defaultLength/marginPart - time.Millisecond
 
 // world is a store and processes that read and write it, are paused, and give
 // orders that arrive up to orderDelay later.
@@ -36,7 +36,7 @@
 	h := w.holders[rapid.IntRange(0, len(w.holders)-1).Draw(w.t, "process")]
 	switch rapid.SampledFrom([]string{"read", "write", "write, reply lost", "order", "order", "time"}).Draw(w.t, "act") {
 	case "read":
-		h.Saw(w.object, w.version, w.now)
+		h.Saw(Seen{w.object, w.version}, w.now)
 	case "write":
 		w.write(h, true)
 	case "write, reply lost":
@@ -119,8 +119,8 @@
 	p, ok := a.Propose(now)
 	is.True(ok)
 	a.Wrote(p, 1, now)
-	b.Saw(p.Object, 1, now)
-	naive := a.object.Holder == a.opts.Self
+	b.Saw(Seen{p.Object, 1}, now)
+	naive := a.seen.Object.Holder == a.opts.Self
 	now = now.Add(defaultLength) // a is paused
 	p, ok = b.Propose(now)
 	is.True(ok)
