usage, leader, site, platform: one VM reports the usage of each window

Change: each VM counts by workspace and window; parts that only grow go to hubs and to the holder of the lease; it fixes a window in the lease's record before it reports it. The words, the driver of the lease, the client of the platform, settings, metrics, log lines.

--- /dev/null
+++ b/daemon/duties.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"woaddoor/clock"
+	"woaddoor/contract"
+	"woaddoor/leader"
+	"woaddoor/lease"
+	"woaddoor/platform"
+	"woaddoor/usage"
+	members "woaddoor/vm"
+)
+
+// dutiesLease is the name of the lease under which one VM acts for all.
+const dutiesLease = "duties"
+
+// callPart is the part of a lease that a call may take, divided: less than the margin at its
+// end in which none is made.
+const callPart = 4
+
+// dutyTimeout bounds a call that one VM makes for all, and those that keep its lease.
+func (v *vm) dutyTimeout() time.Duration { return v.settings.Duties.Lease / callPart }
+
+// prepareDuties makes the parts by which one VM acts for all, where the deployment asks for
+// anything.
+func (v *vm) prepareDuties(store *platform.Store, self members.Member) {
+	d := v.settings.Duties
+	if d.Address == "" {
+		return
+	}
+	v.lease = lease.NewKeeper(&lease.KeeperOptions{
+		Options: lease.Options{Self: lease.Claim{VM: self.VM, Incarnation: self.Incarnation}, Length: d.Lease},
+		Store:   platform.NewLease(store, dutiesLease), Clock: clock.NewSystem(), Timeout: v.dutyTimeout(),
+	})
+	if !platform.Reports(d.Names) {
+		return
+	}
+	v.usage = usage.NewBook(&usage.BookOptions{
+		Self: usage.Life{VM: self.VM, Incarnation: self.Incarnation}, DataCentre: self.DataCentre, Now: time.Now,
+		Terms: v.usageTerms(), Centres: func() []contract.DataCentreID { return v.peers.Centres() },
+	})
+}
+
+func (v *vm) usageTerms() usage.Terms {
+	return usage.Terms{Window: v.settings.Duties.UsageWindow, Late: v.settings.Duties.UsageLate}
+}
+
+// began returns what is told of requests that upstreams begin to run; nil where nobody asks.
+func (v *vm) began() func(contract.WorkspaceID, time.Time) {
+	if v.usage == nil {
+		return nil
+	}
+	return v.usage.Began
+}
+
+// leader returns what acts for all VMs where this one is to; nil where none does.
+func (v *vm) leader() *leader.Leader {
+	if v.lease == nil {
+		return nil
+	}
+	d := v.settings.Duties
+	calls := platform.NewDuties(d.Address, v.settings.Name, v.dutyTimeout())
+	calls.Called = v.dutyCalled
+	var acts []leader.Act
+	if v.usage != nil {
+		acts = append(acts, leader.NewReports(&leader.ReportsOptions{
+			Keeper: v.lease, Book: v.usage, Terms: v.usageTerms(), Reporter: calls, Now: time.Now, Log: v.log, Registry: v.registry,
+		}))
+	}
+	v.log.Info("duties", zap.Strings("names", d.Names), zap.String("address", d.Address), zap.Duration("lease", d.Lease), zap.Int("acts", len(acts)))
+	return leader.New(&leader.Options{
+		Keeper: v.lease, Turn: v.peers.Turn, Changed: v.peers.LeaseChanged, Acts: acts, Log: v.log, Registry: v.registry,
+	})
+}
+
+// dutyCalled counts a call that one VM makes for all.
+func (v *vm) dutyCalled(c platform.Call, err error) {
+	name := "duty_calls_total"
+	if err != nil {
+		name = "duty_calls_failed_total"
+	}
+	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{call=%q}", name, c.Verb), v.registry).Inc(1)
+}
+
+// dutyLines returns what is told of who acts for all.
+func (v *vm) dutyLines() []string {
+	if v.lease == nil {
+		return nil
+	}
+	seen, age, known := v.lease.Known()
+	if !known {
+		return []string{"lease_known 0"}
+	}
+	mine := 0
+	if v.lease.Mine() {
+		mine = 1
+	}
+	return []string{
+		"lease_known 1",
+		fmt.Sprintf("lease_mine %d", mine),
+		fmt.Sprintf("lease_holder{vm=%q} 1", seen.Object.Holder.VM),
+		fmt.Sprintf("lease_fencing_number %d", seen.Object.Fencing),
+		fmt.Sprintf("lease_age_milliseconds %d", age.Milliseconds()),
+	}
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -51,6 +51,7 @@
 		lines = append(lines, registryLines(v.relay.Metrics.Registry)...)
 		lines = append(lines, v.peerLines()...)
 		lines = append(lines, v.evacuationLines()...)
+		lines = append(lines, v.dutyLines()...)
 		sort.Strings(lines)
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = fmt.Fprintln(w, strings.Join(lines, "\n")) // the reader is gone
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -21,6 +21,7 @@
 	"woaddoor/contract"
 	"woaddoor/drain"
 	"woaddoor/keys"
+	"woaddoor/lease"
 	"woaddoor/link"
 	"woaddoor/logs"
 	"woaddoor/platform"
@@ -29,6 +30,7 @@
 	"woaddoor/rollout"
 	"woaddoor/settings"
 	"woaddoor/site"
+	"woaddoor/usage"
 	members "woaddoor/vm"
 )
 
@@ -68,6 +70,9 @@
 	lines    *logs.Bounded
 	registry metrics.Registry
 	stopping atomic.Bool
+	// lease and usage are those under which one VM acts for all; nil where none does.
+	lease *lease.Keeper
+	usage *usage.Book
 	// callers are the connections of callers.
 	callers *drain.Listener
 }
@@ -124,11 +129,13 @@
 		VM: s.Name, DataCentre: s.DataCentre, Incarnation: contract.NewIncarnation(time.Now()), ControlLink: s.Listen.Links,
 		Strength: s.Machine.Strength(),
 	}
+	store := platform.NewStore(s.Store)
+	store.Called, store.Unreadable = v.storeCalled, v.storeUnreadable
+	v.prepareDuties(store, self)
 	v.peers = site.NewPeers(&site.PeersOptions{
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, FirstStart: s.FirstStart, Log: v.log, Now: time.Now,
+		Lease: v.lease, Usage: v.usage,
 	})
-	store := platform.NewStore(s.Store)
-	store.Called, store.Unreadable = v.storeCalled, v.storeUnreadable
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
@@ -140,6 +147,7 @@
 		Policy: s.Policy, WorthOfCost: s.WorthOfCost, RepeatPrice: s.RepeatPrice, CanaryShare: s.Bounds.CanaryShare, LongestRest: s.Bounds.LongestRest, BadAnswer: func() { go v.peers.Grave(context.Background()) },
 		Suspected: func() { go v.peers.Grave(context.Background()) },
 		Wake:      func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Rest: v.peers.Rest, Limit: v.peers.Limit, Group: v.peers.Group,
+		Began:      v.began(),
 		Evacuation: s.Bounds.Evacuation, Owners: v.peers.Owners, Cold: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
 	options := &site.Options{
@@ -149,6 +157,7 @@
 		Held: platform.HeldContents(store), HeldNotes: store,
 		PutVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
 	}
+	options.Leader = v.leader()
 	if s.Bounds.Evacuation > 0 {
 		options.Evacuations = platform.Evacuations(store, s.Bounds.Evacuation)
 	}
@@ -251,8 +260,15 @@
 	v.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), v.settings.Bounds.Grace-graceMargin)
 	defer cancel()
+	retired := make(chan struct{})
+	go func() {
+		defer close(retired)
+		v.site.Retire(ctx)
+	}()
 	time.Sleep(min(balancerSees, v.settings.Bounds.Grace/2))
 	whole := v.callers.Drain(ctx)
+	v.peers.TellUsage(ctx)
+	<-retired
 	v.log.Info("stop", zap.Bool("whole", whole))
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -106,6 +106,7 @@
 	}
 	if s.Version != h.seen.Version || h.seenAt.IsZero() {
 		h.seenAt = now
+		h.record = nil // made without what the newer object holds
 	}
 	h.seen, h.told = s, false
 	if s.Object.Holder != h.opts.Self {
@@ -120,6 +121,7 @@
 		return
 	}
 	h.seen, h.seenAt, h.told = s, at, true
+	h.record = nil
 	if s.Object.Holder != h.opts.Self {
 		h.until = time.Time{}
 	}
--- a/lease/one_test.go
+++ b/lease/one_test.go
@@ -323,3 +323,25 @@
 	a.Gone(now)
 	is.True(take(t, a, Seen{}, now).Object.Fencing > s.Object.Fencing)
 }
+
+// TestFixedWithoutAnAnswer shows a renewal that is carried out and whose answer is lost. The
+// holder makes another record meanwhile, for which the store has a newer object: to write that
+// over what is fixed already would let two records of one thing be acted on.
+func TestFixedWithoutAnAnswer(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a := newDrawn("a", 1)
+	a.Gone(now)
+	s := take(t, a, Seen{}, now)
+	a.Fix(json.RawMessage(`"first"`))
+	p, ok := a.Propose(now)
+	is.True(ok)
+	carriedOut := Seen{p.Object, s.Version + 1}
+
+	a.Fix(json.RawMessage(`"second"`))
+	a.Saw(carriedOut, now) // the store says that another write was first
+	is.True(a.Mine())
+	p, ok = a.Propose(now.Add(drawnLength / marginPart))
+	is.True(ok)
+	is.Equal(string(p.Object.Record), `"first"`)
+}
--- a/link/message.go
+++ b/link/message.go
@@ -40,12 +40,14 @@
 	KindChanges
 	// KindReads tells a VM which prompts the teller has sent to upstreams.
 	KindReads
+	// KindUsage tells the VM that acts for all what the teller has gathered of usage.
+	KindUsage
 )
 
 // kindNames are the names of the kinds, for metrics.
 var kindNames = map[Kind]string{
 	KindPull: "pull", KindHeartbeat: "heartbeat", KindVote: "vote", KindKeep: "keep", KindFile: "file", KindFiled: "filed",
-	KindSettled: "settled", KindWord: "word", KindChanges: "changes", KindReads: "reads",
+	KindSettled: "settled", KindWord: "word", KindChanges: "changes", KindReads: "reads", KindUsage: "usage",
 }
 
 // String returns the name of the kind.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,9 @@
 	// Opinion is called, without waiting, with each model's opinion of one of its
 	// answers. May be nil.
 	Opinion func(Opinion)
+	// Began is called, without waiting, with each request that an upstream has begun to
+	// run, and when. May be nil.
+	Began func(w contract.WorkspaceID, at time.Time)
 	// Wake is called, without waiting, when a release is found bad. May be nil.
 	Wake func()
 	// Seed seeds the random source. Zero means a seed from the clock.
--- a/relay/send.go
+++ b/relay/send.go
@@ -129,6 +129,7 @@
 	a := &attempt{entry: e, answer: x, head: head, began: now, cancel: func() { cancel(nil) }}
 	j.there = true
 	r.locked(func() { r.answered(j, head, e) })
+	r.ran(j, head)
 	return a, nil
 }
 
@@ -147,6 +148,19 @@
 	}
 }
 
+// ran tells of a request that an upstream has begun to run: with its first token, or where
+// it is answered whole, when it was sent.
+func (r *Relay) ran(j *job, h *Head) {
+	if h.NotRun || r.opts.Began == nil {
+		return
+	}
+	at := j.sentAt
+	if isStream(j.Request) {
+		at = r.opts.Now()
+	}
+	r.opts.Began(j.Workspace, at)
+}
+
 // close ends an attempt; its connection is kept only when the answer was read
 // whole.
 func (a *attempt) close() {
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -29,6 +29,8 @@
 	Store   string
 	Machine Machine
 	Bounds  Bounds
+	// Duties is what one VM does for all.
+	Duties Duties
 	// Policy says which mechanisms of the policy are left out: none, but to
 	// measure what one is worth.
 	Policy upstream.Policy
@@ -200,6 +202,7 @@
 	}
 	readBounds(v, section("bounds"))
 	readPolicy(v, section("policy"))
+	readDuties(v, section("duties"))
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -119,7 +119,11 @@
 // beatHub speaks with this leaf's hub, or with the next one when it says nothing.
 func (p *Peers) beatHub(ctx context.Context, v *view) {
 	for _, m := range p.hubOf(v) {
-		if p.tell(ctx, m.ControlLink, nearTimeout, p.wordToHub()) {
+		w := p.wordToHub()
+		var mark uint64
+		w.Usage, mark = p.usageFor(lifeOf(m))
+		if p.tell(ctx, m.ControlLink, nearTimeout, w) {
+			p.usageAnswered(lifeOf(m), mark)
 			return
 		}
 	}
--- a/site/orders.go
+++ b/site/orders.go
@@ -116,7 +116,9 @@
 }
 
 // turn returns how long this VM waits before it writes.
-func (s *Site) turn() time.Duration {
-	p := s.opts.Peers.Place()
+func (s *Site) turn() time.Duration { return turnOf(s.opts.Peers.Place()) }
+
+// turnOf returns how long a VM waits before it writes what others would write too.
+func turnOf(p Place) time.Duration {
 	return noteNear*time.Duration(min(p.Near, mostNoteNear)) + noteFar*time.Duration(p.DataCentre)
 }
--- a/site/peers.go
+++ b/site/peers.go
@@ -12,11 +12,13 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/lease"
 	"woaddoor/link"
 	"woaddoor/quarantine"
 	"woaddoor/relay"
 	"woaddoor/rollout"
 	"woaddoor/upstream"
+	"woaddoor/usage"
 	"woaddoor/vm"
 )
 
@@ -92,6 +94,9 @@
 	isSeed bool
 	// firstStart tells that all VMs start for the first time, and no caller waits.
 	firstStart bool
+	// lease and usage are those under which one VM acts for all; nil where none does.
+	lease *lease.Keeper
+	usage *usage.Book
 	// far holds the link addresses of VMs of other data centres.
 	far sync.Map
 	// seen is the newest view, and changed tells that it does not hold any more.
@@ -124,6 +129,8 @@
 	pulling map[string]pulling
 	// told is up to which revision of each kind the last round of news told.
 	told map[string]contract.Revision
+	// holder is where the holder of the lease listens.
+	holder holder
 }
 
 // PeersOptions set up Peers.
@@ -137,13 +144,17 @@
 	Regions map[contract.DataCentreID]string
 	// FirstStart tells that all VMs start for the first time.
 	FirstStart bool
-	Log        *zap.Logger
-	Now        func() time.Time
+	// Lease and Usage are those under which one VM acts for all; both nil where none does.
+	Lease *lease.Keeper
+	Usage *usage.Book
+	Log   *zap.Logger
+	Now   func() time.Time
 }
 
 // NewPeers returns the peers of a VM.
 func NewPeers(opts *PeersOptions) *Peers {
 	p := &Peers{
+		lease: opts.Lease, usage: opts.Usage,
 		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, log: opts.Log, now: opts.Now, started: opts.Now(),
 		news: newSpaced(newsEvery), pulse: newSpaced(pulseEvery), grave: newSpaced(graveEvery),
 		introduce: make(chan struct{}, 1), stranger: make(chan struct{}, 1),
@@ -162,6 +173,7 @@
 	link.Handle(p.endpoint, link.KindWord, p.answerWord)
 	link.Handle(p.endpoint, link.KindChanges, p.answerChanges)
 	link.Handle(p.endpoint, link.KindReads, p.answerReads)
+	link.Handle(p.endpoint, link.KindUsage, p.answerGathered)
 	return p
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/leader"
 	"woaddoor/quarantine"
 	"woaddoor/relay"
 	"woaddoor/rollout"
@@ -36,6 +37,8 @@
 	// NoteOrder writes that an order is under way, or how it ended.
 	NoteOrder func(ctx context.Context, o rollout.Order, state rollout.OrderState) error
 	Peers     *Peers
+	// Leader acts for all VMs where this one is to. May be nil: none does.
+	Leader *leader.Leader
 	// VMs lists the link addresses of VMs, and PutVM adds this one's.
 	VMs   func(ctx context.Context) (map[contract.VMID]string, error)
 	PutVM func(ctx context.Context) error
@@ -173,6 +176,9 @@
 		s.opts.Peers.share(s.opts.Held.Name(), held)
 		runs = append(runs, held.run, s.keepHeld)
 	}
+	if s.opts.Leader != nil {
+		runs = append(runs, s.lead, s.opts.Peers.gather)
+	}
 	for _, run := range runs {
 		wg.Add(1)
 		go func() {
@@ -183,6 +189,25 @@
 	wg.Wait()
 }
 
+// lead acts for all VMs, once this one can serve.
+func (s *Site) lead(ctx context.Context) {
+	select {
+	case <-s.ready:
+		s.opts.Leader.Run(ctx)
+	case <-ctx.Done():
+	}
+}
+
+// Retire gives up what this VM does for all, and tells what it alone knows: it is about to
+// end.
+func (s *Site) Retire(ctx context.Context) {
+	if s.opts.Leader == nil {
+		return
+	}
+	s.opts.Leader.Resign(ctx)
+	s.opts.Peers.TellUsage(ctx)
+}
+
 // configName is the name of the newest configuration's object.
 const configName = "main"
 
--- a/site/words.go
+++ b/site/words.go
@@ -13,6 +13,7 @@
 	"woaddoor/relay"
 	"woaddoor/rollout"
 	"woaddoor/upstream"
+	"woaddoor/usage"
 	"woaddoor/vm"
 )
 
@@ -52,6 +53,11 @@
 	// VM that has just started was not told.
 	LimitsDigest uint64                `cbor:"15,keyasint,omitempty"`
 	Limits       []upstream.LimitKnown `cbor:"16,keyasint,omitempty"`
+	// Usage is what a leaf has counted since its hub last answered.
+	Usage []usage.Part `cbor:"17,keyasint,omitempty"`
+	// Lease is what the teller knows of the lease under which one VM acts for all; nil
+	// when it knows of none.
+	Lease *LeaseWord `cbor:"18,keyasint,omitempty"`
 }
 
 // Count is how many VMs a data centre has, as counted there an age ago.
@@ -129,6 +135,9 @@
 	kinds := slices.Collect(maps.Values(p.kinds))
 	t := p.trials
 	p.mu.Unlock()
+	if to != hearsNear {
+		w.Lease = p.leaseWord()
+	}
 	if t != nil {
 		w.Evidence, w.Orders, w.Suspects = t.Evidence(evidenceFor[to]), t.OrderAges(), t.Suspects()
 		w.LimitsDigest = t.LimitsDigest()
@@ -186,6 +195,7 @@
 	}
 	p.meet(got, true)
 	p.settle(got)
+	p.hearLease(got.Lease)
 	p.agreeOnLimits(got)
 	p.heard(context.WithoutCancel(ctx), got)
 	return true
@@ -193,6 +203,8 @@
 
 func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
 	p.meet(w, false)
+	p.hearUsage(w.Usage)
+	p.hearLease(w.Lease)
 	go p.heard(context.WithoutCancel(ctx), w)
 	answer := p.wordBack(w)
 	if t := p.judged(); t != nil && answer.LimitsDigest != w.LimitsDigest {
