usage: a request is counted once, whatever its attempts

Cause: reports were off by 74 to 119 of 289 to 336 requests: each attempt counted, so repeats and larger models' answers too, and requests of no workspace.

--- a/relay/send.go
+++ b/relay/send.go
@@ -65,6 +65,8 @@
 	sentAt  time.Time
 	there   bool
 	printed *quarantine.Print
+	// counted tells that an upstream is known to have begun to run the request.
+	counted bool
 	// claim tells that the present attempt took from this VM's part of its upstream's limit.
 	claim bool
 }
@@ -148,12 +150,13 @@
 	}
 }
 
-// ran tells of a request that an upstream has begun to run: with its first token, or where
-// it is answered whole, when it was sent.
+// ran tells, once, of a workspace's request that an upstream has begun to run: with its first
+// token, or where it is answered whole, when it was sent.
 func (r *Relay) ran(j *job, h *Head) {
-	if h.NotRun || r.opts.Began == nil {
+	if h.NotRun || j.counted || j.Workspace == "" || r.opts.Began == nil {
 		return
 	}
+	j.counted = true
 	at := j.sentAt
 	if isStream(j.Request) {
 		at = r.opts.Now()
