leader, lease, usage: what was reported leaves the record; hubs that end are not waited for

Change: what is done leaves the record with the next renewal and with a resignation; a hub that ends says so; a successor gathers 0.7 s beyond its settling, not 1.5. Tests: leader in simulated time, platform with real sockets and a stand-in that notes each broken promise; mutants.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -260,15 +260,15 @@
 	v.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), v.settings.Bounds.Grace-graceMargin)
 	defer cancel()
-	retired := make(chan struct{})
+	resigned := make(chan struct{})
 	go func() {
-		defer close(retired)
-		v.site.Retire(ctx)
+		defer close(resigned)
+		v.site.Resign(ctx)
 	}()
 	time.Sleep(min(balancerSees, v.settings.Bounds.Grace/2))
 	whole := v.callers.Drain(ctx)
-	v.peers.TellUsage(ctx)
-	<-retired
+	<-resigned
+	v.peers.LastUsage(ctx)
 	v.log.Info("stop", zap.Bool("whole", whole))
 }
 
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -178,6 +178,8 @@
 		s.watch(w, r, path[0])
 	case r.Method == http.MethodGet && len(path) == 1:
 		s.list(w, r, path[0])
+	case r.Method == http.MethodGet && len(path) == 2:
+		s.read(w, path[0], path[1])
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
 		s.change(w, r, path)
 	case r.Method == http.MethodDelete && len(path) == 2:
@@ -236,6 +238,15 @@
 	answer(w, http.StatusOK, map[string]any{"Entries": entries, "HasMore": more, "Timestamp": s.revision})
 }
 
+func (s *Store) read(w http.ResponseWriter, kind, name string) {
+	o, ok := s.Get(kind, name)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, o)
+}
+
 type change struct {
 	Deleted bool
 	Object  Object
--- a/leader/reports.go
+++ b/leader/reports.go
@@ -60,7 +60,7 @@
 
 // gatherFirst is how long a VM that has taken the lease gathers what others have counted,
 // before it fixes anything: they first have to hear of it.
-const gatherFirst = 1500 * time.Millisecond
+const gatherFirst = 700 * time.Millisecond
 
 // Act fixes the windows that are over and reports the first that is fixed and open. What is
 // fixed is only reported once the store has taken it: another VM would else fix it otherwise.
@@ -78,12 +78,16 @@
 	r.giveUp(record, now)
 	if now.Sub(r.since) >= gatherFirst {
 		if next, changed := r.opts.Book.Close(record); changed {
-			r.fix(next)
+			r.fix(next, true)
 			return
 		}
 	}
-	if f, open := r.first(record); open && !now.Before(r.pause) {
+	f, open := r.first(record)
+	switch {
+	case open && !now.Before(r.pause):
 		r.report(ctx, n, f)
+	case !open && len(record.Fixed) > 0:
+		r.fix(record, false) // with the next renewal: who comes after need not repeat it
 	}
 }
 
@@ -99,7 +103,7 @@
 }
 
 // fix has the store take a record, without what is done.
-func (r *Reports) fix(next usage.Record) {
+func (r *Reports) fix(next usage.Record, urgent bool) {
 	for w := range r.done {
 		next = next.Done(w)
 	}
@@ -108,7 +112,7 @@
 		r.opts.Log.Error("usage-record-failed", logs.Failure(err)...)
 		return
 	}
-	r.opts.Keeper.Fix(raw)
+	r.opts.Keeper.Fix(raw, urgent)
 }
 
 // first returns the first window that is fixed and not done.
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -108,10 +108,10 @@
 	switch {
 	case errors.Is(err, ErrGone):
 		k.locked(func(h *Holder, now time.Time) { h.Gone(now) })
+	case errors.Is(err, ErrTaken) && seen.Version == 0:
+		k.locked(func(h *Holder, _ time.Time) { h.Doubt() })
 	case errors.Is(err, ErrTaken):
-		if seen.Version != 0 {
-			k.locked(func(h *Holder, now time.Time) { h.Saw(seen, now) })
-		}
+		k.locked(func(h *Holder, now time.Time) { h.Saw(seen, now) })
 	case err != nil:
 		return err
 	default:
@@ -128,8 +128,8 @@
 }
 
 // Fix has the next write put a record into the object; see Holder.Fix.
-func (k *Keeper) Fix(record json.RawMessage) {
-	k.locked(func(h *Holder, _ time.Time) { h.Fix(record) })
+func (k *Keeper) Fix(record json.RawMessage, urgent bool) {
+	k.locked(func(h *Holder, _ time.Time) { h.Fix(record, urgent) })
 }
 
 // Known returns the newest object that is known and for how long it has stood, and
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -80,8 +80,10 @@
 	told   bool
 	until  time.Time // end of the own lease
 	took   time.Time // when it was taken
-	// record is what the next write fixes; nil for what the object holds.
+	// record is what the next write fixes; nil for what the object holds. urgent tells
+	// that the write is due at once.
 	record json.RawMessage
+	urgent bool
 }
 
 // NewHolder returns a holder that holds nothing.
@@ -132,15 +134,21 @@
 	h.seen.Version, h.seenAt, h.until, h.told = 0, now, time.Time{}, false
 }
 
+// Doubt takes in that the object has changed and it is not known how.
+func (h *Holder) Doubt() { h.seenAt, h.record = time.Time{}, nil }
+
 // Unread tells whether the object has to be read before anything can be written: it is not
 // known at all, or not its record while the lease seems to be free.
 func (h *Holder) Unread(now time.Time) bool {
 	return h.seenAt.IsZero() || h.told && !now.Before(h.FreeAt())
 }
 
-// Fix has the next write put a record into the object, due at once. It has no effect
-// unless this VM holds the lease then.
-func (h *Holder) Fix(record json.RawMessage) { h.record = record }
+// Fix has the next write put a record into the object, due at once if that is urgent. It
+// has no effect unless this VM holds the lease then.
+func (h *Holder) Fix(record json.RawMessage, urgent bool) {
+	h.urgent = urgent || h.urgent && h.record != nil
+	h.record = record
+}
 
 // Proposal is the write that takes, renews or gives up a lease: conditional on Version,
 // or a creation when that is zero.
@@ -177,18 +185,23 @@
 // renew returns the renewal of the own lease, if it is due.
 func (h *Holder) renew(now time.Time) (Proposal, bool) {
 	early := h.until.Sub(now) > h.opts.Length-h.opts.Margin
-	if early && h.record == nil {
+	if early && !(h.urgent && h.record != nil) {
 		return Proposal{}, false
 	}
 	next := h.seen.Object
-	next.Renewals++
 	if now.Sub(h.took) >= h.opts.Length {
 		next.Resigned = nil
 	}
+	return h.proposal(next), true
+}
+
+// proposal returns the write of an object by its holder, with what is to be fixed.
+func (h *Holder) proposal(next Object) Proposal {
+	next.Renewals++
 	if h.record != nil {
 		next.Record = h.record
 	}
-	return Proposal{next, h.seen.Version}, true
+	return Proposal{next, h.seen.Version}
 }
 
 // FreeAt returns from when on this VM may take the lease, unless the object changes
@@ -213,8 +226,7 @@
 	next := h.seen.Object
 	next.Holder = Claim{}
 	next.Resigned = append(slices.Clone(next.Resigned), h.opts.Self.VM)
-	next.Renewals++
-	return Proposal{next, h.seen.Version}, true
+	return h.proposal(next), true
 }
 
 // Wrote takes in that a proposal asked for at askedAt was accepted as version
--- a/site/peers.go
+++ b/site/peers.go
@@ -97,6 +97,8 @@
 	// lease and usage are those under which one VM acts for all; nil where none does.
 	lease *lease.Keeper
 	usage *usage.Book
+	// ends tells that this VM is about to end.
+	ends atomic.Bool
 	// far holds the link addresses of VMs of other data centres.
 	far sync.Map
 	// seen is the newest view, and changed tells that it does not hold any more.
--- a/site/site.go
+++ b/site/site.go
@@ -198,14 +198,11 @@
 	}
 }
 
-// Retire gives up what this VM does for all, and tells what it alone knows: it is about to
-// end.
-func (s *Site) Retire(ctx context.Context) {
-	if s.opts.Leader == nil {
-		return
+// Resign gives up what this VM does for all: it is about to end.
+func (s *Site) Resign(ctx context.Context) {
+	if s.opts.Leader != nil {
+		s.opts.Leader.Resign(ctx)
 	}
-	s.opts.Leader.Resign(ctx)
-	s.opts.Peers.TellUsage(ctx)
 }
 
 // configName is the name of the newest configuration's object.
--- a/site/usage.go
+++ b/site/usage.go
@@ -18,6 +18,8 @@
 	From       usage.Life            `cbor:"1,keyasint"`
 	DataCentre contract.DataCentreID `cbor:"2,keyasint"`
 	Parts      []usage.Part          `cbor:"3,keyasint,omitempty"`
+	// Ends tells that the teller is about to end, and is not to be waited for.
+	Ends bool `cbor:"4,keyasint,omitempty"`
 }
 
 // gatherEvery is how often a hub tells what it has gathered. What a VM or a whole data
@@ -52,7 +54,7 @@
 func (p *Peers) gather(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Pause(ctx, gatherEvery)
-		if p.look().isHub {
+		if p.look().isHub && !p.ends.Load() {
 			p.gatherOnce(ctx)
 		}
 	}
@@ -73,7 +75,7 @@
 		return
 	}
 	hearer := usage.Life{VM: to.VM, Incarnation: to.Incarnation}
-	g := Gathered{From: lifeOf(self), DataCentre: self.DataCentre}
+	g := Gathered{From: lifeOf(self), DataCentre: self.DataCentre, Ends: p.ends.Load()}
 	var mark uint64
 	g.Parts, mark = p.usage.For(hearer)
 	ctx, cancel := context.WithTimeout(ctx, farTimeout)
@@ -89,19 +91,20 @@
 func (p *Peers) answerGathered(_ context.Context, _ string, g Gathered) (struct{}, error) {
 	if p.usage != nil {
 		p.usage.Hear(g.Parts)
-		p.usage.Gathered(g.From, g.DataCentre)
+		p.usage.Gathered(g.From, g.DataCentre, g.Ends)
 	}
 	return struct{}{}, nil
 }
 
-// TellUsage tells at once what this VM has counted: it is about to end.
-func (p *Peers) TellUsage(ctx context.Context) {
+// LastUsage tells what this VM has counted, for the last time: it is about to end.
+func (p *Peers) LastUsage(ctx context.Context) {
+	p.ends.Store(true)
 	v := p.look()
-	if v.isHub {
-		p.gatherOnce(ctx)
+	if !v.isHub {
+		p.beatHub(ctx, v)
 		return
 	}
-	p.beatHub(ctx, v)
+	p.gatherOnce(ctx)
 }
 
 // Centres returns the data centres that have VMs, as far as is known.
--- a/usage/book.go
+++ b/usage/book.go
@@ -87,10 +87,15 @@
 	}
 }
 
-// Gathered takes in that a VM has told all that the VMs which tell it have counted.
-func (b *Book) Gathered(from Life, dc contract.DataCentreID) {
+// Gathered takes in that a VM has told all that the VMs which tell it have counted, for the
+// last time if it ends.
+func (b *Book) Gathered(from Life, dc contract.DataCentreID, ends bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if ends {
+		delete(b.tellers, from)
+		return
+	}
 	b.tellers[from] = teller{dc, b.opts.Now()}
 }
 
