scaling, leader: upstreams are ordered by need, cheap ones first

Change: a pure decision on what stands, what the work asks for and what may be taken away; work told by hubs to the holder; orders in the lease's record; nothing during a release.

--- a/control/lease.go
+++ b/control/lease.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"woaddoor/contract"
+	"woaddoor/leader"
 	"woaddoor/lease"
 	"woaddoor/store"
 )
@@ -23,7 +24,7 @@
 func (l leaseObject) Read(ctx context.Context) (lease.Seen, error) {
 	o, err := l.store.Read(ctx, l.name)
 	if errors.Is(err, store.ErrNotFound) {
-		return lease.Seen{}, lease.ErrGone
+		return lease.Seen{}, leader.ErrGone
 	}
 	if err != nil {
 		return lease.Seen{}, contract.Fail(contract.StepOrder, "platform", err)
@@ -49,9 +50,9 @@
 	}
 	switch {
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrExists):
-		return lease.Seen{}, lease.ErrTaken // the next read shows it
+		return lease.Seen{}, leader.ErrTaken // the next read shows it
 	case errors.Is(err, store.ErrNotFound):
-		return lease.Seen{}, lease.ErrGone
+		return lease.Seen{}, leader.ErrGone
 	case err != nil:
 		return lease.Seen{}, contract.Fail(contract.StepOrder, "platform", err)
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -23,6 +23,7 @@
 	"woaddoor/document"
 	"woaddoor/engine"
 	"woaddoor/keys"
+	"woaddoor/leader"
 	"woaddoor/lease"
 	"woaddoor/link"
 	"woaddoor/rollout"
@@ -57,7 +58,7 @@
 	relayTurn bool
 
 	// orders is this process's part in the lease under which engines get orders.
-	orders *lease.Keeper
+	orders *leader.Keeper
 
 	// mu guards the fields below; it is never held across I/O.
 	mu      sync.Mutex
@@ -118,7 +119,7 @@
 		VM: opts.Settings.VM, DataCentre: opts.Settings.DataCentre, Incarnation: s.incarnation,
 		EntryLink: opts.Settings.Entry.Advertise, ControlLink: opts.Settings.Control.Advertise,
 	})
-	s.orders = lease.NewKeeper(&lease.KeeperOptions{
+	s.orders = leader.NewKeeper(&leader.KeeperOptions{
 		Options: lease.Options{Self: lease.Claim{VM: opts.Settings.VM, Incarnation: s.incarnation}},
 		Store:   leaseObject{opts.Store, ordersLease}, Clock: opts.Clock, Timeout: orderTimeout,
 	})
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -12,6 +12,8 @@
 	"woaddoor/leader"
 	"woaddoor/lease"
 	"woaddoor/platform"
+	"woaddoor/route"
+	"woaddoor/upstream"
 	"woaddoor/usage"
 	members "woaddoor/vm"
 )
@@ -33,14 +35,14 @@
 	if d.Address == "" {
 		return
 	}
-	v.lease = lease.NewKeeper(&lease.KeeperOptions{
+	v.lease = leader.NewKeeper(&leader.KeeperOptions{
 		Options: lease.Options{Self: lease.Claim{VM: self.VM, Incarnation: self.Incarnation}, Length: d.Lease},
 		Store:   platform.NewLease(store, dutiesLease), Clock: clock.NewSystem(), Timeout: v.dutyTimeout(),
 	})
 	if !platform.Reports(d.Names) {
 		return
 	}
-	v.usage = usage.NewBook(&usage.BookOptions{
+	v.usage = leader.NewBook(&leader.BookOptions{
 		Self: usage.Life{VM: self.VM, Incarnation: self.Incarnation}, DataCentre: self.DataCentre, Now: time.Now,
 		Terms: v.usageTerms(), Centres: func() []contract.DataCentreID { return v.peers.Centres() },
 	})
@@ -72,12 +74,32 @@
 			Keeper: v.lease, Book: v.usage, Terms: v.usageTerms(), Reporter: calls, Now: time.Now, Log: v.log, Registry: v.registry,
 		}))
 	}
+	if platform.Scales(d.Names) {
+		acts = append(acts, leader.NewScaler(&leader.ScalerOptions{
+			Keeper: v.lease, Orderer: calls, Services: v.services, Upstreams: func() []upstream.Entry { return v.site.Upstreams() },
+			Age: v.listAge, Work: v.peers.AllWork, Releasing: func(s contract.ServiceID) bool { return v.relay.Releasing(s) }, Now: time.Now, Log: v.log, Registry: v.registry,
+		}))
+	}
 	v.log.Info("duties", zap.Strings("names", d.Names), zap.String("address", d.Address), zap.Duration("lease", d.Lease), zap.Int("acts", len(acts)))
 	return leader.New(&leader.Options{
 		Keeper: v.lease, Turn: v.peers.Turn, Changed: v.peers.LeaseChanged, Acts: acts, Log: v.log, Registry: v.registry,
 	})
 }
 
+// services returns those of the configuration in force.
+func (v *vm) services() map[contract.ServiceID]*route.Service {
+	if t := v.site.Table(); t != nil {
+		return t.Services
+	}
+	return nil
+}
+
+// listAge returns how old the store's word on the list of upstreams is.
+func (v *vm) listAge() time.Duration {
+	_, age := v.site.Ages()
+	return age
+}
+
 // dutyCalled counts a call that one VM makes for all.
 func (v *vm) dutyCalled(c platform.Call, err error) {
 	name := "duty_calls_total"
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -21,7 +21,7 @@
 	"woaddoor/contract"
 	"woaddoor/drain"
 	"woaddoor/keys"
-	"woaddoor/lease"
+	"woaddoor/leader"
 	"woaddoor/link"
 	"woaddoor/logs"
 	"woaddoor/platform"
@@ -30,7 +30,6 @@
 	"woaddoor/rollout"
 	"woaddoor/settings"
 	"woaddoor/site"
-	"woaddoor/usage"
 	members "woaddoor/vm"
 )
 
@@ -71,8 +70,8 @@
 	registry metrics.Registry
 	stopping atomic.Bool
 	// lease and usage are those under which one VM acts for all; nil where none does.
-	lease *lease.Keeper
-	usage *usage.Book
+	lease *leader.Keeper
+	usage *leader.Book
 	// callers are the connections of callers.
 	callers *drain.Listener
 }
@@ -138,13 +137,10 @@
 	})
 	v.relay = relay.New(&relay.Options{
 		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
-		Budget: retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
-		VMs:    v.peers.Count,
-		ListAge: func() time.Duration {
-			_, age := v.site.Ages()
-			return age
-		},
-		Policy: s.Policy, WorthOfCost: s.WorthOfCost, RepeatPrice: s.RepeatPrice, CanaryShare: s.Bounds.CanaryShare, LongestRest: s.Bounds.LongestRest, BadAnswer: func() { go v.peers.Grave(context.Background()) },
+		Budget:  retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
+		VMs:     v.peers.Count,
+		ListAge: v.listAge,
+		Policy:  s.Policy, WorthOfCost: s.WorthOfCost, RepeatPrice: s.RepeatPrice, CanaryShare: s.Bounds.CanaryShare, LongestRest: s.Bounds.LongestRest, BadAnswer: func() { go v.peers.Grave(context.Background()) },
 		Suspected: func() { go v.peers.Grave(context.Background()) },
 		Wake:      func() { v.site.Wake() }, Sent: v.peers.Sent, Opinion: v.peers.Opinion, Rest: v.peers.Rest, Limit: v.peers.Limit, Group: v.peers.Group,
 		Began:      v.began(),
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -15,7 +15,7 @@
 // runs the same in a property test, in a measurement and in production.
 var decisions = []string{
 	"bill", "cascade", "contract", "datacentre", "document", "lease", "permit", "reading",
-	"quarantine", "retry", "rollout", "session", "stream", "ticket", "upstream", "vm", "workspace",
+	"quarantine", "retry", "rollout", "scaling", "session", "stream", "ticket", "upstream", "usage", "vm", "workspace",
 }
 
 // allowed are the packages of the project that decisions may use: each other, and
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -82,7 +82,7 @@
 	{"a record made for an older object is not written", "lease/lease.go", "		h.record = nil // made without what the newer object holds\n", "", "./lease", "TestFixedWithoutAnAnswer"},
 	{"numbers outlast the lease's object", "lease/lease.go", "	h.seen.Version, h.seenAt, h.until, h.told = 0, now, time.Time{}, false\n", "	h.seen, h.seenAt, h.until, h.told = Seen{}, now, time.Time{}, false\n", "./lease", "TestNumbersOutlastTheObject"},
 	{"the clock does not follow the time of day", "clock/clock.go", "t := start.Add(read() - first)", "t := time.Now()", "./clock", "TestTimeOfDaySetForward"},
-	{"what is fixed is what is reported", "leader/reports.go", "if len(seen.Object.Record) == 0 {", "if true {", "./leader", "TestSuccessorRepeatsWhatWasFixed"},
+	{"what is fixed is what is reported", "leader/record.go", "if len(raw) == 0 {", "if true {", "./leader", "TestSuccessorRepeatsWhatWasFixed"},
 	{"a report waits for those that gather", "usage/plan.go", "now.Sub(end) >= t.Gather() && !heard.Before(end)", "now.Sub(end) >= t.Gather()", "./leader", "TestSilentTellerIsAwaited"},
 	{"a report that is turned down is given up", "platform/client.go", "s.status < http.StatusInternalServerError && s.status != http.StatusRequestTimeout", "false", "./platform", "TestRefusedReports"},
 	{"parts are no sums", "usage/usage.go", "		if n > c[w] {\n			c[w] = n\n", "		if n > 0 {\n			c[w] += n\n", "./usage", "TestSumsAgree"},
--- a/usage/book.go
+++ b/leader/book.go
@@ -1,17 +1,18 @@
-package usage
+package leader
 
 import (
 	"sync"
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/usage"
 )
 
 // BookOptions set up a Book.
 type BookOptions struct {
-	Self       Life
+	Self       usage.Life
 	DataCentre contract.DataCentreID
-	Terms      Terms
+	Terms      usage.Terms
 	// Now is the time of day, by which windows go.
 	Now func() time.Time
 	// Centres returns the data centres that have VMs. May be nil: the own one alone.
@@ -25,11 +26,11 @@
 
 	// mu guards the fields below.
 	mu   sync.Mutex
-	sums *Sums
+	sums *usage.Sums
 	// told is the number of the newest change that a hearer is known to have.
-	told map[Life]uint64
+	told map[usage.Life]uint64
 	// tellers are the VMs that tell this one what they have gathered.
-	tellers map[Life]teller
+	tellers map[usage.Life]teller
 }
 
 type teller struct {
@@ -39,7 +40,7 @@
 
 // NewBook returns an empty book.
 func NewBook(opts *BookOptions) *Book {
-	return &Book{opts: opts, sums: NewSums(), told: make(map[Life]uint64), tellers: make(map[Life]teller)}
+	return &Book{opts: opts, sums: usage.NewSums(), told: make(map[usage.Life]uint64), tellers: make(map[usage.Life]teller)}
 }
 
 // Ages and bounds of what a book keeps.
@@ -57,11 +58,11 @@
 func (b *Book) Began(w contract.WorkspaceID, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sums.Began(b.opts.Self, WindowOf(at, b.opts.Terms.Window), w)
+	b.sums.Began(b.opts.Self, usage.WindowOf(at, b.opts.Terms.Window), w)
 }
 
 // For returns what a hearer is to be told, and the mark by which it has answered that.
-func (b *Book) For(hearer Life) ([]Part, uint64) {
+func (b *Book) For(hearer usage.Life) ([]usage.Part, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget()
@@ -69,7 +70,7 @@
 }
 
 // Answered notes that a hearer knows all up to a mark.
-func (b *Book) Answered(hearer Life, mark uint64) {
+func (b *Book) Answered(hearer usage.Life, mark uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.told) >= mostHearers {
@@ -79,7 +80,7 @@
 }
 
 // Hear takes in parts that another VM has told.
-func (b *Book) Hear(parts []Part) {
+func (b *Book) Hear(parts []usage.Part) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range parts {
@@ -89,7 +90,7 @@
 
 // Gathered takes in that a VM has told all that the VMs which tell it have counted, for the
 // last time if it ends.
-func (b *Book) Gathered(from Life, dc contract.DataCentreID, ends bool) {
+func (b *Book) Gathered(from usage.Life, dc contract.DataCentreID, ends bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if ends {
@@ -130,7 +131,7 @@
 }
 
 // Close returns a record with the windows fixed that can be now; see Terms.Close.
-func (b *Book) Close(r Record) (Record, bool) {
+func (b *Book) Close(r usage.Record) (usage.Record, bool) {
 	heard := b.Heard()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -142,5 +143,5 @@
 func (b *Book) forget() {
 	t := b.opts.Terms
 	oldest := b.opts.Now().Add(-t.Late)
-	b.sums.Forget(WindowOf(oldest, t.Window) - keptWindows)
+	b.sums.Forget(usage.WindowOf(oldest, t.Window) - keptWindows)
 }
--- a/lease/keeper.go
+++ b/leader/keeper.go
@@ -1,4 +1,4 @@
-package lease
+package leader
 
 import (
 	"context"
@@ -9,9 +9,10 @@
 
 	"woaddoor/clock"
 	"woaddoor/contract"
+	"woaddoor/lease"
 )
 
-// Errors of a Store. Every other error means that a write may have taken effect, or may
+// Errors of a LeaseStore. Every other error means that a write may have taken effect, or may
 // yet while its condition holds.
 var (
 	// ErrTaken means that the object has another version.
@@ -20,19 +21,19 @@
 	ErrGone = errors.New("no lease object")
 )
 
-// Store reads and writes the object of one lease.
-type Store interface {
+// LeaseStore reads and writes the object of one lease.
+type LeaseStore interface {
 	// Read returns the object, or ErrGone.
-	Read(ctx context.Context) (Seen, error)
+	Read(ctx context.Context) (lease.Seen, error)
 	// Write carries out a proposal and returns its version. With ErrTaken it may return
 	// the object as it is; a Version of zero means that it does not.
-	Write(ctx context.Context, p Proposal) (Seen, error)
+	Write(ctx context.Context, p lease.Proposal) (lease.Seen, error)
 }
 
 // KeeperOptions set up a Keeper.
 type KeeperOptions struct {
-	Options
-	Store Store
+	lease.Options
+	Store LeaseStore
 	Clock clock.Clock
 	// Timeout bounds each call to the store; it has to be under Margin.
 	Timeout time.Duration
@@ -45,15 +46,15 @@
 
 	// mu guards holder. It is not held across calls.
 	mu     sync.Mutex
-	holder *Holder
+	holder *lease.Holder
 }
 
 // NewKeeper returns a keeper that holds nothing.
 func NewKeeper(opts *KeeperOptions) *Keeper {
-	return &Keeper{opts: opts, holder: NewHolder(opts.Options)}
+	return &Keeper{opts: opts, holder: lease.NewHolder(opts.Options)}
 }
 
-func (k *Keeper) locked(f func(h *Holder, now time.Time)) {
+func (k *Keeper) locked(f func(h *lease.Holder, now time.Time)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f(k.holder, k.opts.Clock.Now())
@@ -66,11 +67,11 @@
 	seen, err := k.opts.Store.Read(ctx)
 	switch {
 	case errors.Is(err, ErrGone):
-		k.locked(func(h *Holder, now time.Time) { h.Gone(now) })
+		k.locked(func(h *lease.Holder, now time.Time) { h.Gone(now) })
 	case err != nil:
 		return err
 	default:
-		k.locked(func(h *Holder, now time.Time) { h.Saw(seen, now) })
+		k.locked(func(h *lease.Holder, now time.Time) { h.Saw(seen, now) })
 	}
 	return nil
 }
@@ -78,24 +79,24 @@
 // Step reads the object where that is needed and makes the write that is due, if any.
 func (k *Keeper) Step(ctx context.Context) error {
 	unread := false
-	k.locked(func(h *Holder, now time.Time) { unread = h.Unread(now) })
+	k.locked(func(h *lease.Holder, now time.Time) { unread = h.Unread(now) })
 	if unread {
 		if err := k.Look(ctx); err != nil {
 			return err
 		}
 	}
-	return k.write(ctx, (*Holder).Propose)
+	return k.write(ctx, (*lease.Holder).Propose)
 }
 
 // Resign gives the lease up if this process holds it.
-func (k *Keeper) Resign(ctx context.Context) error { return k.write(ctx, (*Holder).Resign) }
+func (k *Keeper) Resign(ctx context.Context) error { return k.write(ctx, (*lease.Holder).Resign) }
 
 // write makes the write that a holder decides on, if any.
-func (k *Keeper) write(ctx context.Context, decide func(*Holder, time.Time) (Proposal, bool)) error {
-	var p Proposal
+func (k *Keeper) write(ctx context.Context, decide func(*lease.Holder, time.Time) (lease.Proposal, bool)) error {
+	var p lease.Proposal
 	var asked time.Time
 	due := false
-	k.locked(func(h *Holder, now time.Time) {
+	k.locked(func(h *lease.Holder, now time.Time) {
 		p, due = decide(h, now)
 		asked = now
 	})
@@ -107,15 +108,15 @@
 	seen, err := k.opts.Store.Write(ctx, p)
 	switch {
 	case errors.Is(err, ErrGone):
-		k.locked(func(h *Holder, now time.Time) { h.Gone(now) })
+		k.locked(func(h *lease.Holder, now time.Time) { h.Gone(now) })
 	case errors.Is(err, ErrTaken) && seen.Version == 0:
-		k.locked(func(h *Holder, _ time.Time) { h.Doubt() })
+		k.locked(func(h *lease.Holder, _ time.Time) { h.Doubt() })
 	case errors.Is(err, ErrTaken):
-		k.locked(func(h *Holder, now time.Time) { h.Saw(seen, now) })
+		k.locked(func(h *lease.Holder, now time.Time) { h.Saw(seen, now) })
 	case err != nil:
 		return err
 	default:
-		k.locked(func(h *Holder, _ time.Time) { h.Wrote(p, seen.Version, asked) })
+		k.locked(func(h *lease.Holder, _ time.Time) { h.Wrote(p, seen.Version, asked) })
 	}
 	return nil
 }
@@ -123,36 +124,44 @@
 // Ready returns the fencing number under which an order may be given now; see
 // Holder.Ready.
 func (k *Keeper) Ready(ignores bool) (n contract.FencingNumber, ok bool) {
-	k.locked(func(h *Holder, now time.Time) { n, ok = h.Ready(now, ignores) })
+	k.locked(func(h *lease.Holder, now time.Time) { n, ok = h.Ready(now, ignores) })
 	return n, ok
 }
 
-// Fix has the next write put a record into the object; see Holder.Fix.
-func (k *Keeper) Fix(record json.RawMessage, urgent bool) {
-	k.locked(func(h *Holder, _ time.Time) { h.Fix(record, urgent) })
+// Change has the next write put a changed record into the object, due at once if that is
+// urgent. change is given what is to be written so far.
+func (k *Keeper) Change(change func(record json.RawMessage) (json.RawMessage, error), urgent bool) error {
+	var err error
+	k.locked(func(h *lease.Holder, _ time.Time) {
+		var next json.RawMessage
+		if next, err = change(h.Pending()); err == nil {
+			h.Fix(next, urgent)
+		}
+	})
+	return err
 }
 
 // Known returns the newest object that is known and for how long it has stood, and
 // whether any is.
-func (k *Keeper) Known() (seen Seen, age time.Duration, ok bool) {
-	k.locked(func(h *Holder, now time.Time) { seen, age, ok = h.Seen(), h.Age(now), h.Seen().Version != 0 })
+func (k *Keeper) Known() (seen lease.Seen, age time.Duration, ok bool) {
+	k.locked(func(h *lease.Holder, now time.Time) { seen, age, ok = h.Seen(), h.Age(now), h.Seen().Version != 0 })
 	return seen, age, ok
 }
 
 // Told takes in that another VM knows of a version that has stood for a while.
-func (k *Keeper) Told(s Seen, age time.Duration) {
-	k.locked(func(h *Holder, now time.Time) { h.Told(s, now.Add(-max(age, 0))) })
+func (k *Keeper) Told(s lease.Seen, age time.Duration) {
+	k.locked(func(h *lease.Holder, now time.Time) { h.Told(s, now.Add(-max(age, 0))) })
 }
 
 // Mine tells whether the newest object that is known names this process.
 func (k *Keeper) Mine() (mine bool) {
-	k.locked(func(h *Holder, _ time.Time) { mine = h.Mine() })
+	k.locked(func(h *lease.Holder, _ time.Time) { mine = h.Mine() })
 	return mine
 }
 
 // FreeIn returns after how long this process may take the lease; zero or less when it may
 // now, or holds it.
 func (k *Keeper) FreeIn() (in time.Duration) {
-	k.locked(func(h *Holder, now time.Time) { in = h.FreeAt().Sub(now) })
+	k.locked(func(h *lease.Holder, now time.Time) { in = h.FreeAt().Sub(now) })
 	return in
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -37,7 +37,7 @@
 
 // Options set up a Leader.
 type Options struct {
-	Keeper *lease.Keeper
+	Keeper *Keeper
 	// Turn returns how long after the lease has become free this VM takes it, and
 	// whether it may at all: few VMs of each data centre do, one after the other.
 	Turn func() (time.Duration, bool)
--- a/leader/reports.go
+++ b/leader/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
-	"woaddoor/lease"
 	"woaddoor/logs"
 	"woaddoor/usage"
 )
@@ -24,8 +22,8 @@
 
 // ReportsOptions set up Reports.
 type ReportsOptions struct {
-	Keeper   *lease.Keeper
-	Book     *usage.Book
+	Keeper   *Keeper
+	Book     *Book
 	Terms    usage.Terms
 	Reporter Reporter
 	// Now is the time of day.
@@ -69,11 +67,7 @@
 	if n != r.number {
 		r.number, r.since = n, now
 	}
-	record, err := r.record()
-	if err != nil {
-		r.opts.Log.Error("usage-record-malformed", logs.Failure(err)...)
-		record = usage.Record{}
-	}
+	record := r.record()
 	r.forget(record)
 	r.giveUp(record, now)
 	if now.Sub(r.since) >= gatherFirst {
@@ -91,15 +85,13 @@
 	}
 }
 
-// record returns the record that is in force.
-func (r *Reports) record() (usage.Record, error) {
-	seen, _, _ := r.opts.Keeper.Known()
-	var record usage.Record
-	if len(seen.Object.Record) == 0 {
-		return record, nil
+// record returns the part of the record that is in force.
+func (r *Reports) record() usage.Record {
+	record, err := inForce(r.opts.Keeper)
+	if err != nil {
+		r.opts.Log.Error("lease-record-malformed", logs.Failure(err)...)
 	}
-	err := json.Unmarshal(seen.Object.Record, &record)
-	return record, err
+	return record.Usage
 }
 
 // fix has the store take a record, without what is done.
@@ -107,12 +99,9 @@
 	for w := range r.done {
 		next = next.Done(w)
 	}
-	raw, err := json.Marshal(next)
-	if err != nil {
+	if err := fix(r.opts.Keeper, urgent, func(record *Record) { record.Usage = next }); err != nil {
 		r.opts.Log.Error("usage-record-failed", logs.Failure(err)...)
-		return
 	}
-	r.opts.Keeper.Fix(raw, urgent)
 }
 
 // first returns the first window that is fixed and not done.
--- a/leader/reports_test.go
+++ b/leader/reports_test.go
@@ -22,14 +22,14 @@
 
 func (m *memory) Read(context.Context) (lease.Seen, error) {
 	if m.seen.Version == 0 {
-		return lease.Seen{}, lease.ErrGone
+		return lease.Seen{}, ErrGone
 	}
 	return m.seen, nil
 }
 
 func (m *memory) Write(_ context.Context, p lease.Proposal) (lease.Seen, error) {
 	if p.Version != m.seen.Version {
-		return m.seen, lease.ErrTaken
+		return m.seen, ErrTaken
 	}
 	m.seen = lease.Seen{Object: p.Object, Version: m.seen.Version + 1}
 	return m.seen, nil
@@ -81,18 +81,18 @@
 // member is one VM.
 type member struct {
 	office *office
-	book   *usage.Book
-	keeper *lease.Keeper
+	book   *Book
+	keeper *Keeper
 	leader *Leader
 }
 
 func (o *office) member(name contract.VMID) *member {
 	m := &member{office: o}
-	m.keeper = lease.NewKeeper(&lease.KeeperOptions{
+	m.keeper = NewKeeper(&KeeperOptions{
 		Options: lease.Options{Self: lease.Claim{VM: name, Incarnation: 1}, Length: testLease},
 		Store:   o.store, Clock: o.clock, Timeout: time.Second,
 	})
-	m.book = usage.NewBook(&usage.BookOptions{Self: usage.Life{VM: name}, Terms: testTerms, Now: o.clock.Now})
+	m.book = NewBook(&BookOptions{Self: usage.Life{VM: name}, Terms: testTerms, Now: o.clock.Now})
 	registry := metrics.NewRegistry()
 	reports := NewReports(&ReportsOptions{
 		Keeper: m.keeper, Book: m.book, Terms: testTerms, Reporter: o.platform, Now: o.clock.Now, Log: zap.NewNop(), Registry: registry,
@@ -151,10 +151,9 @@
 
 func (m *member) keeperRecord(t *testing.T) usage.Record {
 	t.Helper()
-	r := &Reports{opts: &ReportsOptions{Keeper: m.keeper}}
-	record, err := r.record()
+	record, err := inForce(m.keeper)
 	is.New(t).NoErr(err)
-	return record
+	return record.Usage
 }
 
 // TestRefusedOnce has the platform turn a report down: the window is given up.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -150,6 +150,14 @@
 	h.record = record
 }
 
+// Pending returns the record that the next write fixes, or the one that is in force.
+func (h *Holder) Pending() json.RawMessage {
+	if h.record != nil {
+		return h.record
+	}
+	return h.seen.Object.Record
+}
+
 // Proposal is the write that takes, renews or gives up a lease: conditional on Version,
 // or a creation when that is zero.
 type Proposal struct {
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -179,6 +179,7 @@
 	j.waits = waits{upstream: id, born: r.entries[id].Born, work: r.work(j, now), since: now}
 	j.waits.expected, j.waits.ticket = r.table.Expect(id, j.waits.work, r.opts.DataCentre, now)
 	r.Metrics.prompt(j.waits.work, j.waits.expected, r.table.Price(j.waits.expected))
+	r.reads(j.service, j.waits.expected.Reading, now)
 	if e := j.waits.expected; e.Reading >= leastTold && r.opts.Sent != nil {
 		r.opts.Sent(Sent{
 			Upstream: id, Born: j.waits.born, Model: j.model, Tokens: j.PromptTokens, Parts: j.Parts,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -129,6 +129,8 @@
 	// and cases the contents under which some have.
 	doubts *quarantine.Doubts
 	cases  *quarantine.Table
+	// busy is the reading that this VM gives the engines of each service.
+	busy map[contract.ServiceID]*busy
 	// centreOf is the data centre of each pool.
 	centreOf map[contract.PoolID]contract.DataCentreID
 }
@@ -157,6 +159,7 @@
 		settled:  make(map[contract.ServiceID]string),
 		paces:    make(map[string]*pace),
 		opinions: cascade.NewOpinions(),
+		busy:     make(map[contract.ServiceID]*busy),
 		doubts:   quarantine.NewDoubts(), cases: quarantine.NewTable(),
 	}
 }
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -153,3 +153,14 @@
 	r.doubts.Expire(r.opts.Now())
 	r.cases.Expire(r.opts.Now())
 }
+
+// Releasing tells whether a release of a service is being brought in.
+func (r *Relay) Releasing(s contract.ServiceID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.canaries[s]
+	if c == nil || c.Order().State != rollout.OrderOpen {
+		return false
+	}
+	return r.opts.Now().Sub(c.Order().Issued) < c.Order().Length
+}
--- a/route/route.go
+++ b/route/route.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/scaling"
 )
 
 // Kind says how often a request of a route may run.
@@ -74,6 +75,8 @@
 	Memory int
 	// Cold says what its upstreams bear after a start.
 	Cold Cold
+	// Scaling is what may be ordered of its upstreams; nil where nothing may.
+	Scaling *scaling.Limits
 }
 
 // Cold is what an upstream bears while it is cold. The zero value is of one that
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -120,6 +120,7 @@
 func (p *Peers) beatHub(ctx context.Context, v *view) {
 	for _, m := range p.hubOf(v) {
 		w := p.wordToHub()
+		w.Work = p.ownWork()
 		var mark uint64
 		w.Usage, mark = p.usageFor(lifeOf(m))
 		if p.tell(ctx, m.ControlLink, nearTimeout, w) {
--- a/site/peers.go
+++ b/site/peers.go
@@ -12,13 +12,13 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
-	"woaddoor/lease"
+	"woaddoor/leader"
 	"woaddoor/link"
 	"woaddoor/quarantine"
 	"woaddoor/relay"
 	"woaddoor/rollout"
+	"woaddoor/scaling"
 	"woaddoor/upstream"
-	"woaddoor/usage"
 	"woaddoor/vm"
 )
 
@@ -95,8 +95,8 @@
 	// firstStart tells that all VMs start for the first time, and no caller waits.
 	firstStart bool
 	// lease and usage are those under which one VM acts for all; nil where none does.
-	lease *lease.Keeper
-	usage *usage.Book
+	lease *leader.Keeper
+	usage *leader.Book
 	// ends tells that this VM is about to end.
 	ends atomic.Bool
 	// far holds the link addresses of VMs of other data centres.
@@ -133,6 +133,9 @@
 	told map[string]contract.Revision
 	// holder is where the holder of the lease listens.
 	holder holder
+	// leafWork and hubWork are what this VM's leaves, and the hubs that tell it since it
+	// holds the lease, give upstreams to do.
+	leafWork, hubWork works
 }
 
 // PeersOptions set up Peers.
@@ -147,8 +150,8 @@
 	// FirstStart tells that all VMs start for the first time.
 	FirstStart bool
 	// Lease and Usage are those under which one VM acts for all; both nil where none does.
-	Lease *lease.Keeper
-	Usage *usage.Book
+	Lease *leader.Keeper
+	Usage *leader.Book
 	Log   *zap.Logger
 	Now   func() time.Time
 }
@@ -163,6 +166,7 @@
 		kinds: make(map[string]shared), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlLink }),
 		table: vm.NewTable(opts.Self), listed: make(map[string]bool), ips: make(map[string]bool),
 		leaves: make(map[contract.VMID]leaf), shun: make(map[string]time.Time), counts: make(map[contract.DataCentreID]count),
+		leafWork: make(works), hubWork: make(works),
 		told: make(map[string]contract.Revision), missing: make(map[contract.VMID]string), pulling: make(map[string]pulling),
 	}
 	p.firstStart = opts.FirstStart && len(p.seeds) > 0
@@ -194,6 +198,7 @@
 	HearLimits(known []upstream.LimitKnown, fresh bool, from contract.VMID)
 	Limits() []upstream.LimitKnown
 	LimitsDigest() uint64
+	Work() map[contract.ServiceID]scaling.Work
 }
 
 // judge makes evidence known to others, and to t what they know.
--- a/site/reads_test.go
+++ b/site/reads_test.go
@@ -15,6 +15,7 @@
 	"woaddoor/reading"
 	"woaddoor/relay"
 	"woaddoor/rollout"
+	"woaddoor/scaling"
 	"woaddoor/upstream"
 	"woaddoor/vm"
 )
@@ -58,6 +59,8 @@
 	}
 }
 
+func (*hearer) Work() map[contract.ServiceID]scaling.Work { return nil }
+
 func (*hearer) HearSuspects([]quarantine.Told, contract.VMID) bool { return false }
 
 // testPeers returns the peers of a VM on loopback.
--- a/site/site.go
+++ b/site/site.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// Upstreams returns the list of upstreams.
+func (s *Site) Upstreams() []upstream.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing.Entries()
+}
+
 // Ages returns how old the store's word is on the configuration and on the
 // list of upstreams; negative when there was none.
 func (s *Site) Ages() (configuration, upstreams time.Duration) {
--- a/site/usage.go
+++ b/site/usage.go
@@ -8,6 +8,7 @@
 	"woaddoor/contract"
 	"woaddoor/lease"
 	"woaddoor/link"
+	"woaddoor/scaling"
 	"woaddoor/usage"
 	"woaddoor/vm"
 )
@@ -18,6 +19,8 @@
 	From       usage.Life            `cbor:"1,keyasint"`
 	DataCentre contract.DataCentreID `cbor:"2,keyasint"`
 	Parts      []usage.Part          `cbor:"3,keyasint,omitempty"`
+	// Work is what the teller and its leaves give the upstreams of each service to do.
+	Work map[contract.ServiceID]scaling.Work `cbor:"5,keyasint,omitempty"`
 	// Ends tells that the teller is about to end, and is not to be waited for.
 	Ends bool `cbor:"4,keyasint,omitempty"`
 }
@@ -62,7 +65,7 @@
 
 // gatherOnce tells the holder of the lease what this VM knows of usage.
 func (p *Peers) gatherOnce(ctx context.Context) {
-	if p.lease == nil || p.usage == nil {
+	if p.lease == nil {
 		return
 	}
 	seen, _, _ := p.lease.Known()
@@ -77,18 +80,20 @@
 	hearer := usage.Life{VM: to.VM, Incarnation: to.Incarnation}
 	g := Gathered{From: lifeOf(self), DataCentre: self.DataCentre, Ends: p.ends.Load()}
 	var mark uint64
-	g.Parts, mark = p.usage.For(hearer)
+	g.Parts, mark = p.usageFor(hearer)
+	g.Work = p.gatheredWork()
 	ctx, cancel := context.WithTimeout(ctx, farTimeout)
 	defer cancel()
 	if _, err := link.Call[Gathered, struct{}](ctx, p.endpoint, address, link.KindUsage, g); err != nil {
 		p.silent(err) // told again with the next
 		return
 	}
-	p.usage.Answered(hearer, mark)
+	p.usageAnswered(hearer, mark)
 }
 
 // answerGathered takes in what another hub has gathered.
 func (p *Peers) answerGathered(_ context.Context, _ string, g Gathered) (struct{}, error) {
+	p.hearWork(p.hubWork, g.From, g.Work)
 	if p.usage != nil {
 		p.usage.Hear(g.Parts)
 		p.usage.Gathered(g.From, g.DataCentre, g.Ends)
--- a/site/words.go
+++ b/site/words.go
@@ -12,6 +12,7 @@
 	"woaddoor/quarantine"
 	"woaddoor/relay"
 	"woaddoor/rollout"
+	"woaddoor/scaling"
 	"woaddoor/upstream"
 	"woaddoor/usage"
 	"woaddoor/vm"
@@ -55,6 +56,8 @@
 	Limits       []upstream.LimitKnown `cbor:"16,keyasint,omitempty"`
 	// Usage is what a leaf has counted since its hub last answered.
 	Usage []usage.Part `cbor:"17,keyasint,omitempty"`
+	// Work is what a leaf gives the upstreams of each service to do.
+	Work map[contract.ServiceID]scaling.Work `cbor:"19,keyasint,omitempty"`
 	// Lease is what the teller knows of the lease under which one VM acts for all; nil
 	// when it knows of none.
 	Lease *LeaseWord `cbor:"18,keyasint,omitempty"`
@@ -204,6 +207,7 @@
 func (p *Peers) answerWord(ctx context.Context, _ string, w Word) (Word, error) {
 	p.meet(w, false)
 	p.hearUsage(w.Usage)
+	p.hearWork(p.leafWork, lifeOf(w.Self), w.Work)
 	p.hearLease(w.Lease)
 	go p.heard(context.WithoutCancel(ctx), w)
 	answer := p.wordBack(w)
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -22,6 +22,8 @@
 	Memory int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Preemptible ones cost less, and the platform may take them away at any moment.
+	Preemptible bool
 	// Cold is for how long it stays cold, from when it wrote the entry.
 	Cold time.Duration
 	// Born tells two lives under one id apart: when it started by its own clock, in
@@ -336,3 +338,14 @@
 	}
 	return h.ratio
 }
+
+// Busy returns how many requests of this VM are at each upstream that has any.
+func (t *Table) Busy() map[contract.UpstreamID]int {
+	running := make(map[contract.UpstreamID]int)
+	for id, s := range t.states {
+		if s.inFlight > 0 {
+			running[id] = s.inFlight
+		}
+	}
+	return running
+}
