scaling: nothing is ordered after a release; the need goes by objectives

Cause: after a release has been brought in, upstreams that were ordered came with the software from before it (seen on a scratch copy), in 48 calls; and half of an upstream's time as the bound of its reading took no account of how long prompts may wait.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -77,7 +77,7 @@
 	if platform.Scales(d.Names) {
 		acts = append(acts, leader.NewScaler(&leader.ScalerOptions{
 			Keeper: v.lease, Orderer: calls, Services: v.services, Upstreams: func() []upstream.Entry { return v.site.Upstreams() },
-			Age: v.listAge, Work: v.peers.AllWork, Releasing: func(s contract.ServiceID) bool { return v.relay.Releasing(s) }, Now: time.Now, Log: v.log, Registry: v.registry,
+			Age: v.listAge, Work: v.peers.AllWork, Releases: v.relay.Releases, Objective: v.objective, Now: time.Now, Log: v.log, Registry: v.registry,
 		}))
 	}
 	v.log.Info("duties", zap.Strings("names", d.Names), zap.String("address", d.Address), zap.Duration("lease", d.Lease), zap.Int("acts", len(acts)))
@@ -94,6 +94,14 @@
 	return nil
 }
 
+// objective returns the shortest objective of the routes to a service.
+func (v *vm) objective(s contract.ServiceID) time.Duration {
+	if t := v.site.Table(); t != nil {
+		return t.Objective(s)
+	}
+	return 0
+}
+
 // listAge returns how old the store's word on the list of upstreams is.
 func (v *vm) listAge() time.Duration {
 	_, age := v.site.Ages()
--- a/leader/scaler.go
+++ b/leader/scaler.go
@@ -35,8 +35,10 @@
 	Age       func() time.Duration
 	// Work is what all VMs together give the upstreams of each service to do.
 	Work func() map[contract.ServiceID]scaling.Work
-	// Releasing tells whether a release of a service is being brought in.
-	Releasing func(contract.ServiceID) bool
+	// Releases tells whether a release of a service is being brought in, and whether one has
+	// been. Objective is within which time its answers are to begin.
+	Releases  func(contract.ServiceID) (under, brought bool)
+	Objective func(contract.ServiceID) time.Duration
 	Now       func() time.Time
 	Log       *zap.Logger
 	Registry  metrics.Registry
@@ -53,12 +55,19 @@
 	// made that has failed.
 	looked time.Time
 	paused map[scaling.Subject]time.Time
-	// made is when this VM made its last order of each subject.
-	made map[scaling.Subject]time.Time
+	// made are the last orders, of this VM or an earlier holder, and since when they are
+	// known.
+	made map[scaling.Subject]madeOrder
 	// counted is how many upstreams of each service were listed last, and since when.
 	counted map[contract.ServiceID]counted
 }
 
+// madeOrder is what was ordered of a subject, and when.
+type madeOrder struct {
+	count int
+	at    time.Time
+}
+
 // counted is a number and since when it has stood.
 type counted struct {
 	n     int
@@ -69,7 +78,7 @@
 func NewScaler(opts *ScalerOptions) *Scaler {
 	return &Scaler{
 		opts: opts, peaks: make(map[contract.ServiceID]*scaling.Peak), seen: make(map[contract.Life]time.Time),
-		paused: make(map[scaling.Subject]time.Time), made: make(map[scaling.Subject]time.Time), counted: make(map[contract.ServiceID]counted),
+		paused: make(map[scaling.Subject]time.Time), made: make(map[scaling.Subject]madeOrder), counted: make(map[contract.ServiceID]counted),
 	}
 }
 
@@ -146,9 +155,10 @@
 		return false
 	}
 	need := s.need(id, work, entries, now)
+	releasing, released := s.opts.Releases(id)
 	next := scaling.Next(scaling.Situation{
 		Service: id, Limits: limits, Sized: sized, Stands: stands, Ordered: s.underWay(record.Of(id), limits, now),
-		Need: need, Releasing: s.opts.Releasing(id),
+		Need: need, Releasing: releasing, Released: released,
 	})
 	for _, o := range next {
 		if now.Before(s.paused[o.Subject]) {
@@ -163,13 +173,15 @@
 // underWay returns the orders that may not show on the list yet. Those of an earlier holder
 // are taken for new when they are first seen.
 func (s *Scaler) underWay(ordered map[scaling.Subject]int, limits scaling.Limits, now time.Time) map[scaling.Subject]int {
-	out := make(map[scaling.Subject]int, len(ordered))
 	for x, count := range ordered {
 		if _, ok := s.made[x]; !ok {
-			s.made[x] = now
+			s.made[x] = madeOrder{count, now}
 		}
-		if now.Sub(s.made[x]) < limits.Boot+listLag {
-			out[x] = count
+	}
+	out := make(map[scaling.Subject]int, len(s.made))
+	for x, o := range s.made {
+		if now.Sub(o.at) < limits.Boot+listLag {
+			out[x] = o.count
 		}
 	}
 	return out
@@ -232,7 +244,7 @@
 		p = &scaling.Peak{}
 		s.peaks[id] = p
 	}
-	return p.Note(w.Need(slots), now)
+	return p.Note(w.Need(slots, s.opts.Objective(id)), now)
 }
 
 // order makes one order.
@@ -246,7 +258,7 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
-		s.made[o.Subject] = s.opts.Now()
+		s.made[o.Subject] = madeOrder{o.Count, s.opts.Now()}
 		s.end("made")
 		s.opts.Log.Info("upstreams-ordered", fields...)
 		if err := fix(s.opts.Keeper, false, func(r *Record) { r.Scaling = r.Scaling.Order(o) }); err != nil {
--- a/relay/busy.go
+++ b/relay/busy.go
@@ -12,11 +12,12 @@
 
 // busy is how much reading this VM gives the engines of a service.
 type busy struct {
-	// reading is that of the present span, in seconds, and since when that runs.
-	reading float64
-	since   time.Time
-	// rate is that of the last whole span, in seconds a second.
-	rate float64
+	// reading and prompts are those of the present span, in seconds and in number, and since
+	// when that runs.
+	reading, prompts float64
+	since            time.Time
+	// rate is the work of the last whole span, a second.
+	rate scaling.Work
 }
 
 // turn ends the present span once it is over.
@@ -25,8 +26,8 @@
 	if passed < busyFor {
 		return
 	}
-	b.rate = b.reading / passed.Seconds()
-	b.reading, b.since = 0, now
+	b.rate = scaling.Work{Reading: b.reading / passed.Seconds(), Prompts: b.prompts / passed.Seconds()}
+	b.reading, b.prompts, b.since = 0, 0, now
 }
 
 // reads notes a prompt that an engine of a service is expected to read for a while. The
@@ -39,6 +40,7 @@
 	}
 	b.turn(now)
 	b.reading += takes.Seconds()
+	b.prompts++
 }
 
 // Work returns what this VM gives the upstreams of each service to do.
@@ -49,7 +51,7 @@
 	out := make(map[contract.ServiceID]scaling.Work)
 	for s, b := range r.busy {
 		b.turn(now)
-		out[s] = scaling.Work{Reading: b.rate}
+		out[s] = b.rate
 	}
 	for id, n := range r.table.Busy() {
 		s := r.entries[id].Service
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -154,13 +154,12 @@
 	r.cases.Expire(r.opts.Now())
 }
 
-// Releasing tells whether a release of a service is being brought in.
-func (r *Relay) Releasing(s contract.ServiceID) bool {
+// Releases tells whether a release of a service is being brought in, and whether one has
+// been.
+func (r *Relay) Releases(s contract.ServiceID) (under, brought bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.canaries[s]
-	if c == nil || c.Order().State != rollout.OrderOpen {
-		return false
-	}
-	return r.opts.Now().Sub(c.Order().Issued) < c.Order().Length
+	under = c != nil && c.Order().State == rollout.OrderOpen && r.opts.Now().Sub(c.Order().Issued) < c.Order().Length
+	return under, r.settled[s] != ""
 }
--- a/route/route.go
+++ b/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -181,3 +182,22 @@
 	}
 	return r.Shares[0].Service
 }
+
+// Objective returns the shortest objective of the routes to a service; zero where no route
+// says.
+func (t *Table) Objective(s contract.ServiceID) time.Duration {
+	shortest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if r.Objective > 0 && r.goesTo(s) && (shortest == 0 || r.Objective < shortest) {
+				shortest = r.Objective
+			}
+		}
+	}
+	return shortest
+}
+
+// goesTo tells whether a part of the route's requests goes to a service.
+func (r *Route) goesTo(s contract.ServiceID) bool {
+	return slices.ContainsFunc(r.Shares, func(x Share) bool { return x.Service == s })
+}
--- a/scaling/need.go
+++ b/scaling/need.go
@@ -4,27 +4,49 @@
 
 // Work is what the upstreams of a service have to do, as one VM or several see it.
 type Work struct {
-	// Reading is for how many seconds of each second engines read prompts.
+	// Reading is for how many seconds of each second engines read prompts, Prompts how many
+	// of them a second.
 	Reading float64 `cbor:"1,keyasint,omitempty"`
+	Prompts float64 `cbor:"3,keyasint,omitempty"`
 	// Places are those that requests take.
 	Places float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Plus returns the work of both.
 func (w Work) Plus(other Work) Work {
-	return Work{w.Reading + other.Reading, w.Places + other.Places}
+	return Work{Reading: w.Reading + other.Reading, Prompts: w.Prompts + other.Prompts, Places: w.Places + other.Places}
 }
 
-// Shares of an upstream that are to be busy at the most: beyond these, prompts wait for each
-// other, and each token takes noticeably longer.
+// Shares of an upstream that are to be busy at the most.
 const (
+	// readingShare is that of its time where nothing is known of how long prompts may wait.
 	readingShare = 0.5
-	placesShare  = 0.5
+	// placesShare is that of its places: each token takes longer the more run together.
+	placesShare = 0.5
+	// waitPart is the part of an objective that prompts wait for others in the mean, so that
+	// those which wait several times as long are in time.
+	waitPart = 8 // divided
 )
 
-// Need returns how many upstreams the work keeps busy at the most that each is to have.
-func (w Work) Need(slots int) float64 {
-	need := w.Reading / readingShare
+// busyShare returns for which part of its time an upstream may read prompts, so that they
+// wait no longer than they may: the mean wait in a queue with one server grows with
+// share / (1 - share) of what one prompt takes.
+func (w Work) busyShare(objective time.Duration) float64 {
+	if w.Prompts <= 0 || objective <= 0 {
+		return readingShare
+	}
+	takes := w.Reading / w.Prompts
+	wait := objective.Seconds() / waitPart
+	return wait / (wait + takes)
+}
+
+// Need returns how many upstreams, each with some places, the work asks for where answers are
+// to begin within an objective.
+func (w Work) Need(slots int, objective time.Duration) float64 {
+	need := 0.0
+	if w.Reading > 0 {
+		need = w.Reading / w.busyShare(objective)
+	}
 	if slots > 0 {
 		need = max(need, w.Places/(placesShare*float64(slots)))
 	}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -112,8 +112,9 @@
 	// Need is how many upstreams the work of late asks for.
 	Need float64
 	// Releasing tells that a release is being brought in: its upstreams stand beside the
-	// others, and an order would take some of them away.
-	Releasing bool
+	// others, and an order would take some of them away. Released tells that one has been:
+	// upstreams that are ordered come with the software from before it.
+	Releasing, Released bool
 }
 
 // Parameters of what stands beyond the need.
@@ -127,7 +128,7 @@
 
 // Next returns the orders to make, those that add upstreams first.
 func Next(s Situation) []Order {
-	if s.Releasing && !s.short() {
+	if s.Released || s.Releasing && !s.short() {
 		return nil
 	}
 	var out []Order
@@ -202,7 +203,7 @@
 // wanted but for those that are kept, as far as both may stand together.
 func (s Situation) preemptible(dc contract.DataCentreID) int {
 	if !s.cheap() {
-		return s.Stands[dc].Preemptible
+		return s.there(Subject{s.Service, dc, true})
 	}
 	room := s.Limits.Max - s.there(Subject{s.Service, dc, false})
 	return max(min(s.wanted(dc)-s.kept(), room), 0)
