--- a/command/vms.go
+++ b/command/vms.go
@@ -30,7 +30,7 @@
 // vmColumns are the metrics in the table and their titles.
 var vmColumns = []struct{ title, metric string }{
 	{"CONFIG", "configuration_version"}, {"AGE ms", "configuration_age_milliseconds"}, {"UPSTREAMS", "upstreams"}, {"COLD", "upstreams_cold"}, {"RESTING", "upstreams_resting"}, {"LEAVING", "upstreams_say_leaving"}, {"LIMITED", "upstreams_limited"}, {"EVACUATED", "evacuations"},
-	{"LIST ms", "upstreams_age_milliseconds"}, {"WATCHES", "watches"}, {"PLACE", "vm_place"}, {"LEAVES", "vm_leaves"},
+	{"LIST ms", "upstreams_age_milliseconds"}, {"WATCHES", "watches"}, {"HOLDS", "lease_mine"}, {"LEASE ms", "lease_age_milliseconds"}, {"PLACE", "vm_place"}, {"LEAVES", "vm_leaves"},
 	{"NEAR", "vms_live_near"}, {"SILENT", "vms_silent_near"}, {"VMS", "vms"}, {"REQUESTS", "requests_total"}, {"REFUSED", "requests_refused_total"},
 	{"CUT", "streams_cut_total"}, {"RETRIES", "retries_total"}, {"BUDGET", "retry_budget_left_ratio"}, {"CONNS", "connections_open"},
 }
