relay: requests stay in the regions that their route and workspace allow

Cause: the platform's configurations may name regions in which a route's or a workspace's requests may be served and kept; nothing read them. What cannot be served there is refused at once as region-not-allowed. Measured: TestRegionsAreKept draws VMs, failures, evacuations, trials; it fails without the rule (mutants). Prompts' hints already stay in the region of the VM that sends them.

--- a/contract/errors.go
+++ b/contract/errors.go
@@ -84,6 +84,7 @@
 	RefusedLimit           RefusalKind = "limit-reached"
 	RefusedNoUpstream      RefusalKind = "no-upstream"
 	RefusedResting         RefusalKind = "upstreams-rest"
+	RefusedRegion          RefusalKind = "region-not-allowed"
 	RefusedAtLimit         RefusalKind = "upstreams-at-limit"
 	RefusedUpstream        RefusalKind = "upstream-failed"
 	RefusedHeld            RefusalKind = "request-held"
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -136,7 +136,7 @@
 		Lease: v.lease, Usage: v.usage,
 	})
 	v.relay = relay.New(&relay.Options{
-		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
+		Dialect: platform.Dialect{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget:  retry.WindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:     v.peers.Count,
 		ListAge: v.listAge,
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -40,6 +40,7 @@
 	contract.RefusedNoUpstream:      http.StatusServiceUnavailable,
 	contract.RefusedUpstream:        http.StatusBadGateway,
 	contract.RefusedResting:         http.StatusServiceUnavailable,
+	contract.RefusedRegion:          http.StatusServiceUnavailable,
 	contract.RefusedAtLimit:         http.StatusServiceUnavailable,
 	contract.RefusedHeld:            http.StatusServiceUnavailable,
 	contract.RefusedDeadline:        http.StatusGatewayTimeout,
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -86,6 +86,8 @@
 	{"a report waits for those that gather", "usage/plan.go", "now.Sub(end) >= t.Gather() && !heard.Before(end)", "now.Sub(end) >= t.Gather()", "./leader", "TestSilentTellerIsAwaited"},
 	{"a report that is turned down is given up", "platform/client.go", "s.status < http.StatusInternalServerError && s.status != http.StatusRequestTimeout", "false", "./platform", "TestRefusedReports"},
 	{"parts are no sums", "usage/usage.go", "		if n > c[w] {\n			c[w] = n\n", "		if n > 0 {\n			c[w] += n\n", "./usage", "TestSumsAgree"},
+	{"a request stays in its regions", "relay/evacuated.go", "		order[i].ids = r.inside(j.Request, order[i].ids)\n", "", "./relay", "TestRegionsAreKept"},
+	{"a workspace's regions bind beside a route's", "relay/regions.go", "allows(q.Route.Regions, region) && allows(q.Regions, region)", "allows(q.Route.Regions, region)", "./relay", "TestRegionsAreKept"},
 	{"hubs tell the holder of the lease what they gather", "site/usage.go", "	if _, err := link.Call[Gathered, struct{}](ctx, p.endpoint, address, link.KindUsage, g); err != nil {", "	if err := ctx.Err(); err != nil {", "./platform", "TestUsageIsReported"},
 	{"upstreams are given away once others serve", "scaling/scaling.go", "replaced := s.wanted(dc) - (st.Preemptible - st.ColdPreemptible)", "replaced := s.wanted(dc) - s.preemptible(dc)", "./scaling", "TestCheapOnesTakeThePlaceOfOthers"},
 	{"nothing is ordered during a release", "scaling/scaling.go", "if s.Released || s.Releasing && !s.short() {", "if s.Released {", "./scaling", "TestNoneDuringARelease"},
--- a/relay/evacuated.go
+++ b/relay/evacuated.go
@@ -86,11 +86,14 @@
 	return out
 }
 
-// spared leaves out the pools of data centres that are evacuated, and candidates that
-// have none left: to Pick, no pools would mean all of every service. While the load
+// spared leaves out the pools of data centres that are evacuated or where the request may not
+// be, and candidates that have none left: to Pick, no pools would mean all of every service. While the load
 // moves, a request is among those that have moved by its id, so that all that is
 // decided on it goes by the same pools. The caller holds mu.
 func (r *Relay) spared(j *job, order []candidates, now time.Time) []candidates {
+	for i := range order {
+		order[i].ids = r.inside(j.Request, order[i].ids)
+	}
 	if len(r.evacuated) > 0 {
 		when := part(j.ID)
 		for i := range order {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -48,9 +48,26 @@
 	return f.WithRetryAfter(retryListed)
 }
 
+// notInRegion refuses a request whose service has no upstream where it may be. Only a change of
+// the configuration or of what stands there would change that.
+func notInRegion(j *job) *contract.Refusal {
+	f := &contract.Refusal{
+		Kind: contract.RefusedRegion, Outcome: j.outcome, Step: contract.StepPick,
+		Detail: fmt.Sprintf("the service has no upstream in the regions that are allowed: route %v, workspace %v", j.Route.Regions, j.Regions),
+	}
+	return f.WithRetryAfter(retryElsewhere)
+}
+
+// retryElsewhere is when a caller may come back whose service does not stand where its requests
+// may be.
+const retryElsewhere = time.Minute
+
 // noUpstream is the final answer to a request that no upstream can take now. The caller
 // holds mu.
 func (r *Relay) noUpstream(j *job, now time.Time) *contract.Refusal {
+	if r.outside(j) {
+		return notInRegion(j)
+	}
 	o := r.outlook(j, now)
 	if o.Listed == 0 {
 		return unlisted(j)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,8 @@
 type Options struct {
 	Dialect    Dialect
 	DataCentre contract.DataCentreID
+	// Regions names the region of each data centre.
+	Regions map[contract.DataCentreID]string
 	// Self names this life of the process in what it counts.
 	Self rollout.Observer
 	Log  *zap.Logger
--- a/relay/request.go
+++ b/relay/request.go
@@ -22,6 +22,8 @@
 type Request struct {
 	ID        contract.RequestID
 	Workspace contract.WorkspaceID
+	// Regions are those in which the workspace allows its requests to be; empty for all.
+	Regions []string
 	// Priority is its rank; 0 is the most urgent.
 	Priority int
 	Route    *route.Route
--- a/route/route.go
+++ b/route/route.go
@@ -52,6 +52,8 @@
 	Models    []contract.ModelID
 	Anonymous bool
 	Resumable bool
+	// Regions are those in which its requests may be; empty for all.
+	Regions []string
 }
 
 // Repeatable tells whether a request of the route may run more than once.
@@ -96,6 +98,8 @@
 	// Priority takes the place of the route's when HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are those in which its requests may be; empty for all.
+	Regions []string
 }
 
 // Limits bound what callers send. Zero means no bound.
