relay, site, upstream: a change of the list costs what has changed

Cause: each change of one entry cloned the list, rebuilt every pool, map and order of it, and walked it again for what has lapsed, four times a second: work of a VM that grows with all upstreams, and on a fleet with as many changes. Ruled out: that connections' parts by the number of VMs need the whole list each time: they are compared first, and the whole list is taken in where they differ, or the configuration.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +16,6 @@
 	"woaddoor/quarantine"
 	"woaddoor/retry"
 	"woaddoor/rollout"
-	"woaddoor/route"
 	"woaddoor/upstream"
 )
 
@@ -176,83 +173,6 @@
 // together plan to use: the rest is for VMs that are not known yet.
 const connectionShare = 0.85
 
-// SetUpstreams takes in the upstreams that are known, and the services that
-// they belong to.
-func (r *Relay) SetUpstreams(entries []upstream.Entry, services map[contract.ServiceID]*route.Service) {
-	r.setUpstreams(entries, services, false)
-}
-
-// SetSomeUpstreams takes in some of the upstreams at a VM that knows no list yet: those
-// that follow have not started since.
-func (r *Relay) SetSomeUpstreams(entries []upstream.Entry, services map[contract.ServiceID]*route.Service) {
-	r.setUpstreams(entries, services, true)
-}
-
-func (r *Relay) setUpstreams(entries []upstream.Entry, services map[contract.ServiceID]*route.Service, some bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	vms := max(r.opts.VMs(), 1)
-	for id, s := range services {
-		r.limits[id] = max(int(connectionShare*float64(s.MaxConnections)/float64(vms)), 2)
-		r.costs[id] = s.Costs
-	}
-	costs := make(map[contract.ModelID]float64)
-	for _, s := range services {
-		maps.Copy(costs, s.Costs)
-	}
-	r.table.SetCosts(costs)
-	entries = slices.Clone(entries)
-	for i, e := range entries {
-		if s := services[e.Service]; s != nil {
-			entries[i].Memory = s.Memory
-		}
-	}
-	r.table.ConfigureList(upstream.List{
-		Entries: entries, Connections: func(s contract.ServiceID) int { return r.limits[s] },
-		Cold: func(s contract.ServiceID) upstream.ColdBound { return r.opts.Cold.of(services[s]) }, Now: r.opts.Now(),
-		Some: some,
-	})
-	r.logCold()
-	known := make(map[contract.UpstreamID]upstream.Entry, len(entries))
-	r.releases = make(map[contract.ServiceID]map[string][]contract.PoolID)
-	r.centreOf = make(map[contract.PoolID]contract.DataCentreID)
-	for _, e := range entries {
-		known[e.ID] = e
-		r.addRelease(e)
-		if p, ok := r.pools[e.ID]; ok {
-			p.SetLimit(r.limits[e.Service])
-		}
-	}
-	for id, p := range r.pools {
-		if e, ok := known[id]; !ok || e.Address != r.entries[id].Address || e.Born != r.entries[id].Born {
-			_, total := p.Count()
-			r.dialedBefore += total
-			p.Close()
-			delete(r.pools, id)
-		}
-	}
-	r.entries = known
-	r.noteReplaced()
-}
-
-// addRelease notes the pool of an upstream under its service and release. The
-// caller holds mu.
-func (r *Relay) addRelease(e upstream.Entry) {
-	byRelease := r.releases[e.Service]
-	if byRelease == nil {
-		byRelease = make(map[string][]contract.PoolID)
-		r.releases[e.Service] = byRelease
-	}
-	id := e.PoolOf()
-	r.centreOf[id] = e.DataCentre
-	for _, have := range byRelease[e.Release] {
-		if have == id {
-			return
-		}
-	}
-	byRelease[e.Release] = append(byRelease[e.Release], id)
-}
-
 // lives tells whether an upstream is still in the life in which it was met. What is
 // told of an earlier one says nothing of this one. The caller holds mu.
 func (r *Relay) lives(id contract.UpstreamID, born int64) bool {
--- a/site/listing.go
+++ b/site/listing.go
@@ -20,6 +20,10 @@
 	// again.
 	lost     bool
 	returned time.Time
+	// kept are the entries that are missing after an outage, and changed those that differ
+	// from what Take returned last.
+	kept    map[contract.UpstreamID]bool
+	changed map[contract.UpstreamID]bool
 }
 
 type listed struct {
@@ -34,7 +38,11 @@
 const lapseKept = 2300 * time.Millisecond
 
 // NewListing returns an empty listing.
-func NewListing() *Listing { return &Listing{entries: make(map[contract.UpstreamID]listed)} }
+func NewListing() *Listing {
+	return &Listing{
+		entries: make(map[contract.UpstreamID]listed), kept: make(map[contract.UpstreamID]bool), changed: make(map[contract.UpstreamID]bool),
+	}
+}
 
 // Reached notes whether the store answered.
 func (l *Listing) Reached(ok bool, now time.Time) {
@@ -82,8 +90,13 @@
 		return false
 	}
 	l.entries[i.Value.ID] = listed{Entry: i.Value, revision: i.Revision}
+	delete(l.kept, i.Value.ID)
 	old.Revision = i.Value.Revision // alone it changes nothing, but for what is cold
-	return !had || old.Entry != i.Value || i.Value.Cold > 0
+	if had && old.Entry == i.Value && i.Value.Cold == 0 {
+		return false
+	}
+	l.changed[i.Value.ID] = true
+	return true
 }
 
 // remove takes out an entry, or keeps it for a while after an outage.
@@ -100,13 +113,20 @@
 		if e.keepUntil.IsZero() {
 			e.keepUntil = until
 			l.entries[id] = e
+			l.kept[id] = true
 		}
 		return false
 	}
-	delete(l.entries, id)
+	l.delete(id)
 	return true
 }
 
+func (l *Listing) delete(id contract.UpstreamID) {
+	delete(l.entries, id)
+	delete(l.kept, id)
+	l.changed[id] = true
+}
+
 // Knows tells whether an item is what is known already: a list that is handed over
 // once more holds thousands of them.
 func (l *Listing) Knows(i Item[upstream.Entry]) bool {
@@ -118,7 +138,9 @@
 // made it, so it names no upstream to use, and is not kept as one that lapsed would be.
 func (l *Listing) drop(id contract.UpstreamID) bool {
 	_, had := l.entries[id]
-	delete(l.entries, id)
+	if had {
+		l.delete(id)
+	}
 	return had
 }
 
@@ -126,15 +148,29 @@
 // tells whether there were any.
 func (l *Listing) Expire(now time.Time) bool {
 	changed := false
-	for id, e := range l.entries {
-		if !e.keepUntil.IsZero() && !now.Before(e.keepUntil) {
-			delete(l.entries, id)
+	for id := range l.kept {
+		if !now.Before(l.entries[id].keepUntil) {
+			l.delete(id)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// Take returns the entries that have changed, and the upstreams that are gone, since it was
+// called last.
+func (l *Listing) Take() (changed []upstream.Entry, gone []contract.UpstreamID) {
+	for id := range l.changed {
+		if e, ok := l.entries[id]; ok {
+			changed = append(changed, e.Entry)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	clear(l.changed)
+	return changed, gone
+}
+
 // Entries returns the upstreams to choose from.
 func (l *Listing) Entries() []upstream.Entry {
 	out := make([]upstream.Entry, 0, len(l.entries))
--- /dev/null
+++ b/site/scale_bench_test.go
@@ -0,0 +1,54 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/upstream"
+)
+
+func manyEntries(n int) []upstream.Entry {
+	var out []upstream.Entry
+	for i := range n {
+		out = append(out, upstream.Entry{
+			ID: contract.UpstreamID(fmt.Sprintf("i-%010x", i)), Service: "s", Address: fmt.Sprintf("10.%d.%d.%d:80", i%5, i/250%250, i%250),
+			DataCentre: contract.DataCentreID(fmt.Sprint("d", i%5)), Release: "v1", Slots: 24, Memory: 600_000, Born: 1, Revision: contract.Revision(i),
+		})
+	}
+	return out
+}
+
+// BenchmarkListChange measures one changed entry of a list of 10,000.
+func BenchmarkListChange(b *testing.B) {
+	l := NewListing()
+	c := Changes[upstream.Entry]{Revision: 1}
+	for _, e := range manyEntries(10_000) {
+		c.Items = append(c.Items, Item[upstream.Entry]{Raw: Raw{Name: string(e.ID), Revision: e.Revision}, Value: e})
+	}
+	now := time.Unix(0, 0)
+	l.Apply(c, true, now)
+	b.ResetTimer()
+	for i := range b.N {
+		one := c.Items[i%10_000]
+		one.Revision += 20_000
+		l.Apply(Changes[upstream.Entry]{Revision: 30_000, Items: []Item[upstream.Entry]{one}}, false, now)
+		l.Take()
+	}
+}
+
+// BenchmarkListExpire measures a look for entries that have lapsed, as each quarter of a second.
+func BenchmarkListExpire(b *testing.B) {
+	l := NewListing()
+	c := Changes[upstream.Entry]{Revision: 1}
+	for _, e := range manyEntries(10_000) {
+		c.Items = append(c.Items, Item[upstream.Entry]{Raw: Raw{Name: string(e.ID), Revision: e.Revision}, Value: e})
+	}
+	now := time.Unix(0, 0)
+	l.Apply(c, true, now)
+	b.ResetTimer()
+	for range b.N {
+		l.Expire(now)
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -70,8 +70,10 @@
 	mu      sync.Mutex
 	listing *Listing
 	listedU bool
-	// partial tells that only a part of the first list is known.
+	// partial tells that only a part of the first list is known, and pushed is the
+	// configuration with which the relay was handed the whole list last.
 	partial bool
+	pushed  *route.Table
 	// evacuated are the evacuations in force, by name.
 	evacuated map[string]evacuated
 }
@@ -240,17 +242,24 @@
 	s.noteReady()
 }
 
-// pushUpstreams hands the list to the relay. The caller holds mu.
+// pushUpstreams hands the relay what has changed in the list, or the whole list where the
+// configuration has changed or nothing was handed over before. The caller holds mu.
 func (s *Site) pushUpstreams() {
+	t := s.table.Load()
 	var services map[contract.ServiceID]*route.Service
-	if t := s.table.Load(); t != nil {
+	if t != nil {
 		services = t.Services
 	}
+	changed, gone := s.listing.Take()
 	if s.partial {
 		s.opts.Relay.SetSomeUpstreams(s.listing.Entries(), services)
 		return
 	}
+	if s.pushed != nil && s.pushed == t && s.opts.Relay.ChangeUpstreams(changed, gone, services) {
+		return
+	}
 	s.opts.Relay.SetUpstreams(s.listing.Entries(), services)
+	s.pushed = t
 }
 
 func (s *Site) reached(ok bool) {
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -68,30 +68,44 @@
 		}
 		id := e.PoolOf()
 		if pools[id] == nil {
-			pools[id] = &config.Pool{ID: id, Kind: config.EnginePool, DataCentre: e.DataCentre, Connections: l.Connections(e.Service)}
+			pools[id] = newPool(e, l)
 		}
-		pools[id].Slots = max(pools[id].Slots, e.Slots, 1)
+		pools[id].Slots = max(pools[id].Slots, e.Slots)
 		pools[id].Upstreams = append(pools[id].Upstreams, config.Upstream{ID: e.ID, URL: e.Address})
 	}
 	before := t.states
 	t.Configure(pools)
+	for _, p := range pools {
+		p.Upstreams = nil // they stand in the states
+	}
 	for _, e := range l.Entries {
 		s := t.states[e.ID]
-		s.kept.Bound(e.Memory)
-		s.born = e.Born
-		s.said = t.said[e.Life()]
-		s.leaving = 0
-		if e.Leaving {
-			s.leaving = 1
-		}
-		if l.Cold != nil {
-			t.chillEntry(s, e, l.Cold(e.Service), before[e.ID] != s, l.Now)
-		}
+		t.enter(s, e, l, before[e.ID] != s)
 	}
 	t.noteLimited()
 	t.listed = t.listed || len(l.Entries) > 0 && !l.Some
 }
 
+// newPool returns the pool of an entry, without upstreams.
+func newPool(e Entry, l List) *config.Pool {
+	return &config.Pool{ID: e.PoolOf(), Kind: config.EnginePool, DataCentre: e.DataCentre, Connections: l.Connections(e.Service), Slots: 1}
+}
+
+// enter takes in what an entry says of its upstream. fresh tells that this VM has not known
+// the upstream before.
+func (t *Table) enter(s *state, e Entry, l List, fresh bool) {
+	s.kept.Bound(e.Memory)
+	s.born, s.slots = e.Born, e.Slots
+	s.said = t.said[e.Life()]
+	s.leaving = 0
+	if e.Leaving {
+		s.leaving = 1
+	}
+	if l.Cold != nil {
+		t.chillEntry(s, e, l.Cold(e.Service), fresh, l.Now)
+	}
+}
+
 // Loaded takes in the load that an answer has told.
 func (t *Table) Loaded(id contract.UpstreamID, running, waiting int, now time.Time) {
 	s, ok := t.states[id]
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -120,9 +120,10 @@
 	readAt time.Time
 	// place is that of this VM among those of its data centre, as of the owners' version.
 	place, placed int
-	// born is that of the entry, and cold what is believed of its warmth.
-	born int64
-	cold coldness
+	// born and slots are those of the entry, and cold what is believed of its warmth.
+	born  int64
+	slots int
+	cold  coldness
 	// said is what the upstream has said in this life; nil for nothing. othersRest is when
 	// the last rest ends that it has asked other VMs for.
 	said       *heldTo
