--- a/vm/vm.go
+++ b/vm/vm.go
@@ -193,21 +193,29 @@
 // Rank returns the members of a data centre in the order of their rank for a
 // key, stronger ones first and leaving ones last.
 func Rank(members []Member, dc contract.DataCentreID, key string) []Member {
-	var ranked []Member
-	for _, m := range members {
-		if m.DataCentre == dc {
-			ranked = append(ranked, m)
+	type placed struct {
+		member *Member
+		rank   uint64
+	}
+	var places []placed
+	for i := range members {
+		if members[i].DataCentre == dc {
+			places = append(places, placed{&members[i], rank(key, members[i].VM)})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b Member) int {
-		if a.Leaving != b.Leaving {
-			if b.Leaving {
+	slices.SortStableFunc(places, func(a, b placed) int {
+		if a.member.Leaving != b.member.Leaving {
+			if b.member.Leaving {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(rank(key, a.VM), rank(key, b.VM)))
+		return cmp.Or(cmp.Compare(b.member.Strength, a.member.Strength), cmp.Compare(a.rank, b.rank))
 	})
+	ranked := make([]Member, 0, len(places))
+	for _, p := range places {
+		ranked = append(ranked, *p.member)
+	}
 	return ranked
 }
 
