relay: all VMs together keep to an upstream's connections

Cause: each VM had two connections to an upstream at least, so that 984 VMs might open 1,968 where 1,900 and 1,800 are accepted, and the rest is reset. Change: two only where all VMs may have them; one otherwise.

--- a/relay/list.go
+++ b/relay/list.go
@@ -63,11 +63,25 @@
 	vms := max(r.opts.VMs(), 1)
 	limits := make(map[contract.ServiceID]int, len(services))
 	for id, s := range services {
-		limits[id] = max(int(connectionShare*float64(s.MaxConnections)/float64(vms)), 2)
+		limits[id] = connectionsEach(s.MaxConnections, vms)
 	}
 	return limits
 }
 
+// connectionsEach returns how many connections one of some VMs may have to an upstream: a part
+// of the share, and at least two where all of them may, so that one that is being given up holds
+// up nothing. No VM is left without any. Zero for most means that no bound is known.
+func connectionsEach(most, vms int) int {
+	if most == 0 {
+		return leastConnections
+	}
+	return max(int(connectionShare*float64(most)/float64(vms)), min(most/vms, leastConnections), 1)
+}
+
+// leastConnections is how many connections to an upstream a VM has at least, where there are
+// enough.
+const leastConnections = 2
+
 // listOf returns entries as the table takes them in. The caller holds mu.
 func (r *Relay) listOf(entries []upstream.Entry, services map[contract.ServiceID]*route.Service) upstream.List {
 	entries = slices.Clone(entries)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -186,7 +186,7 @@
 	defer r.mu.Unlock()
 	p, ok := r.pools[e.ID]
 	if !ok {
-		p = exchange.NewPool(e.Address, max(r.limits[e.Service], 2))
+		p = exchange.NewPool(e.Address, cmp.Or(r.limits[e.Service], leastConnections))
 		r.pools[e.ID] = p
 	}
 	return p
--- /dev/null
+++ b/upstream/change_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"woaddoor/contract"
+)
+
+// dump returns what a table knows of the listed upstreams, a line each.
+func (t *Table) dump() string {
+	var b strings.Builder
+	for _, s := range t.ordered {
+		fmt.Fprintf(&b, "%s at %s in %s of %d places, %d connections: leaving %d, born %d, in flight %d, cold until %v, place in its pool %d, in its data centre %d\n",
+			s.upstream.ID, s.upstream.URL, s.pool.ID, s.pool.Slots, s.pool.Connections, s.leaving, s.born, s.inFlight, s.cold.until,
+			slices.Index(t.pools[s.pool.ID], s), slices.Index(t.centres[s.pool.DataCentre], s))
+	}
+	fmt.Fprintf(&b, "%d states, %d pools, %d data centres, %d limited\n", len(t.states), len(t.pools), len(t.centres), len(t.limited))
+	return b.String()
+}
+
+// TestChangeListEqualsConfigureList draws lists whose entries come, change in every field, start
+// anew and go. A table that takes in what has changed knows the same, in the same order, as one
+// that takes in the whole list each time.
+func TestChangeListEqualsConfigureList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, changes := NewTable(Options{Listed: true}), NewTable(Options{Listed: true})
+		now := time.Unix(1000, 0)
+		list := make(map[contract.UpstreamID]Entry)
+		of := func(entries []Entry) List {
+			return List{
+				Entries: entries, Now: now, Connections: func(s contract.ServiceID) int { return len(s) },
+				Cold: func(s contract.ServiceID) ColdBound { return ColdBound{For: 3 * time.Second, Bears: 9, Most: 18} },
+			}
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "rounds") {
+			var changed []Entry
+			var gone []contract.UpstreamID
+			for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 4, rapid.ID).Draw(t, "upstreams") {
+				id := contract.UpstreamID(fmt.Sprint("u", n))
+				if _, there := list[id]; there && rapid.IntRange(0, 3).Draw(t, "goes") == 0 {
+					delete(list, id)
+					gone = append(gone, id)
+					continue
+				}
+				list[id] = Entry{
+					ID: id, Service: rapid.SampledFrom([]contract.ServiceID{"s", "page"}).Draw(t, "service"),
+					Address:    fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 3).Draw(t, "address")),
+					DataCentre: rapid.SampledFrom([]contract.DataCentreID{"d0", "d1"}).Draw(t, "centre"),
+					Release:    rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "release"), Slots: rapid.IntRange(1, 3).Draw(t, "slots"),
+					Leaving: rapid.Bool().Draw(t, "leaving"), Cold: time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Second,
+					Born: rapid.Int64Range(1, 2).Draw(t, "born"), Revision: contract.Revision(rapid.IntRange(1, 50).Draw(t, "revision")),
+				}
+				changed = append(changed, list[id])
+			}
+			whole.ConfigureList(of(slices.SortedFunc(maps.Values(list), func(a, b Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })))
+			changes.ChangeList(of(changed), gone)
+			if x, y := whole.dump(), changes.dump(); x != y {
+				t.Fatalf("the whole list gives\n%s\nthe changes\n%s", x, y)
+			}
+			for id, e := range list {
+				if rapid.IntRange(0, 4).Draw(t, "names a limit") == 0 {
+					for _, table := range []*Table{whole, changes} {
+						table.TakeLimit(e.Life(), Limit{Word: LimitNamed, PerSecond: 3}, now, now)
+					}
+				}
+				if rapid.Bool().Draw(t, "sent") {
+					whole.Sent(id)
+					changes.Sent(id)
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -134,7 +134,7 @@
 func NewTable(opts Options) *Table {
 	o := opts.withDefaults()
 	return &Table{
-		opts: o, away: make(map[contract.DataCentreID]time.Time), doubted: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state),
+		opts: o, away: make(map[contract.DataCentreID]time.Time), doubted: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state), centres: make(map[contract.DataCentreID][]*state),
 		rates: reading.NewRates(nil), said: make(map[contract.Life]*heldTo),
 	}
 }
