settings, leader: a short lease is lengthened; a holder without its store calls less often

Cause, read: a lease under 1 s, or a report due within twice the lease, kept a VM from starting, where a longer lease breaks nothing; and the former holder of a lease called the store five times a second for as long as that was away. Change: settings that can be met are; only those that contradict each other are faults. After eight tries a holder pauses as others do.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -76,11 +76,12 @@
 const (
 	// lookEvery is how often a VM looks whether something is to be done.
 	lookEvery = 100 * time.Millisecond
-	// pauseLeast and pauseMost bound the pause after failed calls of a VM that does not
-	// hold the lease, since each call is paid for; the holder loses it within seconds and
-	// goes on with the least one.
-	pauseLeast = 200 * time.Millisecond
-	pauseMost  = 3200 * time.Millisecond
+	// pauseLeast and pauseMost bound the pause after failed calls, each of which is paid for.
+	// The holder loses the lease within seconds and makes its first holderTries with the
+	// least pause.
+	pauseLeast  = 200 * time.Millisecond
+	pauseMost   = 3200 * time.Millisecond
+	holderTries = 8
 )
 
 // Run takes, renews and acts until ctx ends.
@@ -157,10 +158,11 @@
 		l.failed = 0
 		return
 	}
-	pause := pauseLeast
-	if !l.opts.Keeper.Mine() {
-		pause = min(pauseLeast<<min(l.failed, 4), pauseMost)
+	failed := l.failed
+	if l.opts.Keeper.Mine() {
+		failed = max(failed-holderTries, 0)
 	}
+	pause := min(pauseLeast<<min(failed, 4), pauseMost)
 	l.pause = time.Now().Add(pause)
 	if l.failed == 0 {
 		l.opts.Log.Warn("lease-store-lost", append(logs.Failure(err), zap.Bool("holds", l.opts.Keeper.Mine()))...)
--- a/settings/duties.go
+++ b/settings/duties.go
@@ -13,7 +13,8 @@
 	Address string
 	// Names are what is to be done, in the platform's words.
 	Names []string
-	// Lease is how long a VM holds on to it without a word to the store.
+	// Lease is how long a VM holds on to it without a word to the store. One that is told as
+	// shorter than leastLease is taken for that: a longer lease breaks no promise.
 	Lease time.Duration
 	// UsageWindow is the length of a window of usage, UsageLate how long after its end a
 	// report is due.
@@ -46,11 +47,8 @@
 		UsageWindow: cmp.Or(r.Duration(keyUsageWindow, 0), defaultUsageWindow),
 		UsageLate:   cmp.Or(r.Duration(keyUsageLate, 0), defaultUsageLate),
 	}
-	d := v.Duties
-	if d.Lease < leastLease {
-		r.Fault(keyLease, "is %v: expected %v at least", d.Lease, leastLease)
-	}
-	if d.UsageLate <= 2*d.Lease {
-		r.Fault(keyUsageLate, "is %v: expected over twice the lease of %v, which a change of hands takes", d.UsageLate, d.Lease)
+	v.Duties.Lease = max(v.Duties.Lease, leastLease)
+	if d := v.Duties; d.UsageLate < d.Lease {
+		r.Fault(keyUsageLate, "is %v: expected the lease of %v at least, during which nobody may report", d.UsageLate, d.Lease)
 	}
 }
