--- a/leader/leader.go
+++ b/leader/leader.go
@@ -56,7 +56,7 @@
 	// turn is held while the lease is looked at and acted under, so that it is given up
 	// with no call under way.
 	turn sync.Mutex
-	// The fields below are used while turn is held. version and holder are those that
+	// The fields below are used while turn is held. holder and fencing are those that
 	// were logged last.
 	holder   lease.Claim
 	fencing  contract.FencingNumber
@@ -64,9 +64,9 @@
 	// failed is how many calls have failed in a row, and pause until when none is made.
 	failed int
 	pause  time.Time
-	// hopefulAt is when this VM was first allowed to take a lease of which it knows
+	// allowedAt is when this VM was first allowed to take a lease of which it knows
 	// nothing.
-	hopefulAt time.Time
+	allowedAt time.Time
 }
 
 // New returns a leader that holds nothing.
@@ -136,16 +136,16 @@
 	}
 	turn, may := l.opts.Turn()
 	if !may {
-		l.hopefulAt = time.Time{}
+		l.allowedAt = time.Time{}
 		return false
 	}
 	if _, _, known := l.opts.Keeper.Known(); known {
 		return l.opts.Keeper.FreeIn()+turn <= 0
 	}
-	if l.hopefulAt.IsZero() {
-		l.hopefulAt = now
+	if l.allowedAt.IsZero() {
+		l.allowedAt = now
 	}
-	return now.Sub(l.hopefulAt) >= turn
+	return now.Sub(l.allowedAt) >= turn
 }
 
 // step has the lease read or written.
