--- a/command/explain.go
+++ b/command/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"woaddoor/contract"
 	"woaddoor/explain"
@@ -69,6 +70,27 @@
 	return explain.Changes(s.out, lines)
 }
 
+// usageCmd tells who acted for all and what was reported of usage, from log lines.
+type usageCmd struct {
+	Files  []string      `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
+	Window time.Duration `help:"The length of a window of usage." default:"5s"`
+}
+
+// errWindow means that a window's length is no length.
+var errWindow = errors.New("--window has to be above 0, for example 5s")
+
+// Run runs the command.
+func (c *usageCmd) Run(s *session) error {
+	if c.Window <= 0 {
+		return errWindow
+	}
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	return explain.Usage(s.out, lines, c.Window)
+}
+
 // readLogs reads the lines of files, or of standard input, in the order of time.
 func readLogs(files []string) ([]*explain.Line, error) {
 	if len(files) == 0 {
