--- a/explain/usage.go
+++ b/explain/usage.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"strconv"
@@ -26,7 +27,7 @@
 		case eventLease:
 			if n := l.Value("fencing"); l.Value("mine") == "true" && !held[n] {
 				held[n] = true
-				fmt.Fprintf(out, "%s\t%s holds the lease, number %s\tbefore it %s\n", l.At.Format(time.RFC3339), l.VM, n, quoted(l.Value("before")))
+				fmt.Fprintf(out, "%s\t%s holds the lease, number %s\tbefore it %s\n", l.At.Format(time.RFC3339), l.VM, n, cmp.Or(l.Value("before"), "nobody"))
 			}
 		case eventFailed:
 			failed[l.Value("window")]++
