lease: a holder that is told of its own lost write reads the record before it acts

What could happen, by reading: a renewal that fixes a window is carried out and its answer lost; another VM reads the object and tells the holder of the version, without the record. The holder took the record for empty: it would have fixed windows anew with other counts, and its next renewal would have erased what was fixed. Change: nothing is written and no call made while the record of the newest version is not known; the next step reads it. TestRenewedWithItsRecord fails without it.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -138,7 +138,7 @@
 func (h *Holder) Doubt() { h.seenAt, h.record = time.Time{}, nil }
 
 // Unread tells whether the object has to be read before anything can be written: it is not
-// known at all, or not its record while the lease seems to be free.
+// known at all, or not its record while the lease seems to be free or this process's own.
 func (h *Holder) Unread(now time.Time) bool {
 	return h.seenAt.IsZero() || h.told && !now.Before(h.FreeAt())
 }
@@ -171,10 +171,13 @@
 // Propose returns the write to make now, or false when another holds the lease
 // or the own one needs no renewal yet.
 func (h *Holder) Propose(now time.Time) (Proposal, bool) {
+	if h.told {
+		return Proposal{}, false // a write would undo its record
+	}
 	if h.Mine() && now.Before(h.until) {
 		return h.renew(now)
 	}
-	if h.told || now.Before(h.FreeAt()) {
+	if now.Before(h.FreeAt()) {
 		return Proposal{}, false
 	}
 	// Also an own lease that lapsed is taken anew, with a new number: another
@@ -227,7 +230,7 @@
 // Resign returns the write that gives up the own lease, or false when it holds none. No
 // order may be given from here on, and none may be under way when it is written.
 func (h *Holder) Resign(now time.Time) (Proposal, bool) {
-	if !h.Mine() || !now.Before(h.until) {
+	if h.told || !h.Mine() || !now.Before(h.until) {
 		return Proposal{}, false
 	}
 	h.until = time.Time{}
@@ -254,10 +257,10 @@
 	}
 }
 
-// Ready returns the fencing number under which an order may be given now.
-// ignores tells that the engine takes old numbers.
+// Ready returns the fencing number under which an order may be given now: none while what is
+// fixed in the object is not known. ignores tells that the engine takes old numbers.
 func (h *Holder) Ready(now time.Time, ignores bool) (contract.FencingNumber, bool) {
-	if h.until.IsZero() || !now.Before(h.until.Add(-h.opts.Margin)) {
+	if h.told || h.until.IsZero() || !now.Before(h.until.Add(-h.opts.Margin)) {
 		return 0, false
 	}
 	if ignores && now.Sub(h.took) < h.opts.Settle {
--- a/lease/one_test.go
+++ b/lease/one_test.go
@@ -76,7 +76,7 @@
 // drawnActs are what happens, each as often as it stands here.
 var drawnActs = []string{
 	"step", "step", "step", "step", "step", "step", "step", "step", "call", "call", "call", "call", "call", "call", "tell", "tell",
-	"time", "time", "time", "lost", "late", "away", "resign", "kill", "all killed", "suspended",
+	"time", "time", "time", "lost", "lost", "late", "away", "look", "look", "resign", "kill", "all killed", "suspended",
 }
 
 func (f *fleet) act() {
@@ -94,6 +94,10 @@
 		f.call(v)
 	case "tell":
 		f.tell(v, f.drawn())
+	case "look":
+		if f.seen.Version != 0 {
+			v.holder.Saw(f.seen, f.now)
+		}
 	case "resign":
 		f.resign(v)
 	case "kill":
@@ -345,3 +349,33 @@
 	is.True(ok)
 	is.Equal(string(p.Object.Record), `"first"`)
 }
+
+// TestRenewedWithItsRecord shows a renewal that is carried out and whose answer is lost, of which
+// the holder hears from another VM, without the record: a renewal by that, or a call by what it
+// does not know to be fixed, would undo what is fixed.
+func TestRenewedWithItsRecord(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a := newDrawn("a", 1)
+	a.Gone(now)
+	s := take(t, a, Seen{}, now)
+	now = now.Add(drawnLength / marginPart)
+	a.Fix(json.RawMessage(`"fixed"`), true)
+	p, ok := a.Propose(now)
+	is.True(ok)
+	carriedOut := Seen{p.Object, s.Version + 1}
+
+	told := carriedOut
+	told.Object.Record = nil
+	a.Told(told, now)
+	is.True(a.Mine())
+	_, ok = a.Ready(now, true)
+	is.True(!ok)
+	_, ok = a.Propose(now)
+	is.True(!ok)
+	is.True(a.Unread(now))
+	a.Saw(carriedOut, now)
+	_, ok = a.Ready(now, true)
+	is.True(ok)
+	is.Equal(string(a.Pending()), `"fixed"`)
+}
