one name for a life of a VM; less that stands twice or is never read

The sum of what a service was sized for, the pause after failed calls of the leader, the counting of calls in the daemon, a listing of 10,000 in two benchmarks and the start of four lease tests each stood twice. Prices by data centre were decoded and never read: gone, and the check of words that nobody hears looks at scaling.Limits, scaling.Work, site.LeaseWord and site.Gathered too. Done where it need not be: each refusal gathered all pools of its service, also of a request that may go everywhere; a leaf's work was counted anew for each hub that it tried. No assertion changed.

--- a/control/server.go
+++ b/control/server.go
@@ -120,7 +120,7 @@
 		EntryLink: opts.Settings.Entry.Advertise, ControlLink: opts.Settings.Control.Advertise,
 	})
 	s.orders = leader.NewKeeper(&leader.KeeperOptions{
-		Options: lease.Options{Self: lease.Claim{VM: opts.Settings.VM, Incarnation: s.incarnation}},
+		Options: lease.Options{Self: contract.VMLife{VM: opts.Settings.VM, Incarnation: s.incarnation}},
 		Store:   leaseObject{opts.Store, ordersLease}, Clock: opts.Clock, Timeout: orderTimeout,
 	})
 	s.handleLinks()
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"woaddoor/clock"
@@ -35,15 +34,16 @@
 	if d.Address == "" {
 		return
 	}
+	life := contract.VMLife{VM: self.VM, Incarnation: self.Incarnation}
 	v.lease = leader.NewKeeper(&leader.KeeperOptions{
-		Options: lease.Options{Self: lease.Claim{VM: self.VM, Incarnation: self.Incarnation}, Length: d.Lease},
+		Options: lease.Options{Self: life, Length: d.Lease},
 		Store:   platform.NewLease(store, dutiesLease), Clock: clock.NewSystem(), Timeout: v.dutyTimeout(),
 	})
 	if !platform.Reports(d.Names) {
 		return
 	}
 	v.usage = leader.NewBook(&leader.BookOptions{
-		Self: usage.Life{VM: self.VM, Incarnation: self.Incarnation}, DataCentre: self.DataCentre, Now: time.Now,
+		Self: life, DataCentre: self.DataCentre, Now: time.Now,
 		Terms: v.usageTerms(), Centres: func() []contract.DataCentreID { return v.peers.Centres() },
 	})
 }
@@ -110,11 +110,7 @@
 
 // dutyCalled counts a call that one VM makes for all.
 func (v *vm) dutyCalled(c platform.Call, err error) {
-	name := "duty_calls_total"
-	if err != nil {
-		name = "duty_calls_failed_total"
-	}
-	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{call=%q}", name, c.Verb), v.registry).Inc(1)
+	v.countCall("duty", fmt.Sprintf("call=%q", c.Verb), err)
 }
 
 // dutyLines returns what is told of who acts for all.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,11 +18,16 @@
 
 // storeCalled counts a call to the platform's store.
 func (v *vm) storeCalled(c platform.Call, err error) {
-	name := "store_calls_total"
+	v.countCall("store", fmt.Sprintf("call=%q,kind=%q", c.Verb, c.Kind), err)
+}
+
+// countCall counts a call of some calls, by its labels and by whether it failed.
+func (v *vm) countCall(calls, labels string, err error) {
+	name := calls + "_calls_total"
 	if err != nil {
-		name = "store_calls_failed_total"
+		name = calls + "_calls_failed_total"
 	}
-	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{call=%q,kind=%q}", name, c.Verb, c.Kind), v.registry).Inc(1)
+	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{%s}", name, labels), v.registry).Inc(1)
 }
 
 // storeUnreadable logs and counts an object of the store that cannot be read.
--- a/internal/layers/fields_test.go
+++ b/internal/layers/fields_test.go
@@ -18,7 +18,8 @@
 	"woaddoor/engine":     {"CallError", "PlainAnswer"},
 	"woaddoor/route":      {"Route", "Service", "Workspace", "Limits"},
 	"woaddoor/rollout":    {"Order"},
-	"woaddoor/site":       {"Evacuation", "Word", "Reads"},
+	"woaddoor/scaling":    {"Limits", "Work"},
+	"woaddoor/site":       {"Evacuation", "Word", "Reads", "LeaseWord", "Gathered"},
 	"woaddoor/contract":   {"Load", "Life"},
 	"woaddoor/quarantine": {"Held", "Told", "ToldEnd"},
 }
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -84,7 +84,7 @@
 	{"numbers outlast the lease's object", "lease/lease.go", "	h.seen.Version, h.seenAt, h.until, h.told = 0, now, time.Time{}, false\n", "	h.seen, h.seenAt, h.until, h.told = Seen{}, now, time.Time{}, false\n", "./lease", "TestNumbersOutlastTheObject"},
 	{"the clock does not follow the time of day", "clock/clock.go", "t := start.Add(read() - first)", "t := time.Now().Add(0 * (read() - first))", "./clock", "TestTimeOfDaySetForward"},
 	{"what is fixed is what is reported", "leader/record.go", "if len(raw) == 0 {", "if true {", "./leader", "TestSuccessorRepeatsWhatWasFixed"},
-	{"a report waits for those that gather", "usage/plan.go", "now.Sub(end) >= t.Gather() && !heard.Before(end)", "now.Sub(end) >= t.Gather()", "./leader", "TestSilentTellerIsAwaited"},
+	{"a report waits for those that gather", "usage/plan.go", "now.Sub(end) >= t.gather() && !heard.Before(end)", "now.Sub(end) >= t.gather()", "./leader", "TestSilentTellerIsAwaited"},
 	{"a report that is turned down is given up", "platform/client.go", "s.status < http.StatusInternalServerError && s.status != http.StatusRequestTimeout", "s.status < 0", "./platform", "TestRefusedReports"},
 	{"parts are no sums", "usage/usage.go", "		if n > c[w] {\n			c[w] = n\n", "		if n > 0 {\n			c[w] += n\n", "./usage", "TestSumsAgree"},
 	{"an upstream that is gone leaves its pool", "upstream/change.go", "			t.unlink(s)\n			delete(t.states, id)\n", "			delete(t.states, id)\n", "./upstream", "TestChangeListEqualsConfigureList"},
--- a/leader/book.go
+++ b/leader/book.go
@@ -10,7 +10,7 @@
 
 // BookOptions set up a Book.
 type BookOptions struct {
-	Self       usage.Life
+	Self       contract.VMLife
 	DataCentre contract.DataCentreID
 	Terms      usage.Terms
 	// Now is the time of day, by which windows go.
@@ -28,9 +28,9 @@
 	mu   sync.Mutex
 	sums *usage.Sums
 	// told is the number of the newest change that a hearer is known to have.
-	told map[usage.Life]uint64
+	told map[contract.VMLife]uint64
 	// tellers are the VMs that tell this one what they have gathered.
-	tellers map[usage.Life]teller
+	tellers map[contract.VMLife]teller
 }
 
 type teller struct {
@@ -40,7 +40,7 @@
 
 // NewBook returns an empty book.
 func NewBook(opts *BookOptions) *Book {
-	return &Book{opts: opts, sums: usage.NewSums(), told: make(map[usage.Life]uint64), tellers: make(map[usage.Life]teller)}
+	return &Book{opts: opts, sums: usage.NewSums(), told: make(map[contract.VMLife]uint64), tellers: make(map[contract.VMLife]teller)}
 }
 
 // Ages and bounds of what a book keeps.
@@ -62,7 +62,7 @@
 }
 
 // For returns what a hearer is to be told, and the mark by which it has answered that.
-func (b *Book) For(hearer usage.Life) ([]usage.Part, uint64) {
+func (b *Book) For(hearer contract.VMLife) ([]usage.Part, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget()
@@ -70,7 +70,7 @@
 }
 
 // Answered notes that a hearer knows all up to a mark.
-func (b *Book) Answered(hearer usage.Life, mark uint64) {
+func (b *Book) Answered(hearer contract.VMLife, mark uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.told) >= mostHearers {
@@ -90,7 +90,7 @@
 
 // Gathered takes in that a VM has told all that the VMs which tell it have counted, for the
 // last time if it ends.
-func (b *Book) Gathered(from usage.Life, dc contract.DataCentreID, ends bool) {
+func (b *Book) Gathered(from contract.VMLife, dc contract.DataCentreID, ends bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if ends {
@@ -100,9 +100,9 @@
 	b.tellers[from] = teller{dc, b.opts.Now()}
 }
 
-// Heard returns since when all that gather have told this VM; the zero time when a data
+// heard returns since when all that gather have told this VM; the zero time when a data
 // centre has not at all.
-func (b *Book) Heard() time.Time {
+func (b *Book) heard() time.Time {
 	var centres []contract.DataCentreID
 	if b.opts.Centres != nil {
 		centres = b.opts.Centres()
@@ -132,7 +132,7 @@
 
 // Close returns a record with the windows fixed that can be now; see Terms.Close.
 func (b *Book) Close(r usage.Record) (usage.Record, bool) {
-	heard := b.Heard()
+	heard := b.heard()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget()
--- a/leader/keeper.go
+++ b/leader/keeper.go
@@ -122,7 +122,7 @@
 }
 
 // Ready returns the fencing number under which an order may be given now; see
-// Holder.Ready.
+// lease.Holder.Ready.
 func (k *Keeper) Ready(ignores bool) (n contract.FencingNumber, ok bool) {
 	k.locked(func(h *lease.Holder, now time.Time) { n, ok = h.Ready(now, ignores) })
 	return n, ok
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -16,7 +16,6 @@
 
 	"woaddoor/clock"
 	"woaddoor/contract"
-	"woaddoor/lease"
 	"woaddoor/logs"
 )
 
@@ -58,7 +57,7 @@
 	turn sync.Mutex
 	// The fields below are used while turn is held. holder and fencing are those that
 	// were logged last.
-	holder   lease.Claim
+	holder   contract.VMLife
 	fencing  contract.FencingNumber
 	resigned bool
 	// failed is how many calls have failed in a row, and pause until when none is made.
@@ -162,8 +161,7 @@
 	if l.opts.Keeper.Mine() {
 		failed = max(failed-holderTries, 0)
 	}
-	pause := min(pauseLeast<<min(failed, 4), pauseMost)
-	l.pause = time.Now().Add(pause)
+	l.pause = time.Now().Add(pauseAfter(failed, pauseLeast, pauseMost))
 	if l.failed == 0 {
 		l.opts.Log.Warn("lease-store-lost", append(logs.Failure(err), zap.Bool("holds", l.opts.Keeper.Mine()))...)
 	}
@@ -171,6 +169,13 @@
 	l.count("lease_calls_failed_total")
 }
 
+// pauseAfter returns the pause after a call that failed behind a number of others: the least one,
+// twice as long each time, up to the most.
+func pauseAfter(failed int, least, most time.Duration) time.Duration {
+	const mostDoublings = 8 // keeps the shift from an overflow
+	return min(least<<min(failed, mostDoublings), most)
+}
+
 // note logs and tells others when the lease has changed hands.
 func (l *Leader) note() {
 	seen, age, known := l.opts.Keeper.Known()
--- a/leader/reports.go
+++ b/leader/reports.go
@@ -147,7 +147,7 @@
 	case errors.As(err, &refused):
 		r.end(f.Window, "refused", append(logs.Failure(err), zap.Uint64("fencing", uint64(n)))...)
 	default:
-		r.pause = r.opts.Now().Add(min(reportLeast<<min(r.failed, 2), reportMost))
+		r.pause = r.opts.Now().Add(pauseAfter(r.failed, reportLeast, reportMost))
 		r.failed++
 		r.opts.Log.Warn("usage-report-failed", append(logs.Failure(err), zap.Int64("window", int64(f.Window)), zap.Uint64("fencing", uint64(n)))...)
 	}
--- a/leader/reports_test.go
+++ b/leader/reports_test.go
@@ -89,10 +89,10 @@
 func (o *office) member(name contract.VMID) *member {
 	m := &member{office: o}
 	m.keeper = NewKeeper(&KeeperOptions{
-		Options: lease.Options{Self: lease.Claim{VM: name, Incarnation: 1}, Length: testLease},
+		Options: lease.Options{Self: contract.VMLife{VM: name, Incarnation: 1}, Length: testLease},
 		Store:   o.store, Clock: o.clock, Timeout: time.Second,
 	})
-	m.book = NewBook(&BookOptions{Self: usage.Life{VM: name}, Terms: testTerms, Now: o.clock.Now})
+	m.book = NewBook(&BookOptions{Self: contract.VMLife{VM: name}, Terms: testTerms, Now: o.clock.Now})
 	registry := metrics.NewRegistry()
 	reports := NewReports(&ReportsOptions{
 		Keeper: m.keeper, Book: m.book, Terms: testTerms, Reporter: o.platform, Now: o.clock.Now, Log: zap.NewNop(), Registry: registry,
@@ -175,11 +175,11 @@
 	a := o.member("a")
 	o.run(2*time.Second, a)
 	a.book.Began("w", o.clock.Now())
-	a.book.Gathered(usage.Life{VM: "hub"}, "other", false)
+	a.book.Gathered(contract.VMLife{VM: "hub"}, "other", false)
 	o.run(6*time.Second, a) // 3 s after the end of the window
 	is.Equal(o.platform.came, 0)
-	a.book.Hear([]usage.Part{{Life: usage.Life{VM: "hub"}, Window: 1000, Counts: usage.Counts{"w": 2}}})
-	a.book.Gathered(usage.Life{VM: "hub"}, "other", false)
+	a.book.Hear([]usage.Part{{Life: contract.VMLife{VM: "hub"}, Window: 1000, Counts: usage.Counts{"w": 2}}})
+	a.book.Gathered(contract.VMLife{VM: "hub"}, "other", false)
 	o.run(time.Second, a)
 	is.Equal(o.platform.got[1000], usage.Counts{"w": 3})
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -26,15 +26,10 @@
 	"woaddoor/contract"
 )
 
-// Claim is who holds a lease. The zero value is nobody.
-type Claim struct {
-	VM          contract.VMID        `json:"vm" cbor:"1,keyasint"`
-	Incarnation contract.Incarnation `json:"incarnation" cbor:"2,keyasint"`
-}
-
 // Object is the form of a lease in the platform's store.
 type Object struct {
-	Holder  Claim                  `json:"holder" cbor:"1,keyasint"`
+	// Holder is the life of the VM that holds it; the zero value is nobody.
+	Holder  contract.VMLife        `json:"holder" cbor:"1,keyasint"`
 	Fencing contract.FencingNumber `json:"fencing" cbor:"2,keyasint"`
 	// Renewals makes each renewal a change, so that takers see it.
 	Renewals uint64 `json:"renewals" cbor:"3,keyasint"`
@@ -53,7 +48,7 @@
 
 // Options set up a Holder.
 type Options struct {
-	Self Claim
+	Self contract.VMLife
 	// Length is how long a lease lasts. Zero means 15 s.
 	Length time.Duration
 	// Margin is how long before its end a holder stops giving orders; it has
@@ -183,7 +178,7 @@
 	// Also an own lease that lapsed is taken anew, with a new number: another
 	// may have had it in between, under a number that was not seen here.
 	next := h.seen.Object
-	if next.Holder != (Claim{}) {
+	if next.Holder != (contract.VMLife{}) {
 		next.Resigned = nil // nobody gave it up: it stood for its whole length
 	}
 	next.Holder = h.opts.Self
@@ -220,7 +215,7 @@
 // else act, then another, then it again within one lease.
 func (h *Holder) FreeAt() time.Time {
 	o := h.seen.Object
-	nobodys := h.seen.Version == 0 || o.Holder == Claim{} && !slices.Contains(o.Resigned, h.opts.Self.VM)
+	nobodys := h.seen.Version == 0 || o.Holder == contract.VMLife{} && !slices.Contains(o.Resigned, h.opts.Self.VM)
 	if nobodys || h.Mine() {
 		return time.Time{}
 	}
@@ -235,7 +230,7 @@
 	}
 	h.until = time.Time{}
 	next := h.seen.Object
-	next.Holder = Claim{}
+	next.Holder = contract.VMLife{}
 	next.Resigned = append(slices.Clone(next.Resigned), h.opts.Self.VM)
 	return h.proposal(next), true
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -96,7 +96,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, now: time.Unix(0, 0)}
 		for i := range 3 {
-			w.holders = append(w.holders, NewHolder(Options{Self: Claim{VM: contract.VMID(rune('a' + i)), Incarnation: 1}}))
+			w.holders = append(w.holders, NewHolder(Options{Self: contract.VMLife{VM: contract.VMID(rune('a' + i)), Incarnation: 1}}))
 		}
 		for range rapid.IntRange(10, 150).Draw(t, "events") {
 			w.act()
@@ -114,8 +114,8 @@
 func TestPausedHolder(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	a := NewHolder(Options{Self: Claim{VM: "a"}})
-	b := NewHolder(Options{Self: Claim{VM: "b"}})
+	a := NewHolder(Options{Self: contract.VMLife{VM: "a"}})
+	b := NewHolder(Options{Self: contract.VMLife{VM: "b"}})
 	p, ok := a.Propose(now)
 	is.True(ok)
 	a.Wrote(p, 1, now)
--- a/lease/one_test.go
+++ b/lease/one_test.go
@@ -38,7 +38,7 @@
 	arrived map[contract.VMID]time.Time
 	// records are those that the store has taken, and holders how many lives acted.
 	records int
-	holders map[Claim]bool
+	holders map[contract.VMLife]bool
 }
 
 type drawnVM struct {
@@ -56,7 +56,7 @@
 func newFleet(t *rapid.T, vms int) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(0, 0), numbers: make(map[contract.FencingNumber]contract.VMID),
-		arrived: make(map[contract.VMID]time.Time), holders: make(map[Claim]bool),
+		arrived: make(map[contract.VMID]time.Time), holders: make(map[contract.VMLife]bool),
 	}
 	for i := range vms {
 		f.vms = append(f.vms, &drawnVM{name: contract.VMID("vm" + strconv.Itoa(i))})
@@ -68,7 +68,7 @@
 // start begins a new life of a VM, which knows nothing.
 func (f *fleet) start(v *drawnVM) {
 	v.life++
-	v.holder = NewHolder(Options{Self: Claim{v.name, v.life}, Length: drawnLength})
+	v.holder = NewHolder(Options{Self: contract.VMLife{VM: v.name, Incarnation: v.life}, Length: drawnLength})
 }
 
 func (f *fleet) drawn() *drawnVM { return f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(f.t, "vm")] }
@@ -176,7 +176,7 @@
 	if !ok {
 		return
 	}
-	f.holders[Claim{v.name, v.life}] = true
+	f.holders[contract.VMLife{VM: v.name, Incarnation: v.life}] = true
 	delay := time.Duration(rapid.Int64Range(0, int64(drawnCall)).Draw(f.t, "delay"))
 	f.calls = append(f.calls, drawnCallAt{v.name, n, f.now.Add(delay)})
 }
@@ -257,8 +257,16 @@
 	return Seen{p.Object, s.Version + 1}
 }
 
+// holding returns a VM that has taken the lease, and what the store then holds.
+func holding(t *testing.T, now time.Time) (*Holder, Seen) {
+	t.Helper()
+	a := newDrawn("a", 1)
+	a.Gone(now)
+	return a, take(t, a, Seen{}, now)
+}
+
 func newDrawn(name contract.VMID, life contract.Incarnation) *Holder {
-	return NewHolder(Options{Self: Claim{name, life}, Length: drawnLength})
+	return NewHolder(Options{Self: contract.VMLife{VM: name, Incarnation: life}, Length: drawnLength})
 }
 
 // TestWhoResignedWaits shows three VMs that are stopped one after the other, each giving
@@ -297,9 +305,7 @@
 func TestTakenWithItsRecord(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	a := newDrawn("a", 1)
-	a.Gone(now)
-	s := take(t, a, Seen{}, now)
+	a, s := holding(t, now)
 	a.Fix(json.RawMessage(`"fixed"`), true)
 	s = take(t, a, s, now)
 	is.Equal(string(s.Object.Record), `"fixed"`)
@@ -321,9 +327,7 @@
 func TestNumbersOutlastTheObject(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	a := newDrawn("a", 1)
-	a.Gone(now)
-	s := take(t, a, Seen{}, now)
+	a, s := holding(t, now)
 	a.Gone(now)
 	is.True(take(t, a, Seen{}, now).Object.Fencing > s.Object.Fencing)
 }
@@ -334,9 +338,7 @@
 func TestFixedWithoutAnAnswer(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	a := newDrawn("a", 1)
-	a.Gone(now)
-	s := take(t, a, Seen{}, now)
+	a, s := holding(t, now)
 	a.Fix(json.RawMessage(`"first"`), true)
 	p, ok := a.Propose(now)
 	is.True(ok)
@@ -356,9 +358,7 @@
 func TestRenewedWithItsRecord(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	a := newDrawn("a", 1)
-	a.Gone(now)
-	s := take(t, a, Seen{}, now)
+	a, s := holding(t, now)
 	now = now.Add(drawnLength / marginPart)
 	a.Fix(json.RawMessage(`"fixed"`), true)
 	p, ok := a.Propose(now)
--- a/relay/regions.go
+++ b/relay/regions.go
@@ -33,6 +33,9 @@
 // outside tells whether the service has upstreams, and none where the request may be. The
 // caller holds mu.
 func (r *Relay) outside(j *job) bool {
+	if !j.regional() {
+		return false
+	}
 	ids := all(r.releases[j.service], nil)
 	return len(ids) > 0 && len(r.inside(j.Request, ids)) == 0
 }
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -77,8 +77,6 @@
 	// PreemptiblePrice is what a preemptible one costs, in parts of the price of the others;
 	// zero where there are none to be had.
 	PreemptiblePrice float64
-	// Prices are those of a second of an upstream, by data centre.
-	Prices map[contract.DataCentreID]float64
 }
 
 // Stand is what of a service is in a data centre and does not leave.
@@ -168,15 +166,20 @@
 	return s.Limits.PreemptiblePrice > 0 && s.Limits.PreemptiblePrice < 1
 }
 
-// total returns how many upstreams are to stand in all: as many as the service was sized
-// for, or its work needs; where they are preemptible, as many more as the loss of some data
-// centres' asks for.
-func (s Situation) total() float64 {
+// sizedInAll returns for how many upstreams the service was sized.
+func (s Situation) sizedInAll() int {
 	sized := 0
 	for _, n := range s.Sized {
 		sized += n
 	}
-	total := max(float64(sized), s.Need)
+	return sized
+}
+
+// total returns how many upstreams are to stand in all: as many as the service was sized
+// for, or its work needs; where they are preemptible, as many more as the loss of some data
+// centres' asks for.
+func (s Situation) total() float64 {
+	total := max(float64(s.sizedInAll()), s.Need)
 	if left := len(s.Sized) - lostCentres; s.cheap() && left > 0 {
 		total = max(total, crowding*s.Need*float64(len(s.Sized))/float64(left))
 	}
@@ -185,10 +188,7 @@
 
 // wanted returns how many are to stand in a data centre.
 func (s Situation) wanted(dc contract.DataCentreID) int {
-	sized := 0
-	for _, n := range s.Sized {
-		sized += n
-	}
+	sized := s.sizedInAll()
 	if sized == 0 {
 		return s.Limits.Min
 	}
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -118,9 +118,10 @@
 
 // beatHub speaks with this leaf's hub, or with the next one when it says nothing.
 func (p *Peers) beatHub(ctx context.Context, v *view) {
+	work := p.ownWork()
 	for _, m := range p.hubOf(v) {
 		w := p.wordToHub()
-		w.Work = p.ownWork()
+		w.Work = work
 		var mark uint64
 		w.Usage, mark = p.usageFor(lifeOf(m))
 		if p.tell(ctx, m.ControlLink, nearTimeout, w) {
--- a/site/lease.go
+++ b/site/lease.go
@@ -38,7 +38,7 @@
 		return
 	}
 	p.lease.Told(lease.Seen{Object: w.Object, Version: w.Version}, w.Age)
-	if w.Link == "" || w.Object.Holder == (lease.Claim{}) {
+	if w.Link == "" || w.Object.Holder == (contract.VMLife{}) {
 		return
 	}
 	p.mu.Lock()
@@ -51,18 +51,18 @@
 
 // holder is where the VM listens that holds the lease, as was told of a version.
 type holder struct {
-	claim   lease.Claim
+	claim   contract.VMLife
 	link    string
 	version contract.ObjectVersion
 }
 
 // holderLink returns the link address of a holder; empty when it is not known.
-func (p *Peers) holderLink(c lease.Claim) string {
+func (p *Peers) holderLink(c contract.VMLife) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self := p.table.Self()
 	switch {
-	case c == lease.Claim{VM: self.VM, Incarnation: self.Incarnation}:
+	case c == lifeOf(self):
 		return self.ControlLink
 	case c == p.holder.claim:
 		return p.holder.link
--- a/site/scale_bench_test.go
+++ b/site/scale_bench_test.go
@@ -20,15 +20,21 @@
 	return out
 }
 
-// BenchmarkListChange measures one changed entry of a list of 10,000.
-func BenchmarkListChange(b *testing.B) {
+// manyListed returns a listing of n upstreams, and the list that it was given.
+func manyListed(n int, now time.Time) (*Listing, Changes[upstream.Entry]) {
 	l := NewListing()
 	c := Changes[upstream.Entry]{Revision: 1}
-	for _, e := range manyEntries(10_000) {
+	for _, e := range manyEntries(n) {
 		c.Items = append(c.Items, Item[upstream.Entry]{Raw: Raw{Name: string(e.ID), Revision: e.Revision}, Value: e})
 	}
-	now := time.Unix(0, 0)
 	l.Apply(c, true, now)
+	return l, c
+}
+
+// BenchmarkListChange measures one changed entry of a list of 10,000.
+func BenchmarkListChange(b *testing.B) {
+	now := time.Unix(0, 0)
+	l, c := manyListed(10_000, now)
 	b.ResetTimer()
 	for i := range b.N {
 		one := c.Items[i%10_000]
@@ -40,13 +46,8 @@
 
 // BenchmarkListExpire measures a look for entries that have lapsed, as each quarter of a second.
 func BenchmarkListExpire(b *testing.B) {
-	l := NewListing()
-	c := Changes[upstream.Entry]{Revision: 1}
-	for _, e := range manyEntries(10_000) {
-		c.Items = append(c.Items, Item[upstream.Entry]{Raw: Raw{Name: string(e.ID), Revision: e.Revision}, Value: e})
-	}
 	now := time.Unix(0, 0)
-	l.Apply(c, true, now)
+	l, _ := manyListed(10_000, now)
 	b.ResetTimer()
 	for range b.N {
 		l.Expire(now)
--- a/site/usage.go
+++ b/site/usage.go
@@ -6,7 +6,6 @@
 
 	"woaddoor/clock"
 	"woaddoor/contract"
-	"woaddoor/lease"
 	"woaddoor/link"
 	"woaddoor/scaling"
 	"woaddoor/usage"
@@ -16,7 +15,7 @@
 // Gathered is what a hub has gathered of usage since the VM that reports it last answered.
 // One that is lost or comes twice changes nothing: the next one tells the same or more.
 type Gathered struct {
-	From       usage.Life            `cbor:"1,keyasint"`
+	From       contract.VMLife       `cbor:"1,keyasint"`
 	DataCentre contract.DataCentreID `cbor:"2,keyasint"`
 	Parts      []usage.Part          `cbor:"3,keyasint,omitempty"`
 	// Work is what the teller and its leaves give the upstreams of each service to do.
@@ -30,10 +29,12 @@
 const gatherEvery = 500 * time.Millisecond
 
 // lifeOf names the life of a VM that tells of itself.
-func lifeOf(m vm.Member) usage.Life { return usage.Life{VM: m.VM, Incarnation: m.Incarnation} }
+func lifeOf(m vm.Member) contract.VMLife {
+	return contract.VMLife{VM: m.VM, Incarnation: m.Incarnation}
+}
 
 // usageFor returns what a hearer is to be told of usage, and the mark of that.
-func (p *Peers) usageFor(hearer usage.Life) ([]usage.Part, uint64) {
+func (p *Peers) usageFor(hearer contract.VMLife) ([]usage.Part, uint64) {
 	if p.usage == nil {
 		return nil, 0
 	}
@@ -41,7 +42,7 @@
 }
 
 // usageAnswered notes that a hearer knows of usage up to a mark.
-func (p *Peers) usageAnswered(hearer usage.Life, mark uint64) {
+func (p *Peers) usageAnswered(hearer contract.VMLife, mark uint64) {
 	if p.usage != nil {
 		p.usage.Answered(hearer, mark)
 	}
@@ -74,13 +75,12 @@
 	p.mu.Lock()
 	self := p.table.Self()
 	p.mu.Unlock()
-	if address == "" || (to == lease.Claim{VM: self.VM, Incarnation: self.Incarnation}) {
+	if address == "" || to == lifeOf(self) {
 		return
 	}
-	hearer := usage.Life{VM: to.VM, Incarnation: to.Incarnation}
 	g := Gathered{From: lifeOf(self), DataCentre: self.DataCentre, Ends: p.ends.Load()}
 	var mark uint64
-	g.Parts, mark = p.usageFor(hearer)
+	g.Parts, mark = p.usageFor(to)
 	g.Work = p.gatheredWork()
 	ctx, cancel := context.WithTimeout(ctx, farTimeout)
 	defer cancel()
@@ -88,7 +88,7 @@
 		p.silent(err) // told again with the next
 		return
 	}
-	p.usageAnswered(hearer, mark)
+	p.usageAnswered(to, mark)
 }
 
 // answerGathered takes in what another hub has gathered.
--- a/site/work.go
+++ b/site/work.go
@@ -5,11 +5,10 @@
 
 	"woaddoor/contract"
 	"woaddoor/scaling"
-	"woaddoor/usage"
 )
 
 // works is what VMs give the upstreams of each service to do, as they told last.
-type works map[usage.Life]heardWork
+type works map[contract.VMLife]heardWork
 
 type heardWork struct {
 	work map[contract.ServiceID]scaling.Work
@@ -43,7 +42,7 @@
 }
 
 // hearWork takes in what a leaf, or a hub with its leaves, gives upstreams to do.
-func (p *Peers) hearWork(to works, from usage.Life, work map[contract.ServiceID]scaling.Work) {
+func (p *Peers) hearWork(to works, from contract.VMLife, work map[contract.ServiceID]scaling.Work) {
 	if len(work) == 0 {
 		return
 	}
--- a/usage/plan.go
+++ b/usage/plan.go
@@ -21,8 +21,8 @@
 	awaitPart = 0.7
 )
 
-// Gather returns how long after a window's end its counts are gathered at least.
-func (t Terms) Gather() time.Duration { return time.Duration(gatherPart * float64(t.Late)) }
+// gather returns how long after a window's end its counts are gathered at least.
+func (t Terms) gather() time.Duration { return time.Duration(gatherPart * float64(t.Late)) }
 
 func (t Terms) await() time.Duration { return time.Duration(awaitPart * float64(t.Late)) }
 
@@ -71,7 +71,7 @@
 	if now.Sub(end) >= t.await() {
 		return true
 	}
-	return now.Sub(end) >= t.Gather() && !heard.Before(end)
+	return now.Sub(end) >= t.gather() && !heard.Before(end)
 }
 
 // Missed returns the fixed windows for which it is too late.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -48,22 +48,16 @@
 	return grown
 }
 
-// Life names one life of a VM.
-type Life struct {
-	VM          contract.VMID        `cbor:"1,keyasint"`
-	Incarnation contract.Incarnation `cbor:"2,keyasint"`
-}
-
 // Part is what one life of a VM has counted in one window so far.
 type Part struct {
-	Life   Life   `cbor:"1,keyasint"`
-	Window Window `cbor:"2,keyasint"`
-	Counts Counts `cbor:"3,keyasint"`
+	Life   contract.VMLife `cbor:"1,keyasint"`
+	Window Window          `cbor:"2,keyasint"`
+	Counts Counts          `cbor:"3,keyasint"`
 }
 
 type partKey struct {
 	window Window
-	life   Life
+	life   contract.VMLife
 }
 
 // part is a Part and the number of the change that last grew it.
@@ -83,7 +77,7 @@
 func NewSums() *Sums { return &Sums{parts: make(map[partKey]*part)} }
 
 // Began counts a request that began to run under a life of this VM.
-func (s *Sums) Began(of Life, at Window, w contract.WorkspaceID) {
+func (s *Sums) Began(of contract.VMLife, at Window, w contract.WorkspaceID) {
 	p := s.part(of, at)
 	p.counts[w]++
 	s.changed(p)
@@ -97,7 +91,7 @@
 	}
 }
 
-func (s *Sums) part(of Life, at Window) *part {
+func (s *Sums) part(of contract.VMLife, at Window) *part {
 	key := partKey{at, of}
 	p, ok := s.parts[key]
 	if !ok {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -21,10 +21,10 @@
 func TestSumsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := make([]*Sums, rapid.IntRange(2, 5).Draw(t, "vms"))
-		lives := make([]Life, len(vms))
+		lives := make([]contract.VMLife, len(vms))
 		for i := range vms {
 			vms[i] = NewSums()
-			lives[i] = Life{VM: contract.VMID(strconv.Itoa(i)), Incarnation: 1}
+			lives[i] = contract.VMLife{VM: contract.VMID(strconv.Itoa(i)), Incarnation: 1}
 		}
 		truth := make(map[Window]Counts)
 		var onTheWay []Part
@@ -73,15 +73,15 @@
 func TestSinceTellsWhatGrew(t *testing.T) {
 	is := is.New(t)
 	s := NewSums()
-	me := Life{VM: "me"}
+	me := contract.VMLife{VM: "me"}
 	s.Began(me, 1, "w")
 	parts, mark := s.Since(0)
 	is.Equal(len(parts), 1)
-	s.Told(Part{Life{VM: "other"}, 1, Counts{"w": 2}})
-	s.Told(Part{Life{VM: "other"}, 1, Counts{"w": 2}})
+	s.Told(Part{contract.VMLife{VM: "other"}, 1, Counts{"w": 2}})
+	s.Told(Part{contract.VMLife{VM: "other"}, 1, Counts{"w": 2}})
 	parts, mark = s.Since(mark)
-	is.Equal(parts, []Part{{Life{VM: "other"}, 1, Counts{"w": 2}}})
-	s.Told(Part{Life{VM: "other"}, 1, Counts{"w": 1}}) // late
+	is.Equal(parts, []Part{{contract.VMLife{VM: "other"}, 1, Counts{"w": 2}}})
+	s.Told(Part{contract.VMLife{VM: "other"}, 1, Counts{"w": 1}}) // late
 	parts, _ = s.Since(mark)
 	is.Equal(len(parts), 0)
 	is.Equal(s.Total(1), Counts{"w": 3})
@@ -105,25 +105,25 @@
 	const w = Window(100)
 	end := w.End(testTerms.Window)
 	s := NewSums()
-	s.Began(Life{VM: "a"}, w, "x")
+	s.Began(contract.VMLife{VM: "a"}, w, "x")
 	for _, c := range []struct {
 		heard, now time.Duration // after the end
 		closes     bool
 	}{
 		{0, -time.Second, false},
-		{time.Second, testTerms.Gather() - 1, false},
-		{time.Second, testTerms.Gather(), true},
-		{-time.Second, testTerms.Gather(), false},
+		{time.Second, testTerms.gather() - 1, false},
+		{time.Second, testTerms.gather(), true},
+		{-time.Second, testTerms.gather(), false},
 		{-time.Second, testTerms.await() - 1, false},
 		{-time.Second, testTerms.await(), true},
 	} {
 		_, closes := testTerms.Close(Record{}, s, end.Add(c.heard), end.Add(c.now))
 		is.Equal(closes, c.closes)
 	}
-	now := end.Add(testTerms.Gather())
+	now := end.Add(testTerms.gather())
 	r, _ := testTerms.Close(Record{}, s, now, now)
 	is.Equal(r, Record{Through: w, Fixed: []Fixed{{w, Counts{"x": 1}}}})
-	s.Began(Life{VM: "b"}, w, "x") // told too late
+	s.Began(contract.VMLife{VM: "b"}, w, "x") // told too late
 	again, changed := testTerms.Close(r, s, now, now)
 	is.True(!changed)
 	is.Equal(again.Fixed, r.Fixed)
@@ -137,9 +137,9 @@
 func TestCloseTooLate(t *testing.T) {
 	is := is.New(t)
 	s := NewSums()
-	s.Began(Life{VM: "a"}, 100, "x")
-	s.Began(Life{VM: "a"}, 102, "x")
-	now := Window(102).End(testTerms.Window).Add(testTerms.Gather())
+	s.Began(contract.VMLife{VM: "a"}, 100, "x")
+	s.Began(contract.VMLife{VM: "a"}, 102, "x")
+	now := Window(102).End(testTerms.Window).Add(testTerms.gather())
 	r, changed := testTerms.Close(Record{}, s, now, now)
 	is.True(changed)
 	is.Equal(r.Through, Window(102))
