vm: a heartbeat that comes back through peers is not a newer one

A member's description carries the age of its last heartbeat; each message adds its delay to the time derived from it and the later time won, so VMs that tell each other of a lost VM keep it alive. Callers would see changes known later: a lost VM keeps its place in the order of takeover. Change: a VM numbers its heartbeats, and only a higher number is newer. Descriptions without a number, of an earlier release, are compared by time. The chat front's control process does it right already: document freshness counts from before the request. The age of orders keeps the largest age and the lease is identified by its version: neither can be made younger by passing it on.

--- a/control/members.go
+++ b/control/members.go
@@ -139,7 +139,7 @@
 // of this data centre. The caller holds mu.
 func (s *Server) localHeartbeat(now time.Time, includeLocal bool) protocol.Heartbeat {
 	s.table.SetSelf(s.selfMember())
-	members := []vm.Member{s.table.Self()}
+	members := []vm.Member{s.table.NextHeartbeat()}
 	if includeLocal {
 		members = append(members, s.table.LocalPeers(now)...)
 	}
@@ -152,6 +152,7 @@
 // (counts of good and bad responses). The caller holds mu.
 func (s *Server) remoteHeartbeat(now time.Time) protocol.Heartbeat {
 	s.table.SetSelf(s.selfMember())
+	s.table.NextHeartbeat()
 	ownDataCentre := s.opts.Settings.DataCentre
 	localEvidence := s.evidence.Filter(func(o rollout.Observer) bool { return !isDataCentreTotal(o) })
 	return protocol.Heartbeat{Members: s.table.Delegates(delegateCount, now), HaltedVersions: s.haltedVersions(), RolloutEvidence: localEvidence.Total(dataCentreTotal(ownDataCentre))}
--- a/control/watch.go
+++ b/control/watch.go
@@ -276,7 +276,7 @@
 	}
 	if req.MemberScope == protocol.AllMembers {
 		answer.Members = append(answer.Members, s.table.LocalPeers(now)...)
-		answer.Members = append(answer.Members, s.table.Self())
+		answer.Members = append(answer.Members, s.table.NextHeartbeat())
 	}
 	for id := range s.leavingUpstreams {
 		answer.LeavingUpstreams = append(answer.LeavingUpstreams, id)
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -142,7 +142,7 @@
 	v := p.currentView()
 	p.mu.Lock()
 	now := p.now()
-	msg := GossipMessage{Self: p.table.Self(), VMCounts: p.vmCountsLocked(now)}
+	msg := GossipMessage{Self: p.table.NextHeartbeat(), VMCounts: p.vmCountsLocked(now)}
 	switch recipients {
 	case audienceLocal:
 		msg.Members = p.liveLeavesLocked(now)
@@ -306,7 +306,7 @@
 	if reply.DigestMatches {
 		return reply
 	}
-	reply.LocalMembers = append(slices.Clone(v.localPeers), p.table.Self())
+	reply.LocalMembers = append(slices.Clone(v.localPeers), reply.Self)
 	reply.LocalMembers = append(reply.LocalMembers, p.silentLocal(2*vm.DeadAfter, p.now())...)
 	return reply
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -33,6 +33,10 @@
 	// the strongest are the first to watch the platform's store and to represent their data centre.
 	// Any unit works if all VMs use the same one.
 	CapacityUnits int `cbor:"10,keyasint,omitempty"`
+	// Heartbeat is the number of the heartbeat that this description comes from,
+	// counted by the VM itself from 1. A description that comes back through peers
+	// with a younger Age is thereby known for the same heartbeat.
+	Heartbeat uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // How long a VM may be silent before it is considered dead.
@@ -66,11 +70,20 @@
 }
 
 // SetSelf replaces the description of this VM.
-func (t *Table) SetSelf(self Member) { t.self = self }
+func (t *Table) SetSelf(self Member) {
+	self.Heartbeat = t.self.Heartbeat
+	t.self = self
+}
 
 // Self returns the description of this VM.
 func (t *Table) Self() Member { return t.self }
 
+// NextHeartbeat returns the description of this VM for a message that is about to be sent.
+func (t *Table) NextHeartbeat() Member {
+	t.self.Heartbeat++
+	return t.self
+}
+
 // ApplyHeartbeat applies a heartbeat, received from the VM itself or through a peer.
 // Member.Age is the age of the heartbeat. Heartbeats of an earlier incarnation,
 // or older than the known state, are ignored: heartbeats may arrive late and in any order.
@@ -84,7 +97,7 @@
 		return
 	}
 	if known && m.Incarnation == previous.member.Incarnation {
-		if !heardAt.After(previous.lastHeard) {
+		if !m.newerThan(previous.member, heardAt, previous.lastHeard) {
 			return
 		}
 		m.Leaving = m.Leaving || previous.member.Leaving // the state of leaving cannot be undone within an incarnation
@@ -94,6 +107,15 @@
 	t.members[m.VM] = observation{m, heardAt}
 }
 
+// newerThan reports whether a description comes from a later heartbeat than a known one
+// of the same incarnation. Without numbers, the times at which they were heard decide.
+func (m Member) newerThan(known Member, heardAt, knownAt time.Time) bool {
+	if m.Heartbeat == 0 || known.Heartbeat == 0 {
+		return heardAt.After(knownAt)
+	}
+	return m.Heartbeat > known.Heartbeat
+}
+
 // SetPlatformList applies the platform's VM list.
 // The list lags behind, so the list only adds to the heartbeats and never makes a silent VM live.
 func (t *Table) SetPlatformList(entries []contract.VMEntry) {
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -31,6 +31,30 @@
 	is.True(!table.Superseded("b", 2)) // silence does not prove an end
 }
 
+// TestDeadVMIsNotKeptAlive: two VMs that told each other of a third one, 50 ms a message,
+// counted it as alive for ever.
+func TestDeadVMIsNotKeptAlive(t *testing.T) {
+	is := is.New(t)
+	const messageDelay = 50 * time.Millisecond
+	now := time.Unix(100, 0)
+	a, b, lost := NewTable(member("a", 1)), NewTable(member("b", 1)), NewTable(member("c", 1))
+	last := lost.NextHeartbeat()
+	a.ApplyHeartbeat(last, now)
+	tell := func(from, to *Table) {
+		peers := from.LocalPeers(now)
+		now = now.Add(messageDelay)
+		for _, m := range peers {
+			to.ApplyHeartbeat(m, now)
+		}
+	}
+	for end := now.Add(DeadAfter + time.Second); now.Before(end); {
+		tell(a, b)
+		tell(b, a)
+	}
+	is.Equal(len(a.LocalPeers(now)), 0)
+	is.Equal(len(b.LocalPeers(now)), 0)
+}
+
 // TestLeavingIsPermanent checks that neither a lagging list nor a late heartbeat
 // clears the leaving state of a VM.
 func TestLeavingIsPermanent(t *testing.T) {
