site: a round of messages goes to the recipients of all its requests

A request during the interval was dropped if a round was due, whatever that round did: a change from the store was then sent to nobody but the leaves if the round that was due only passed on another VM's change (upstreams leave in bursts, and several VMs watch for a while after a restart). Other VMs learned of the change by a heartbeat, half a second to a second later, which adds to the time of a takeover. Change: requests name recipients, and a round goes to the union of them. Not shown to be what the users saw.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -164,6 +164,7 @@
 	{"records at risk are copied again", "entry/bills.go", "		s.copyAtRisk(ctx)\n", "", "./internal/fleet", "TestStopWithRecordAtRisk"},
 	{"a confirmation that comes back is not newer", "site/confirmation.go", "case o.sequence > c.sequence:", "case o.at.After(c.at):", "./site", "TestChangesKnownAfterRestarts"},
 	{"a heartbeat that comes back is not newer", "vm/vm.go", "return m.Heartbeat > known.Heartbeat", "return heardAt.After(knownAt)", "./vm", "TestDeadVMIsNotKeptAlive"},
+	{"a wider round is not dropped", "site/coalescer.go", "\tr.pending |= to\n", "\tif r.pending == 0 {\n\t\tr.pending = to\n\t}\n", "./site", "TestWiderRoundIsNotDropped"},
 	{"one of two watchers yields", "site/election.go", "(e.failing || watcher.precedes(e.self))", "false", "./site", "TestWatcherYields"},
 	{"a watcher whose calls fail yields", "site/election.go", "(e.failing || watcher.precedes(e.self))", "watcher.precedes(e.self)", "./site", "TestWatcherYields"},
 	{"all VMs share the slack of the resend allowance", "retry/window.go", "w.opts.Slack/float64(max(vms, 1))", "w.opts.Slack", "./retry", "TestFleetStaysWithinRetryBudget"},
--- a/site/broadcast.go
+++ b/site/broadcast.go
@@ -33,51 +33,62 @@
 )
 
 // AnnounceChange informs other VMs at once of a change of an object in the store.
-func (p *Peers) AnnounceChange(ctx context.Context) {
-	p.changeRounds.run(func() {
-		deltas := p.unannouncedDeltas()
-		p.gossipToHubs(ctx, deltas)
-		p.gossipToLeaves(ctx, deltas)
-		p.gossipToRemote(ctx, deltas, func(contract.DataCentreID) bool { return true })
-	})
-}
+func (p *Peers) AnnounceChange() { p.changeRounds.request(toHubs | toLeaves | toAllDataCentres) }
 
 // AnnounceNoChange informs the hubs of this region that the store has no newer changes.
-func (p *Peers) AnnounceNoChange(ctx context.Context) {
-	p.confirmationRounds.run(func() {
-		p.gossipToHubs(ctx, nil)
-		p.gossipToRemote(ctx, nil, p.sameRegion)
-	})
-}
+func (p *Peers) AnnounceNoChange() { p.confirmationRounds.request(toHubs | toRegion) }
 
 // AnnounceUrgent informs the hubs at once of a harmful event:
 // the failure of a release on trial, or a request content that has crashed an upstream.
-func (p *Peers) AnnounceUrgent(ctx context.Context) {
-	p.urgentRounds.run(func() { p.forwardUrgent(ctx, false) })
-}
+func (p *Peers) AnnounceUrgent() { p.forwardUrgent(false) }
 
 // forwardUrgent forwards news of a harmful event. A delegate
 // (one of the VMs that exchange messages between data centres) informs the other data centres.
 // News from another data centre, or of an event on this VM,
 // also goes to the hubs of this data centre. Leaves receive it with the next heartbeat.
-func (p *Peers) forwardUrgent(ctx context.Context, fromLocal bool) {
+func (p *Peers) forwardUrgent(fromLocal bool) {
+	var to recipients
 	if !fromLocal {
-		p.gossipToHubs(ctx, nil)
+		to |= toHubs
 	}
 	if p.IsDelegate() {
-		p.gossipToRemote(ctx, nil, func(contract.DataCentreID) bool { return true })
+		to |= toAllDataCentres
 	}
+	p.urgentRounds.request(to)
 }
 
 // forwardChanges forwards changes from another VM.
 // A VM of this data centre has already informed the other hubs itself,
 // so changes from a VM of this data centre go to the leaves only.
-func (p *Peers) forwardChanges(ctx context.Context, fromLocal bool) {
-	deltas := p.unannouncedDeltas()
+func (p *Peers) forwardChanges(fromLocal bool) {
+	to := toLeaves
 	if !fromLocal {
+		to |= toHubs
+	}
+	p.changeRounds.request(to)
+}
+
+// sendChanges sends the changes since the last announcement.
+func (p *Peers) sendChanges(to recipients) { p.gossipTo(to, p.unannouncedDeltas()) }
+
+// sendStatus sends this VM's status without any changes.
+func (p *Peers) sendStatus(to recipients) { p.gossipTo(to, nil) }
+
+// gossipTo sends gossip to the given recipients. The calls end by their own timeouts.
+func (p *Peers) gossipTo(to recipients, deltas []PushedDelta) {
+	ctx := context.Background()
+	if to&toHubs != 0 {
 		p.gossipToHubs(ctx, deltas)
 	}
-	p.gossipToLeaves(ctx, deltas)
+	if to&toLeaves != 0 {
+		p.gossipToLeaves(ctx, deltas)
+	}
+	switch {
+	case to&toAllDataCentres != 0:
+		p.gossipToRemote(ctx, deltas, func(contract.DataCentreID) bool { return true })
+	case to&toRegion != 0:
+		p.gossipToRemote(ctx, deltas, p.sameRegion)
+	}
 }
 
 // unannouncedDeltas returns the changes of each kind of objects
--- a/site/broadcast_test.go
+++ b/site/broadcast_test.go
@@ -119,7 +119,7 @@
 		f.kinds[from].mu.Lock()
 		f.kinds[from].revision = revision
 		f.kinds[from].mu.Unlock()
-		f.peers[from].AnnounceChange(ctx)
+		f.peers[from].AnnounceChange()
 	}
 	change(0, 2)
 	f.awaitRevision(t, 2, nil)
@@ -136,6 +136,29 @@
 	f.awaitRevision(t, 3, closed)
 }
 
+// TestWiderRoundIsNotDropped: a change from the store, announced while a round to the leaves
+// alone was due, was sent to the leaves alone.
+func TestWiderRoundIsNotDropped(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f := startGossipFleet(t, ctx, 2)
+	p, kind := f.peers[0], f.kinds[0]
+	time.Sleep(heartbeatInterval / 4) // the first heartbeats end
+	p.AnnounceChange()                // the next round is due after changeInterval
+	time.Sleep(changeInterval / 4)
+	p.forwardChanges(true)
+	kind.mu.Lock()
+	kind.revision = 2
+	kind.mu.Unlock()
+	p.AnnounceChange()
+	time.Sleep(2 * changeInterval)
+	for _, other := range f.kinds[1:] {
+		status, _ := other.status()
+		is.Equal(int(status.LastChange), 2) // well before the next heartbeat
+	}
+}
+
 // wantHubs is the number of hubs in a data centre of twelve VMs.
 const wantHubs = 2
 
--- a/site/lease.go
+++ b/site/lease.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"context"
 	"time"
 
 	"woaddoor/contract"
@@ -80,10 +79,4 @@
 }
 
 // AnnounceLease informs the other hubs and data centres at once that the lease holder has changed.
-func (p *Peers) AnnounceLease() {
-	p.confirmationRounds.run(func() {
-		ctx := context.Background()
-		p.gossipToHubs(ctx, nil)
-		p.gossipToRemote(ctx, nil, func(contract.DataCentreID) bool { return true })
-	})
-}
+func (p *Peers) AnnounceLease() { p.confirmationRounds.request(toHubs | toAllDataCentres) }
--- a/site/peers.go
+++ b/site/peers.go
@@ -87,7 +87,7 @@
 	// that announce changes and the absence of changes.
 	// urgentRounds limits the rate of the rounds of messages that announce harmful events:
 	// failed responses of a release on trial and request contents that crash upstreams.
-	changeRounds, confirmationRounds, urgentRounds *coalescer
+	changeRounds, confirmationRounds, urgentRounds *rounds
 	// discoverNow triggers an immediate message to VMs that the store lists.
 	// unknownPeer signals contact from a VM
 	// that this VM has not yet seen in the store's list of VMs.
@@ -176,7 +176,6 @@
 	p := &Peers{
 		lease: opts.Lease, usage: opts.Usage,
 		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, log: opts.Log, now: opts.Now, started: opts.Now(),
-		changeRounds: newCoalescer(changeInterval), confirmationRounds: newCoalescer(confirmationInterval), urgentRounds: newCoalescer(urgentInterval),
 		discoverNow: make(chan struct{}, 1), unknownPeer: make(chan struct{}, 1),
 		kinds: make(map[string]replicatedKind), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlAddress }),
 		table: vm.NewTable(opts.Self), listedAddresses: make(map[string]bool), memberIPs: make(map[string]bool),
@@ -184,6 +183,8 @@
 		leafLoad: make(loadReports), hubLoad: make(loadReports),
 		announced: make(map[string]contract.Revision), unknownToHub: make(map[contract.VMID]string), activePulls: make(map[string]activePull),
 	}
+	p.changeRounds = newRounds(changeInterval, p.sendChanges)
+	p.confirmationRounds, p.urgentRounds = newRounds(confirmationInterval, p.sendStatus), newRounds(urgentInterval, p.sendStatus)
 	p.firstStart = opts.FirstStart && len(p.seeds) > 0
 	p.isSeed = len(p.seeds) < len(opts.Seeds)
 	p.reports.ownRounds, p.reports.forwardRounds = newCoalescer(reportInterval), newCoalescer(forwardInterval)
--- a/site/receive.go
+++ b/site/receive.go
@@ -112,7 +112,7 @@
 	if exchange != nil {
 		worse := exchange.MergeEvidence(msg.Evidence)
 		if exchange.MergeSuspects(msg.Suspects, msg.Self.VM) || worse {
-			p.urgentRounds.run(func() { p.forwardUrgent(ctx, fromLocal) })
+			p.forwardUrgent(fromLocal)
 		}
 		exchange.MergeOrderAges(msg.OrderAges)
 	}
@@ -131,9 +131,9 @@
 	}
 	switch {
 	case changed:
-		p.changeRounds.run(func() { p.forwardChanges(ctx, fromLocal) })
+		p.forwardChanges(fromLocal)
 	case confirmedLater && !fromLocal:
-		p.confirmationRounds.run(func() { p.gossipToHubs(ctx, nil) })
+		p.confirmationRounds.request(toHubs)
 	}
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -174,22 +174,22 @@
 // Run keeps the state of this VM up to date until ctx ends.
 func (s *Site) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	configs := newFollower(ctx, s, s.opts.Configurations, s.applyTable, func(bool) {})
-	upstreams := newFollower(ctx, s, s.opts.Upstreams, s.applyUpstreams, s.recordStoreCall)
+	configs := newFollower(s, s.opts.Configurations, s.applyTable, func(bool) {})
+	upstreams := newFollower(s, s.opts.Upstreams, s.applyUpstreams, s.recordStoreCall)
 	upstreams.applyFirstPage = s.applyFirstUpstreams
-	orders := newFollower(ctx, s, s.opts.Rollouts, s.applyOrders, func(bool) {})
+	orders := newFollower(s, s.opts.Rollouts, s.applyOrders, func(bool) {})
 	s.opts.Peers.registerKind(s.opts.Configurations.Name(), configs)
 	s.opts.Peers.registerKind(s.opts.Upstreams.Name(), upstreams)
 	s.opts.Peers.registerKind(s.opts.Rollouts.Name(), orders)
 	s.opts.Peers.attachRelay(s.opts.Relay)
 	runs := []func(context.Context){configs.run, upstreams.run, orders.run, s.tick, s.opts.Peers.Run, s.maintainRegistration}
 	if s.opts.Evacuations != nil {
-		evacuations := newFollower(ctx, s, s.opts.Evacuations, s.applyEvacuations, func(bool) {})
+		evacuations := newFollower(s, s.opts.Evacuations, s.applyEvacuations, func(bool) {})
 		s.opts.Peers.registerKind(s.opts.Evacuations.Name(), evacuations)
 		runs = append(runs, evacuations.run)
 	}
 	if s.opts.Quarantined != nil {
-		quarantined := newFollower(ctx, s, s.opts.Quarantined, s.applyQuarantined, func(bool) {})
+		quarantined := newFollower(s, s.opts.Quarantined, s.applyQuarantined, func(bool) {})
 		s.opts.Peers.registerKind(s.opts.Quarantined.Name(), quarantined)
 		runs = append(runs, quarantined.run, s.syncQuarantine)
 	}
@@ -337,7 +337,7 @@
 }
 
 // newFollower returns a follower of one kind of objects.
-func newFollower[T any](ctx context.Context, s *Site, source Source[T], apply func(Changes[T], bool), onStoreCall func(bool)) *follower[T] {
+func newFollower[T any](s *Site, source Source[T], apply func(Changes[T], bool), onStoreCall func(bool)) *follower[T] {
 	listNotBefore := time.Time{}
 	if s.opts.Peers.HasSeeds() {
 		listNotBefore = s.opts.Now().Add(restartListDelay)
@@ -350,6 +350,6 @@
 		source: source, log: s.log, registry: s.opts.Registry, apply: apply, onStoreCall: onStoreCall, cache: NewObjectCache(source.Name()),
 		requestWaiting: s.requestWaiting, randomRank: s.randomRank,
 		election: NewWatcherElection(s.opts.Peers.AsWatcher(), source.Timing(), listNotBefore),
-		rank:     s.opts.Peers.Rank, announceChange: func() { s.opts.Peers.AnnounceChange(ctx) }, announceNoChange: func() { s.opts.Peers.AnnounceNoChange(ctx) }, now: s.opts.Now,
+		rank:     s.opts.Peers.Rank, announceChange: s.opts.Peers.AnnounceChange, announceNoChange: s.opts.Peers.AnnounceNoChange, now: s.opts.Now,
 	}
 }
