--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -50,7 +50,9 @@
 	// PageSize is the number of objects on a page. Zero means 500.
 	PageSize int
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// era is how often the store has returned from a backup, counted from 1.
+	era         int64
 	revision    int64
 	objects     map[string]map[string]Object
 	log         []event
@@ -69,7 +71,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int)}
+	return &Store{era: 1, revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // SetFaults replaces the faults.
@@ -133,6 +135,41 @@
 	s.notifyWatches()
 }
 
+// Backup is a copy of the contents of a store.
+type Backup struct {
+	revision int64
+	objects  map[string]map[string]Object
+	log      []event
+}
+
+// Backup returns a copy of the contents.
+func (s *Store) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := &Backup{revision: s.revision, objects: make(map[string]map[string]Object), log: slices.Clone(s.log)}
+	for kind, objects := range s.objects {
+		b.objects[kind] = maps.Clone(objects)
+	}
+	return b
+}
+
+// Restore replaces the contents by a backup. Everything that was written since the backup is
+// lost, revisions are given out again, and waiting watches are cut.
+func (s *Store) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.log = b.revision, slices.Clone(b.log)
+	s.objects = make(map[string]map[string]Object)
+	for kind, objects := range b.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.notifyWatches()
+}
+
+// eraHeader is the header of all answers that holds the era.
+const eraHeader = "Store-Era"
+
 func (s *Store) notifyWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -197,6 +234,7 @@
 		s.mu.Lock()
 		faults, changed := s.faults, s.changed
 		s.calls[r.Method]++
+		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		host, _, _ := strings.Cut(r.RemoteAddr, ":")
 		switch {
@@ -258,12 +296,17 @@
 	afterRevision, _ := strconv.ParseInt(r.URL.Query().Get("Watch"), 10, 64)
 	ms, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	end := time.After(time.Duration(ms) * time.Millisecond)
+	era := w.Header().Get(eraHeader)
 	for {
 		s.mu.Lock()
-		events, revision, compacted, changed := s.changesSince(kind, afterRevision), s.revision, afterRevision < s.compactedTo, s.changed
-		stalled := s.faults.StallWatches
+		events, revision, changed := s.changesSince(kind, afterRevision), s.revision, s.changed
+		gone := afterRevision < s.compactedTo || afterRevision > s.revision
+		stalled, restored := s.faults.StallWatches, era != strconv.FormatInt(s.era, 10)
 		s.mu.Unlock()
-		if compacted {
+		if restored {
+			panic(http.ErrAbortHandler)
+		}
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
