A revision counts the store's era before its number

Cause: the state of the store was ordered by its number alone, and the number goes back. Class: trust in a counter of an outside system that it never goes back. A second watch in a row that finds the history gone waits. Why it works: nothing learned in an earlier era is higher than what the store says now, whatever numbers it gives out.

--- a/contract/ids.go
+++ b/contract/ids.go
@@ -65,10 +65,6 @@
 // ChangeID identifies one configuration change.
 type ChangeID string
 
-// Revision counts the accepted configurations. It only increases. Zero means
-// that no configuration has been accepted yet.
-type Revision uint64
-
 // Incarnation distinguishes the runs of a process that restarts under the same name.
 // Each start gets a new incarnation, and a later start gets a higher incarnation.
 type Incarnation uint64
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"woaddoor/contract"
 	"woaddoor/platform"
 )
 
@@ -37,6 +38,12 @@
 	v.log.Error("object-unreadable", zap.String("kind", kind), zap.Error(err))
 }
 
+// recordStoreEra logs that the platform's store names a later era: it has returned from an older
+// copy of its contents. The first era that this VM learns is logged too.
+func (v *vmProcess) recordStoreEra(before, now uint64) {
+	v.log.Info("store-era", zap.Uint64("before", before), zap.Uint64("era", now))
+}
+
 // evacuationMetrics returns the metrics of the data centres that are being evacuated.
 func (v *vmProcess) evacuationMetrics() []string {
 	var lines []string
@@ -70,9 +77,9 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	configuration, upstreams := v.site.ConfirmationAges()
-	version, revision := int64(0), int64(0)
+	version, revision := int64(0), contract.Revision(0)
 	if t := v.site.Table(); t != nil {
-		version, revision = t.Version, int64(t.Revision)
+		version, revision = t.Version, t.Revision
 	}
 	open, dialed := v.relay.Connections()
 	resting, leaving := v.relay.CountBackedOff()
@@ -81,7 +88,8 @@
 		line("caller_connections_open", v.callers.OpenConns()),
 		line("caller_connections_turned_away_total", v.callers.RejectedConns.Load()),
 		line("configuration_age_milliseconds", configuration.Milliseconds()),
-		line("configuration_revision", revision),
+		line("configuration_era", revision.Era()),
+		line("configuration_revision", revision.Counter()),
 		line("configuration_version", version),
 		line("connections_open", open),
 		line("connections_opened_total", dialed),
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -133,7 +133,7 @@
 		CapacityUnits: s.Machine.CapacityUnits(),
 	}
 	store := platform.NewStore(s.Store)
-	store.OnCall, store.OnUnreadable = v.countStoreCall, v.recordUnreadableObject
+	store.OnCall, store.OnUnreadable, store.OnEra = v.countStoreCall, v.recordUnreadableObject, v.recordStoreEra
 	v.buildDuties(store, self)
 	v.peers = site.NewPeers(&site.PeersOptions{
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, FirstStart: s.FirstStart, Log: v.log, Now: time.Now,
--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -27,7 +27,7 @@
 	listed := make(map[string]bool, len(c.Items))
 	for _, i := range c.Items {
 		listed[i.Name] = !i.Deleted
-		s.log.Info("evacuation", zap.String("data_centre", i.Name), zap.Bool("taken_back", i.Deleted), zap.Int64("revision", int64(i.Revision)))
+		s.log.Info("evacuation", zap.String("data_centre", i.Name), zap.Bool("taken_back", i.Deleted), zap.Stringer("revision", i.Revision))
 		switch {
 		case i.Deleted:
 			delete(s.activeEvacuations, i.Name)
--- a/site/follow.go
+++ b/site/follow.go
@@ -78,8 +78,10 @@
 	failedCalls int
 	// relist is set when the store no longer has the change history,
 	// so that all objects must be listed again.
-	// Only run and the functions that run calls use relist.
-	relist bool
+	// historyGone is how many watches in a row have found the history gone.
+	// Only run and the functions that run calls use relist and historyGone.
+	relist      bool
+	historyGone int
 
 	// mu guards the fields below. mu is held while changes are applied,
 	// so that changes from the store and from peers take effect one after the other.
@@ -112,7 +114,7 @@
 		f.recordFailedCall()
 		if f.failedCalls == 1 {
 			revision, _ := f.revision()
-			f.log.Warn("store-lost", append(logs.ErrorFields(err), zap.String("kind", f.source.Name()), zap.Int64("revision", int64(revision)))...)
+			f.log.Warn("store-lost", append(logs.ErrorFields(err), zap.String("kind", f.source.Name()), zap.Stringer("revision", revision))...)
 		}
 		clock.Sleep(ctx, retryPause(f.failedCalls, f.rank()))
 	}
@@ -212,13 +214,17 @@
 	c, err := f.source.Watch(ctx, revision, f.watchDuration())
 	f.onStoreCall(err == nil || errors.Is(err, ErrHistoryGone))
 	if errors.Is(err, ErrHistoryGone) {
-		f.log.Info("history-gone", zap.String("kind", f.source.Name()), zap.Int64("revision", int64(revision)))
+		f.log.Info("history-gone", zap.String("kind", f.source.Name()), zap.Stringer("revision", revision))
 		f.relist = true
+		if f.historyGone++; f.historyGone > 1 { // the list did not help
+			clock.Sleep(ctx, retryPause(f.historyGone-1, f.rank()))
+		}
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	f.historyGone = 0
 	f.applyFromStore(c, false)
 	if len(c.Items) > 0 {
 		clock.Sleep(ctx, changeBatchPause)
@@ -301,6 +307,7 @@
 func (f *follower[T]) applyChanges(c Changes[T], full bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.logEraChange(c, full)
 	d := Delta{Full: full, Revision: c.Revision}
 	for _, i := range c.Items {
 		d.Items = append(d.Items, i.RawObject)
@@ -317,6 +324,18 @@
 	}
 }
 
+// logEraChange logs when a list shows that the store has returned from an older copy
+// since the known state. The caller holds mu.
+func (f *follower[T]) logEraChange(c Changes[T], full bool) {
+	revision, known := f.cache.Revision()
+	if !known || !full || c.Revision.Era() == revision.Era() {
+		return
+	}
+	f.count("store_returns_total", "list")
+	f.log.Warn("store-returned", zap.String("kind", f.source.Name()), zap.Stringer("had", revision), zap.Stringer("revision", c.Revision),
+		zap.Int("objects", len(c.Items)), zap.Int("objects_before", f.cache.Count()))
+}
+
 // recordDecodeResult logs and counts when an object can no longer be decoded,
 // when the reason changes and when the object can be decoded again. The caller holds mu.
 func (f *follower[T]) recordDecodeResult(i Item[T]) {
@@ -327,7 +346,7 @@
 	if f.decodeErrors[i.Name] == reason {
 		return
 	}
-	fields := []zap.Field{zap.String("kind", f.source.Name()), zap.String("name", i.Name), zap.Int64("revision", int64(i.Revision))}
+	fields := []zap.Field{zap.String("kind", f.source.Name()), zap.String("name", i.Name), zap.Stringer("revision", i.Revision)}
 	if reason == "" {
 		delete(f.decodeErrors, i.Name)
 		f.log.Info("object-understood", append(fields, zap.Bool("gone", i.Deleted))...)
--- a/site/object_cache.go
+++ b/site/object_cache.go
@@ -63,6 +63,9 @@
 // LastChange returns the revision of the newest known change.
 func (l *ObjectCache) LastChange() contract.Revision { return l.lastChange }
 
+// Count returns the number of objects.
+func (l *ObjectCache) Count() int { return len(l.items) }
+
 // Apply applies a delta. Objects older than the known ones change nothing,
 // so deltas may arrive late, twice and from several VMs.
 // For each item, Apply reports whether the item is at least as new as the known state.
--- a/site/orders.go
+++ b/site/orders.go
@@ -21,7 +21,7 @@
 		o := i.Value
 		o.IssuedAt = issuedAt(o, s.opts.Now())
 		s.log.Info("order", zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.Duration("length", o.Duration),
-			zap.String("state", string(o.State)), zap.Duration("age", s.opts.Now().Sub(o.IssuedAt).Round(time.Millisecond)), zap.Int64("revision", int64(o.Revision)))
+			zap.String("state", string(o.State)), zap.Duration("age", s.opts.Now().Sub(o.IssuedAt).Round(time.Millisecond)), zap.Stringer("revision", o.Revision))
 		s.opts.Relay.SetOrder(o)
 	}
 }
@@ -103,7 +103,7 @@
 	err := s.opts.WriteRolloutStatus(ctx, o, v.State)
 	fields := []zap.Field{
 		zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.String("state", string(v.State)),
-		zap.Int64("revision", int64(o.Revision)), zap.Int64("trial_good", v.Canary.Good), zap.Int64("trial_bad", v.Canary.Bad),
+		zap.Stringer("revision", o.Revision), zap.Int64("trial_good", v.Canary.Good), zap.Int64("trial_bad", v.Canary.Bad),
 		zap.Int64("others_good", v.Others.Good), zap.Int64("others_bad", v.Others.Bad),
 	}
 	if err != nil {
--- a/site/replicate.go
+++ b/site/replicate.go
@@ -76,8 +76,8 @@
 		}
 		c.Items = append(c.Items, i)
 	}
-	f.log.Info("told-by-peer", zap.String("kind", d.Kind), zap.String("peer", from), zap.Int64("had", int64(revision)),
-		zap.Int64("revision", int64(d.Revision)), zap.Int("objects", len(d.Items)), zap.Bool("full", d.Full))
+	f.log.Info("told-by-peer", zap.String("kind", d.Kind), zap.String("peer", from), zap.Stringer("had", revision),
+		zap.Stringer("revision", d.Revision), zap.Int("objects", len(d.Items)), zap.Bool("full", d.Full))
 	if status.Age < storeReachableWithin {
 		f.onStoreCall(true)
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -246,7 +246,7 @@
 		return
 	}
 	s.table.Store(t)
-	s.log.Info("configuration", zap.Int64("version", t.Version), zap.Int64("revision", int64(t.Revision)),
+	s.log.Info("configuration", zap.Int64("version", t.Version), zap.Stringer("revision", t.Revision),
 		zap.String("from", from), zap.Int("routes", t.CountRoutes()))
 	s.pushUpstreams()
 	s.signalIfReady()
@@ -300,7 +300,7 @@
 		}
 		s.log.Info("upstream", zap.String("upstream", i.Name), zap.Bool("gone", i.Deleted), zap.Bool("leaving", i.Value.Leaving),
 			zap.String("service", string(i.Value.Service)), zap.String("release", i.Value.Release),
-			zap.String("address", i.Value.Address), zap.Int64("revision", int64(i.Revision)))
+			zap.String("address", i.Value.Address), zap.Stringer("revision", i.Revision))
 	}
 	if s.upstreamList.Apply(c, full, s.opts.Now()) {
 		s.pushUpstreams()
--- a/site/upstream_list_test.go
+++ b/site/upstream_list_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,25 +118,28 @@
 	return out
 }
 
-// TestObjectCachesConverge sends deltas between three caches, late, twice and in any order.
+// TestObjectCachesConverge sends deltas between three caches, late, twice and in any order,
+// while the store now and then returns from an older copy and gives out revisions again.
 // A cache that knows the newest revision must hold what the store holds.
 func TestObjectCachesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := map[string]RawObject{}
-		var log []RawObject
-		revision := contract.Revision(0)
+		store, backup := map[string]RawObject{}, map[string]RawObject{}
+		var log, backupLog []RawObject
+		era := uint64(1)
+		revision := contract.NewRevision(era, 0)
+		backupCounter := revision.Counter()
 		caches := []*ObjectCache{NewObjectCache("k"), NewObjectCache("k"), NewObjectCache("k")}
 		var sent []Delta
 		full := func() Delta {
 			d := Delta{Kind: "k", Full: true, Revision: revision}
 			for _, r := range store {
-				d.Items = append(d.Items, r)
+				d.Items = append(d.Items, inEra(r, era))
 			}
 			return d
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			l := caches[rapid.IntRange(0, 2).Draw(t, "vm")]
-			switch rapid.SampledFrom([]string{"put", "delete", "list", "watch", "send", "resend"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"put", "delete", "list", "watch", "send", "resend", "backup", "restore"}).Draw(t, "event") {
 			case "put":
 				revision++
 				r := RawObject{Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), Revision: revision}
@@ -147,17 +152,22 @@
 					delete(store, name)
 					log = append(log, RawObject{Name: name, Revision: revision, Deleted: true})
 				}
+			case "backup":
+				backup, backupLog, backupCounter = maps.Clone(store), slices.Clone(log), revision.Counter()
+			case "restore":
+				era++
+				store, log, revision = maps.Clone(backup), slices.Clone(backupLog), contract.NewRevision(era, backupCounter)
 			case "list":
 				l.Apply(full())
 			case "watch":
 				at, known := l.Revision()
-				if !known {
+				if !known || at.Era() != era {
 					continue
 				}
 				d := Delta{Kind: "k", Revision: revision}
 				for _, r := range log {
-					if r.Revision > at {
-						d.Items = append(d.Items, r)
+					if inEra(r, era).Revision > at {
+						d.Items = append(d.Items, inEra(r, era))
 					}
 				}
 				l.Apply(d)
@@ -191,7 +201,7 @@
 				t.Fatalf("cache holds %v, store holds %v", got.Items, store)
 			}
 			for _, r := range got.Items {
-				if store[r.Name].Revision != r.Revision {
+				if inEra(store[r.Name], era).Revision != r.Revision {
 					t.Fatalf("cache holds %v, store holds %v", r, store[r.Name])
 				}
 			}
@@ -199,6 +209,12 @@
 	})
 }
 
+// inEra returns an object as the store returns it in an era.
+func inEra(r RawObject, era uint64) RawObject {
+	r.Revision = contract.NewRevision(era, r.Revision.Counter())
+	return r
+}
+
 // TestStaleDeltaDoesNotRestoreObject checks that a delta from before a removal does not
 // restore the object, and that a later list from the store does.
 func TestStaleDeltaDoesNotRestoreObject(t *testing.T) {
