site: a configuration gives way to a later version only

Cause: once revisions count the era, an older version that the store holds again, or that the operator writes again on the way to the newest, has a later revision than the configuration in force, and would have replaced it: a revoked key would be taken again, a new route refused. Change: the operator's own version decides, which rises; a line names what is kept.

--- a/site/site.go
+++ b/site/site.go
@@ -236,13 +236,19 @@
 	}
 }
 
-// setTable puts a configuration in force unless the current one has the same or a later revision.
-// Stale reads, late responses and peers that lag behind therefore change nothing.
+// setTable puts a configuration in force unless the current one has the same or a later version.
+// Stale reads, late responses and peers that lag behind therefore change nothing. The operator's
+// version decides and not the revision, because a store that has returned from an older copy
+// holds an older version under a later revision until the operator has written again.
 func (s *Site) setTable(t *route.Table, from string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.table.Load()
-	if old != nil && old.Revision >= t.Revision {
+	if old != nil && old.Version >= t.Version {
+		if old.Version > t.Version {
+			s.log.Warn("configuration-kept", zap.Int64("version", old.Version), zap.Stringer("revision", old.Revision),
+				zap.Int64("older_version", t.Version), zap.Stringer("older_revision", t.Revision), zap.String("from", from))
+		}
 		return
 	}
 	s.table.Store(t)
