site: what upstreams have said outlasts a store that returns older

An older copy lists an upstream as ready that has said that it leaves, lists one again that is gone, and lacks those that registered since the copy was made. Callers would reach upstreams that drain, or find too few. Change: an upstream that leaves goes on leaving for this life; one that was removed within the last minute stays out until its entry changes, or for 5 s; one that is missing is used for 2.3 s more, as after an outage. Evidence: TestLeavingOutlastsStoreReturn, TestRemovalOutlastsStoreReturn and TestMissingAfterStoreReturnIsKept; without the change the list of the later era replaces the known one, by the code before.

--- a/site/site.go
+++ b/site/site.go
@@ -308,9 +308,14 @@
 			zap.String("service", string(i.Value.Service)), zap.String("release", i.Value.Release),
 			zap.String("address", i.Value.Address), zap.Stringer("revision", i.Revision))
 	}
+	eraBefore := s.upstreamList.Era()
 	if s.upstreamList.Apply(c, full, s.opts.Now()) {
 		s.pushUpstreams()
 	}
+	if era := s.upstreamList.Era(); eraBefore != 0 && era != eraBefore {
+		missing, held := s.upstreamList.CountUncertain()
+		s.log.Warn("upstreams-uncertain", zap.Uint64("era", era), zap.Int("listed", len(c.Items)), zap.Int("kept", missing), zap.Int("kept_out", held))
+	}
 	s.signalIfReady()
 }
 
--- a/site/upstream_list.go
+++ b/site/upstream_list.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"time"
 
 	"woaddoor/contract"
@@ -15,8 +16,19 @@
 // An entry that is missing after an outage of the store may only have lapsed:
 // live upstreams register again within about two seconds,
 // and keep receiving requests until they have registered.
+//
+// A store that has returned from an older copy lists the upstreams as they once were.
+// An upstream that is missing may have registered since the copy, as after an outage.
+// An upstream that has said that it leaves stays leaving, and one that was removed
+// stays out until its entry changes or outlasts removedHold.
 type UpstreamList struct {
 	entries map[contract.UpstreamID]listedEntry
+	// era is the era of the store to which the list belongs.
+	era uint64
+	// removed holds the upstreams that were removed lately, and held those of them
+	// that an older copy lists again.
+	removed map[contract.UpstreamID]removedEntry
+	held    map[contract.UpstreamID]heldEntry
 	// storeUnreachable is set while the store does not respond.
 	// storeBackAt is the time at which the store last responded again after an outage.
 	storeUnreachable bool
@@ -33,8 +45,32 @@
 	revision contract.Revision
 	// expiresAt is set while the entry is missing after an outage.
 	expiresAt time.Time
+	// keepLeaving is set if the upstream was known to leave before the store returned
+	// from an older copy. It then leaves whatever later entries of this life say.
+	keepLeaving bool
+}
+
+// removedEntry is an entry that was removed: the upstream's life, and when the removal was learned.
+type removedEntry struct {
+	incarnation int64
+	at          time.Time
 }
 
+// heldEntry is an entry from an older copy of the store of an upstream that was removed.
+type heldEntry struct {
+	item  Item[upstream.Entry]
+	until time.Time
+}
+
+const (
+	// removedMemory is how long a removal is remembered. Copies of the store are some seconds old.
+	removedMemory = time.Minute
+	// removedHold is how long an upstream that was removed is kept out
+	// after an older copy of the store lists it again.
+	// The store drops the entry of an upstream that is gone within three heartbeats, 3.6 s.
+	removedHold = 5 * time.Second
+)
+
 // lapseGracePeriod is how long a lapsed entry (missing after an outage of the store) is kept
 // after the store's recovery. Live upstreams register again within about two seconds.
 const lapseGracePeriod = 2300 * time.Millisecond
@@ -43,6 +79,7 @@
 func NewUpstreamList() *UpstreamList {
 	return &UpstreamList{
 		entries: make(map[contract.UpstreamID]listedEntry), lapsed: make(map[contract.UpstreamID]bool), changed: make(map[contract.UpstreamID]bool),
+		removed: make(map[contract.UpstreamID]removedEntry), held: make(map[contract.UpstreamID]heldEntry),
 	}
 }
 
@@ -61,10 +98,15 @@
 // and reports whether the upstreams to choose from have changed.
 func (l *UpstreamList) Apply(c Changes[upstream.Entry], full bool, now time.Time) bool {
 	changed := false
+	returned := l.beginEra(c.Revision.Era(), now)
 	seen := make(map[contract.UpstreamID]bool, len(c.Items))
 	for _, i := range c.Items {
 		id := contract.UpstreamID(i.Name)
 		seen[id] = !i.Deleted
+		if returned && l.hold(i, now) || l.isHeld(i) {
+			continue
+		}
+		delete(l.held, id)
 		switch {
 		case i.Deleted && l.entries[id].revision > c.Revision: // the upstream has registered again since
 		case i.Deleted:
@@ -72,7 +114,7 @@
 		case i.Err == nil:
 			changed = l.put(i) || changed
 		default:
-			changed = l.dropMalformed(id) || changed
+			changed = l.dropMalformed(id, now) || changed
 		}
 	}
 	if !full {
@@ -86,12 +128,47 @@
 	return changed
 }
 
+// beginEra records the era of a list, and reports whether the store
+// has returned from an older copy since the known list.
+func (l *UpstreamList) beginEra(era uint64, now time.Time) bool {
+	before := l.era
+	l.era = max(era, before)
+	if before == 0 || era <= before {
+		return false
+	}
+	l.storeBackAt = now // upstreams that registered since the copy register again
+	return true
+}
+
+// hold keeps an upstream out that was removed and that an older copy of the store lists again.
+// hold reports whether it did. Another life of the upstream is not held.
+func (l *UpstreamList) hold(i Item[upstream.Entry], now time.Time) bool {
+	id := contract.UpstreamID(i.Name)
+	removed, ok := l.removed[id]
+	if _, exists := l.entries[id]; !ok || exists || i.Err != nil || now.Sub(removed.at) > removedMemory || removed.incarnation != i.Value.Incarnation {
+		return false
+	}
+	l.held[id] = heldEntry{i, now.Add(removedHold)}
+	return true
+}
+
+// isHeld reports whether an item is the entry that is already kept out.
+func (l *UpstreamList) isHeld(i Item[upstream.Entry]) bool {
+	h, ok := l.held[contract.UpstreamID(i.Name)]
+	return ok && !i.Deleted && i.Revision == h.item.Revision
+}
+
 func (l *UpstreamList) put(i Item[upstream.Entry]) bool {
 	old, exists := l.entries[i.Value.ID]
 	if exists && i.Revision < old.revision {
 		return false
 	}
-	l.entries[i.Value.ID] = listedEntry{Entry: i.Value, revision: i.Revision}
+	// An upstream does not come back once it leaves: an older copy or what is written again
+	// on its way to the newest state says less.
+	keepLeaving := exists && old.Leaving && old.Incarnation == i.Value.Incarnation && (old.keepLeaving || i.Revision.Era() > old.revision.Era())
+	i.Value.Leaving = i.Value.Leaving || keepLeaving
+	l.entries[i.Value.ID] = listedEntry{Entry: i.Value, revision: i.Revision, keepLeaving: keepLeaving}
+	delete(l.removed, i.Value.ID)
 	delete(l.lapsed, i.Value.ID)
 	old.Revision = i.Value.Revision // a new revision alone changes nothing unless the upstream is cold
 	if exists && old.Entry == i.Value && i.Value.Cold == 0 {
@@ -119,44 +196,65 @@
 		}
 		return false
 	}
-	l.delete(id)
+	l.delete(id, now)
 	return true
 }
 
-func (l *UpstreamList) delete(id contract.UpstreamID) {
+func (l *UpstreamList) delete(id contract.UpstreamID, now time.Time) {
+	l.removed[id] = removedEntry{l.entries[id].Incarnation, now}
 	delete(l.entries, id)
 	delete(l.lapsed, id)
 	l.changed[id] = true
 }
 
+// Era returns the era of the store to which the list belongs, or zero before the first list.
+func (l *UpstreamList) Era() uint64 { return l.era }
+
+// CountUncertain returns how many entries are kept although the list lacks them,
+// and how many are kept out although the list has them.
+func (l *UpstreamList) CountUncertain() (missing, held int) { return len(l.lapsed), len(l.held) }
+
 // IsUnchanged reports whether an item equals the known entry.
-// A list that is received again holds thousands of such unchanged items.
+// A list that is received again holds thousands of such unchanged items,
+// under other revisions if the store has returned from an older copy.
 func (l *UpstreamList) IsUnchanged(i Item[upstream.Entry]) bool {
 	e, exists := l.entries[contract.UpstreamID(i.Name)]
-	return exists && !i.Deleted && i.Err == nil && e.revision == i.Revision && e.expiresAt.IsZero()
+	if !exists || i.Deleted || i.Err != nil || !e.expiresAt.IsZero() {
+		return false
+	}
+	e.Revision = i.Value.Revision
+	return e.revision == i.Revision || e.Entry == i.Value
 }
 
 // dropMalformed removes an entry that can no longer be decoded.
 // Another program may have written the malformed entry,
 // so the entry names no usable upstream and is not kept like a lapsed entry.
-func (l *UpstreamList) dropMalformed(id contract.UpstreamID) bool {
+func (l *UpstreamList) dropMalformed(id contract.UpstreamID, now time.Time) bool {
 	_, exists := l.entries[id]
 	if exists {
-		l.delete(id)
+		l.delete(id, now)
 	}
 	return exists
 }
 
-// Expire removes the entries that did not return after an outage,
-// and reports whether any entries were removed.
+// Expire removes the entries that did not return after an outage, and admits those
+// that an older copy of the store listed and that are still there.
+// Expire reports whether the upstreams to choose from have changed.
 func (l *UpstreamList) Expire(now time.Time) bool {
 	changed := false
 	for id := range l.lapsed {
 		if !now.Before(l.entries[id].expiresAt) {
-			l.delete(id)
+			l.delete(id, now)
 			changed = true
 		}
 	}
+	for id, h := range l.held {
+		if !now.Before(h.until) {
+			delete(l.held, id)
+			changed = l.put(h.item) || changed
+		}
+	}
+	maps.DeleteFunc(l.removed, func(_ contract.UpstreamID, r removedEntry) bool { return now.Sub(r.at) > removedMemory })
 	return changed
 }
 
--- a/site/upstream_list_test.go
+++ b/site/upstream_list_test.go
@@ -89,6 +89,69 @@
 }
 func (rejectingSource) Decode(RawObject) (upstream.Entry, error) { return upstream.Entry{}, nil }
 
+// upstreamItem returns an entry of an upstream as the store lists it in an era.
+func upstreamItem(id string, era, counter uint64, leaving bool) Item[upstream.Entry] {
+	i := entry(id)
+	i.Revision = contract.NewRevision(era, counter)
+	i.Value.Leaving, i.Value.Revision = leaving, i.Revision
+	return i
+}
+
+// listInEra returns a full list of an era.
+func listInEra(era, counter uint64, items ...Item[upstream.Entry]) Changes[upstream.Entry] {
+	return Changes[upstream.Entry]{Items: items, Revision: contract.NewRevision(era, counter)}
+}
+
+// TestLeavingOutlastsStoreReturn: an older copy of the store lists an upstream as ready that has
+// said that it leaves.
+func TestLeavingOutlastsStoreReturn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := NewUpstreamList()
+	l.Apply(listInEra(1, 9, upstreamItem("a", 1, 9, true)), true, now)
+	l.Apply(listInEra(2, 5, upstreamItem("a", 2, 4, false)), true, now)
+	is.True(l.Entries()[0].Leaving)
+	l.Apply(listInEra(2, 6, upstreamItem("a", 2, 6, false)), false, now) // written again on its way to the newest state
+	is.True(l.Entries()[0].Leaving)
+	restarted := upstreamItem("a", 2, 7, false)
+	restarted.Value.Incarnation = 2
+	l.Apply(listInEra(2, 7, restarted), false, now)
+	is.True(!l.Entries()[0].Leaving)
+}
+
+// TestRemovalOutlastsStoreReturn: an older copy of the store lists an upstream that is gone.
+func TestRemovalOutlastsStoreReturn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := NewUpstreamList()
+	l.Apply(listInEra(1, 8, upstreamItem("a", 1, 3, false), upstreamItem("b", 1, 4, false)), true, now)
+	l.Apply(listInEra(1, 9), true, now)
+	is.Equal(len(l.Entries()), 0)
+	copied := listInEra(2, 5, upstreamItem("a", 2, 3, false), upstreamItem("b", 2, 4, false))
+	l.Apply(copied, true, now)
+	l.Apply(copied, true, now) // listed once more
+	is.Equal(len(l.Entries()), 0)
+	l.Apply(listInEra(2, 6, upstreamItem("b", 2, 6, false)), false, now) // b has written its entry
+	is.Equal(l.Entries()[0].ID, contract.UpstreamID("b"))
+	is.True(!l.Expire(now.Add(removedHold - time.Millisecond)))
+	is.True(l.Expire(now.Add(removedHold))) // a is still listed
+	is.Equal(len(l.Entries()), 2)
+}
+
+// TestMissingAfterStoreReturnIsKept: an upstream that registered after the copy was made is not
+// listed until it registers again.
+func TestMissingAfterStoreReturnIsKept(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := NewUpstreamList()
+	l.Apply(listInEra(1, 9, upstreamItem("a", 1, 9, false), upstreamItem("leaving", 1, 8, true)), true, now)
+	l.Apply(listInEra(2, 5), true, now)
+	is.Equal(len(l.Entries()), 1)
+	is.True(!l.Expire(now.Add(lapseGracePeriod - time.Millisecond)))
+	is.True(l.Expire(now.Add(lapseGracePeriod)))
+	is.Equal(len(l.Entries()), 0)
+}
+
 // TestPeerConfirmationEndsOutage checks that a confirmation from a peer ends the outage
 // for a VM whose own calls the store rejected. Otherwise it would treat every later
 // removal as a lapse.
