rollout, relay: a release order that has ended stays ended when the store returns older

A rollout that was rolled back was open again, and a bad release would have got requests; an older copy that holds the order before the current one would have replaced it, and the current trial would have begun anew once it was written again. Change: a final state stays and is written again, by rank as the first time (the delay counts anew in each era); an order that the current one had replaced does not come back from a copy. Evidence: TestRolledBackOutlastsStoreReturn, TestEarlierOrderDoesNotReturn.

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -142,7 +142,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.quarantineCases.RemovedFromStore(p, at, r.opts.Now()) {
-		r.log.Info("request-released", zap.Stringer("print", p), zap.Int64("revision", int64(at)))
+		r.log.Info("request-released", zap.Stringer("print", p), zap.Stringer("revision", at))
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -123,6 +123,9 @@
 	// because all upstreams of the service were at their rate limits.
 	retrySchedules map[contract.ServiceID]*retry.RetryScheduler
 	canaries       map[contract.ServiceID]*rollout.Canary
+	// pastOrders holds, for each rollout order that another one has replaced,
+	// the number of its last change in the store.
+	pastOrders map[orderKey]uint64
 	// rolledBack holds the releases found to be bad, by service.
 	// Upstreams of a bad release drain;
 	// a later rollout order for another release does not return these upstreams to service.
@@ -172,6 +175,7 @@
 		retryBudgets:      make(map[contract.ServiceID]*retry.ResendWindow),
 		retrySchedules:    make(map[contract.ServiceID]*retry.RetryScheduler),
 		canaries:          make(map[contract.ServiceID]*rollout.Canary),
+		pastOrders:        make(map[orderKey]uint64),
 		rolledBack:        make(map[contract.ServiceID]map[string]bool),
 		completedReleases: make(map[contract.ServiceID]string),
 		latencies:         make(map[string]*latencyStats),
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"woaddoor/contract"
 	"woaddoor/rollout"
 	"woaddoor/upstream"
@@ -16,14 +18,36 @@
 	if canary != nil && canary.Order().Revision > o.Revision {
 		return // a late update of an earlier rollout order
 	}
-	r.recordOrderState(o)
 	if canary != nil && canary.Order().Release == o.Release {
 		canary.Update(o)
+		r.recordOrderState(canary.Order())
 		return
 	}
+	if canary != nil && r.isEarlierOrder(o, canary.Order()) {
+		r.log.Warn("order-kept", zap.String("service", string(o.Service)), zap.String("release", canary.Order().Release),
+			zap.String("older_release", o.Release), zap.Stringer("older_revision", o.Revision))
+		return
+	}
+	if canary != nil {
+		r.pastOrders[orderKey{o.Service, canary.Order().Release}] = canary.Order().Revision.Counter()
+	}
+	r.recordOrderState(o)
 	r.canaries[o.Service] = rollout.NewCanary(o, r.opts.CanaryShare, r.opts.Now())
 }
 
+// orderKey identifies a rollout order.
+type orderKey struct {
+	service contract.ServiceID
+	release string
+}
+
+// isEarlierOrder reports whether an order is one that the current order had replaced
+// before the store returned from an older copy. The caller holds mu.
+func (r *Relay) isEarlierOrder(o, current rollout.ReleaseOrder) bool {
+	lastCounter, known := r.pastOrders[orderKey{o.Service, o.Release}]
+	return known && o.Revision.Era() > current.Revision.Era() && o.Revision.Counter() <= lastCounter
+}
+
 // recordOrderState records whether the release of a rollout order is rolled back,
 // completed, or still being rolled out.
 // The caller holds mu.
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -108,6 +108,9 @@
 	received   Evidence
 	dataCentre contract.DataCentreID // data centre of this VM; empty until the first evidence is received
 	bad        bool                  // whether the release counts as bad
+	// rewrite is set if the store has lost the final state of the order,
+	// so that the state must be written again.
+	rewrite bool
 }
 
 // Parameters of the statistical test. A release is bad if its failure rate exceeds the acceptable
@@ -138,10 +141,18 @@
 func (c *Canary) Order() ReleaseOrder { return c.order }
 
 // Update replaces the release rollout by a newer state of the same rollout.
+// A rollout that has ended stays ended: if the store has returned from an older copy in which
+// the rollout is open, its final state has to be written again.
 func (c *Canary) Update(o ReleaseOrder) {
 	issued := c.order.IssuedAt // measured on this VM's clock, which does not jump
+	ended := c.order.State
+	returned := o.Revision.Era() > c.order.Revision.Era()
+	c.rewrite = o.State == OrderOpen && ended != OrderOpen && (returned || c.rewrite)
 	c.order = o
 	c.order.IssuedAt = issued
+	if c.rewrite {
+		c.order.State = ended
+	}
 }
 
 // elapsedFraction returns the elapsed time as a fraction of the rollout's duration,
@@ -393,7 +404,7 @@
 func (c *Canary) NextState(now time.Time) (OrderState, bool) {
 	switch {
 	case c.order.State != OrderOpen:
-		return c.order.State, false
+		return c.order.State, c.rewrite
 	case c.bad:
 		return OrderRolledBack, true
 	case c.lacksTrialResults():
--- a/site/orders.go
+++ b/site/orders.go
@@ -38,7 +38,11 @@
 }
 
 // writeKey identifies a write to the store by the object and its new state.
-type writeKey struct{ object, state string }
+// A write that the store has lost is due anew in the store's next era.
+type writeKey struct {
+	object, state string
+	era           uint64
+}
 
 // pendingWrite is a write to the store that this VM makes
 // unless another VM makes the same write first.
@@ -93,7 +97,7 @@
 // to the store once this VM's write delay has passed.
 func (s *Site) writeOrderState(ctx context.Context, v relay.Verdict) {
 	now := s.opts.Now()
-	if !s.mayWrite(s.orderWrites, writeKey{v.Order.Name + "|" + v.Order.Release, string(v.State)}, now) {
+	if !s.mayWrite(s.orderWrites, writeKey{v.Order.Name + "|" + v.Order.Release, string(v.State), v.Order.Revision.Era()}, now) {
 		return
 	}
 	o := v.Order
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -71,12 +71,12 @@
 func (s *Site) writeQuarantineUpdates(ctx context.Context, pending map[writeKey]*pendingWrite) {
 	changes := s.opts.Relay.QuarantineUpdates()
 	for _, content := range changes.Add {
-		if s.mayWrite(pending, writeKey{content.Fingerprint.String(), stateQuarantined}, s.opts.Now()) {
+		if s.mayWrite(pending, writeKey{content.Fingerprint.String(), stateQuarantined, content.Revision.Era()}, s.opts.Now()) {
 			s.logQuarantineWrite(content, stateQuarantined, s.opts.QuarantineStore.PutQuarantined(ctx, content))
 		}
 	}
 	for _, content := range changes.Remove {
-		if s.mayWrite(pending, writeKey{content.Fingerprint.String(), stateCleared}, s.opts.Now()) {
+		if s.mayWrite(pending, writeKey{content.Fingerprint.String(), stateCleared, content.Revision.Era()}, s.opts.Now()) {
 			s.logQuarantineWrite(content, stateCleared, s.opts.QuarantineStore.DeleteQuarantined(ctx, content.Fingerprint))
 		}
 	}
