site: an evacuation outlasts a store that returns older

Evidence: TestEvacuationOutlastsStoreReturn; before, the first list of the era ended both evacuations.

--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,13 +18,23 @@
 type activeEvacuation struct {
 	Evacuation
 	revision contract.Revision
+	// expiresAt is set while an older copy of the store lacks the evacuation.
+	expiresAt time.Time
 }
 
+// evacuationHold is how long an evacuation stays in force that is missing
+// in an older copy of the store. Its author writes it again, as upstreams do.
+const evacuationHold = lapseGracePeriod
+
 // applyEvacuations updates which data centres are evacuated. An evacuation ends only
-// when the store reports the object of the evacuation deleted, not when the store is unreachable.
+// when the store reports the object of the evacuation deleted, not when the store is unreachable,
+// and not at once when the store has returned from an older copy.
 func (s *Site) applyEvacuations(c Changes[Evacuation], full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	era := c.Revision.Era()
+	returned := full && s.evacuationsEra != 0 && era > s.evacuationsEra
+	s.evacuationsEra = max(s.evacuationsEra, era)
 	listed := make(map[string]bool, len(c.Items))
 	for _, i := range c.Items {
 		listed[i.Name] = !i.Deleted
@@ -32,12 +43,35 @@
 		case i.Deleted:
 			delete(s.activeEvacuations, i.Name)
 		case i.Err == nil:
-			s.activeEvacuations[i.Name] = activeEvacuation{i.Value, i.Revision}
+			s.activeEvacuations[i.Name] = activeEvacuation{Evacuation: i.Value, revision: i.Revision}
+		}
+	}
+	for name, e := range s.activeEvacuations {
+		switch {
+		case !full || listed[name] || e.revision > c.Revision: // an evacuation requested after the list was made is not in the list
+		case returned:
+			e.expiresAt = s.opts.Now().Add(evacuationHold)
+			s.activeEvacuations[name] = e
+		case e.expiresAt.IsZero():
+			delete(s.activeEvacuations, name)
 		}
 	}
-	if full { // an evacuation requested after the list was made is not in the list
-		maps.DeleteFunc(s.activeEvacuations, func(name string, e activeEvacuation) bool { return !listed[name] && e.revision <= c.Revision })
+	s.setEvacuated()
+}
+
+// expireEvacuations ends the evacuations that were not written again
+// after the store returned from an older copy. The caller holds mu.
+func (s *Site) expireEvacuations() {
+	before := len(s.activeEvacuations)
+	now := s.opts.Now()
+	maps.DeleteFunc(s.activeEvacuations, func(_ string, e activeEvacuation) bool { return !e.expiresAt.IsZero() && !now.Before(e.expiresAt) })
+	if len(s.activeEvacuations) != before {
+		s.setEvacuated()
 	}
+}
+
+// setEvacuated tells the relay which data centres are evacuated. The caller holds mu.
+func (s *Site) setEvacuated() {
 	var dataCentres []contract.DataCentreID
 	for _, e := range s.activeEvacuations {
 		dataCentres = append(dataCentres, e.DataCentre)
--- a/site/evacuations_test.go
+++ b/site/evacuations_test.go
@@ -38,6 +38,27 @@
 	is.Equal(got[0].DataCentre, contract.DataCentreID("e"))
 }
 
+// TestEvacuationOutlastsStoreReturn: an older copy of the store lacks an evacuation that is in
+// force, and its data centre would have got requests until it was written again.
+func TestEvacuationOutlastsStoreReturn(t *testing.T) {
+	is := is.New(t)
+	s := testSite()
+	now := time.Unix(1000, 0)
+	s.opts.Now = func() time.Time { return now }
+	apply := func(revision contract.Revision, items ...Item[Evacuation]) {
+		s.applyEvacuations(Changes[Evacuation]{Items: items, Revision: revision}, true)
+	}
+	apply(contract.NewRevision(1, 9), evacuationItem("d1", contract.NewRevision(1, 9)), evacuationItem("d2", contract.NewRevision(1, 8)))
+	apply(contract.NewRevision(2, 5))
+	apply(contract.NewRevision(2, 5)) // listed once more
+	is.Equal(len(s.activeEvacuations), 2)
+	s.applyEvacuations(Changes[Evacuation]{Items: []Item[Evacuation]{evacuationItem("d1", contract.NewRevision(2, 6))}, Revision: contract.NewRevision(2, 6)}, false)
+	now = now.Add(evacuationHold)
+	s.expireEvacuations()
+	is.Equal(len(s.activeEvacuations), 1)
+	is.Equal(s.activeEvacuations["d1"].revision, contract.NewRevision(2, 6))
+}
+
 // TestMalformedObjectIsLoggedOnce checks that an object that cannot be decoded is logged
 // once, and once more when it can be decoded again. Another program may write such an
 // object often.
--- a/site/site.go
+++ b/site/site.go
@@ -82,7 +82,9 @@
 	partial     bool
 	pushedTable *route.Table
 	// activeEvacuations holds the evacuations in force by object name.
+	// evacuationsEra is the era of the store to which the known evacuations belong.
 	activeEvacuations map[string]activeEvacuation
+	evacuationsEra    uint64
 }
 
 // New returns a Site without any state.
@@ -339,6 +341,7 @@
 		if s.upstreamList.Expire(s.opts.Now()) {
 			s.pushUpstreams()
 		}
+		s.expireEvacuations()
 		s.mu.Unlock()
 		s.opts.Relay.Refresh()
 		for _, v := range s.opts.Relay.Verdicts() {
