quarantine: what is known of a content outlasts a store that returns older

The first list of an era released each quarantined content that it lacked, so it could have crashed upstreams again, and quarantined again what had been cleared since. Change: on the first list of an era both differ from the store and are written again; granted trials still count on this VM. Evidence: TestQuarantineOutlastsStoreReturn. Left: a VM that starts after the return learns the number of trials from the copy.

--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -63,6 +63,30 @@
 	return true
 }
 
+// ReplaceStored records which contents the platform's object store contains as of a revision,
+// after it has returned from an older copy. What this VM knows of a content outlasts the return:
+// a quarantined content that the copy lacks, and a cleared one that the copy still contains,
+// differ from the store again and are written again.
+func (t *Table) ReplaceStored(stored []QuarantinedContent, at contract.Revision, now time.Time) {
+	listed := make(map[Fingerprint]bool, len(stored))
+	for _, h := range stored {
+		listed[h.Fingerprint] = true
+		c := t.records[h.Fingerprint]
+		if c == nil || c.storeRevision == 0 { // never seen in the store
+			t.SetStored(h, now)
+			continue
+		}
+		c.storeRevision = h.Revision
+		t.setInStore(c, true)
+		c.trials.count = max(c.trials.count, h.Trials)
+	}
+	for _, p := range t.StoredExcept(listed) {
+		c := t.records[p]
+		c.storeRevision = at
+		t.setInStore(c, false)
+	}
+}
+
 // StoredExcept returns the request contents that this VM believes to be in the platform's
 // object store, but that are missing from the given set.
 func (t *Table) StoredExcept(in map[Fingerprint]bool) []Fingerprint {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -231,3 +231,28 @@
 	is.True(!table.RemovedFromStore(p, 8, at(11))) // already cleared
 	is.Equal(len(table.ToDelete()), 0)
 }
+
+// TestQuarantineOutlastsStoreReturn: an older copy of the store lacks a content that is
+// quarantined and contains one that was cleared since.
+func TestQuarantineOutlastsStoreReturn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	content := func(print byte, era, counter uint64) QuarantinedContent {
+		return QuarantinedContent{Fingerprint: Fingerprint{print}, Trials: int(print), Revision: contract.NewRevision(era, counter)}
+	}
+	table := NewTable()
+	for print := byte(0); print < 3; print++ {
+		table.SetStored(content(print, 1, 5), now)
+	}
+	is.True(table.RemovedFromStore(Fingerprint{1}, contract.NewRevision(1, 8), now)) // released by the operator
+	copied := content(2, 2, 5)
+	copied.Trials = 0
+	table.ReplaceStored([]QuarantinedContent{content(1, 2, 5), copied}, contract.NewRevision(2, 6), now)
+	is.Equal(len(table.ToStore()), 1) // the one that the copy lacks
+	is.Equal(table.ToStore()[0].Fingerprint, Fingerprint{0})
+	is.Equal(len(table.ToDelete()), 1) // the one that was released
+	is.Equal(table.ToDelete()[0].Fingerprint, Fingerprint{1})
+	is.True(table.Blocks(Fingerprint{0}, now))
+	is.True(!table.Blocks(Fingerprint{1}, now))
+	is.Equal(table.Record(Fingerprint{2}).stored().Trials, 2) // trials that were granted still count
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -136,6 +136,14 @@
 	r.quarantineCases.SetStored(h, r.opts.Now())
 }
 
+// ReplaceQuarantined records which content is marked as quarantined in the platform's
+// object store after the store has returned from an older copy.
+func (r *Relay) ReplaceQuarantined(stored []quarantine.QuarantinedContent, at contract.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantineCases.ReplaceStored(stored, at, r.opts.Now())
+}
+
 // RemoveQuarantined records that content is no longer marked as quarantined
 // in the platform's object store, as of a revision of the store.
 func (r *Relay) RemoveQuarantined(p quarantine.Fingerprint, at contract.Revision) {
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/clock"
+	"woaddoor/contract"
 	"woaddoor/logs"
 	"woaddoor/quarantine"
 )
@@ -32,6 +33,7 @@
 
 // applyQuarantined applies the quarantined request contents in the store to the relay.
 func (s *Site) applyQuarantined(c Changes[quarantine.QuarantinedContent], full bool) {
+	var contents []quarantine.QuarantinedContent
 	stored := make(map[quarantine.Fingerprint]bool, len(c.Items))
 	for _, i := range c.Items {
 		fingerprint, err := quarantine.ParseFingerprint(i.Name)
@@ -44,9 +46,16 @@
 			stored[fingerprint] = true
 			content := i.Value
 			content.Revision = i.Revision
-			s.opts.Relay.SetQuarantined(content)
+			contents = append(contents, content)
 		}
 	}
+	if s.quarantineReturned(c.Revision, full) {
+		s.opts.Relay.ReplaceQuarantined(contents, c.Revision)
+		return
+	}
+	for _, content := range contents {
+		s.opts.Relay.SetQuarantined(content)
+	}
 	if !full {
 		return
 	}
@@ -55,6 +64,16 @@
 	}
 }
 
+// quarantineReturned records the era of a list of quarantined contents, and reports whether
+// the store has returned from an older copy since the known list.
+func (s *Site) quarantineReturned(revision contract.Revision, full bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.quarantineEra
+	s.quarantineEra = max(before, revision.Era())
+	return full && before != 0 && revision.Era() > before
+}
+
 // syncQuarantine writes changes of quarantined request contents to the store until ctx ends.
 // syncQuarantine runs in its own loop
 // because calls to a slow store would delay the verdicts on releases.
--- a/site/site.go
+++ b/site/site.go
@@ -82,9 +82,10 @@
 	partial     bool
 	pushedTable *route.Table
 	// activeEvacuations holds the evacuations in force by object name.
-	// evacuationsEra is the era of the store to which the known evacuations belong.
 	activeEvacuations map[string]activeEvacuation
-	evacuationsEra    uint64
+	// evacuationsEra and quarantineEra are the eras of the store to which
+	// the known evacuations and quarantined contents belong.
+	evacuationsEra, quarantineEra uint64
 }
 
 // New returns a Site without any state.
