lease: the holder keeps its lease when the store returns older, and others wait

Its fencing tokens went back and could be given out twice; another VM could take a lease that the copy lacks, or that it shows as resigned, while its holder was still making calls; a record that later holders have to follow went back. Change: a version says its era, also that of an object that does not exist. Who learns of a new era waits for the whole length of a lease; the holder writes its lease again, with its record, under a token of the era, and those are higher than all of earlier eras. A holder that learns by a read that its write under a new token was accepted acquires the lease anew (found by the simulation). Left: a successor of a holder that died in the same moment follows the record of the copy.

--- a/contract/reports.go
+++ b/contract/reports.go
@@ -17,9 +17,20 @@
 }
 
 // ObjectVersion is the version of an object in the platform's object store.
-// The version increases with each update of the object.
+// The version increases with each update of the object. Where the store names an era,
+// the version is the Revision of the object, and that of an object that does not exist
+// is the Revision with the number zero in the era.
 type ObjectVersion uint64
 
+// Era returns the era of the store to which the version belongs.
+func (v ObjectVersion) Era() uint64 { return Revision(v).Era() }
+
+// Missing reports whether the version is that of an object that does not exist.
+func (v ObjectVersion) Missing() bool { return Revision(v).Counter() == 0 }
+
+// MissingVersion returns the version of an object that does not exist in an era.
+func MissingVersion(era uint64) ObjectVersion { return ObjectVersion(NewRevision(era, 0)) }
+
 // VMState is the state of a VM in the platform's VM list.
 type VMState string
 
--- a/leader/lease_client.go
+++ b/leader/lease_client.go
@@ -23,11 +23,12 @@
 
 // LeaseStore reads and writes the object of one lease.
 type LeaseStore interface {
-	// Read returns the lease object, or ErrNotFound.
+	// Read returns the lease object, or ErrNotFound and the version contract.MissingVersion.
 	Read(ctx context.Context) (lease.VersionedObject, error)
 	// Write makes the write of a proposal and returns the lease object with its new version.
 	// With ErrConflict, Write may return the stored object;
 	// version zero means that Write does not return it.
+	// With ErrNotFound, Write returns the version contract.MissingVersion.
 	Write(ctx context.Context, p lease.Proposal) (lease.VersionedObject, error)
 }
 
@@ -70,7 +71,7 @@
 	object, err := c.opts.Store.Read(ctx)
 	switch {
 	case errors.Is(err, ErrNotFound):
-		c.withHandle(func(h *lease.Handle, now time.Time) { h.ObserveMissing(now) })
+		c.withHandle(func(h *lease.Handle, now time.Time) { h.ObserveMissing(object.Version, now) })
 	case err != nil:
 		return err
 	default:
@@ -111,7 +112,7 @@
 	object, err := c.opts.Store.Write(ctx, p)
 	switch {
 	case errors.Is(err, ErrNotFound):
-		c.withHandle(func(h *lease.Handle, now time.Time) { h.ObserveMissing(now) })
+		c.withHandle(func(h *lease.Handle, now time.Time) { h.ObserveMissing(object.Version, now) })
 	case errors.Is(err, ErrConflict) && object.Version == 0:
 		c.withHandle(func(h *lease.Handle, _ time.Time) { h.Invalidate() })
 	case errors.Is(err, ErrConflict):
@@ -148,7 +149,7 @@
 // ok is false if no lease object is known.
 func (c *LeaseClient) Latest() (object lease.VersionedObject, age time.Duration, ok bool) {
 	c.withHandle(func(h *lease.Handle, now time.Time) {
-		object, age, ok = h.Latest(), h.Age(now), h.Latest().Version != 0
+		object, age, ok = h.Latest(), h.Age(now), !h.Latest().Version.Missing()
 	})
 	return object, age, ok
 }
--- a/lease/fleet_simulation_test.go
+++ b/lease/fleet_simulation_test.go
@@ -27,6 +27,7 @@
 	t             *rapid.T
 	now           time.Time
 	stored        VersionedObject
+	backup        VersionedObject // an older copy of stored
 	vms           []*simulatedVM
 	delayedWrites []Proposal // writes without a reply that may still be applied
 	calls         []simulatedCall
@@ -82,7 +83,7 @@
 // eventKinds are the possible events, repeated according to their frequency.
 var eventKinds = []string{
 	"step", "step", "step", "step", "step", "step", "step", "step", "call", "call", "call", "call", "call", "call", "send to peer", "send to peer",
-	"time passes", "time passes", "time passes", "step, reply lost", "step, reply lost", "apply delayed write", "step, store unavailable", "read", "read", "resign", "restart", "restart all", "long pause",
+	"time passes", "time passes", "time passes", "step, reply lost", "step, reply lost", "apply delayed write", "step, store unavailable", "read", "read", "resign", "restart", "restart all", "long pause", "back up", "store returns",
 }
 
 // randomEvent draws an event and applies it.
@@ -102,8 +103,12 @@
 	case "send to peer":
 		f.sendToPeer(v, f.randomVM())
 	case "read":
-		if f.stored.Version != 0 {
-			v.handle.ObserveRead(f.stored, f.now)
+		f.read(v)
+	case "back up":
+		f.backup = f.stored
+	case "store returns":
+		if rapid.IntRange(0, 9).Draw(f.t, "returns") == 0 { // after each return the VMs wait for a lease
+			f.storeReturns()
 		}
 	case "resign":
 		f.resign(v)
@@ -120,15 +125,28 @@
 	}
 }
 
+// read has a VM read the object.
+func (f *fleetSimulation) read(v *simulatedVM) {
+	if f.stored.Version.Missing() {
+		v.handle.ObserveMissing(f.stored.Version, f.now)
+	} else {
+		v.handle.ObserveRead(f.stored, f.now)
+	}
+}
+
+// storeReturns replaces the object by its older copy, in the next era. The record goes back with it.
+func (f *fleetSimulation) storeReturns() {
+	era := f.stored.Version.Era() + 1
+	f.stored = f.backup
+	f.stored.Version = contract.ObjectVersion(contract.NewRevision(era, contract.Revision(f.backup.Version).Counter()))
+	f.storedRecord, _ = strconv.Atoi(string(f.stored.Object.Record))
+}
+
 // step reads the object if necessary and makes the write that is due. Time may pass between the
 // decision and the write, as for a process that is suspended there.
 func (f *fleetSimulation) step(v *simulatedVM, replyArrives bool) {
 	if v.handle.NeedsRead(f.now) {
-		if f.stored.Version == 0 {
-			v.handle.ObserveMissing(f.now)
-		} else {
-			v.handle.ObserveRead(f.stored, f.now)
-		}
+		f.read(v)
 	}
 	if v.handle.HeldBySelf() && rapid.Bool().Draw(f.t, "sets record") {
 		v.handle.SetRecord(json.RawMessage(strconv.Itoa(f.storedRecord+1)), rapid.Bool().Draw(f.t, "urgent"))
@@ -151,7 +169,7 @@
 	case accepted:
 		v.handle.ConfirmWrite(p, f.stored.Version, sentAt)
 	default:
-		v.handle.ObserveRead(f.stored, f.now)
+		f.read(v)
 	}
 }
 
@@ -193,7 +211,7 @@
 // another. Delivery takes some time.
 func (f *fleetSimulation) sendToPeer(from, to *simulatedVM) {
 	s := from.handle.Latest()
-	if s.Version == 0 || from == to {
+	if s.Version.Missing() || from == to {
 		return
 	}
 	s.Object.Record = nil
@@ -272,7 +290,7 @@
 func newHolder(t *testing.T, now time.Time) (*Handle, VersionedObject) {
 	t.Helper()
 	a := newHandle("a", 1)
-	a.ObserveMissing(now)
+	a.ObserveMissing(0, now)
 	return a, acquire(t, a, VersionedObject{}, now)
 }
 
@@ -294,7 +312,7 @@
 		return VersionedObject{p.Object, s.Version + 1}
 	}
 	a := newHandle("a", 1)
-	a.ObserveMissing(now)
+	a.ObserveMissing(0, now)
 	s := resign(a, acquire(t, a, VersionedObject{}, now))
 	b := newHandle("b", 1)
 	b.ObserveRead(s, now)
@@ -340,10 +358,65 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	a, s := newHolder(t, now)
-	a.ObserveMissing(now)
+	a.ObserveMissing(0, now)
 	is.True(acquire(t, a, VersionedObject{}, now).Object.Fencing > s.Object.Fencing)
 }
 
+// TestLostLeaseIsWaitedOut: the store returns from an older copy without the lease, whose holder is
+// still making calls. The holder writes it again with its record, and another VM waits.
+func TestLostLeaseIsWaitedOut(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a, s := newHolder(t, now)
+	a.SetRecord(json.RawMessage(`"stored"`), true)
+	s = acquire(t, a, s, now)
+	lost := VersionedObject{Version: contract.MissingVersion(1)}
+
+	other := newHandle("b", 1)
+	other.ObserveMissing(lost.Version, now)
+	_, ok := other.Propose(now.Add(simulatedLease - time.Millisecond))
+	is.True(!ok)
+	p, ok := other.Propose(now.Add(simulatedLease))
+	is.True(ok)
+	is.True(p.Object.Fencing > s.Object.Fencing)
+
+	a.ObserveMissing(lost.Version, now)
+	_, ok = a.ActiveFencing(now, false)
+	is.True(ok)
+	rewritten := acquire(t, a, lost, now).Object
+	is.True(rewritten.Fencing > s.Object.Fencing)
+	is.Equal(string(rewritten.Record), `"stored"`)
+}
+
+// TestCopyWithLaterWriteIsKept: the copy contains a write of the holder whose reply was lost, and
+// the holder would have put its older record in its place.
+func TestCopyWithLaterWriteIsKept(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a, s := newHolder(t, now)
+	a.SetRecord(json.RawMessage(`"applied"`), true)
+	p, ok := a.Propose(now)
+	is.True(ok)
+	a.Invalidate()
+	a.ObserveRead(VersionedObject{p.Object, contract.ObjectVersion(contract.NewRevision(1, uint64(s.Version)+1))}, now)
+	is.Equal(string(a.LatestRecord()), `"applied"`)
+}
+
+// TestTokenOfLostReplyIsNotUsed: the holder learns by a read that its write under a new fencing
+// token was accepted. Calls under the former token may still be in progress.
+func TestTokenOfLostReplyIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a, _ := newHolder(t, now)
+	now = now.Add(simulatedLease / 2) // calls are allowed under the former token
+	a.ObserveMissing(contract.MissingVersion(1), now)
+	p, ok := a.Propose(now)
+	is.True(ok)
+	a.ObserveRead(VersionedObject{p.Object, contract.ObjectVersion(contract.NewRevision(1, 1))}, now)
+	_, ok = a.ActiveFencing(now, true)
+	is.True(!ok)
+}
+
 // TestLostReplyKeepsStoredRecord checks a renewal that is applied but whose reply is lost. Meanwhile
 // the holder prepares another record from the old object. Writing it over the stored record would
 // let VMs act on two different records of the same decision.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,6 +16,11 @@
 // ActiveFencing makes a new holder wait for the longest delay of a call.
 // The state of an engine is read back, never assumed.
 //
+// The store may return from an older copy of its contents, in a later era, and then knows nothing
+// of the last holder. Every process waits for the whole length of a lease after it has learned
+// of the era, except the holder itself, which writes its lease again. Fencing tokens of
+// an era are higher than all those of earlier eras.
+//
 // The object also contains a record with decisions that later holders have to follow.
 // A record is in force once the store has accepted it, whichever VM holds the lease next.
 package lease
@@ -45,7 +50,7 @@
 }
 
 // VersionedObject is a lease object and its version in the store.
-// Version zero means that the store has no lease object.
+// The version of a lease object that does not exist is contract.MissingVersion.
 type VersionedObject struct {
 	Object  Object
 	Version contract.ObjectVersion
@@ -86,6 +91,13 @@
 	// urgent means that the next write is due immediately.
 	pendingRecord json.RawMessage
 	urgent        bool
+	// highestFencing is the highest fencing token that this process knows.
+	highestFencing contract.FencingToken
+	// returnedAt is when this process learned that the store has returned from an older copy,
+	// and zero if it has not. rewrite means that this process holds the lease
+	// and that the store has lost this.
+	returnedAt time.Time
+	rewrite    bool
 }
 
 // NewHandle returns a handle that does not hold the lease.
@@ -108,14 +120,56 @@
 	if o.Version < h.latest.Version {
 		return
 	}
+	if h.beginsEra(o.Version) && h.keepsAcrossReturn(o, now) {
+		return
+	}
 	if o.Version != h.latest.Version || h.unchangedSince.IsZero() {
 		h.unchangedSince = now
 		h.pendingRecord = nil // derived from an older object
 	}
-	h.latest, h.recordUnknown = o, false
-	if o.Object.Holder != h.opts.Self {
-		h.expiresAt = time.Time{}
+	if o.Object.Holder != h.opts.Self || o.Object.Fencing != h.latest.Object.Fencing {
+		h.expiresAt = time.Time{} // calls under the former fencing token may still be in progress
+	}
+	h.setLatest(o)
+	h.recordUnknown = false
+}
+
+// setLatest replaces the newest known lease object.
+func (h *Handle) setLatest(o VersionedObject) {
+	h.latest, h.rewrite = o, false
+	h.highestFencing = max(h.highestFencing, o.Object.Fencing)
+}
+
+// beginsEra reports whether a version shows that the store has returned from an older copy.
+// A process that knows nothing yet assumes so too, unless the store names no era.
+func (h *Handle) beginsEra(v contract.ObjectVersion) bool { return v.Era() > h.latest.Version.Era() }
+
+// keepsAcrossReturn notes that the store has returned from an older copy, and reports whether
+// this process goes on holding the lease, which the store has lost. o is the object in the copy.
+// An object that was written after the return carries a fencing token of the era,
+// and the copy may contain a later write of this process, whose reply was lost.
+func (h *Handle) keepsAcrossReturn(o VersionedObject, now time.Time) bool {
+	h.returnedAt = now
+	writtenSince := o.Object.Fencing > lastEarlierFencing(o.Version.Era()) || o.Object.Renewals > h.latest.Object.Renewals
+	if !h.HeldBySelf() || !now.Before(h.expiresAt) || writtenSince {
+		return false
+	}
+	h.latest.Version, h.unchangedSince, h.rewrite = o.Version, now, true
+	return true
+}
+
+// lastEarlierFencing returns the highest fencing token of the eras before an era, which is not zero.
+func lastEarlierFencing(era uint64) contract.FencingToken {
+	return contract.FencingToken(contract.NewRevision(era-1, contract.MaxCounter))
+}
+
+// nextFencing returns the fencing token of the next holder.
+func (h *Handle) nextFencing() contract.FencingToken {
+	next := max(h.latest.Object.Fencing, h.highestFencing)
+	if era := h.latest.Version.Era(); era > 0 {
+		next = max(next, lastEarlierFencing(era))
 	}
+	return next + 1
 }
 
 // ObservePeer records a version of the lease object,
@@ -126,17 +180,34 @@
 	if o.Version <= h.latest.Version {
 		return
 	}
-	h.latest, h.unchangedSince, h.recordUnknown = o, unchangedSince, true
+	if h.beginsEra(o.Version) {
+		h.returnedAt = unchangedSince
+		if h.HeldBySelf() && !h.expiresAt.IsZero() {
+			h.Invalidate() // the next read decides whether this process still holds the lease
+			return
+		}
+	}
+	h.setLatest(o)
+	h.unchangedSince, h.recordUnknown = unchangedSince, true
 	h.pendingRecord = nil
 	if o.Object.Holder != h.opts.Self {
 		h.expiresAt = time.Time{}
 	}
 }
 
-// ObserveMissing records that the store has no lease object.
+// ObserveMissing records that the store has no lease object; missing is contract.MissingVersion.
 // Fencing tokens continue from the last known token.
-func (h *Handle) ObserveMissing(now time.Time) {
-	h.latest.Version, h.unchangedSince, h.expiresAt, h.recordUnknown = 0, now, time.Time{}, false
+func (h *Handle) ObserveMissing(missing contract.ObjectVersion, now time.Time) {
+	if missing.Era() < h.latest.Version.Era() {
+		return
+	}
+	if h.beginsEra(missing) && h.keepsAcrossReturn(VersionedObject{Version: missing}, now) {
+		return
+	}
+	o := h.latest.Object
+	o.Holder = contract.VMInstance{}
+	h.setLatest(VersionedObject{o, missing})
+	h.unchangedSince, h.expiresAt, h.recordUnknown = now, time.Time{}, false
 }
 
 // Invalidate records that the lease object has changed in an unknown way.
@@ -164,7 +235,7 @@
 }
 
 // Proposal is a write that acquires, renews or resigns a lease.
-// The write is conditional on Version, or creates the lease object if Version is zero.
+// The write is conditional on Version, or creates the lease object if the object is missing.
 type Proposal struct {
 	Object  Object
 	Version contract.ObjectVersion
@@ -173,7 +244,7 @@
 // HeldBySelf reports whether the newest known lease object names this process as the holder.
 // The lease may have expired.
 func (h *Handle) HeldBySelf() bool {
-	return h.latest.Version != 0 && h.latest.Object.Holder == h.opts.Self
+	return h.latest.Object.Holder == h.opts.Self
 }
 
 // Propose returns the write to make now. Propose returns false
@@ -183,6 +254,11 @@
 		return Proposal{}, false // a write would overwrite the unknown record
 	}
 	if h.HeldBySelf() && now.Before(h.expiresAt) {
+		if h.rewrite {
+			next := h.latest.Object
+			next.Fencing = h.nextFencing()
+			return h.propose(next), true
+		}
 		return h.renew(now)
 	}
 	if now.Before(h.AvailableAt()) {
@@ -196,7 +272,7 @@
 		next.Resigned = nil // the holder did not resign: the lease ran for its whole length
 	}
 	next.Holder = h.opts.Self
-	next.Fencing++
+	next.Fencing = h.nextFencing()
 	next.Renewals++
 	h.pendingRecord = nil // the record was made under a lease that has ended
 	return Proposal{next, h.latest.Version}, true
@@ -229,9 +305,24 @@
 // After a resignation the lease is available immediately, except to the VMs in Resigned.
 // Without this exception, a resigned VM could make calls, then another VM,
 // and then the resigned VM again, all within the length of one lease.
+// After the store has returned from an older copy, a holder that the copy does not name
+// may use its lease for its whole length.
 func (h *Handle) AvailableAt() time.Time {
+	available := h.availableByObject()
+	if h.returnedAt.IsZero() {
+		return available
+	}
+	if afterReturn := h.returnedAt.Add(h.opts.Duration); afterReturn.After(available) {
+		return afterReturn
+	}
+	return available
+}
+
+// availableByObject returns the time from which the newest known lease object
+// allows this process to acquire the lease.
+func (h *Handle) availableByObject() time.Time {
 	o := h.latest.Object
-	available := h.latest.Version == 0 || o.Holder == contract.VMInstance{} && !slices.Contains(o.Resigned, h.opts.Self.VM)
+	available := h.latest.Version.Missing() || o.Holder == contract.VMInstance{} && !slices.Contains(o.Resigned, h.opts.Self.VM)
 	if available || h.HeldBySelf() {
 		return time.Time{}
 	}
@@ -262,7 +353,8 @@
 	if bytes.Equal(p.Object.Record, h.pendingRecord) {
 		h.pendingRecord = nil
 	}
-	h.latest, h.unchangedSince, h.recordUnknown = VersionedObject{p.Object, version}, sentAt, false
+	h.setLatest(VersionedObject{p.Object, version})
+	h.unchangedSince, h.recordUnknown = sentAt, false
 	h.expiresAt = time.Time{}
 	if p.Object.Holder == h.opts.Self {
 		h.expiresAt = sentAt.Add(h.opts.Duration)
