--- a/site/registration.go
+++ b/site/registration.go
@@ -101,7 +101,8 @@
 	return s.listVMs(ctx)
 }
 
-// listVMs reads the registered VMs from the store.
+// listVMs reads the registered VMs from the store. If this VM is not among them,
+// because the store has returned from an older copy, listVMs registers it again.
 func (s *Site) listVMs(ctx context.Context) error {
 	vms, err := s.opts.ListVMs(ctx)
 	if err != nil {
@@ -113,5 +114,12 @@
 	}
 	s.opts.Peers.AddListed(addresses)
 	s.log.Info("vms-listed", zap.Int("listed", len(vms)))
+	if _, registered := vms[s.opts.VM]; registered {
+		return nil
+	}
+	if err := s.opts.RegisterVM(ctx); err != nil {
+		return err
+	}
+	s.log.Info("enlisted", zap.String("link", s.opts.Link))
 	return nil
 }
