site: a later life of an upstream outlasts a store that returns older

A life that was known to be over came back too. Change: an entry of an earlier life than the known one counts as missing. Evidence: TestLaterLifeOutlastsStoreReturn.

--- a/site/upstream_list.go
+++ b/site/upstream_list.go
@@ -106,6 +106,10 @@
 		if returned && l.hold(i, now) || l.isHeld(i) {
 			continue
 		}
+		if l.isEarlierLife(i) {
+			seen[id] = false // the later life is missing until it registers again
+			continue
+		}
 		delete(l.held, id)
 		switch {
 		case i.Deleted && l.entries[id].revision > c.Revision: // the upstream has registered again since
@@ -141,17 +145,24 @@
 }
 
 // hold keeps an upstream out that was removed and that an older copy of the store lists again.
-// hold reports whether it did. Another life of the upstream is not held.
+// hold reports whether it did. A later life of the upstream is not held.
 func (l *UpstreamList) hold(i Item[upstream.Entry], now time.Time) bool {
 	id := contract.UpstreamID(i.Name)
 	removed, ok := l.removed[id]
-	if _, exists := l.entries[id]; !ok || exists || i.Err != nil || now.Sub(removed.at) > removedMemory || removed.incarnation != i.Value.Incarnation {
+	if _, exists := l.entries[id]; !ok || exists || i.Err != nil || now.Sub(removed.at) > removedMemory || i.Value.Incarnation > removed.incarnation {
 		return false
 	}
 	l.held[id] = heldEntry{i, now.Add(removedHold)}
 	return true
 }
 
+// isEarlierLife reports whether an entry from an older copy of the store belongs to an earlier life
+// of an upstream that has started again since.
+func (l *UpstreamList) isEarlierLife(i Item[upstream.Entry]) bool {
+	e, exists := l.entries[contract.UpstreamID(i.Name)]
+	return exists && !i.Deleted && i.Err == nil && i.Revision.Era() > e.revision.Era() && i.Value.Incarnation < e.Incarnation
+}
+
 // isHeld reports whether an item is the entry that is already kept out.
 func (l *UpstreamList) isHeld(i Item[upstream.Entry]) bool {
 	h, ok := l.held[contract.UpstreamID(i.Name)]
--- a/site/upstream_list_test.go
+++ b/site/upstream_list_test.go
@@ -138,6 +138,27 @@
 	is.Equal(len(l.Entries()), 2)
 }
 
+// TestLaterLifeOutlastsStoreReturn: an older copy of the store lists the life of an upstream before
+// its restart, at an address where nothing listens any more.
+func TestLaterLifeOutlastsStoreReturn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	life := func(incarnation int64, era, counter uint64) Item[upstream.Entry] {
+		i := upstreamItem("a", era, counter, false)
+		i.Value.Incarnation = incarnation
+		return i
+	}
+	l := NewUpstreamList()
+	l.Apply(listInEra(1, 8, life(1, 1, 3)), true, now)
+	l.Apply(listInEra(1, 9, life(2, 1, 9)), false, now)
+	l.Apply(listInEra(2, 5, life(1, 2, 3)), true, now)
+	is.Equal(l.Entries()[0].Incarnation, int64(2))
+	registered := listInEra(2, 6, life(2, 2, 6))
+	l.Apply(registered, false, now)
+	is.True(!l.Expire(now.Add(lapseGracePeriod)))
+	is.Equal(l.Entries()[0].Revision, contract.NewRevision(2, 6))
+}
+
 // TestMissingAfterStoreReturnIsKept: an upstream that registered after the copy was made is not
 // listed until it registers again.
 func TestMissingAfterStoreReturnIsKept(t *testing.T) {
