soak: the store returns from older copies; entries that drain; configurations in force

The soak's store now goes back to a copy of up to 5 s, several times a run and once at a fixed moment with configurations and a draining entry right after it; operator and upstreams write theirs again within 0.6 s. Two guarantees from the outside: a route of each version is served within the bound and stays, and an upstream whose entry says that it drains gets nothing after the drain time. The checks now leave out links that were disturbed within the last 3 s, as the users' rules do (held up).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,6 +29,7 @@
 	noticeGroup                         // upstreams announce that they are leaving or ask for a back-off
 	operatorGroup                       // the operator changes something
 	limitGroup                          // upstreams advertise rate limits
+	returnGroup                         // the store returns from an older copy, and entries say that upstreams drain
 )
 
 // faultKind is a kind of fault. The argument n selects the target of the fault, d is its duration.
@@ -93,6 +94,12 @@
 		"upstreams-rest": {noticeGroup, func(n int, d time.Duration) { f.backOff(f.upstreams.positions, n, d/2) }},
 		"configurations": {operatorGroup, func(n int, d time.Duration) { f.writeConfigurations(2+n%10, d) }},
 		"evacuated":      {operatorGroup, func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) }},
+		"store-returns":  {returnGroup, func(n int, _ time.Duration) { f.returnStore(n) }},
+		"upstream-drains": {returnGroup, func(n int, _ time.Duration) {
+			if position := f.upstreams.pick(n); position != nil {
+				f.upstreams.drainByEntry(position)
+			}
+		}},
 		"upstream-mute": {failureGroup, func(n int, d time.Duration) {
 			if position := f.upstreams.pick(n); position != nil {
 				f.upstreams.setHanging(position, true)
@@ -125,7 +132,7 @@
 // plan draws the faults for a seed: kind, target and time. Faults may overlap.
 func (f *fleet) plan(seed uint64, length time.Duration) []fault {
 	var faults []fault
-	for _, g := range []faultGroup{failureGroup, noticeGroup, operatorGroup, limitGroup} {
+	for _, g := range []faultGroup{failureGroup, noticeGroup, operatorGroup, limitGroup, returnGroup} {
 		faults = append(faults, f.drawFaults(g, seed, length)...)
 	}
 	faults = append(faults, f.fixedFaults(seed, length)...)
@@ -143,6 +150,12 @@
 		n := int(seed%1000) + 5*i
 		faults = append(faults, fault{length * time.Duration(i+1) / 8, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name].inject(n, time.Second) }})
 	}
+	// Changes come right after a return, while revisions are given out again.
+	returned := length * 5 / 8
+	for i, name := range []string{"store-returns", "configurations", "upstream-drains"} {
+		n := int(seed%1000) + 7*i
+		faults = append(faults, fault{returned + time.Duration(i)*200*time.Millisecond, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name].inject(n, time.Second) }})
+	}
 	// The last fixed fault comes after all other faults, so that no other fault ends its upstream.
 	for i, after := range []time.Duration{length / 16, length * 3 / 16, length * 5 / 16, length} {
 		const name = "upstream-limited"
@@ -203,6 +216,7 @@
 	defer f.mu.Unlock()
 	f.configVersion++
 	f.store.PutDeployment(newDeployment(f.configVersion, f.workspaceKeys...))
+	f.versions.accepted(f.configVersion)
 }
 
 // evacuate makes the operator evacuate a data centre, for longer than evacuationTimeout.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,6 +46,8 @@
 	upstreams *upstreams
 	vms       []*vm
 	recorder  *recorder
+	backups   backups
+	versions  versionTracker
 
 	// mu guards the fields below, which describe the newest configuration.
 	mu            sync.Mutex
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -105,6 +105,8 @@
 	}
 	start(clients.runPoison, 1000)
 	start(clients.runRevokedKey, 1001)
+	start(clients.runVersionProbe, 1002)
+	go f.backups.run(ctx, f.store) // until the process ends
 	startedAt := time.Now()
 	for _, planned := range f.plan(args.Seed, args.For) {
 		sleepUntil(ctx, startedAt.Add(planned.after))
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -130,13 +130,28 @@
 
 // checkEvacuated checks a request that has reached an upstream whose data centre has been under
 // evacuation for the given time.
-func (s *noticeTracker) checkEvacuated(r *replica.Request, since time.Duration) {
+func (s *noticeTracker) checkEvacuated(r *replica.Request, link *proxy, since time.Duration) {
+	s.checkTimely(guaranteeEvacuation, r, link, since, evacuationTimeout, "the evacuation of its data centre began")
+}
+
+// calm reports whether a link has been undisturbed for settleTime before a moment. A link that was
+// cut delivers requests late, and their answers to nobody. The link is nil once its upstream has ended.
+func calm(link *proxy, at time.Time) bool {
+	return link != nil && link.undisturbedSince(at.Add(-settleTime))
+}
+
+// checkTimely checks that a request from an undisturbed VM over a calm link has
+// arrived within the bound after an event.
+func (s *noticeTracker) checkTimely(guarantee string, r *replica.Request, link *proxy, since, bound time.Duration, event string) {
+	if !calm(link, time.Now()) {
+		return
+	}
 	vm, _, _ := strings.Cut(r.Header.Get(headerVMIncarnation), " ")
 	s.mu.Lock()
 	undisturbed := s.undisturbed[vm]
 	s.mu.Unlock()
 	if undisturbed != nil && undisturbed() {
-		s.recorder.check(guaranteeEvacuation, since <= evacuationTimeout, r.ID(), fmt.Sprintf("sent by %s, arrived %v after the evacuation of its data centre began", vm, since))
+		s.recorder.check(guarantee, since <= bound, r.ID(), fmt.Sprintf("sent by %s, arrived %v after %s", vm, since, event))
 	}
 }
 
@@ -157,7 +172,7 @@
 	}
 	for _, b := range s.backoffs[pair] {
 		elapsed := now.Sub(b.requestedAt)
-		if elapsed <= backoffLeeway || elapsed >= b.duration || link == nil || !link.undisturbedSince(b.requestedAt) {
+		if elapsed <= backoffLeeway || elapsed >= b.duration || !calm(link, b.requestedAt) {
 			continue
 		}
 		b.arrivals++
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -9,25 +9,27 @@
 
 // Guarantees that the soak checks, as they appear in its output.
 const (
-	guaranteeAtMostOnce  = "a request that must not be repeated runs at most once"
-	guaranteeNotRun      = "a request reported as not run has not run"
-	guaranteeOwnAnswer   = "a complete answer belongs to the caller's request and carries the upstream's signature"
-	guaranteeEventOrder  = "stream events arrive in order, each once, and a stream that ends normally is complete"
-	guaranteeQuarantine  = "a content that has crashed three upstreams reaches at most three more"
-	guaranteeRevokedKey  = "a revoked key is refused once the configuration is in force everywhere"
-	guaranteeRetryBudget = "repeated sends stay within the retry budget"
-	guaranteeRecovery    = "requests are served again after the last fault"
-	guaranteeDrain       = "an upstream that announces it is leaving receives no requests after the drain timeout"
-	guaranteeBackoff     = "an upstream that asks for a back-off receives at most two requests during it"
-	guaranteeRateLimit   = "an upstream that advertises a rate limit receives no more than that from all VMs together"
-	guaranteeEvacuation  = "an evacuated data centre receives no requests after the evacuation timeout"
-	guaranteeResources   = "heap size and goroutine count stay bounded"
+	guaranteeAtMostOnce    = "a request that must not be repeated runs at most once"
+	guaranteeNotRun        = "a request reported as not run has not run"
+	guaranteeOwnAnswer     = "a complete answer belongs to the caller's request and carries the upstream's signature"
+	guaranteeEventOrder    = "stream events arrive in order, each once, and a stream that ends normally is complete"
+	guaranteeQuarantine    = "a content that has crashed three upstreams reaches at most three more"
+	guaranteeRevokedKey    = "a revoked key is refused once the configuration is in force everywhere"
+	guaranteeRetryBudget   = "repeated sends stay within the retry budget"
+	guaranteeRecovery      = "requests are served again after the last fault"
+	guaranteeDrain         = "an upstream that announces it is leaving receives no requests after the drain timeout"
+	guaranteeBackoff       = "an upstream that asks for a back-off receives at most two requests during it"
+	guaranteeRateLimit     = "an upstream that advertises a rate limit receives no more than that from all VMs together"
+	guaranteeEvacuation    = "an evacuated data centre receives no requests after the evacuation timeout"
+	guaranteeDrainEntry    = "an upstream whose entry says that it drains receives no requests after the drain timeout"
+	guaranteeConfiguration = "a configuration is in force on each VM within the bound, and stays"
+	guaranteeResources     = "heap size and goroutine count stay bounded"
 )
 
 // guarantees lists all guarantees. A run that does not check each guarantee at least once fails.
 var guarantees = []string{
 	guaranteeAtMostOnce, guaranteeNotRun, guaranteeOwnAnswer, guaranteeEventOrder, guaranteeQuarantine, guaranteeRevokedKey, guaranteeRetryBudget, guaranteeRecovery, guaranteeDrain, guaranteeBackoff,
-	guaranteeRateLimit, guaranteeEvacuation, guaranteeResources,
+	guaranteeRateLimit, guaranteeEvacuation, guaranteeDrainEntry, guaranteeConfiguration, guaranteeResources,
 }
 
 // recorder counts the checks of each guarantee, and keeps the failures and the timeline of faults.
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -71,6 +71,8 @@
 	incarnation int
 	leaving     bool          // announces in all its answers that it will end soon
 	backoff     time.Duration // back-off asked for when the upstream rejects most requests; zero for none
+	// drainingSince is when the store's entry first said that the upstream drains; zero before.
+	drainingSince time.Time
 }
 
 func newUpstreams(store *objects.Store, rec *recorder, seed uint64) *upstreams {
@@ -98,7 +100,7 @@
 	if position.number%2 == 1 {
 		position.id = fmt.Sprintf("u%d-%d", position.number, incarnation)
 	}
-	position.hanging, position.leaving, position.backoff, position.incarnation = false, false, 0, incarnation
+	position.hanging, position.leaving, position.backoff, position.drainingSince, position.incarnation = false, false, 0, time.Time{}, incarnation
 	r, err := replica.Start(position.id, func(c *replica.Conn, got *replica.Request) bool { return u.serve(position, c, got) })
 	if err != nil {
 		return err
@@ -115,7 +117,7 @@
 
 // putEntry writes the store entry of the current upstream at a position. The caller holds mu.
 func (u *upstreams) putEntry(position *upstreamPosition, incarnation int) {
-	u.store.PutUpstream(objects.Upstream{ID: position.id, Address: position.link.address(), DataCentre: position.dataCentre, Incarnation: incarnation})
+	u.store.PutUpstream(objects.Upstream{ID: position.id, Address: position.link.address(), DataCentre: position.dataCentre, Incarnation: incarnation, Leaving: !position.drainingSince.IsZero()})
 }
 
 // kill ends the upstream at a position at once and starts another upstream after a delay. Until
@@ -161,9 +163,13 @@
 	}
 	fails := u.failing || u.random.IntN(50) == 0
 	evacuatedAt, isEvacuated := u.evacuatedAt[position.dataCentre]
+	drainingSince := position.drainingSince
 	u.mu.Unlock()
+	if !drainingSince.IsZero() {
+		u.notices.checkDraining(r, link, time.Since(drainingSince))
+	}
 	if isEvacuated {
-		u.notices.checkEvacuated(r, time.Since(evacuatedAt))
+		u.notices.checkEvacuated(r, link, time.Since(evacuatedAt))
 	}
 	u.notices.checkArrival(r, incarnation, link)
 	u.limits.checkArrival(r, incarnation, link)
@@ -313,7 +319,8 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		if position.incarnation == incarnation && position.replica != nil {
-			u.store.PutUpstream(objects.Upstream{ID: position.id, Address: position.link.address(), DataCentre: position.dataCentre, Incarnation: incarnation, Leaving: true})
+			position.drainingSince = time.Now()
+			u.putEntry(position, incarnation)
 		}
 	})
 	time.AfterFunc(entryDelay+drainTimeout+time.Second, func() {
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -1,5 +1,7 @@
 package objects
 
+import "fmt"
+
 // SampleDeployment describes a deployment with one route, one service and one upstream.
 type SampleDeployment struct {
 	// PathPrefix is the path prefix of the route, on the host SampleHost.
@@ -38,7 +40,8 @@
 }
 
 // Deployment describes a configuration with one service and three routes: /safe/ (repeatable
-// requests), /once/ (requests that must not be repeated) and /stream/ (streams).
+// requests), /once/ (requests that must not be repeated) and /stream/ (streams). A further route,
+// VersionPath, exists from its version on.
 type Deployment struct {
 	Version   int
 	Workspace string
@@ -48,6 +51,13 @@
 	MaxAttempts int
 }
 
+// VersionPath returns the path prefix of the route that a version added. It is kept for VersionsKept
+// further versions.
+func VersionPath(version int) string { return fmt.Sprintf("/version-%d/", version) }
+
+// VersionsKept is how many further versions keep the route that a version added.
+const VersionsKept = 20
+
 // PutDeployment writes the configuration, as the operator would.
 func (s *Store) PutDeployment(d Deployment) {
 	route := func(name, kind string) map[string]any {
@@ -56,8 +66,14 @@
 			"TargetLatencyMs": 500, "MaxAttempts": d.MaxAttempts, "Resumable": kind == "streaming", "GapTargetMs": 200,
 		}
 	}
+	routes := []map[string]any{route("safe", "safe"), route("once", "unsafe"), route("stream", "streaming")}
+	for version := max(1, d.Version-VersionsKept); version <= d.Version; version++ {
+		r := route(fmt.Sprintf("version-%d", version), "safe")
+		r["PathPrefix"] = VersionPath(version)
+		routes = append(routes, r)
+	}
 	s.Put("config", "main", map[string]any{
-		"Version": d.Version, "Routes": []map[string]any{route("safe", "safe"), route("once", "unsafe"), route("stream", "streaming")},
+		"Version": d.Version, "Routes": routes,
 		"Services": []map[string]any{{"Name": "s", "MaxConnections": 200}},
 		"Tenants":  []map[string]any{{"Name": d.Workspace, "ApiKeys": d.Keys}},
 	})
@@ -83,6 +99,9 @@
 	})
 }
 
+// UpstreamIDs returns the ids of the upstreams that have an entry.
+func (s *Store) UpstreamIDs() []string { return s.Names(kindUpstreams) }
+
 // DeleteUpstream removes an upstream's entry,
 // as the platform does once the upstream stops reporting.
 func (s *Store) DeleteUpstream(id string) { s.Delete(kindUpstreams, id) }
