--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -32,9 +32,7 @@
 func (s *Site) applyEvacuations(c Changes[Evacuation], full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	era := c.Revision.Era()
-	returned := full && s.evacuationsEra != 0 && era > s.evacuationsEra
-	s.evacuationsEra = max(s.evacuationsEra, era)
+	returned := s.evacuationsEra.begin(c.Revision.Era())
 	listed := make(map[string]bool, len(c.Items))
 	for _, i := range c.Items {
 		listed[i.Name] = !i.Deleted
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -49,7 +49,7 @@
 			contents = append(contents, content)
 		}
 	}
-	if s.quarantineReturned(c.Revision, full) {
+	if s.quarantineReturned(c.Revision) {
 		s.opts.Relay.ReplaceQuarantined(contents, c.Revision)
 		return
 	}
@@ -64,14 +64,12 @@
 	}
 }
 
-// quarantineReturned records the era of a list of quarantined contents, and reports whether
-// the store has returned from an older copy since the known list.
-func (s *Site) quarantineReturned(revision contract.Revision, full bool) bool {
+// quarantineReturned records the era of quarantined contents, and reports whether
+// the store has returned from an older copy since the known ones.
+func (s *Site) quarantineReturned(revision contract.Revision) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.quarantineEra
-	s.quarantineEra = max(before, revision.Era())
-	return full && before != 0 && revision.Era() > before
+	return s.quarantineEra.begin(revision.Era())
 }
 
 // syncQuarantine writes changes of quarantined request contents to the store until ctx ends.
--- a/site/site.go
+++ b/site/site.go
@@ -85,7 +85,7 @@
 	activeEvacuations map[string]activeEvacuation
 	// evacuationsEra and quarantineEra are the eras of the store to which
 	// the known evacuations and quarantined contents belong.
-	evacuationsEra, quarantineEra uint64
+	evacuationsEra, quarantineEra eraMark
 }
 
 // New returns a Site without any state.
@@ -302,7 +302,7 @@
 func (s *Site) updateUpstreams(c Changes[upstream.Entry], full, partial bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.upstreamsKnown, s.partial = true, partial
+	s.partial = partial
 	for _, i := range c.Items {
 		if s.upstreamList.IsUnchanged(i) {
 			continue
@@ -311,11 +311,12 @@
 			zap.String("service", string(i.Value.Service)), zap.String("release", i.Value.Release),
 			zap.String("address", i.Value.Address), zap.Stringer("revision", i.Revision))
 	}
-	eraBefore := s.upstreamList.Era()
+	listKnown, eraBefore := s.upstreamsKnown, s.upstreamList.Era()
+	s.upstreamsKnown = true
 	if s.upstreamList.Apply(c, full, s.opts.Now()) {
 		s.pushUpstreams()
 	}
-	if era := s.upstreamList.Era(); eraBefore != 0 && era != eraBefore {
+	if era := s.upstreamList.Era(); listKnown && era != eraBefore {
 		missing, held := s.upstreamList.CountUncertain()
 		s.log.Warn("upstreams-uncertain", zap.Uint64("era", era), zap.Int("listed", len(c.Items)), zap.Int("kept", missing), zap.Int("kept_out", held))
 	}
--- a/site/upstream_list.go
+++ b/site/upstream_list.go
@@ -24,7 +24,7 @@
 type UpstreamList struct {
 	entries map[contract.UpstreamID]listedEntry
 	// era is the era of the store to which the list belongs.
-	era uint64
+	era eraMark
 	// removed holds the upstreams that were removed lately, and held those of them
 	// that an older copy lists again.
 	removed map[contract.UpstreamID]removedEntry
@@ -50,27 +50,6 @@
 	keepLeaving bool
 }
 
-// removedEntry is an entry that was removed: the upstream's life, and when the removal was learned.
-type removedEntry struct {
-	incarnation int64
-	at          time.Time
-}
-
-// heldEntry is an entry from an older copy of the store of an upstream that was removed.
-type heldEntry struct {
-	item  Item[upstream.Entry]
-	until time.Time
-}
-
-const (
-	// removedMemory is how long a removal is remembered. Copies of the store are some seconds old.
-	removedMemory = time.Minute
-	// removedHold is how long an upstream that was removed is kept out
-	// after an older copy of the store lists it again.
-	// The store drops the entry of an upstream that is gone within three heartbeats, 3.6 s.
-	removedHold = 5 * time.Second
-)
-
 // lapseGracePeriod is how long a lapsed entry (missing after an outage of the store) is kept
 // after the store's recovery. Live upstreams register again within about two seconds.
 const lapseGracePeriod = 2300 * time.Millisecond
@@ -132,43 +111,6 @@
 	return changed
 }
 
-// beginEra records the era of a list, and reports whether the store
-// has returned from an older copy since the known list.
-func (l *UpstreamList) beginEra(era uint64, now time.Time) bool {
-	before := l.era
-	l.era = max(era, before)
-	if before == 0 || era <= before {
-		return false
-	}
-	l.storeBackAt = now // upstreams that registered since the copy register again
-	return true
-}
-
-// hold keeps an upstream out that was removed and that an older copy of the store lists again.
-// hold reports whether it did. A later life of the upstream is not held.
-func (l *UpstreamList) hold(i Item[upstream.Entry], now time.Time) bool {
-	id := contract.UpstreamID(i.Name)
-	removed, ok := l.removed[id]
-	if _, exists := l.entries[id]; !ok || exists || i.Err != nil || now.Sub(removed.at) > removedMemory || i.Value.Incarnation > removed.incarnation {
-		return false
-	}
-	l.held[id] = heldEntry{i, now.Add(removedHold)}
-	return true
-}
-
-// isEarlierLife reports whether an entry from an older copy of the store belongs to an earlier life
-// of an upstream that has started again since.
-func (l *UpstreamList) isEarlierLife(i Item[upstream.Entry]) bool {
-	e, exists := l.entries[contract.UpstreamID(i.Name)]
-	return exists && !i.Deleted && i.Err == nil && i.Revision.Era() > e.revision.Era() && i.Value.Incarnation < e.Incarnation
-}
-
-// isHeld reports whether an item is the entry that is already kept out.
-func (l *UpstreamList) isHeld(i Item[upstream.Entry]) bool {
-	h, ok := l.held[contract.UpstreamID(i.Name)]
-	return ok && !i.Deleted && i.Revision == h.item.Revision
-}
-
 func (l *UpstreamList) put(i Item[upstream.Entry]) bool {
 	old, exists := l.entries[i.Value.ID]
 	if exists && i.Revision < old.revision {
@@ -218,13 +160,6 @@
 	l.changed[id] = true
 }
 
-// Era returns the era of the store to which the list belongs, or zero before the first list.
-func (l *UpstreamList) Era() uint64 { return l.era }
-
-// CountUncertain returns how many entries are kept although the list lacks them,
-// and how many are kept out although the list has them.
-func (l *UpstreamList) CountUncertain() (missing, held int) { return len(l.lapsed), len(l.held) }
-
 // IsUnchanged reports whether an item equals the known entry.
 // A list that is received again holds thousands of such unchanged items,
 // under other revisions if the store has returned from an older copy.
--- a/site/upstream_list_test.go
+++ b/site/upstream_list_test.go
@@ -119,6 +119,17 @@
 	is.True(!l.Entries()[0].Leaving)
 }
 
+// TestFirstReturnOfStoreWithoutEra: a store names no era, or zero, until it has returned once.
+func TestFirstReturnOfStoreWithoutEra(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := NewUpstreamList()
+	l.Apply(listInEra(0, 8, upstreamItem("a", 0, 3, false)), true, now)
+	l.Apply(listInEra(0, 9), true, now)
+	l.Apply(listInEra(1, 5, upstreamItem("a", 1, 3, false)), true, now)
+	is.Equal(len(l.Entries()), 0)
+}
+
 // TestRemovalOutlastsStoreReturn: an older copy of the store lists an upstream that is gone.
 func TestRemovalOutlastsStoreReturn(t *testing.T) {
 	is := is.New(t)
