--- a/internal/soak/storereturn.go
+++ b/internal/soak/storereturn.go
@@ -103,10 +103,24 @@
 	}
 }
 
+// maxDraining is how many upstreams may drain at a time by their entries alone,
+// so that enough are left for the other faults.
+const maxDraining = 3
+
 // drainByEntry makes the store's entry of an upstream, and nothing else, say that it drains.
 // The upstream ends some time after the drain time.
 func (u *upstreams) drainByEntry(position *upstreamPosition) {
 	u.mu.Lock()
+	draining := 0
+	for _, p := range u.positions {
+		if !p.drainingSince.IsZero() {
+			draining++
+		}
+	}
+	if draining >= maxDraining {
+		u.mu.Unlock()
+		return
+	}
 	incarnation := position.incarnation
 	position.drainingSince = time.Now()
 	u.putEntry(position, incarnation)
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -268,13 +268,13 @@
 	return u.runCounts[id]
 }
 
-// pick returns the first position with a running upstream, searching from index n,
-// or nil if there is none.
+// pick returns the first position with a running upstream whose entry does not say
+// that it drains, searching from index n, or nil if there is none.
 func (u *upstreams) pick(n int) *upstreamPosition {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for k := range u.positions {
-		if p := u.positions[(n+k)%len(u.positions)]; p.replica != nil {
+		if p := u.positions[(n+k)%len(u.positions)]; p.replica != nil && p.drainingSince.IsZero() {
 			return p
 		}
 	}
