--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,15 +42,11 @@
 func (f *fleet) faultKinds() map[string]faultKind {
 	vmAt := func(n int) *vm { return f.vms[n%len(f.vms)] }
 	return map[string]faultKind{
-		"vm-paused":   {failureGroup, func(n int, d time.Duration) { f.pause(vmAt(n), d) }},
-		"vm-killed":   {failureGroup, func(n int, _ time.Duration) { f.kill(vmAt(n)) }},
-		"vm-stopped":  {failureGroup, func(n int, _ time.Duration) { f.terminate(vmAt(n)) }},
-		"vm-reloaded": {failureGroup, func(n int, _ time.Duration) { vmAt(n).signal(syscall.SIGHUP) }},
-		"vms-killed": {failureGroup, func(int, time.Duration) {
-			for _, v := range f.vms {
-				f.kill(v)
-			}
-		}},
+		"vm-paused":      {failureGroup, func(n int, d time.Duration) { f.pause(vmAt(n), d) }},
+		"vm-killed":      {failureGroup, func(n int, _ time.Duration) { f.kill(vmAt(n)) }},
+		"vm-stopped":     {failureGroup, func(n int, _ time.Duration) { f.terminate(vmAt(n)) }},
+		"vm-reloaded":    {failureGroup, func(n int, _ time.Duration) { vmAt(n).signal(syscall.SIGHUP) }},
+		"vms-killed":     {failureGroup, func(int, time.Duration) { f.killAll() }},
 		"callers-reset":  {failureGroup, func(n int, _ time.Duration) { vmAt(n).callerLink.resetOpen() }},
 		"callers-silent": {failureGroup, func(n int, _ time.Duration) { vmAt(n).callerLink.silenceOpen() }},
 		"callers-slow": {failureGroup, func(n int, d time.Duration) {
@@ -253,6 +249,23 @@
 	f.restart(v)
 }
 
+// killAll kills all VMs, unless the store has just returned from an older copy.
+// What only the VMs knew, and were about to write again, would then be known to nobody.
+func (f *fleet) killAll() {
+	f.mu.Lock()
+	justReturned := time.Since(f.returnedAt) < settleTime
+	if !justReturned {
+		f.killedAllAt = time.Now()
+	}
+	f.mu.Unlock()
+	if justReturned {
+		return
+	}
+	for _, v := range f.vms {
+		f.kill(v)
+	}
+}
+
 // terminate asks a VM's process to shut down, kills it once the grace period is over,
 // and restarts it.
 func (f *fleet) terminate(v *vm) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -49,10 +49,12 @@
 	backups   backups
 	versions  versionTracker
 
-	// mu guards the fields below, which describe the newest configuration.
-	mu            sync.Mutex
-	configVersion int
-	workspaceKeys []string
+	// mu guards the fields below: the newest configuration, when the store last returned
+	// from an older copy, and when all VMs were last killed.
+	mu                      sync.Mutex
+	configVersion           int
+	workspaceKeys           []string
+	returnedAt, killedAllAt time.Time
 }
 
 // vm is a woaddoor-vm process, which is restarted on the same addresses after each stop.
--- a/internal/soak/storereturn.go
+++ b/internal/soak/storereturn.go
@@ -52,15 +52,19 @@
 	return b.copies[max(0, len(b.copies)-1-n)]
 }
 
-// returnStore replaces the store's contents by an older copy. The operator and the upstreams then
+// returnStore replaces the store's contents by an older copy, unless all VMs have just been killed:
+// what the copy lacks would then be known to nobody. The operator and the upstreams then
 // write their objects again.
 func (f *fleet) returnStore(n int) {
 	older := f.backups.pick(n % backupsKept)
-	if older == nil {
+	f.mu.Lock()
+	justKilled := time.Since(f.killedAllAt) < settleTime
+	if older == nil || justKilled {
+		f.mu.Unlock()
 		return
 	}
-	f.mu.Lock()
 	f.store.Restore(older)
+	f.returnedAt = time.Now()
 	f.mu.Unlock()
 	delay := time.Duration(n%4) * rewriteDelay / 3
 	time.AfterFunc(delay, func() {
