--- a/control/members.go
+++ b/control/members.go
@@ -152,7 +152,7 @@
 // (counts of good and bad responses). The caller holds mu.
 func (s *Server) remoteHeartbeat(now time.Time) protocol.Heartbeat {
 	s.table.SetSelf(s.selfMember())
-	s.table.NextHeartbeat()
+	s.table.NextHeartbeat() // numbers the entry of this VM, which Delegates may include
 	ownDataCentre := s.opts.Settings.DataCentre
 	localEvidence := s.evidence.Filter(func(o rollout.Observer) bool { return !isDataCentreTotal(o) })
 	return protocol.Heartbeat{Members: s.table.Delegates(delegateCount, now), HaltedVersions: s.haltedVersions(), RolloutEvidence: localEvidence.Total(dataCentreTotal(ownDataCentre))}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -73,17 +73,27 @@
 	}
 }
 
+// newRequest returns a request to a VM that states the deadline and the VM's incarnation,
+// and records that it is sent.
+func (c *callers) newRequest(v *vm, id, path, body, key string) (*http.Request, error) {
+	req, err := replica.NewCall(context.Background(), v.callerLink.address(), objects.SampleHost, path, id, key, body)
+	if err != nil {
+		return nil, err
+	}
+	replica.SetDeadline(req, callerTimeout)
+	req.Header.Set(headerVMIncarnation, c.fleet.upstreams.notices.recordSend(id, v.name))
+	return req, nil
+}
+
 // call sends one request and checks its answer.
 func (c *callers) call(client *http.Client, v *vm, path, body, key string) {
 	id := fmt.Sprintf("id-%d", c.lastID.Add(1))
-	req, err := replica.NewCall(context.Background(), v.callerLink.address(), objects.SampleHost, path, id, key, body)
+	req, err := c.newRequest(v, id, path, body, key)
 	if err != nil {
 		c.fleet.recorder.recordFault("cannot create a request: " + err.Error())
 		return
 	}
-	replica.SetDeadline(req, callerTimeout)
-	vmIncarnation := c.fleet.upstreams.notices.recordSend(id, v.name)
-	req.Header.Set(headerVMIncarnation, vmIncarnation)
+	vmIncarnation := req.Header.Get(headerVMIncarnation)
 	sentAt := time.Now()
 	undisturbed := v.undisturbed()
 	c.mu.Lock()
--- a/internal/soak/storereturn.go
+++ b/internal/soak/storereturn.go
@@ -199,13 +199,11 @@
 // probe sends one request and returns the status of its answer, if there is one.
 func (c *callers) probe(client *http.Client, v *vm, path string) (status int, ok bool) {
 	id := fmt.Sprintf("id-%d", c.lastID.Add(1))
-	req, err := replica.NewCall(context.Background(), v.callerLink.address(), objects.SampleHost, path, id, keyKept, bodyNormal)
+	req, err := c.newRequest(v, id, path, bodyNormal, keyKept)
 	if err != nil {
 		c.fleet.recorder.recordFault("cannot create a request: " + err.Error())
 		return 0, false
 	}
-	replica.SetDeadline(req, callerTimeout)
-	req.Header.Set(headerVMIncarnation, c.fleet.upstreams.notices.recordSend(id, v.name))
 	c.mu.Lock()
 	c.sentAt = append(c.sentAt, time.Now())
 	c.mu.Unlock()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -95,7 +95,7 @@
 	highestFencing contract.FencingToken
 	// returnedAt is when this process learned that the store has returned from an older copy,
 	// and zero if it has not. rewrite means that this process holds the lease
-	// and that the store has lost this.
+	// and that the store no longer says so.
 	returnedAt time.Time
 	rewrite    bool
 }
--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -23,7 +23,7 @@
 }
 
 // evacuationHold is how long an evacuation stays in force that is missing
-// in an older copy of the store. Its author writes it again, as upstreams do.
+// in an older copy of the store. The operator writes it again, as upstreams do.
 const evacuationHold = lapseGracePeriod
 
 // applyEvacuations updates which data centres are evacuated. An evacuation ends only
--- a/site/follow.go
+++ b/site/follow.go
@@ -216,7 +216,7 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history-gone", zap.String("kind", f.source.Name()), zap.Stringer("revision", revision))
 		f.relist = true
-		if f.historyGone++; f.historyGone > 1 { // the list did not help
+		if f.historyGone++; f.historyGone > 1 { // listing brought no revision that the store can watch from
 			clock.Sleep(ctx, retryPause(f.historyGone-1, f.rank()))
 		}
 		return nil
--- a/site/upstream_list.go
+++ b/site/upstream_list.go
@@ -116,8 +116,8 @@
 	if exists && i.Revision < old.revision {
 		return false
 	}
-	// An upstream does not come back once it leaves: an older copy or what is written again
-	// on its way to the newest state says less.
+	// An upstream that leaves goes on leaving in this life, although an entry
+	// from an older copy of the store may lack it.
 	keepLeaving := exists && old.Leaving && old.Incarnation == i.Value.Incarnation && (old.keepLeaving || i.Revision.Era() > old.revision.Era())
 	i.Value.Leaving = i.Value.Leaving || keepLeaving
 	l.entries[i.Value.ID] = listedEntry{Entry: i.Value, revision: i.Revision, keepLeaving: keepLeaving}
