relay: an attempt is ended on purpose only once its successor is reserved

Cause: the watchdog ended a silent attempt as soon as another upstream could answer; the retry budget, the quarantine and the last upstream were asked only afterwards, and could refuse. The same order stood at the discard of a smaller model's answer. A resend that reached no upstream was taken from the budget again for the next try. Why it works: under one lock the attempts, the deadline, the quarantine, the upstream and the budget are decided before the abort; without all of them the attempt goes on. Lines silent-ended and silent-kept tell both, and a counter.

--- a/relay/log.go
+++ b/relay/log.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/retry"
 	"woaddoor/rollout"
 )
 
@@ -90,6 +91,21 @@
 		zap.Int64("first_ms", r.opts.Now().Sub(pending.sentAt).Milliseconds()), zap.Float64("confidence", h.Confidence))
 }
 
+// logSilence logs whether an attempt that is silent beyond its deadline is ended
+// in favor of the next attempt, or goes on for a reason.
+func (r *Relay) logSilence(j *job, next *reservation, reason retry.Reason, silence time.Duration) {
+	fields := []zap.Field{
+		zap.String("request", string(j.ID)), zap.String("upstream", string(j.lastUpstream.ID)), zap.Int64("silence_ms", silence.Milliseconds()),
+		zap.Bool("began", j.headSent), zap.Int("sends", j.sends),
+	}
+	if next == nil {
+		r.Metrics.silentKept.Inc(1)
+		r.log.Info("silent-kept", append(fields, zap.String("why", string(reason)))...)
+		return
+	}
+	r.log.Info("silent-ended", append(fields, zap.String("next", string(next.lastUpstream.ID)))...)
+}
+
 // logRetry logs the reason for another attempt.
 func (r *Relay) logRetry(j *job, err error) {
 	why := "upstream answered with a failure"
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -26,6 +26,8 @@
 	retries     metrics.Counter
 	escalations metrics.Counter
 	stalls      metrics.Counter
+	// silentKept counts the silent attempts that went on because the next attempt was not allowed.
+	silentKept  metrics.Counter
 	firstAnswer metrics.Histogram
 	// promptWait is the expected queueing time of prompts at the chosen engine.
 	// promptTokens counts the tokens of these prompts,
@@ -68,6 +70,7 @@
 		retries:      metrics.NewRegisteredCounter("retries_total", r),
 		escalations:  metrics.NewRegisteredCounter("escalations_total", r),
 		stalls:       metrics.NewRegisteredCounter("streams_stalled_total", r),
+		silentKept:   metrics.NewRegisteredCounter("silent_attempts_kept_total", r),
 		firstAnswer:  histogram("first_answer_milliseconds"),
 		promptWait:   histogram("prompt_wait_milliseconds"),
 		prefillPrice: histogram("reading_price_thousandths"),
--- a/relay/models.go
+++ b/relay/models.go
@@ -214,12 +214,13 @@
 
 // decideEscalation decides whether to discard the answer
 // that begins with a head and to ask a larger model instead.
-// decideEscalation returns the larger model and takes the extra send from the retry budget.
+// decideEscalation returns the larger model, and reserves its attempt.
 func (r *Relay) decideEscalation(j *job, h *ResponseHead) (contract.ModelID, bool) {
 	models := j.Route.Models
 	if !j.ChooseModel || len(models) == 0 {
 		return "", false
 	}
+	r.prepareFingerprint(j)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if j.release == "" || !r.onTrial(j) {
@@ -230,7 +231,7 @@
 	}
 	now := r.opts.Now()
 	larger := r.escalationModel(j, h, now)
-	if larger == "" || !r.retryBudget(j.service).Take(retry.ForEscalation, r.opts.VMs(), now) {
+	if larger == "" || !r.reserveEscalation(j, larger, now) {
 		return "", false
 	}
 	return larger, true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -277,6 +277,7 @@
 	default:
 		end, refused = r.serveBuffered(ctx, j, c)
 	}
+	r.releaseReserved(j)
 	r.recordRequestEnd(j, end, refused)
 	return end, refused
 }
--- /dev/null
+++ b/relay/reservation.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"woaddoor/contract"
+	"woaddoor/retry"
+	"woaddoor/upstream"
+)
+
+// reservation is an attempt that was reserved before the attempt that precedes it was ended.
+type reservation struct {
+	selection
+	// resend is set if the attempt was taken from the retry budget.
+	resend bool
+}
+
+// reserveRetry reserves the attempt that follows the current attempt of a job
+// if the current attempt is ended now: its upstream is selected,
+// and the resend is taken from the retry budget.
+// An attempt that this VM ends on purpose needs a reserved successor. Otherwise the budget,
+// a quarantine or the state of the upstreams could forbid the next attempt once it is too late,
+// and the caller would lose an answer on which an upstream was still working.
+//
+// The argument sent is set if an upstream may have received the current attempt.
+// The argument suspected is set if an upstream that is suspected of being faulty is good enough.
+// Without a reservation, reserveRetry returns the reason. The job is not modified.
+func (r *Relay) reserveRetry(j *job, sent, suspected bool) (*reservation, retry.Reason) {
+	next := *j
+	next.exclude = slices.Clone(j.exclude)
+	next.recordFailure(contract.OutcomeUnknown, sent)
+	now := r.opts.Now()
+	if reason := next.retryBlocked(j.Route.Repeatable(), now); reason != "" {
+		return nil, reason
+	}
+	r.prepareFingerprint(&next)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hasAlternative(&next, suspected, now) {
+		return nil, retry.NoOtherUpstream
+	}
+	budget, vms := r.retryBudget(j.service), r.opts.VMs()
+	resend := next.sends > 0
+	if resend && !budget.CanTake(retry.ForRetry, vms, now) {
+		return nil, retry.BudgetExhausted
+	}
+	if _, refused := r.pickUpstream(&next, now); refused != nil {
+		return nil, retry.NoOtherUpstream
+	}
+	if resend {
+		budget.Take(retry.ForRetry, vms, now)
+	}
+	return &reservation{next.selection, resend}, ""
+}
+
+// reserveEscalation reserves the attempt with a larger model for which
+// the current answer of a job is to be discarded.
+// The answer is kept if there is no such attempt. The caller holds mu.
+func (r *Relay) reserveEscalation(j *job, larger contract.ModelID, now time.Time) bool {
+	next := *j
+	next.model = larger
+	budget, vms := r.retryBudget(j.service), r.opts.VMs()
+	if !budget.CanTake(retry.ForEscalation, vms, now) {
+		return false
+	}
+	if _, refused := r.pickUpstream(&next, now); refused != nil {
+		return false
+	}
+	budget.Take(retry.ForEscalation, vms, now)
+	j.reserved = &reservation{next.selection, true}
+	return true
+}
+
+// releaseReserved undoes the reservation of an attempt that is not made,
+// because the current attempt ended with an answer or the caller has left.
+func (r *Relay) releaseReserved(j *job) {
+	if j.reserved == nil {
+		return
+	}
+	unused := *j
+	unused.selection, j.reserved = j.reserved.selection, nil
+	r.releaseLimitClaim(&unused)
+	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)
+}
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -19,12 +19,22 @@
 // isStream reports whether a request is answered with a stream of events.
 func isStream(r *Request) bool { return r.Route.Kind == route.Stream }
 
-// selectUpstream chooses the upstream of the next attempt and counts the request at that upstream.
+// selectUpstream returns the reserved upstream of the next attempt.
+// If none is reserved, selectUpstream chooses one and counts the request at that upstream.
 func (r *Relay) selectUpstream(j *job) (upstream.Entry, *contract.Refusal) {
+	if j.reserved != nil {
+		j.selection, j.resendTaken, j.reserved = j.reserved.selection, j.reserved.resend, nil
+		return j.lastUpstream, nil
+	}
 	r.prepareFingerprint(j)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.opts.Now()
+	return r.pickUpstream(j, r.opts.Now())
+}
+
+// pickUpstream chooses the upstream of the next attempt and counts the request at that upstream.
+// The caller holds mu.
+func (r *Relay) pickUpstream(j *job, now time.Time) (upstream.Entry, *contract.Refusal) {
 	if refused := r.checkQuarantine(j, now); refused != nil {
 		return upstream.Entry{}, refused
 	}
@@ -76,13 +86,10 @@
 
 // hasAlternative reports whether an upstream that has not been tried could accept the request.
 // Upstreams that are suspected of being faulty count only if the argument suspected is set.
-func (r *Relay) hasAlternative(j *job, suspected bool) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.opts.Now()
-	excluded := append(slices.Clone(j.exclude), j.lastUpstream.ID)
+// The caller holds mu.
+func (r *Relay) hasAlternative(j *job, suspected bool, now time.Time) bool {
 	return slices.ContainsFunc(r.eligiblePools(j, now), func(c candidatePools) bool {
-		return r.table.HasAlternative(r.poolQuery(c, excluded), suspected, now)
+		return r.table.HasAlternative(r.poolQuery(c, j.exclude), suspected, now)
 	})
 }
 
@@ -216,14 +223,13 @@
 // checkRetry decides whether to make another attempt and takes the attempt from the retry budget.
 // checkRetry returns "" if there is another attempt, and otherwise the reason against one.
 func (r *Relay) checkRetry(j *job, repeatable bool) retry.Reason {
+	if j.reserved != nil {
+		return "" // decided when the attempt was ended
+	}
 	now := r.opts.Now()
-	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
-	if reason := attempt.RetryBlocked(max(j.Route.MaxAttempts, 1), now); reason != "" {
+	if reason := j.retryBlocked(repeatable, now); reason != "" {
 		return reason
 	}
-	if j.failures >= maxUnreachable+j.Route.MaxAttempts {
-		return retry.AttemptsExhausted
-	}
 	if j.sends == 0 {
 		return "" // no upstream has received the request, so nothing is repeated
 	}
@@ -232,12 +238,34 @@
 	if !r.hasCandidate(j, now) {
 		return retry.NoOtherUpstream // leave the budget to other requests
 	}
-	if !r.retryBudget(j.service).Take(retry.ForRetry, r.opts.VMs(), now) {
+	if !r.takeResend(j, now) {
 		return retry.BudgetExhausted
 	}
 	return ""
 }
 
+// retryBlocked returns why there must not be another attempt, regardless of the retry budget
+// and of the upstreams. The result is "" if another attempt is allowed.
+func (j *job) retryBlocked(repeatable bool, now time.Time) retry.Reason {
+	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
+	if reason := attempt.RetryBlocked(max(j.Route.MaxAttempts, 1), now); reason != "" {
+		return reason
+	}
+	if j.failures >= maxUnreachable+j.Route.MaxAttempts {
+		return retry.AttemptsExhausted
+	}
+	return ""
+}
+
+// takeResend takes a resend of the request from the retry budget,
+// unless the resend that was taken last has reached no upstream.
+// takeResend returns false if the budget is exhausted.
+// The caller holds mu.
+func (r *Relay) takeResend(j *job, now time.Time) bool {
+	j.resendTaken = j.resendTaken || r.retryBudget(j.service).Take(retry.ForRetry, r.opts.VMs(), now)
+	return j.resendTaken
+}
+
 // minAttemptTime is the shortest remaining time in which an attempt can succeed.
 // minAttemptTime covers the network delay and the shortest answer.
 const minAttemptTime = 30 * time.Millisecond
@@ -247,6 +275,7 @@
 	j.failures++
 	if sent {
 		j.sends++
+		j.resendTaken = false
 	}
 	j.outcome = j.outcome.Combine(o)
 	j.exclude = append(j.exclude, j.lastUpstream.ID)
--- a/relay/send.go
+++ b/relay/send.go
@@ -44,8 +44,13 @@
 	model       contract.ModelID
 	modelReason string // reason for the choice of the model
 	// relativeValue is the value of the request relative to that of a mean request.
-	relativeValue  float64
-	release        string
+	relativeValue float64
+	selection
+	// reserved is the next attempt if it was reserved before the current attempt was ended.
+	reserved *reservation
+	// resendTaken is set once a resend was taken from the retry budget,
+	// until an upstream may have received that resend.
+	resendTaken    bool
 	exclude        []contract.UpstreamID
 	sends          int // attempts that may have reached an upstream
 	failures       int // failed attempts of any kind
@@ -55,21 +60,26 @@
 	// headSent is set once the caller has received the head of a stream.
 	headSent            bool
 	escalated           bool
-	lastUpstream        upstream.Entry
 	firstAnswerAt       time.Time // when the first answer or event arrived
 	confidence          float64   // reported for the forwarded answer
 	discardedConfidence float64   // reported for a smaller model's discarded answer
-	// pending is the prompt of the current attempt while its answer has not begun.
-	pending pendingPrompt
-	// sentAt is when the current attempt was sent.
-	// upstreamSeen is set once the upstream of the current attempt has responded.
 	// cachedFingerprint is the fingerprint of the request's content, computed on first use.
-	sentAt            time.Time
-	upstreamSeen      bool
 	cachedFingerprint *quarantine.Fingerprint
 	// executionReported is set once OnExecution has been called for the request.
 	executionReported bool
-	// limitClaimed is set if the current attempt has used one request
+}
+
+// selection is the choice of an upstream for one attempt, and what was counted for the attempt.
+type selection struct {
+	lastUpstream upstream.Entry
+	release      string
+	// pending is the prompt of the attempt while its answer has not begun.
+	pending pendingPrompt
+	// sentAt is when the upstream was selected.
+	// upstreamSeen is set once the upstream has responded.
+	sentAt       time.Time
+	upstreamSeen bool
+	// limitClaimed is set if the attempt has used one request
 	// of this VM's share of its upstream's rate limit.
 	limitClaimed bool
 }
@@ -120,16 +130,21 @@
 	if !j.Route.Repeatable() {
 		req.MaxIdle = maxIdleUnrepeatable
 	}
-	req.BeforeSend = func() error { return r.checkStillAvailable(j, e) }
+	req.BeforeSend = func() error {
+		if err := r.checkStillAvailable(j, e); err != nil {
+			return err
+		}
+		return watchdog.markSent()
+	}
 	answer, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Protocol.Matches(j.Request, h) })
-	timedOut := watchdog.stop()
+	j.reserved = watchdog.stop()
 	if err != nil {
 		cancel(nil)
 		return nil, err
 	}
 	head := r.opts.Protocol.Decode(answer.Status, answer.Header)
 	r.recordNotices(j, head, e)
-	if timedOut {
+	if j.reserved != nil {
 		answer.Close()
 		cancel(nil)
 		return nil, &exchange.Error{Sent: true, Err: errSilent}
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -237,14 +237,14 @@
 		FirstChunk: max(a.startedAt.Add(s.eventTimeout()).Sub(r.opts.Now()), longest),
 	}, r.opts.Now())
 	watchdog := r.watchSilence(j, detector.Deadline(), a.answer.Abort)
-	defer watchdog.stop()
+	defer func() { j.reserved = watchdog.stop() }()
 	buf := make([]byte, readBufferSize)
 	for {
 		n, err := a.answer.Read(buf)
 		if forwardErr := s.forwardEvents(a, detector, buf[:n]); forwardErr != nil {
 			return forwardErr
 		}
-		watchdog.extend(detector.Deadline())
+		watchdog.extend(j, detector.Deadline())
 		switch {
 		case errors.Is(err, io.EOF) && s.events.HasPartial():
 			return errTruncated
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"woaddoor/retry"
 )
 
 // While an attempt is silent beyond its deadline,
@@ -19,21 +21,26 @@
 const hungFactor = 3
 
 // silenceWatchdog aborts an attempt
-// that has been silent beyond its deadline as soon as another upstream could answer.
-// silenceWatchdog never aborts an attempt whose request may not be sent again.
+// that has been silent beyond its deadline once the next attempt is reserved.
+// silenceWatchdog never aborts an attempt whose request may not be sent again:
+// a slow answer is better than none.
 type silenceWatchdog struct {
 	relay *Relay
-	job   job // copy from the start of the attempt, never modified
 	abort func()
 
 	// mu guards the fields below.
 	// The mutex mu is acquired before the relay's mutex, never after the relay's mutex.
 	mu           sync.Mutex
+	job          job       // copy from when data was last received
+	sent         bool      // an upstream may have received the attempt
 	lastReceived time.Time // when the attempt last received data
 	deadline     time.Time
 	timer        *time.Timer // nil if the request may not be sent again
 	done         bool
-	fired        bool
+	// reserved is the next attempt, set when the watchdog aborts the current one.
+	reserved *reservation
+	// keptFor is the last reason not to abort the silent attempt.
+	keptFor retry.Reason
 }
 
 // mayResend reports whether a request may be sent again
@@ -41,9 +48,9 @@
 func (j *job) mayResend() bool { return j.Route.Repeatable() && j.sends+1 < j.Route.MaxAttempts }
 
 // watchSilence calls abort once an attempt has been silent beyond the deadline
-// and another upstream could answer.
+// and the next attempt is reserved.
 func (r *Relay) watchSilence(j *job, deadline time.Time, abort func()) *silenceWatchdog {
-	w := &silenceWatchdog{relay: r, job: *j, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
+	w := &silenceWatchdog{relay: r, job: *j, sent: j.upstreamSeen, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
 	if j.mayResend() {
 		w.mu.Lock()
 		w.timer = time.AfterFunc(deadline.Sub(r.opts.Now()), w.check)
@@ -52,11 +59,24 @@
 	return w
 }
 
-// extend records that the attempt has received data, and sets the next deadline.
-func (w *silenceWatchdog) extend(deadline time.Time) {
+// markSent records that an upstream may receive the attempt from now on.
+// It returns errSilent if the watchdog has aborted the attempt, which must then not be sent.
+func (w *silenceWatchdog) markSent() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastReceived, w.deadline = w.relay.opts.Now(), deadline
+	if w.reserved != nil {
+		return errSilent
+	}
+	w.sent = true
+	return nil
+}
+
+// extend records that the attempt of the job has received data, and sets the next deadline.
+func (w *silenceWatchdog) extend(j *job, deadline time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.job = *j
+	w.lastReceived, w.deadline, w.keptFor = w.relay.opts.Now(), deadline, ""
 	if w.timer != nil && !w.done {
 		w.timer.Reset(deadline.Sub(w.lastReceived))
 	}
@@ -75,23 +95,29 @@
 		return
 	}
 	hung := now.Sub(w.lastReceived) >= hungFactor*w.deadline.Sub(w.lastReceived)
-	if !w.relay.hasAlternative(&w.job, hung) {
+	reserved, reason := w.relay.reserveRetry(&w.job, w.sent, hung)
+	if reason != w.keptFor || reserved != nil {
+		w.keptFor = reason
+		w.relay.logSilence(&w.job, reserved, reason, now.Sub(w.lastReceived))
+	}
+	if reserved == nil {
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	w.done, w.fired = true, true
+	w.done, w.reserved = true, reserved
 	w.abort()
 }
 
-// stop stops the watchdog and reports whether it has aborted the attempt.
-func (w *silenceWatchdog) stop() bool {
+// stop stops the watchdog and returns the reserved next attempt,
+// or nil if the watchdog has not aborted the current attempt.
+func (w *silenceWatchdog) stop() *reservation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.done = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	return w.fired
+	return w.reserved
 }
 
 // firstAnswerTimeout returns how long an attempt may take to begin its answer.
--- a/retry/window.go
+++ b/retry/window.go
@@ -93,14 +93,19 @@
 // The parameter vms is the number of VMs that share the slack equally.
 // Take returns false if the allowance is used up.
 func (w *ResendWindow) Take(p Purpose, vms int, now time.Time) bool {
-	current := w.advance(now)
-	if w.used()+1 > w.allowanceFor(p, vms) {
+	if !w.CanTake(p, vms, now) {
 		return false
 	}
-	current.resends++
+	w.advance(now).resends++
 	return true
 }
 
+// CanTake reports whether Take would return true.
+func (w *ResendWindow) CanTake(p Purpose, vms int, now time.Time) bool {
+	w.advance(now)
+	return w.used()+1 <= w.allowanceFor(p, vms)
+}
+
 // UnusedShare returns the unused fraction of this VM's resend allowance, from 0 to 1.
 func (w *ResendWindow) UnusedShare(vms int, now time.Time) float64 {
 	w.advance(now)
