entry: a peer whose control process is away still keeps bill records

Cause: keepers were read from the list of live VMs, in which a control process that has restarted names no entry process; its later incarnation wins.

--- a/entry/bills.go
+++ b/entry/bills.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -140,59 +137,6 @@
 // markCopied records that a peer or the platform has just stored bill records.
 func (s *Server) markCopied() { s.locked(func() { s.lastCopiedAt = s.clock.Now() }) }
 
-// Limits for the selection of peers that store copies of bill records.
-const (
-	maxCopyPeers = 2
-	// failedPeerPenalty is how long a peer is tried last after a copy to it failed.
-	failedPeerPenalty = 5 * time.Second
-)
-
-// copyPeers returns the peers that may store copies of bill records, in the order in which to try
-// them. The first peer is in another data centre, because a whole data centre can fail.
-// The second peer is in this VM's data centre, because the network to all other data centres can
-// fail. A peer with a recent failure is chosen only if no other peer is on the same side (this data
-// centre, or the others).
-func (s *Server) copyPeers() []vm.Member {
-	var remote, local []vm.Member
-	for _, m := range s.view.Load().members {
-		if m.VM == s.origin.VM || m.EntryIncarnation == 0 || m.Leaving {
-			continue
-		}
-		if m.DataCentre == s.opts.Settings.DataCentre {
-			local = append(local, m)
-		} else {
-			remote = append(remote, m)
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	maps.DeleteFunc(s.copyFailedAt, func(_ contract.VMID, at time.Time) bool { return now.Sub(at) >= failedPeerPenalty })
-	failedRecently := func(m vm.Member) bool { return now.Sub(s.copyFailedAt[m.VM]) < failedPeerPenalty }
-	var chosen []vm.Member
-	for _, peers := range [][]vm.Member{remote, local} {
-		s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		slices.SortStableFunc(peers, func(a, b vm.Member) int {
-			return cmp.Compare(boolToInt(failedRecently(a)), boolToInt(failedRecently(b)))
-		})
-		if len(peers) > 0 {
-			chosen = append(chosen, peers[0])
-		}
-	}
-	if len(chosen) == maxCopyPeers && failedRecently(chosen[0]) && !failedRecently(chosen[1]) {
-		chosen[0], chosen[1] = chosen[1], chosen[0]
-	}
-	return chosen
-}
-
-// boolToInt returns 1 for true and 0 for false.
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // submitLoop periodically submits the bill records stored on this VM to the platform.
 func (s *Server) submitLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -90,6 +90,10 @@
 	bills          *bill.RecordBuffer
 	rolloutMonitor *rollout.Monitor
 	cascades       *cascade.Learner
+	// keepers holds the peers that may store copies of bill records.
+	// keepersListedAt is when control processes last listed the live VMs.
+	keepers         map[contract.VMID]keeper
+	keepersListedAt time.Time
 	// copyFailedAt is the time of the last failed copy of bill records to each peer.
 	copyFailedAt map[contract.VMID]time.Time
 	// lastCopiedAt is when a peer or the platform last stored bill records sent by this process.
@@ -117,8 +121,8 @@
 		random:    rand.New(rand.NewPCG(seed, uint64(len(opts.Settings.VM)))),
 		upstreams: upstream.NewTable(upstream.Options{}),
 		waiters:   make(map[workspace.ID]chan bool), reconfigured: make(chan struct{}, 1),
-		copyFailedAt: make(map[contract.VMID]time.Time),
-		retryBudget:  retry.NewBudget(retry.Options{}),
+		keepers: make(map[contract.VMID]keeper), copyFailedAt: make(map[contract.VMID]time.Time),
+		retryBudget: retry.NewBudget(retry.Options{}),
 	}
 	s.origin = bill.Origin{VM: opts.Settings.VM, Incarnation: s.incarnation}
 	s.arbiter = ticket.Arbiter{VM: opts.Settings.VM, Incarnation: s.incarnation, Address: opts.Settings.Entry.AdvertisedLink}
--- a/entry/view.go
+++ b/entry/view.go
@@ -26,7 +26,6 @@
 	revision contract.Revision
 	members  []vm.Member
 	// lastListed holds the time at which an answer of a control process last listed each member.
-	// the time at which a control process's answer last listed it.
 	lastListed map[contract.VMID]time.Time
 	// membersAskedAt is when the last request that returned the members was sent.
 	membersAskedAt time.Time
@@ -220,6 +219,9 @@
 	}
 	next.snapshot.FreshAt = v.replica.FreshAt()
 	s.locked(func() {
+		if answer.Members != nil {
+			s.recordKeepers(next.members, s.clock.Now())
+		}
 		for _, halted := range answer.HaltedVersions {
 			s.rolloutMonitor.Halt(halted)
 		}
--- a/internal/fleet/guarantees_test.go
+++ b/internal/fleet/guarantees_test.go
@@ -296,6 +296,35 @@
 	})
 }
 
+// TestBillsAreKeptWhilePeerControlRestarts guards against refusing answers that were run, because
+// the control process of the peer that holds the bill records has restarted or is gone, although
+// the entry process of that peer still runs. The platform is down meanwhile.
+func TestBillsAreKeptWhilePeerControlRestarts(t *testing.T) {
+	t.Parallel()
+	const (
+		// outage is longer than a silent VM is listed for.
+		outage = 8 * time.Second
+		pause  = 5 * time.Millisecond
+	)
+	for name, restart := range map[string]bool{"restarted": true, "gone": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f, ctx := startFleet(t, 2, 1, 0)
+			f.Platform.SetFaults(platform.Faults{Down: true})
+			f.VMs[1].Control.Kill()
+			if restart {
+				is.NoErr(f.StartControl(f.VMs[1]))
+			}
+			for end := time.Now().Add(outage); time.Now().Before(end); time.Sleep(pause) {
+				r, err := f.VMs[0].Chat(ctx, APIKeyNorte, "chat-large", "hello")
+				is.NoErr(err)
+				is.Equal(r.Status, http.StatusOK)
+			}
+		})
+	}
+}
+
 // TestStopDuringPlatformOutage stops a VM while the platform is down. The VM exits
 // although it cannot file its bill records, because a peer holds copies. The peer
 // files them once the platform is back.
