quarantine: the last of several sends decides whether crashes are successive

Cause: a crash counts if its request was sent after the previous one. Of several requests with one content on an upstream, the earliest send was kept, so one that had waited in the engine's queue hid another that was sent after the crash. Why it works: the shortest run of an upstream's crash is kept; it does not depend on gossip delays, so it cannot creep from VM to VM.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -54,7 +54,8 @@
 }
 
 // Crash is the crash of an upstream while it ran a request: when the request was sent and when
-// its connection broke, on the clock of this VM.
+// its connection broke, on the clock of this VM. If several requests with the same content ran
+// on the upstream, SentAt belongs to the one that was sent last.
 type Crash struct {
 	contract.UpstreamInstance
 	SentAt, BrokenAt time.Time
@@ -194,9 +195,10 @@
 	}
 	crashes := mergeCrashes(c.Crashes, other.Crashes)
 	quarantined := c.Quarantined || other.Quarantined || countSuccessive(crashes) >= CrashLimit
-	// Only a longer list of crashes counts as a change. Once the list is full, VMs keep different
-	// newest crashes. If those differences counted as changes, VMs would exchange them forever.
-	changed = changed || len(crashes) > len(c.Crashes) || quarantined != c.Quarantined
+	// Only a longer list of crashes, or a shorter run, counts as a change.
+	// Once the list is full, VMs keep different newest crashes.
+	// If those differences counted as changes, VMs would exchange them forever.
+	changed = changed || len(crashes) > len(c.Crashes) || hasShorterRun(c.Crashes, crashes) || quarantined != c.Quarantined
 	c.Crashes = crashes
 	t.setQuarantined(c, quarantined)
 	if changed {
@@ -214,7 +216,9 @@
 // mergeCrashes returns the newest crashes of both lists, oldest first.
 // An incarnation of an upstream
 // crashes only once. Of several reports of one crash, the earliest is the most accurate,
-// since gossip arrives with a delay.
+// since gossip arrives with a delay. The shortest run tells when the content was sent last:
+// a request that waited at the upstream for long does not hide a later one
+// that was sent after the previous crash. Gossip delays do not change how long a run took.
 func mergeCrashes(a, b []Crash) []Crash {
 	out := slices.Clone(a)
 	for _, e := range b {
@@ -223,7 +227,9 @@
 			out = append(out, e)
 			continue
 		}
-		out[i].SentAt, out[i].BrokenAt = earliest(out[i].SentAt, e.SentAt), earliest(out[i].BrokenAt, e.BrokenAt)
+		shortest := min(out[i].ran(), e.ran())
+		out[i].BrokenAt = earliest(out[i].BrokenAt, e.BrokenAt)
+		out[i].SentAt = out[i].BrokenAt.Add(-shortest)
 	}
 	slices.SortFunc(out, func(a, b Crash) int {
 		return cmp.Or(a.BrokenAt.Compare(b.BrokenAt), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
@@ -231,6 +237,17 @@
 	return out[max(len(out)-maxCrashesKept, 0):]
 }
 
+// ran returns how long the request ran until the upstream crashed.
+func (c Crash) ran() time.Duration { return c.BrokenAt.Sub(c.SentAt) }
+
+// hasShorterRun reports whether any crash in the list has a shorter run than the same crash in
+// the old list.
+func hasShorterRun(old, crashes []Crash) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool {
+		return slices.ContainsFunc(old, func(o Crash) bool { return o.UpstreamInstance == c.UpstreamInstance && c.ran() < o.ran() })
+	})
+}
+
 // earliest returns the earlier of two times.
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -71,6 +71,27 @@
 	})
 }
 
+// TestLastOfSeveralSendsDecides guards against a request that waited at an upstream for long
+// hiding that the same content was sent there again after the previous crash: six upstreams
+// crashed one after another before the content was quarantined.
+func TestLastOfSeveralSendsDecides(t *testing.T) {
+	p := Fingerprint{1}
+	crashes := []Crash{
+		crash("u1", 0, 1300), crash("u2", 200, 2200), crash("u2", 1300, 2200), crash("u3", 100, 4000), crash("u3", 2200, 4010),
+	}
+	order := func(t *rapid.T) []Crash { return rapid.Permutation(crashes).Draw(t, "order") }
+	rapid.Check(t, func(t *rapid.T) {
+		observer, peer := NewTable(), NewTable()
+		for i, c := range order(t) {
+			observer.RecordCrash(p, Source{}, c, at(4020+i))
+			peer.Merge(observer.Updates(at(4020+i)), at(4020+i+rapid.IntRange(1, 100).Draw(t, "delay")))
+		}
+		if !observer.Blocks(p, at(4100)) || !peer.Blocks(p, at(4200)) {
+			t.Fatal("three crashes, each after a send that followed the previous one, must quarantine the content")
+		}
+	})
+}
+
 // randomUpdate generates a gossip update about one content with up to maxCrashesKept crashes.
 func randomUpdate(t *rapid.T, label string) Update {
 	out := Update{Fingerprint: Fingerprint{1}, Epoch: uint32(rapid.IntRange(0, 2).Draw(t, label+"epoch")), Quarantined: rapid.IntRange(0, 9).Draw(t, label+"quarantined") == 0}
