site: the observer of the first crash stores a quarantined content at once

Cause: the note in the store waits for the next tick (250 ms) and for the rank of the VM (250 ms each).

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -145,7 +145,7 @@
 		VMs:     v.peers.EstimatedVMs,
 		ListAge: v.listAge,
 		Policy:  s.Policy, ValueCostRatio: s.ValueCostRatio, MaxEscalationPrice: s.MaxEscalationPrice, CanaryShare: s.Bounds.CanaryShare, MaxBackoff: s.Bounds.MaxBackoff, OnBadAnswer: func() { go v.peers.AnnounceUrgent() },
-		OnSuspect:    func() { go v.peers.AnnounceUrgent() },
+		OnSuspect: func() { go v.peers.AnnounceUrgent() }, OnQuarantined: func() { v.site.WriteQuarantined() },
 		OnBadRelease: func() { v.site.EvaluateVerdicts() }, OnSent: v.peers.ReportSent, OnConfidence: v.peers.ReportConfidence, OnBackoff: v.peers.ReportBackoff, OnLimit: v.peers.ReportLimit, GossipScope: v.peers.GossipScope,
 		OnExecution:     v.usageRecorder(),
 		EvacuationBound: s.Bounds.Evacuation, ColdOwners: v.peers.ColdOwners, ColdBounds: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -62,6 +62,14 @@
 	if c.Urgent() {
 		r.notifySuspected()
 	}
+	r.notifyIfQuarantined(c)
+}
+
+// notifyIfQuarantined reports newly quarantined content to the site. The caller holds mu.
+func (r *Relay) notifyIfQuarantined(c *quarantine.Record) {
+	if c.Quarantined && r.opts.OnQuarantined != nil {
+		r.opts.OnQuarantined()
+	}
 }
 
 // clearSuspect records that an upstream has executed the job's request successfully,
@@ -124,6 +132,7 @@
 	defer r.mu.Unlock()
 	for _, c := range r.quarantineCases.Merge(updates, r.opts.Now()) {
 		r.logCase(c, string(from))
+		r.notifyIfQuarantined(c)
 		urgent = urgent || c.Urgent()
 	}
 	return urgent
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,10 @@
 	// that is suspected of crashing upstreams.
 	// OnSuspect must not block and may be nil.
 	OnSuspect func()
+	// OnQuarantined is called when content is quarantined,
+	// so that it is written to the platform's object store at once.
+	// OnQuarantined must not block and may be nil.
+	OnQuarantined func()
 	// ListAge returns the age of the upstream list
 	// that was last read from the platform's object store.
 	// ListAge may be nil.
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
-	"woaddoor/clock"
 	"woaddoor/contract"
 	"woaddoor/logs"
 	"woaddoor/quarantine"
@@ -77,18 +77,40 @@
 // because calls to a slow store would delay the verdicts on releases.
 func (s *Site) syncQuarantine(ctx context.Context) {
 	pending := make(map[writeKey]*pendingWrite)
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, tickInterval)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.suspected:
+		}
 		s.writeQuarantineUpdates(ctx, pending)
 	}
 }
 
+// WriteQuarantined makes the site look at once for quarantined content to write to the store.
+// WriteQuarantined does not block.
+func (s *Site) WriteQuarantined() {
+	select {
+	case s.suspected <- struct{}{}:
+	default:
+	}
+}
+
 // writeQuarantineUpdates writes changes of quarantined request contents once
 // this VM's write delay has passed. Trials of a quarantined content are claimed without a delay.
+// The VM that observed the first crash writes a quarantined content without a delay too:
+// until it is written, a loss of all VMs releases the content.
 func (s *Site) writeQuarantineUpdates(ctx context.Context, pending map[writeKey]*pendingWrite) {
 	changes := s.opts.Relay.QuarantineUpdates()
 	for _, content := range changes.Add {
-		if s.mayWrite(pending, writeKey{content.Fingerprint.String(), stateQuarantined, content.Revision.Era()}, s.opts.Now()) {
+		key := writeKey{content.Fingerprint.String(), stateQuarantined, content.Revision.Era()}
+		if _, waiting := pending[key]; !waiting && content.ObservedBy == s.opts.VM {
+			pending[key] = &pendingWrite{due: s.opts.Now()}
+		}
+		if s.mayWrite(pending, key, s.opts.Now()) {
 			s.logQuarantineWrite(content, stateQuarantined, s.opts.QuarantineStore.PutQuarantined(ctx, content))
 		}
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -62,6 +62,8 @@
 	table atomic.Pointer[route.Table]
 	// wake triggers an immediate run of the periodic tasks in tick.
 	wake chan struct{}
+	// suspected makes syncQuarantine run before its next tick.
+	suspected chan struct{}
 	// ready is closed once a configuration and a list of upstreams are known.
 	// requestWaiting is closed when a client request arrives before ready is closed.
 	ready, requestWaiting  chan struct{}
@@ -94,7 +96,7 @@
 		opts.Registry = metrics.NewRegistry()
 	}
 	return &Site{
-		opts: opts, log: opts.Log, upstreamList: NewUpstreamList(), wake: make(chan struct{}, 1),
+		opts: opts, log: opts.Log, upstreamList: NewUpstreamList(), wake: make(chan struct{}, 1), suspected: make(chan struct{}, 1),
 		ready: make(chan struct{}), requestWaiting: make(chan struct{}),
 		randomRank:  rand.IntN(requestRanks),
 		orderWrites: make(map[writeKey]*pendingWrite), activeEvacuations: make(map[string]activeEvacuation),
