--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -51,7 +51,9 @@
 	}
 	probe, crashed := r.possibleCrashes.ConnectionBroke(instance, e.Address, s)
 	if probe {
-		go r.probeUpstream(instance, e.Address)
+		done := make(chan struct{})
+		r.probesRunning[instance] = done
+		go r.probeUpstream(instance, e.Address, done)
 	}
 	if crashed {
 		r.recordCrash(instance, "known", []quarantine.SuspectRequest{s})
@@ -72,10 +74,14 @@
 }
 
 // probeUpstream connects to the address of an upstream
-// whose connections broke off, to determine whether it has crashed.
-func (r *Relay) probeUpstream(instance contract.UpstreamInstance, address string) {
+// whose connections broke off, to determine whether it has crashed. It closes done at the end.
+func (r *Relay) probeUpstream(instance contract.UpstreamInstance, address string, done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	defer func() {
+		r.withLock(func() { delete(r.probesRunning, instance) })
+		close(done)
+	}()
 	err := exchange.Probe(ctx, address)
 	if !exchange.IsConnectionRefused(err) {
 		r.log.Debug("upstream-reached", zap.String("upstream", string(instance.Upstream)), zap.Error(err))
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -39,6 +39,16 @@
 	return f.WithRetryAfter(retryAfterRestart)
 }
 
+// refuseSuspectRunning refuses a request whose content may crash the upstream
+// that is executing another request with the same content.
+func refuseSuspectRunning(j *job) *contract.Refusal {
+	f := &contract.Refusal{
+		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
+		Detail: "requests with this content have crashed upstreams, and another one with the same content is running",
+	}
+	return f.WithRetryAfter(retryAfterRestart)
+}
+
 // refuseUnlisted refuses a request for a service without a known upstream.
 func refuseUnlisted(j *job) *contract.Refusal {
 	f := &contract.Refusal{
--- a/relay/reservation_test.go
+++ b/relay/reservation_test.go
@@ -24,19 +24,11 @@
 	return r, j
 }
 
-// quarantineContent makes the content of the job count as having crashed three upstreams.
-func quarantineContent(r *Relay, j *job, now time.Time) {
-	for i, id := range []contract.UpstreamID{"x", "y", "z"} {
-		at := now.Add(time.Duration(i) * time.Second)
-		crash := quarantine.Crash{UpstreamInstance: contract.UpstreamInstance{Upstream: id}, SentAt: at, BrokenAt: at.Add(time.Millisecond)}
-		r.quarantineCases.RecordCrash(j.contentFingerprint(), quarantine.Source{}, crash, crash.BrokenAt)
-	}
-}
-
 // TestSilentAttemptIsEndedOnlyWithSuccessor guards against ending an attempt on purpose
 // when the request may not be sent again, for whatever reason.
 func TestSilentAttemptIsEndedOnlyWithSuccessor(t *testing.T) {
 	enough := retry.ResendWindowOptions{Slack: 100}
+	quarantineContent := func(r *Relay, j *job, now time.Time) { recordCrashes(r, j, quarantine.CrashLimit, now) }
 	for name, c := range map[string]struct {
 		budget retry.ResendWindowOptions
 		sent   bool
@@ -117,7 +109,7 @@
 	now := time.Unix(1000, 0)
 	r, j := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
 	poor := &ResponseHead{Confidence: 0.1}
-	quarantineContent(r, j, now)
+	recordCrashes(r, j, quarantine.CrashLimit, now)
 	_, escalates := r.decideEscalation(j, poor)
 	is.True(!escalates)
 
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -27,6 +27,7 @@
 		return j.lastUpstream, nil
 	}
 	r.prepareFingerprint(j)
+	r.awaitVerdict(j)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.pickUpstream(j, r.opts.Now())
@@ -38,6 +39,9 @@
 	if refused := r.checkQuarantine(j, now); refused != nil {
 		return upstream.Entry{}, refused
 	}
+	if refused := r.checkSuspectRunning(j); refused != nil {
+		return upstream.Entry{}, refused
+	}
 	if j.failures > 0 && r.isIsolated(j.service, now) {
 		return upstream.Entry{}, r.refuseNoUpstream(j, now) // other upstreams would fail too
 	}
@@ -52,6 +56,7 @@
 		r.countUnwantedSend(id, now)
 		r.recordLimitClaim(j, r.entries[id].Instance())
 		r.table.RecordSent(id)
+		r.beginSuspect(j)
 		r.recordPendingPrompt(j, id, now)
 		j.release = pools.release
 		if j.release == "" {
@@ -147,6 +152,7 @@
 // The argument timeToFirst is the time until the answer to the attempt began.
 func (r *Relay) recordAttemptEnd(j *job, e upstream.Entry, result upstream.Result, timeToFirst time.Duration) {
 	r.withLock(func() {
+		r.endSuspect(j)
 		r.recordPromptDropped(j)
 		if r.isCurrent(e.ID, e.Incarnation) {
 			r.table.RecordDone(e.ID, result, timeToFirst, r.opts.Now())
--- /dev/null
+++ b/relay/suspects_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/contract"
+	"woaddoor/quarantine"
+	"woaddoor/retry"
+	"woaddoor/upstream"
+)
+
+// recordCrashes makes the content of a job count as having crashed n upstreams one after another.
+func recordCrashes(r *Relay, j *job, n int, now time.Time) {
+	for i, id := range []contract.UpstreamID{"x", "y", "z"}[:n] {
+		at := now.Add(time.Duration(i) * time.Second)
+		crash := quarantine.Crash{UpstreamInstance: contract.UpstreamInstance{Upstream: id}, SentAt: at, BrokenAt: at.Add(time.Millisecond)}
+		r.quarantineCases.RecordCrash(j.contentFingerprint(), quarantine.Source{}, crash, crash.BrokenAt)
+	}
+}
+
+// newContentJob returns a job with a request body.
+func newContentJob(now time.Time, body string) *job {
+	j := newStreamJob(true)
+	j.outcome = contract.OutcomeNotRun
+	j.service, j.Arrived, j.Deadline, j.Body = "s", now, now.Add(time.Minute), []byte(body)
+	return j
+}
+
+// TestSuspectRunsOnceAtATime guards against several requests with one content, which one more
+// crash would quarantine, each crashing an upstream before the first of them has ended.
+func TestSuspectRunsOnceAtATime(t *testing.T) {
+	for crashes, refusedBeside := range map[int]bool{0: false, 1: false, quarantine.CrashLimit - 1: true} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		r, _ := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
+		first, second, other := newContentJob(now, "a"), newContentJob(now, "a"), newContentJob(now, "b")
+		recordCrashes(r, first, crashes, now)
+		_, refused := r.selectUpstream(first)
+		is.True(refused == nil)
+		_, refused = r.selectUpstream(other)
+		is.True(refused == nil)
+		_, refused = r.selectUpstream(second)
+		is.Equal(refused != nil, refusedBeside)
+		if refusedBeside {
+			is.Equal(refused.Kind, contract.RefusedQuarantined)
+			is.Equal(refused.Outcome, contract.OutcomeNotRun)
+			is.True(refused.RetryAfter > 0)
+			next, _ := r.reserveRetry(first, true, true)
+			is.True(next == nil) // a silent attempt is not followed by another one either
+		}
+		r.recordAttemptEnd(first, first.lastUpstream, upstream.Abandoned, 0)
+		if refusedBeside {
+			_, refused = r.selectUpstream(second)
+			is.True(refused == nil)
+		}
+		r.recordAttemptEnd(second, second.lastUpstream, upstream.Abandoned, 0)
+		r.recordAttemptEnd(other, other.lastUpstream, upstream.Abandoned, 0)
+		is.Equal(len(r.suspectsRunning), 0)
+	}
+}
+
+// TestNextAttemptAwaitsVerdict guards against sending a content once more in the milliseconds
+// before the probe of its last upstream shows the crash that quarantines the content.
+func TestNextAttemptAwaitsVerdict(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r, j := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
+	recordCrashes(r, j, quarantine.CrashLimit-1, now)
+	probe := make(chan struct{})
+	r.probesRunning[j.lastUpstream.Instance()] = probe
+	j.recordFailure(contract.OutcomeRan, true)
+	go func() {
+		time.Sleep(verdictTimeout / 10)
+		r.withLock(func() { recordCrashes(r, newContentJob(now, ""), quarantine.CrashLimit, now) })
+		close(probe)
+	}()
+	_, refused := r.selectUpstream(j)
+	is.True(refused != nil)
+	is.Equal(refused.Kind, contract.RefusedQuarantined)
+}
