--- a/relay/log.go
+++ b/relay/log.go
@@ -93,10 +93,10 @@
 
 // logSilence logs whether an attempt that is silent beyond its deadline is ended
 // in favor of the next attempt, or goes on for a reason.
-func (r *Relay) logSilence(j *job, next *reservation, reason retry.Reason, silence time.Duration) {
+func (r *Relay) logSilence(j *job, next *reservation, reason retry.Reason, silence, late time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", string(j.ID)), zap.String("upstream", string(j.lastUpstream.ID)), zap.Int64("silence_ms", silence.Milliseconds()),
-		zap.Bool("began", j.headSent), zap.Int("sends", j.sends),
+		zap.Bool("began", j.headSent), zap.Int("sends", j.sends), zap.Int64("late_ms", late.Milliseconds()),
 	}
 	if next == nil {
 		r.Metrics.silentKept.Inc(1)
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -94,11 +94,12 @@
 		w.timer.Reset(w.deadline.Sub(now))
 		return
 	}
+	late := now.Sub(w.deadline)
 	hung := now.Sub(w.lastReceived) >= hungFactor*w.deadline.Sub(w.lastReceived)
 	reserved, reason := w.relay.reserveRetry(&w.job, w.sent, hung)
 	if reason != w.keptFor || reserved != nil {
 		w.keptFor = reason
-		w.relay.logSilence(&w.job, reserved, reason, now.Sub(w.lastReceived))
+		w.relay.logSilence(&w.job, reserved, reason, now.Sub(w.lastReceived), late)
 	}
 	if reserved == nil {
 		w.timer.Reset(recheckInterval)
