exchange: a connection is kept though its write returns after the response

Cause: at the end of a response the connection was discarded unless the goroutine that had written the request had delivered its result by then. A fast upstream responds before that goroutine runs again. Evidence: TestConnectionIsKeptIfWriteReturnsLate failed before. Why it works: the end of a response waits for that result, 10 ms at most; a body that is still being written then frees no connection, as before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -127,13 +127,23 @@
 // abort makes reads and writes on the connection fail at once.
 func (c *conn) abort() { _ = c.Close() }
 
+// writeResultWait is how long the end of a response waits for the result of writing the request.
+// A fast upstream responds before the goroutine that has written the request runs again.
+// A request that is longer than what the upstream has read is still being written then.
+const writeResultWait = 10 * time.Millisecond
+
 // reusable reports whether the connection can take the next request:
 // the current request was written completely and no data followed the response.
 func (c *conn) reusable() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	timeout := time.NewTimer(writeResultWait)
+	defer timeout.Stop()
 	select {
 	case err := <-c.writeResult:
-		return err == nil && c.reader.Buffered() == 0
-	default:
+		return err == nil
+	case <-timeout.C:
 		return false
 	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -173,3 +173,31 @@
 	is.NoErr(send(t.Context(), pool, r))
 	is.Equal(u.connectionCount(), 2)
 }
+
+// lateWriteConn is a connection whose Write returns some time after the bytes were sent.
+type lateWriteConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *lateWriteConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// TestConnectionIsKeptIfWriteReturnsLate guards against discarding a good connection because its
+// upstream responded before the goroutine that had written the request ran again.
+// A request that is still being written long after its response does not free the connection.
+func TestConnectionIsKeptIfWriteReturnsLate(t *testing.T) {
+	for delay, connections := range map[time.Duration]int{writeResultWait / 5: 1, 20 * writeResultWait: 2} {
+		is := is.New(t)
+		u := newTestUpstream(t)
+		pool := newIdlePool(t, u, 1)
+		pool.idle[0].Conn = &lateWriteConn{pool.idle[0].Conn, delay}
+		for range 2 {
+			is.NoErr(send(t.Context(), pool, &Request{Method: "GET", URI: "/", Host: "a"}))
+		}
+		is.Equal(u.connectionCount(), connections)
+	}
+}
