relay: attempts that began before a content was suspected count as running

Evidence: TestSuspectRunsOnceAtATime, with the first attempt begun before the crashes are known, fails without the change. Why it works: all attempts in progress are kept by request and compared by content, only when a content with two crashes is to be sent.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -106,7 +106,7 @@
 	{"a quarantined content is not sent", "relay/quarantine.go", "!r.quarantineCases.Blocks(j.contentFingerprint(), now)", "!r.quarantineCases.Blocks(quarantine.Fingerprint{}, now)", "./platform", "TestCrashingRequestIsQuarantined"},
 	{"VMs exchange request contents that crash upstreams", "site/receive.go", "exchange.MergeSuspects(msg.Suspects, msg.Self.VM) || worse", "worse", "./platform", "TestQuarantineDuringStoreOutage"},
 	{"quarantined request contents survive the loss of all VMs", "site/quarantine.go", "s.opts.Relay.SetQuarantined(content)", "_ = content", "./platform", "TestQuarantineSurvivesRestartOfAllVMs"},
-	{"one crash short of a quarantine, a content runs once at a time", "relay/suspects.go", "r.suspectsRunning[p] == 0 ||", "true ||", "./relay", "TestSuspectRunsOnceAtATime"},
+	{"one crash short of a quarantine, a content runs once at a time", "relay/suspects.go", "if running.sameContent(j.Request) {", "if false {", "./relay", "TestSuspectRunsOnceAtATime"},
 	{"the next attempt awaits the verdict on the last", "relay/suspects.go", "if probe == nil || crashes == 0 {", "if true {", "./relay", "TestNextAttemptAwaitsVerdict"},
 	{"the observer stores a quarantine at once", "site/quarantine.go", "!waiting && content.ObservedBy == s.opts.VM", "false && !waiting", "./site", "TestObserverStoresQuarantineAtOnce"},
 	{"the last of several sends decides", "quarantine/table.go", "shortest := min(out[i].ran(), e.ran())", "shortest := max(out[i].ran(), e.ran())", "./quarantine", "TestLastOfSeveralSendsDecides"},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,11 +153,11 @@
 	// quarantineCases holds the content of the requests that upstreams executed when they crashed.
 	possibleCrashes *quarantine.CrashTracker
 	quarantineCases *quarantine.Table
-	// suspectsRunning counts the attempts in progress whose content has crashed an upstream before.
+	// running counts the attempts in progress of each request.
 	// probesRunning holds a channel for each upstream that is being probed for a crash.
 	// The channel is closed when the probe ends.
-	suspectsRunning map[quarantine.Fingerprint]int
-	probesRunning   map[contract.UpstreamInstance]chan struct{}
+	running       map[*Request]int
+	probesRunning map[contract.UpstreamInstance]chan struct{}
 	// promptLoads holds, by service, the prefill work that this VM sends to the engines.
 	promptLoads map[contract.ServiceID]*promptLoad
 	// dataCentreOf maps each pool to its data centre.
@@ -191,7 +191,7 @@
 		confidences:       cascade.NewConfidenceEstimator(),
 		promptLoads:       make(map[contract.ServiceID]*promptLoad),
 		possibleCrashes:   quarantine.NewCrashTracker(), quarantineCases: quarantine.NewTable(),
-		suspectsRunning: make(map[quarantine.Fingerprint]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
+		running: make(map[*Request]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
 	}
 }
 
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -56,7 +56,7 @@
 		r.countUnwantedSend(id, now)
 		r.recordLimitClaim(j, r.entries[id].Instance())
 		r.table.RecordSent(id)
-		r.beginSuspect(j)
+		r.beginAttempt(j)
 		r.recordPendingPrompt(j, id, now)
 		j.release = pools.release
 		if j.release == "" {
@@ -152,7 +152,7 @@
 // The argument timeToFirst is the time until the answer to the attempt began.
 func (r *Relay) recordAttemptEnd(j *job, e upstream.Entry, result upstream.Result, timeToFirst time.Duration) {
 	r.withLock(func() {
-		r.endSuspect(j)
+		r.endAttempt(j)
 		r.recordPromptDropped(j)
 		if r.isCurrent(e.ID, e.Incarnation) {
 			r.table.RecordDone(e.ID, result, timeToFirst, r.opts.Now())
--- a/relay/send.go
+++ b/relay/send.go
@@ -82,8 +82,8 @@
 	// limitClaimed is set if the attempt has used one request
 	// of this VM's share of its upstream's rate limit.
 	limitClaimed bool
-	// suspect is set if the attempt is counted in Relay.suspectsRunning.
-	suspect bool
+	// running is set while the attempt is counted in Relay.running.
+	running bool
 }
 
 // pendingPrompt is a prompt that was sent and whose answer has not begun.
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,34 +44,37 @@
 // until then, each further attempt could crash another upstream.
 // The caller holds mu.
 func (r *Relay) checkSuspectRunning(j *job) *contract.Refusal {
-	if r.quarantineCases.Empty() {
+	if r.quarantineCases.Empty() || r.quarantineCases.CrashCount(j.contentFingerprint()) < quarantine.CrashLimit-1 {
 		return nil
 	}
-	p := j.contentFingerprint()
-	if r.suspectsRunning[p] == 0 || r.quarantineCases.CrashCount(p) < quarantine.CrashLimit-1 {
-		return nil
+	for running := range r.running {
+		if running.sameContent(j.Request) {
+			return refuseSuspectRunning(j)
+		}
 	}
-	return refuseSuspectRunning(j)
+	return nil
 }
 
-// beginSuspect counts an attempt whose content has crashed an upstream before.
-// The caller holds mu.
-func (r *Relay) beginSuspect(j *job) {
-	j.suspect = !r.quarantineCases.Empty() && r.quarantineCases.CrashCount(j.contentFingerprint()) > 0
-	if j.suspect {
-		r.suspectsRunning[j.contentFingerprint()]++
-	}
+// sameContent reports whether two requests have the same fingerprint.
+// Comparing the contents needs no fingerprint of the many requests that are never suspected.
+func (r *Request) sameContent(other *Request) bool {
+	return r.Workspace == other.Workspace && r.Host == other.Host && r.URI == other.URI && bytes.Equal(r.Body, other.Body)
+}
+
+// beginAttempt counts an attempt in progress. The caller holds mu.
+func (r *Relay) beginAttempt(j *job) {
+	j.running = true
+	r.running[j.Request]++
 }
 
-// endSuspect ends the count of an attempt. The caller holds mu.
-func (r *Relay) endSuspect(j *job) {
-	if !j.suspect {
+// endAttempt ends the count of an attempt. The caller holds mu.
+func (r *Relay) endAttempt(j *job) {
+	if !j.running {
 		return
 	}
-	j.suspect = false
-	p := j.contentFingerprint()
-	r.suspectsRunning[p]--
-	if r.suspectsRunning[p] == 0 {
-		delete(r.suspectsRunning, p)
+	j.running = false
+	r.running[j.Request]--
+	if r.running[j.Request] == 0 {
+		delete(r.running, j.Request)
 	}
 }
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -37,9 +37,9 @@
 		now := time.Unix(1000, 0)
 		r, _ := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
 		first, second, other := newContentJob(now, "a"), newContentJob(now, "a"), newContentJob(now, "b")
-		recordCrashes(r, first, crashes, now)
-		_, refused := r.selectUpstream(first)
+		_, refused := r.selectUpstream(first) // before the content is suspected
 		is.True(refused == nil)
+		recordCrashes(r, first, crashes, now)
 		_, refused = r.selectUpstream(other)
 		is.True(refused == nil)
 		_, refused = r.selectUpstream(second)
@@ -58,7 +58,7 @@
 		}
 		r.recordAttemptEnd(second, second.lastUpstream, upstream.Abandoned, 0)
 		r.recordAttemptEnd(other, other.lastUpstream, upstream.Abandoned, 0)
-		is.Equal(len(r.suspectsRunning), 0)
+		is.Equal(len(r.running), 0)
 	}
 }
 
