site: the recording relay of the tests is locked

Cause, traced before: the test sets the limits of its relays after their endpoints serve, and a handler's goroutine reads them.

--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -75,8 +75,8 @@
 	for _, p := range []*Peers{a, b} {
 		p.addMembers([]vm.Member{memberA, memberB})
 	}
-	relayA.known, relayA.digest = knownLimitOf("u", 1), 1
-	relayB.known, relayB.digest = knownLimitOf("w", 2), 2
+	relayA.setKnown(knownLimitOf("u", 1), 1)
+	relayB.setKnown(knownLimitOf("w", 2), 2)
 	is.True(a.exchangeGossip(t.Context(), memberB.ControlAddress, localTimeout, a.gossipFor(audienceHub)))
 	is.Equal(nextLimits(t, relayA), knownLimitOf("w", 2))
 	is.Equal(nextLimits(t, relayB), knownLimitOf("u", 1))
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,8 +27,18 @@
 	confidence chan []relay.ConfidenceReport
 	backoffs   chan []relay.Backoff
 	limits     chan []upstream.LimitUpdate
-	known      []upstream.LimitUpdate
-	digest     uint64
+
+	// mu guards the fields below: an endpoint serves other VMs from its start.
+	mu     sync.Mutex
+	known  []upstream.LimitUpdate
+	digest uint64
+}
+
+// setKnown sets the limits that the VM knows and their digest.
+func (r *recordingRelay) setKnown(known []upstream.LimitUpdate, digest uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known, r.digest = known, digest
 }
 
 func newRecordingRelay() *recordingRelay {
@@ -47,8 +58,19 @@
 	sendNonEmpty(r.confidence, reports)
 }
 func (r *recordingRelay) MergeBackoffs(backoffs []relay.Backoff) { sendNonEmpty(r.backoffs, backoffs) }
-func (r *recordingRelay) Limits() []upstream.LimitUpdate         { return r.known }
-func (r *recordingRelay) LimitsDigest() uint64                   { return r.digest }
+
+func (r *recordingRelay) Limits() []upstream.LimitUpdate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
+func (r *recordingRelay) LimitsDigest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest
+}
+
 func (r *recordingRelay) MergeLimits(limits []upstream.LimitUpdate, _ bool, _ contract.VMID) {
 	sendNonEmpty(r.limits, limits)
 }
