soak: a broken retry budget tells how its repeats came about

The check is unchanged; its message counts the repeats by the incarnation of the VM that sent them, and those that were on their way for 200 ms longer than the first arrival.

--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +59,24 @@
 type arrival struct {
 	at time.Time
 	id string
+	// by is the incarnation of the VM that sent the request.
+	by string
+	// remaining is the time that the VM gave the upstream when it sent the request.
+	remaining time.Duration
+}
+
+// newArrival returns the arrival of a request now.
+func newArrival(r *replica.Request) arrival {
+	milliseconds, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+	if err != nil {
+		milliseconds = 0 // only the explanation of a broken check needs it
+	}
+	return arrival{time.Now(), r.ID(), r.Header.Get(headerVMIncarnation), time.Duration(milliseconds) * time.Millisecond}
+}
+
+// delayAfter returns how much longer the repeated arrival was on its way than the first one.
+func (a arrival) delayAfter(first arrival) time.Duration {
+	return a.at.Sub(first.at) - (first.remaining - a.remaining)
 }
 
 // upstreamPosition is a position in the fleet. When its upstream ends, another incarnation or
@@ -145,7 +165,7 @@
 // serve handles one request and returns whether the connection stays open.
 func (u *upstreams) serve(position *upstreamPosition, c *replica.Conn, r *replica.Request) bool {
 	u.mu.Lock()
-	u.arrivals = append(u.arrivals, arrival{time.Now(), r.ID()})
+	u.arrivals = append(u.arrivals, newArrival(r))
 	incarnation, link := position.incarnation, position.link
 	headers := append(u.noticeHeaders(position), u.limits.headers(r.Header.Get(headerVMIncarnation), incarnation)...)
 	chance := u.random.IntN(100)
@@ -391,22 +411,37 @@
 func (u *upstreams) checkRetryBudget(countSent func(from, to time.Time) int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	seen := make(map[string]bool, len(u.arrivals))
-	var repeats []time.Time
+	first := make(map[string]arrival, len(u.arrivals))
+	var repeats []arrival
 	for _, a := range u.arrivals {
-		if seen[a.id] {
-			repeats = append(repeats, a.at)
+		if _, repeated := first[a.id]; repeated {
+			repeats = append(repeats, a)
+			continue
 		}
-		seen[a.id] = true
+		first[a.id] = a
 	}
 	for i, last := range repeats {
-		count := 0
-		for _, at := range repeats[:i+1] {
-			if last.Sub(at) < retryWindow {
-				count++
-			}
+		inWindow := slices.DeleteFunc(slices.Clone(repeats[:i+1]), func(a arrival) bool { return last.at.Sub(a.at) >= retryWindow })
+		allowed := retryRatio*float64(countSent(last.at.Add(-2*retryWindow), last.at)) + retrySlack
+		ok := float64(len(inWindow)) <= allowed
+		detail := ""
+		if !ok {
+			detail = fmt.Sprintf("%d repeated sends in %v, %.0f are allowed: %s", len(inWindow), retryWindow, allowed, describeRepeats(inWindow, first))
+		}
+		u.recorder.check(guaranteeRetryBudget, ok, "all", detail)
+	}
+}
+
+// describeRepeats tells by which VM incarnations repeated arrivals were sent,
+// and how many of them were on their way for much longer than the first arrival was.
+func describeRepeats(repeats []arrival, first map[string]arrival) string {
+	const longDelay = 200 * time.Millisecond
+	late, by := 0, make(map[string]int)
+	for _, a := range repeats {
+		by[a.by]++
+		if a.delayAfter(first[a.id]) > longDelay {
+			late++
 		}
-		allowed := retryRatio*float64(countSent(last.Add(-2*retryWindow), last)) + retrySlack
-		u.recorder.check(guaranteeRetryBudget, float64(count) <= allowed, "all", fmt.Sprintf("%d repeated sends in %v, %.0f are allowed", count, retryWindow, allowed))
 	}
+	return fmt.Sprintf("%d were delivered over %v late; by VM incarnation %v", late, longDelay, by)
 }
