relay, quarantine: a silent attempt is no break, and each break is probed

Cause: an attempt that this VM ends for silence counted as a broken connection. It used the one probe of its upstream, which found it alive; when the upstream crashed in the next seconds, nothing was probed, and the crash was known only once the list named another incarnation, or not at all. TestAttemptEndedForSilenceIsNoBreak and TestEachBreakIsProbed fail without the two rules. Why it works: only breaks that the VM did not cause are followed by a probe, and each of them is, one at a time for an upstream.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -111,6 +111,8 @@
 	{"the observer stores a quarantine at once", "site/quarantine.go", "!waiting && content.ObservedBy == s.opts.VM", "false && !waiting", "./site", "TestObserverStoresQuarantineAtOnce"},
 	{"the last of several sends decides", "quarantine/table.go", "shortest := min(out[i].ran(), e.ran())", "shortest := max(out[i].ran(), e.ran())", "./quarantine", "TestLastOfSeveralSendsDecides"},
 	{"a peer whose control process is away keeps bill records", "entry/keepers.go", "now.Sub(k.listedAt) >= keeperRetention", "now.Sub(k.listedAt) > 0", "./entry", "TestKeepersOutlastListing"},
+	{"an attempt that the VM has ended is no break", "relay/selection.go", "result == upstream.Broken && j.reserved == nil", "result == upstream.Broken", "./relay", "TestAttemptEndedForSilenceIsNoBreak"},
+	{"an upstream is probed at each break", "quarantine/crashes.go", "		crash.probing = false\n", "", "./quarantine", "TestEachBreakIsProbed"},
 	{"simultaneous upstream crashes count as one", "quarantine/table.go", "if n == 0 || sentAfter || apart {", "if n == 0 || sentAfter || !apart {", "./quarantine", "TestUnrelatedCrashesDoNotQuarantineContent"},
 	{"an answer clears a request content", "quarantine/table.go", "	t.resetTo(c, c.Epoch+1, now)\n	return true\n", "	return true\n", "./quarantine", "TestUnrelatedCrashesDoNotQuarantineContent"},
 	{"a broken connection is not a crash", "relay/crashes.go", "if !exchange.IsConnectionRefused(err) {", "if false {", "./platform", "TestBrokenConnectionsAreNotCrashes"},
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -40,6 +40,7 @@
 type suspectedCrash struct {
 	address   string
 	lastBroke time.Time // time of the newest broken connection
+	probing   bool      // a probe is in progress
 	confirmed bool
 	suspects  []SuspectRequest // requests that were running on the instance
 }
@@ -51,24 +52,34 @@
 
 // ConnectionBroke records that the connection of a request to an upstream instance broke.
 // ConnectionBroke reports whether the caller should probe the upstream's address now, and
-// whether the crash is already confirmed.
+// whether the crash is already confirmed. An upstream that a probe has reached may crash later,
+// so each break is followed by a probe unless one is in progress.
+// The caller reports the end of the probe to ProbeEnded.
 func (t *CrashTracker) ConnectionBroke(instance contract.UpstreamInstance, address string, s SuspectRequest) (probe, confirmed bool) {
 	crash := t.byInstance[instance]
 	if crash == nil {
 		crash = &suspectedCrash{address: address}
 		t.byInstance[instance] = crash
-		probe = true
 	}
 	crash.lastBroke = s.BrokenAt
 	if crash.confirmed {
 		return false, true
 	}
+	probe = !crash.probing
+	crash.probing = true
 	if len(crash.suspects) < maxSuspectsPerInstance {
 		crash.suspects = append(crash.suspects, s)
 	}
 	return probe, false
 }
 
+// ProbeEnded records that the probe of an upstream instance has ended.
+func (t *CrashTracker) ProbeEnded(instance contract.UpstreamInstance) {
+	if crash := t.byInstance[instance]; crash != nil {
+		crash.probing = false
+	}
+}
+
 // Confirm marks the crash of an upstream instance as confirmed and returns the requests that were
 // running on the instance. Later calls for the same instance return nil.
 func (t *CrashTracker) Confirm(instance contract.UpstreamInstance) []SuspectRequest {
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -39,3 +39,23 @@
 	crashes.Expire(now.Add(confirmTimeout + 1))
 	is.True(!crashes.Any())
 }
+
+// TestEachBreakIsProbed guards against an upstream that a probe has reached crashing later
+// without being probed again: its crash was known only seconds later, from the upstream list.
+func TestEachBreakIsProbed(t *testing.T) {
+	is := is.New(t)
+	tracker := NewCrashTracker()
+	instance := contract.UpstreamInstance{Upstream: "u", Incarnation: 1}
+	probe, _ := tracker.ConnectionBroke(instance, "u:1", SuspectRequest{})
+	is.True(probe)
+	probe, _ = tracker.ConnectionBroke(instance, "u:1", SuspectRequest{})
+	is.True(!probe) // one is in progress
+	tracker.ProbeEnded(instance)
+	probe, _ = tracker.ConnectionBroke(instance, "u:1", SuspectRequest{})
+	is.True(probe)
+	tracker.Confirm(instance)
+	tracker.ProbeEnded(instance)
+	probe, crashed := tracker.ConnectionBroke(instance, "u:1", SuspectRequest{})
+	is.True(!probe)
+	is.True(crashed)
+}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -79,7 +79,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	defer func() {
-		r.withLock(func() { delete(r.probesRunning, instance) })
+		r.withLock(func() {
+			delete(r.probesRunning, instance)
+			r.possibleCrashes.ProbeEnded(instance)
+		})
 		close(done)
 	}()
 	err := exchange.Probe(ctx, address)
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -158,7 +158,7 @@
 			r.table.RecordDone(e.ID, result, timeToFirst, r.opts.Now())
 			r.logColdUpstreams()
 		}
-		if result == upstream.Broken {
+		if result == upstream.Broken && j.reserved == nil { // an attempt that this VM has ended did not break
 			r.recordBrokenConnection(j, e)
 		}
 	})
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -81,3 +81,20 @@
 	is.True(refused != nil)
 	is.Equal(refused.Kind, contract.RefusedQuarantined)
 }
+
+// TestAttemptEndedForSilenceIsNoBreak guards against an attempt that this VM has ended counting as
+// a broken connection, so that its content was suspected when the upstream crashed later.
+func TestAttemptEndedForSilenceIsNoBreak(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		r, j := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
+		j.sentAt, j.upstreamSeen = now.Add(-time.Second), true
+		if ended {
+			j.reserved, _ = r.reserveRetry(j, true, false)
+			is.True(j.reserved != nil)
+		}
+		r.recordAttemptEnd(j, j.lastUpstream, upstream.Broken, 0)
+		r.withLock(func() { is.Equal(r.possibleCrashes.Any(), !ended) })
+	}
+}
