relay: one piece of code reserves an attempt

reserveRetry and reserveEscalation asked the budget, selected an upstream and took the resend, each for itself.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -144,7 +144,7 @@
 	{"only own prefill rates are passed on", "prefill/rates.go", "if !ok || rate.samples < minOwnSamples {", "if !ok {", "./prefill", "TestRemoteRatesAreNotPassedOn"},
 	{"an engine outside the gossip scope is not assumed idle", "upstream/gossip_scope.go", "	if t.inGossipScope(s, dc) {", "	if true {", "./upstream", "TestEnginesOutsideGossipScopeAreNotIdle"},
 	{"a request that no engine can prefill in time is refused", "relay/models.go", "return retryAfter, true", "return retryAfter, false", "./relay", "TestQueueBeyondDeadlineIsRefused"},
-	{"a silent attempt is ended only with a resend in the budget", "relay/reservation.go", "resend && !budget.CanTake(retry.ForRetry, vms, now)", "false", "./relay", "TestSilentAttemptIsEndedOnlyWithSuccessor"},
+	{"a silent attempt is ended only with a resend in the budget", "relay/reservation.go", "resend && !budget.CanTake(p, vms, now)", "false", "./relay", "TestSilentAttemptIsEndedOnlyWithSuccessor"},
 	{"a reservation that is not used is released", "relay/reservation.go", "	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)\n", "	_ = upstream.Abandoned\n", "./relay", "TestReservedAttemptIsUsedOrReleased"},
 	{"a delivered event is not forwarded again", "stream/events.go", "if e.hasID && id <= e.lastID {", "if false {", "./stream", "TestEventsDeliveredWholeAndOnce"},
 	{"a partial event is dropped on resume", "relay/streaming.go", "		s.events.DiscardPartial()\n", "", "./platform", "TestStreamResumes"},
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -40,18 +40,7 @@
 	if !r.hasAlternative(&next, suspected, now) {
 		return nil, retry.NoOtherUpstream
 	}
-	budget, vms := r.retryBudget(j.service), r.opts.VMs()
-	resend := next.sends > 0
-	if resend && !budget.CanTake(retry.ForRetry, vms, now) {
-		return nil, retry.BudgetExhausted
-	}
-	if _, refused := r.pickUpstream(&next, now); refused != nil {
-		return nil, retry.NoOtherUpstream
-	}
-	if resend {
-		budget.Take(retry.ForRetry, vms, now)
-	}
-	return &reservation{next.selection, resend}, ""
+	return r.reserve(&next, retry.ForRetry, next.sends > 0, now)
 }
 
 // reserveEscalation reserves the attempt with a larger model for which
@@ -60,16 +49,25 @@
 func (r *Relay) reserveEscalation(j *job, larger contract.ModelID, now time.Time) bool {
 	next := *j
 	next.model = larger
-	budget, vms := r.retryBudget(j.service), r.opts.VMs()
-	if !budget.CanTake(retry.ForEscalation, vms, now) {
-		return false
+	j.reserved, _ = r.reserve(&next, retry.ForEscalation, true, now)
+	return j.reserved != nil
+}
+
+// reserve selects the upstream of the next attempt and, for a resend, takes it from the retry budget.
+// The budget is not used if no upstream can be selected, and no upstream is selected without it.
+// The caller holds mu.
+func (r *Relay) reserve(next *job, p retry.Purpose, resend bool, now time.Time) (*reservation, retry.Reason) {
+	budget, vms := r.retryBudget(next.service), r.opts.VMs()
+	if resend && !budget.CanTake(p, vms, now) {
+		return nil, retry.BudgetExhausted
 	}
-	if _, refused := r.pickUpstream(&next, now); refused != nil {
-		return false
+	if _, refused := r.pickUpstream(next, now); refused != nil {
+		return nil, retry.NoOtherUpstream
 	}
-	budget.Take(retry.ForEscalation, vms, now)
-	j.reserved = &reservation{next.selection, true}
-	return true
+	if resend {
+		budget.Take(p, vms, now)
+	}
+	return &reservation{next.selection, resend}, ""
 }
 
 // releaseReserved undoes the reservation of an attempt that is not made,
