--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -67,11 +66,7 @@
 
 // newArrival returns the arrival of a request now.
 func newArrival(r *replica.Request) arrival {
-	milliseconds, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
-	if err != nil {
-		milliseconds = 0 // only the explanation of a broken check needs it
-	}
-	return arrival{time.Now(), r.ID(), r.Header.Get(headerVMIncarnation), time.Duration(milliseconds) * time.Millisecond}
+	return arrival{time.Now(), r.ID(), r.Header.Get(headerVMIncarnation), r.Deadline()}
 }
 
 // delayAfter returns how much longer the repeated arrival was on its way than the first one.
--- a/internal/standin/replica/caller.go
+++ b/internal/standin/replica/caller.go
@@ -28,6 +28,16 @@
 // ID returns the id of the request, which the upstream repeats in its answer.
 func (r *Request) ID() string { return r.Header.Get("X-Attempt-Id") }
 
+// Deadline returns how long the caller or VM waits for the answer, from when it sent the request.
+// It is zero if the request does not state it.
+func (r *Request) Deadline() time.Duration {
+	milliseconds, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // SetDeadline sets the header that states how long the caller waits for the answer.
 func SetDeadline(r *http.Request, wait time.Duration) {
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
