site: the two periodic loops and their triggers are one each

syncQuarantine had a copy of tick's loop, and WriteQuarantined one of EvaluateVerdicts' send that does not block. Both use runPeriodically and trigger; the channel is named after what it makes run. Behaviour is unchanged; the tests of site and daemon pass.

--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -77,27 +76,12 @@
 // because calls to a slow store would delay the verdicts on releases.
 func (s *Site) syncQuarantine(ctx context.Context) {
 	pending := make(map[writeKey]*pendingWrite)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-s.suspected:
-		}
-		s.writeQuarantineUpdates(ctx, pending)
-	}
+	runPeriodically(ctx, s.writeQuarantines, func() { s.writeQuarantineUpdates(ctx, pending) })
 }
 
 // WriteQuarantined makes the site look at once for quarantined content to write to the store.
 // WriteQuarantined does not block.
-func (s *Site) WriteQuarantined() {
-	select {
-	case s.suspected <- struct{}{}:
-	default:
-	}
-}
+func (s *Site) WriteQuarantined() { trigger(s.writeQuarantines) }
 
 // writeQuarantineUpdates writes changes of quarantined request contents once
 // this VM's write delay has passed. Trials of a quarantined content are claimed without a delay.
--- a/site/site.go
+++ b/site/site.go
@@ -62,8 +62,8 @@
 	table atomic.Pointer[route.Table]
 	// wake triggers an immediate run of the periodic tasks in tick.
 	wake chan struct{}
-	// suspected makes syncQuarantine run before its next tick.
-	suspected chan struct{}
+	// writeQuarantines makes syncQuarantine run before its next tick.
+	writeQuarantines chan struct{}
 	// ready is closed once a configuration and a list of upstreams are known.
 	// requestWaiting is closed when a client request arrives before ready is closed.
 	ready, requestWaiting  chan struct{}
@@ -96,7 +96,7 @@
 		opts.Registry = metrics.NewRegistry()
 	}
 	return &Site{
-		opts: opts, log: opts.Log, upstreamList: NewUpstreamList(), wake: make(chan struct{}, 1), suspected: make(chan struct{}, 1),
+		opts: opts, log: opts.Log, upstreamList: NewUpstreamList(), wake: make(chan struct{}, 1), writeQuarantines: make(chan struct{}, 1),
 		ready: make(chan struct{}), requestWaiting: make(chan struct{}),
 		randomRank:  rand.IntN(requestRanks),
 		orderWrites: make(map[writeKey]*pendingWrite), activeEvacuations: make(map[string]activeEvacuation),
@@ -169,12 +169,7 @@
 }
 
 // EvaluateVerdicts triggers an immediate evaluation of the release verdicts.
-func (s *Site) EvaluateVerdicts() {
-	select {
-	case s.wake <- struct{}{}:
-	default: // an evaluation is already triggered
-	}
-}
+func (s *Site) EvaluateVerdicts() { trigger(s.wake) }
 
 // Run keeps the state of this VM up to date until ctx ends.
 func (s *Site) Run(ctx context.Context) {
@@ -332,15 +327,7 @@
 // it removes lapsed upstreams (missing from the store after an outage),
 // has the relay compare the upstreams with one another, and writes the verdicts on releases.
 func (s *Site) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-s.wake:
-		}
+	runPeriodically(ctx, s.wake, func() {
 		s.mu.Lock()
 		if s.upstreamList.Expire(s.opts.Now()) {
 			s.pushUpstreams()
@@ -351,6 +338,29 @@
 		for _, v := range s.opts.Relay.Verdicts() {
 			s.writeOrderState(ctx, v)
 		}
+	})
+}
+
+// runPeriodically calls run every tickInterval, and when wake is triggered, until ctx ends.
+func runPeriodically(ctx context.Context, wake <-chan struct{}, run func()) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		run()
+	}
+}
+
+// trigger triggers wake unless it is triggered already. It does not block.
+func trigger(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
 	}
 }
 
