relay: the longest pause and the forwarding time of a stream are logged

Callers count a stream as late when it pauses for longer than its route's target, but the log only told when the first event came. Each delivered stream now tells its longest pause, the upstream and position of it, and the longest time between receiving and passing on events; two histograms show the same. The fourth figure of an upstream's load, which was ignored, is decoded and logged.

--- a/relay/log.go
+++ b/relay/log.go
@@ -30,6 +30,7 @@
 	if !j.firstAnswerAt.IsZero() {
 		fields = append(fields, zap.Int64("first_ms", j.firstAnswerAt.Sub(j.Arrived).Milliseconds()))
 	}
+	fields = append(fields, j.timing.fields(j.Route.TargetGap)...)
 	if end == Refused || end == StreamCut {
 		fields = append(fields, r.decisionContext(j)...)
 	}
@@ -88,7 +89,15 @@
 	r.log.Info("attempt", zap.String("request", string(j.ID)), zap.String("upstream", string(pending.upstream)), zap.String("model", string(j.model)), zap.String("why", j.modelReason),
 		zap.Int("prompt", j.PromptTokens), zap.Int("shared", pending.work.Prompt.SharedTokens()), zap.Int("kept", pending.estimate.CachedTokens),
 		zap.Int64("wait_ms", pending.estimate.Wait.Milliseconds()), zap.Int64("read_ms", pending.estimate.Prefill.Milliseconds()),
-		zap.Int64("first_ms", r.opts.Now().Sub(pending.sentAt).Milliseconds()), zap.Float64("confidence", h.Confidence))
+		zap.Int64("first_ms", r.opts.Now().Sub(pending.sentAt).Milliseconds()), zap.Float64("confidence", h.Confidence), zap.Int("slowdown_percent", slowdownPercent(h)))
+}
+
+// slowdownPercent returns the slowdown that an upstream stated in an answer, or 0 if it stated none.
+func slowdownPercent(h *ResponseHead) int {
+	if h.Load == nil {
+		return 0
+	}
+	return h.Load.SlowdownPercent
 }
 
 // logSilence logs whether an attempt that is silent beyond its deadline is ended
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -38,6 +38,10 @@
 	// queued behind the prompt, in thousandths of the value of a mean request.
 	prefillPrice metrics.Histogram
 	wholeAnswer  metrics.Histogram
+	// longestPause is the longest pause between two events of a delivered stream.
+	// longestForward is the longest time that events of a delivered stream took
+	// from the upstream's connection to the caller's.
+	longestPause, longestForward metrics.Histogram
 	// upstreamsCrashed counts the upstreams that crashed while they executed requests.
 	upstreamsCrashed metrics.Counter
 	// leaveNotices counts the answers in which an upstream first stated
@@ -78,6 +82,9 @@
 		cachedTokens: metrics.NewRegisteredCounter("prompt_tokens_kept_total", r),
 		wholeAnswer:  histogram("whole_answer_milliseconds"),
 
+		longestPause:   histogram("stream_pause_milliseconds"),
+		longestForward: histogram("stream_forward_milliseconds"),
+
 		upstreamsCrashed: metrics.NewRegisteredCounter("upstreams_ended_total", r),
 		leaveNotices:     metrics.NewRegisteredCounter("upstream_leaves_total", r),
 		backoffNotices:   metrics.NewRegisteredCounter("upstream_rests_total", r),
@@ -104,6 +111,10 @@
 	switch end {
 	case Delivered:
 		m.delivered.Inc(1)
+		if j.timing.longestPause > 0 {
+			m.longestPause.Update(j.timing.longestPause.Milliseconds())
+			m.longestForward.Update(j.timing.longestForward.Milliseconds())
+		}
 		if !j.firstAnswerAt.IsZero() {
 			m.firstAnswer.Update(j.firstAnswerAt.Sub(j.Arrived).Milliseconds())
 		}
--- a/relay/request.go
+++ b/relay/request.go
@@ -90,7 +90,12 @@
 
 // Load is the number of running requests, of waiting requests,
 // and of slots for concurrent requests at an upstream.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// SlowdownPercent is how long work takes at the upstream at this moment,
+	// in percent of the usual time. Zero means that the upstream did not state it.
+	SlowdownPercent int
+}
 
 // Caller receives the answer to a request.
 // An error of any method of Caller means that the caller has disconnected.
--- a/relay/send.go
+++ b/relay/send.go
@@ -61,8 +61,9 @@
 	headSent            bool
 	escalated           bool
 	firstAnswerAt       time.Time // when the first answer or event arrived
-	confidence          float64   // reported for the forwarded answer
-	discardedConfidence float64   // reported for a smaller model's discarded answer
+	timing              streamTiming
+	confidence          float64 // reported for the forwarded answer
+	discardedConfidence float64 // reported for a smaller model's discarded answer
 	// cachedFingerprint is the fingerprint of the request's content, computed on first use.
 	cachedFingerprint *quarantine.Fingerprint
 	// executionReported is set once OnExecution has been called for the request.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -276,9 +276,11 @@
 		s.relay.observeLatency(s.job, now.Sub(a.startedAt))
 		a.addTime(s.job, timeToFirstAnswer, now.Sub(a.startedAt))
 	}
+	s.job.timing.recordEvents(a.entry.ID, s.eventsForwarded, now)
 	s.eventsForwarded += n
 	if s.sendHead(a.head) != nil || s.caller.SendEvents(events) != nil {
 		return errCallerGone
 	}
+	s.job.timing.recordForwarded(s.relay.opts.Now().Sub(now))
 	return nil
 }
