--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -113,6 +113,8 @@
 		m.delivered.Inc(1)
 		if j.timing.longestPause > 0 {
 			m.longestPause.Update(j.timing.longestPause.Milliseconds())
+		}
+		if j.timing.hasEvents() {
 			m.longestForward.Update(j.timing.longestForward.Milliseconds())
 		}
 		if !j.firstAnswerAt.IsZero() {
