explain: losses counts streams that paused for too long or were forwarded late

Callers count a stream as late when it pauses for longer than its target or an event comes 200 ms after it was made, but losses looked at the first event only and showed such streams as in time. They have a cause each now, below that of a late start. A second table has the late pauses by upstream with the number of streams, so that slow engines show.

--- a/explain/losses.go
+++ b/explain/losses.go
@@ -17,10 +17,16 @@
 	causeEscalated    = "late: a smaller model's answer was given up first"
 	causeRetried      = "late: another attempt had failed first"
 	causeSlowUpstream = "late: the upstream was slow"
+	causePaused       = "late: paused within the stream"
+	causeForwarded    = "late: events were forwarded late"
 	causeCallerLeft   = "the caller left"
 	causeFailed       = "failed: the upstream's own answer"
 )
 
+// lateEvent is how long after an engine made an event callers count the event as late.
+// Forwarding an event for longer makes the stream late, however soon the engine made the event.
+const lateEvent = 200 * time.Millisecond
+
 // requestLog collects the log lines of one request at one VM. Each line in escalations
 // records that the answer of a smaller model was discarded.
 type requestLog struct {
@@ -32,7 +38,8 @@
 
 // Losses prints, for each route, how many requests were answered in time, and the
 // causes of the other requests, which failed or were late. If a VM logged several outcomes
-// of a request, the latest outcome counts.
+// of a request, the latest outcome counts. Losses also prints, for each upstream, how many of
+// its streams paused for longer than their target.
 func Losses(w io.Writer, lines []*Line) error {
 	requests := make(map[string]*requestLog)
 	for _, l := range lines {
@@ -56,7 +63,10 @@
 			r.outcome = l
 		}
 	}
-	return writeLosses(w, requests)
+	if err := writeLosses(w, requests); err != nil {
+		return err
+	}
+	return writeLatePauses(w, requests)
 }
 
 // routeLosses counts all requests of a route, the requests that were answered in time, and
@@ -127,10 +137,10 @@
 	if status := r.outcome.Value("status"); status >= "400" {
 		return causeFailed
 	}
-	if first, objective := millisField(r.outcome, "first_ms"), millisField(r.outcome, "objective_ms"); objective == 0 || first <= objective {
-		return ""
+	if first, objective := millisField(r.outcome, "first_ms"), millisField(r.outcome, "objective_ms"); objective > 0 && first > objective {
+		return r.lateCause()
 	}
-	return r.lateCause()
+	return streamLateCause(r.outcome)
 }
 
 // lateCause returns the cause of the largest part of the time until the answer began.
--- a/explain/losses_test.go
+++ b/explain/losses_test.go
@@ -25,16 +25,7 @@
 // TestLossesCountsOneCausePerRequest checks that each lost request counts under one
 // cause, that the counts add up, and that a request without an outcome is omitted.
 func TestLossesCountsOneCausePerRequest(t *testing.T) {
-	is := is.New(t)
-	lines, _, err := Read(strings.NewReader(lossSample))
-	is.NoErr(err)
-	var out strings.Builder
-	is.NoErr(Losses(&out, lines))
-	var got []string
-	for _, l := range strings.Split(strings.TrimRight(out.String(), "\n"), "\n") {
-		got = append(got, strings.Join(strings.Fields(l), " "))
-	}
-	is.Equal(got, []string{
+	is.New(t).Equal(lossLines(t, lossSample), []string{
 		"chat asked 4 in time 1 25.0%",
 		"late: its prompt was read 1 25.0%",
 		"late: waited at the engine 1 25.0%",
@@ -44,3 +35,18 @@
 		"late: another attempt had failed first 1 50.0%",
 	})
 }
+
+// lossLines returns the lines that Losses prints for a log, with single spaces between columns.
+func lossLines(t *testing.T, log string) []string {
+	t.Helper()
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(log))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(Losses(&out, lines))
+	var printed []string
+	for _, l := range strings.Split(strings.TrimRight(out.String(), "\n"), "\n") {
+		printed = append(printed, strings.Join(strings.Fields(l), " "))
+	}
+	return printed
+}
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -151,6 +151,8 @@
 	{"a stream's longest pause is kept", "relay/pauses.go", "earlier > 0 && pause > t.longestPause", "earlier > 0", "./relay", "TestStreamTimingFields"},
 	{"a pause does not end with a resumption", "relay/streaming.go", "recordEvents(a.entry.ID, s.eventsForwarded, now)", "recordEvents(a.entry.ID, 0, now)", "./platform", "TestPauseOfResumedStreamIsLogged"},
 	{"a pause belongs to the upstream that fell silent", "relay/pauses.go", "pause, t.lastFrom, from, earlier", "pause, from, from, earlier", "./platform", "TestPauseOfResumedStreamIsLogged"},
+	{"a stream that paused for too long is late", "explain/pauses.go", "case pausedTooLong(delivered):", "case false:", "./explain", "TestLossesCountsLateStreams"},
+	{"a stream whose events were forwarded late is late", "explain/pauses.go", "> lateEvent:", "> lateEvent && false:", "./explain", "TestLossesCountsLateStreams"},
 	{"a silent stream is kept if no other upstream can answer", "relay/watchdog.go", "if reserved == nil {", "if false {", "./platform", "TestSlowUpstreamWithoutAlternative"},
 	{"a silent stream ends once another can answer", "relay/watchdog.go", "		w.timer.Reset(recheckInterval)\n", "", "./platform", "TestStalledStreamResumesOnNewUpstream"},
 	{"a rolled-back release stays out", "relay/selection.go", "excluded := maps.Clone(r.rolledBack[j.service])", "excluded := maps.Clone(map[string]bool{})", "./platform", "TestBadReleaseIsRolledBack"},
