settings, site: one copy of the peers' control links and of emptying a report list

The control and the entry process listed the control links of the settings each for itself, and the two senders of reports emptied their lists with the same four lines. Behaviour is unchanged.

Measured: the tests of settings, entry, site, daemon and internal/fleet pass (control has none of its own; the fleet runs it).

--- a/control/watch.go
+++ b/control/watch.go
@@ -175,10 +175,7 @@
 	if len(addresses) > 0 {
 		return addresses
 	}
-	for _, p := range s.opts.Settings.Peers {
-		addresses = append(addresses, p.ControlLink)
-	}
-	return addresses
+	return s.opts.Settings.PeerControlLinks()
 }
 
 // pullFromPeer pulls the configuration from the control process at the given address.
--- a/entry/view.go
+++ b/entry/view.go
@@ -129,10 +129,7 @@
 	if len(addresses) > 0 {
 		return addresses
 	}
-	for _, p := range s.opts.Settings.Peers {
-		addresses = append(addresses, p.ControlLink)
-	}
-	return addresses
+	return s.opts.Settings.PeerControlLinks()
 }
 
 // pullFrom pulls from one control process and applies the answer to the view.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,15 @@
 	ControlLink string
 }
 
+// PeerControlLinks returns the link addresses of the control processes of the listed peers.
+func (s *Settings) PeerControlLinks() []string {
+	var addresses []string
+	for _, p := range s.Peers {
+		addresses = append(addresses, p.ControlLink)
+	}
+	return addresses
+}
+
 // Defaults of omitted settings, and the upper limit of integer settings.
 const (
 	defaultMaxBody            = 1 << 20
--- a/site/reports.go
+++ b/site/reports.go
@@ -82,13 +82,22 @@
 }
 
 // enqueue appends a report to a list that is sent with the next round of messages.
-// enqueue drops the report if the list is full.
+// enqueue drops the report if the list is full. The caller holds mu.
 func (q *reportQueue) enqueue(list *[]report, r report) {
 	if len(*list) < maxQueuedReports {
 		*list = append(*list, r)
 	}
 }
 
+// take empties a list of the queue and returns its former contents.
+func (q *reportQueue) take(list *[]report) []report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	taken := *list
+	*list = nil
+	return taken
+}
+
 // ReportSent reports a prompt to other VMs without blocking.
 func (p *Peers) ReportSent(s relay.SentPrompt) { p.queueReport(report{sent: &s}) }
 
@@ -123,10 +132,7 @@
 // In a small deployment all reports also go to each other data centre.
 // In a larger deployment only reports marked as remote go to other data centres.
 func (p *Peers) sendReports() {
-	p.reports.mu.Lock()
-	pending := p.reports.pending
-	p.reports.pending = nil
-	p.reports.mu.Unlock()
+	pending := p.reports.take(&p.reports.pending)
 	v := p.currentView()
 	if !v.isHub {
 		for _, m := range p.hubsForLeaf(v)[:min(1, len(v.hubs))] {
@@ -165,10 +171,7 @@
 // forwardReports sends the reports of this hub and its leaves to the other hubs,
 // and sends all reports to its leaves. No VM receives its own reports back.
 func (p *Peers) forwardReports() {
-	p.reports.mu.Lock()
-	pending := p.reports.pendingForward
-	p.reports.pendingForward = nil
-	p.reports.mu.Unlock()
+	pending := p.reports.take(&p.reports.pendingForward)
 	for _, m := range p.otherHubs(p.currentView()) {
 		p.sendReportMessages(m, reportsFor(pending, m.VM, true), false)
 	}
