--- a/daemon/vm_test.go
+++ b/daemon/vm_test.go
@@ -185,15 +185,18 @@
 	is.True(strings.Contains(p.logText(), "whole=true"))
 }
 
+// emptyStream answers with a complete stream without events.
+func emptyStream(c *replica.Conn, r *replica.Request) bool {
+	c.BeginStream(r.ID())
+	c.EndStream()
+	return true
+}
+
 // TestReloadLogsItsOutcome checks that SIGHUP logs the outcome of the reload, for valid
 // and for invalid settings, and that the VM stays ready.
 func TestReloadLogsItsOutcome(t *testing.T) {
 	is := is.New(t)
-	p := startReadyVM(t, func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.ID())
-		c.EndStream()
-		return true
-	})
+	p := startReadyVM(t, emptyStream)
 	is.NoErr(p.Process.Signal(syscall.SIGHUP))
 	waitUntil(t, func() bool { return strings.Contains(p.logText(), "event=reload") })
 	is.NoErr(os.WriteFile(p.Args[3], []byte("[vm\n"), 0o600))
@@ -237,11 +240,7 @@
 // docs/OPERATIONS.md.
 func TestMetricNames(t *testing.T) {
 	is := is.New(t)
-	p := startReadyVM(t, func(c *replica.Conn, r *replica.Request) bool {
-		c.BeginStream(r.ID())
-		c.EndStream()
-		return true
-	})
+	p := startReadyVM(t, emptyStream)
 	resp, err := http.Get("http://" + p.metrics + pathMetrics)
 	is.NoErr(err)
 	defer resp.Body.Close()
--- a/internal/fleet/tickets_test.go
+++ b/internal/fleet/tickets_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -15,6 +16,14 @@
 // at most once.
 const rulingPath = "/services/boards/rulings"
 
+// newTicket asks a VM for a ticket.
+func newTicket(ctx context.Context, t *testing.T, vm *VM) string {
+	t.Helper()
+	r, err := vm.Call(ctx, APIKeyMbio, http.MethodPost, "/v1/tickets", "")
+	is.New(t).NoErr(err)
+	return r.Header.Get("Woaddoor-Ticket")
+}
+
 // TestRulingRunsOnce kills the first VM while the service works on a ruling.
 // Retries on the other VMs, in either data centre, do not run it again and
 // report its outcome as unknown.
@@ -48,10 +57,8 @@
 	t.Parallel()
 	is := is.New(t)
 	f, ctx := startFleet(t, 1, 3, 0)
-	r, err := f.VMs[0].Call(ctx, APIKeyMbio, http.MethodPost, "/v1/tickets", "")
-	is.NoErr(err)
-	ticket := r.Header.Get("Woaddoor-Ticket")
-	r, err = f.VMs[0].Call(ctx, APIKeyMbio, http.MethodPost, rulingPath, "run 8", "Woaddoor-Ticket", ticket)
+	ticket := newTicket(ctx, t, f.VMs[0])
+	r, err := f.VMs[0].Call(ctx, APIKeyMbio, http.MethodPost, rulingPath, "run 8", "Woaddoor-Ticket", ticket)
 	is.NoErr(err)
 	is.Equal(r.Body, "done run 8")
 	f.VMs[0].Entry.Kill()
@@ -68,11 +75,9 @@
 	t.Parallel()
 	is := is.New(t)
 	f, ctx := startFleet(t, 1, 2, 0)
-	r, err := f.VMs[0].Call(ctx, APIKeyMbio, http.MethodPost, "/v1/tickets", "")
-	is.NoErr(err)
-	ticket := r.Header.Get("Woaddoor-Ticket")
+	ticket := newTicket(ctx, t, f.VMs[0])
 	f.VMs[0].Entry.Kill()
-	r, err = f.VMs[1].Call(ctx, APIKeyMbio, http.MethodPost, rulingPath, "run 9", "Woaddoor-Ticket", ticket)
+	r, err := f.VMs[1].Call(ctx, APIKeyMbio, http.MethodPost, rulingPath, "run 9", "Woaddoor-Ticket", ticket)
 	is.NoErr(err)
 	is.Equal(parseRefusal(t, r).Type, string(contract.RefusedTicketClaimed)) // VM 1 voted for its own claim, and VM 0 cannot vote: no majority
 	is.Equal(f.Boards.RunCount("run 9"), 0)
--- a/lease/fleet_simulation_test.go
+++ b/lease/fleet_simulation_test.go
@@ -258,20 +258,26 @@
 	f.vmByFencing[c.fencing], f.lastArrival[c.from] = c.from, c.arrivesAt
 }
 
-// TestOnlyOneVMMakesCallsUnderFaults simulates fleets with all kinds of faults, before a
-// platform that accepts any fencing token. Fencing tokens must never decrease and never be
-// shared by two VMs. No VM may make calls, then another VM, then the first one again within the
-// length of one lease. A stored record must never be reverted.
-func TestOnlyOneVMMakesCallsUnderFaults(t *testing.T) {
-	mostCallers := 0
+// simulateFleets runs simulations with events of the given kinds, and passes each to ended.
+func simulateFleets(t *testing.T, kinds []string, ended func(f *fleetSimulation)) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleetSimulation(t, rapid.IntRange(2, 4).Draw(t, "vms"))
 		for range rapid.IntRange(100, 1000).Draw(t, "events") {
-			f.randomEvent(eventKinds)
+			f.randomEvent(kinds)
 		}
 		f.advance(simulatedLease)
-		mostCallers = max(mostCallers, len(f.callers))
+		ended(f)
 	})
+}
+
+// TestOnlyOneVMMakesCallsUnderFaults simulates fleets with all kinds of faults, before a
+// platform that accepts any fencing token. Fencing tokens must never decrease and never be
+// shared by two VMs. No VM may make calls, then another VM, then the first one again within the
+// length of one lease. A stored record must never be reverted.
+func TestOnlyOneVMMakesCallsUnderFaults(t *testing.T) {
+	mostCallers := 0
+	simulateFleets(t, eventKinds, func(f *fleetSimulation) { mostCallers = max(mostCallers, len(f.callers)) })
 	if mostCallers < 3 {
 		t.Errorf("at most %d VM instances made calls in one run: the simulation has too few faults", mostCallers)
 	}
@@ -281,14 +287,7 @@
 // and gives out versions again. A stored record may go back with the store, and only then.
 func TestOnlyOneVMMakesCallsAcrossReturns(t *testing.T) {
 	callers := 0
-	rapid.Check(t, func(t *rapid.T) {
-		f := newFleetSimulation(t, rapid.IntRange(2, 4).Draw(t, "vms"))
-		for range rapid.IntRange(100, 1000).Draw(t, "events") {
-			f.randomEvent(returnKinds)
-		}
-		f.advance(simulatedLease)
-		callers += len(f.callers)
-	})
+	simulateFleets(t, returnKinds, func(f *fleetSimulation) { callers += len(f.callers) })
 	if callers == 0 {
 		t.Error("no VM made calls: the simulation has too many faults")
 	}
--- a/site/peers_test.go
+++ b/site/peers_test.go
@@ -15,10 +15,10 @@
 	"woaddoor/vm"
 )
 
-// idlePeers returns Peers that exchange no messages, with a clock that stands still.
-func idlePeers(t *testing.T, self vm.Member, seeds ...string) (*Peers, time.Time) {
+// listenOnLoopback returns an endpoint that accepts links from any VM until the test ends.
+func listenOnLoopback(t *testing.T, name contract.VMID) *link.Endpoint {
 	t.Helper()
-	identity, err := keys.NewAddressIdentity(string(self.VM), func(string) bool { return true })
+	identity, err := keys.NewAddressIdentity(string(name), func(string) bool { return true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,8 +31,14 @@
 			t.Error(err)
 		}
 	})
+	return endpoint
+}
+
+// idlePeers returns Peers that exchange no messages, with a clock that stands still.
+func idlePeers(t *testing.T, self vm.Member, seeds ...string) (*Peers, time.Time) {
+	t.Helper()
 	now := time.Unix(100, 0)
-	return NewPeers(&PeersOptions{Endpoint: endpoint, Self: self, Seeds: seeds, Log: zap.NewNop(), Now: func() time.Time { return now }}), now
+	return NewPeers(&PeersOptions{Endpoint: listenOnLoopback(t, self.VM), Self: self, Seeds: seeds, Log: zap.NewNop(), Now: func() time.Time { return now }}), now
 }
 
 // members returns n VMs of a data centre.
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -10,8 +10,6 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
-	"woaddoor/keys"
-	"woaddoor/link"
 	"woaddoor/prefill"
 	"woaddoor/quarantine"
 	"woaddoor/relay"
@@ -89,19 +87,7 @@
 // testPeers returns Peers of a VM on loopback.
 func testPeers(t *testing.T, name string, dc contract.DataCentreID) (*Peers, *recordingRelay, vm.Member) {
 	t.Helper()
-	identity, err := keys.NewAddressIdentity(name, func(string) bool { return true })
-	if err != nil {
-		t.Fatal(err)
-	}
-	endpoint, err := link.Listen("127.0.0.1:0", identity)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := endpoint.Close(); err != nil {
-			t.Error(err)
-		}
-	})
+	endpoint := listenOnLoopback(t, contract.VMID(name))
 	self := vm.Member{VM: contract.VMID(name), DataCentre: dc, Incarnation: 1, ControlAddress: endpoint.Address()}
 	p := NewPeers(&PeersOptions{
 		Endpoint: endpoint, Self: self, Log: zap.NewNop(), Now: time.Now,
