--- a/command/command.go
+++ b/command/command.go
@@ -48,7 +48,7 @@
 	Withdraw withdrawCmd `cmd:"" help:"Withdraw a version for good. Example: woaddoor withdraw chat-small@3 --why 'bad answers'"`
 	Bill     billCmd     `cmd:"" help:"Show what each workspace owes. Example: woaddoor bill --output json"`
 	Explain  explainCmd  `cmd:"" help:"Tell the life of a request from the log lines of VMs. Example: cat vm-*.log | woaddoor explain 9c41d07be2a35f68"`
-	Losses   lossesCmd   `cmd:"" help:"Tell why requests were not answered well and in time, by route, from the log lines of VMs. Example: woaddoor losses vm-*.log"`
+	Losses   lossesCmd   `cmd:"" help:"Tell why requests were not answered well and in time, by route, and which upstreams paused within streams, from the log lines of VMs. Example: woaddoor losses vm-*.log"`
 	Changes  changesCmd  `cmd:"" help:"Tell what changed, by revision, from the log lines of VMs. Example: woaddoor changes vm-*.log"`
 	Usage    usageCmd    `cmd:"" help:"Tell who acted for all VMs and what was reported of usage, from the log lines of VMs. Example: woaddoor usage vm-*.log"`
 	Vms      vmsCmd      `cmd:"" help:"Show a table of VMs from their metrics. Example: woaddoor vms 10.1.0.40:9464 10.2.0.29:9464"`
--- a/command/explain.go
+++ b/command/explain.go
@@ -39,12 +39,14 @@
 	return err
 }
 
-// lossesCmd prints why requests failed or were late, and statistics of each model.
+// lossesCmd prints why requests failed or were late, the late pauses of each upstream, and
+// statistics of each model.
 type lossesCmd struct {
 	Files []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
 }
 
-// Run prints the causes of lost requests by route, and the statistics of each model.
+// Run prints the causes of lost requests by route, the late pauses by upstream, and the statistics
+// of each model.
 func (c *lossesCmd) Run(s *invocation) error {
 	lines, err := readLogs(c.Files)
 	if err != nil {
--- a/internal/soak/upstream_checks.go
+++ b/internal/soak/upstream_checks.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// describeRepeats tells by which VM incarnations repeated arrivals were sent,
+// describeRepeats describes which VM incarnations sent repeated arrivals,
 // and how many of them were on their way for much longer than the first arrival was.
 func describeRepeats(repeats []arrival, first map[string]arrival) string {
 	const longDelay = 200 * time.Millisecond
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -2,7 +2,7 @@
 // death") and blocks further sends of such requests. The package does no I/O and reads no clock:
 // its callers pass in the events, the current time and the gossip from other VMs.
 //
-// No response tells that a request crashes upstreams.
+// No response states that a request crashes upstreams.
 // The caller repeats such a request with another
 // request id, possibly through another VM, and each VM sees only one broken connection.
 // Requests are therefore identified by a fingerprint (a hash) of their content, upstream crashes
--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// setEvacuated tells the relay which data centres are evacuated. The caller holds mu.
+// setEvacuated passes the evacuated data centres to the relay. The caller holds mu.
 func (s *Site) setEvacuated() {
 	var dataCentres []contract.DataCentreID
 	for _, e := range s.activeEvacuations {
