upstream: a pace for each upstream, and a cost for the pauses of running streams (trial)

One prefill rate for all engines is wrong by a factor of two where engines differ, and a long prompt stretches the streams beside it.

--- /dev/null
+++ b/prefill/pace.go
@@ -0,0 +1,64 @@
+package prefill
+
+import (
+	"math"
+	"time"
+)
+
+// Pace estimates how long work takes at one upstream as a multiple of the usual time:
+// 1 is the usual pace, and 2 is half as fast.
+// The zero value is an unknown pace.
+// Pace is not safe for concurrent use; the caller holds a lock.
+type Pace struct {
+	// base is the pace of the upstream without disturbances by other work on its machine.
+	// Zero means unknown.
+	base float64
+	// excess is the last stated pace divided by the base pace, as of statedAt.
+	excess   float64
+	statedAt time.Time
+}
+
+// Parameters of Pace.
+const (
+	// decreaseWeight and increaseWeight are the weights of a stated pace, on a logarithmic scale,
+	// if it is below and above the base pace. Other work on the machine can only make an upstream
+	// slower, so the base pace follows low values quickly and high values slowly.
+	decreaseWeight = 0.5
+	increaseWeight = 0.05
+	// excessDecay is the time over which a stated disturbance loses its effect on the estimate.
+	// A machine that is shared is busy with other work for some hundred milliseconds.
+	excessDecay = 300 * time.Millisecond
+	// minPace and maxPace bound a stated pace, so that a wrong value has a limited effect.
+	minPace, maxPace = 0.1, 10
+)
+
+// RecordStated records the pace that the upstream stated at a time.
+func (p *Pace) RecordStated(pace float64, at time.Time) {
+	pace = min(max(pace, minPace), maxPace)
+	if p.base == 0 {
+		p.base = pace
+	}
+	weight := increaseWeight
+	if pace < p.base {
+		weight = decreaseWeight
+	}
+	p.base *= math.Pow(pace/p.base, weight)
+	p.excess, p.statedAt = pace/p.base, at
+}
+
+// RecordRemote records the base pace that another VM knows.
+// It is used only while this VM knows no pace.
+func (p *Pace) RecordRemote(base float64) {
+	if p.base == 0 && base > 0 {
+		p.base, p.excess = min(max(base, minPace), maxPace), 1
+	}
+}
+
+// Base returns the pace without short disturbances, or 0 if the pace is unknown.
+func (p *Pace) Base() float64 { return p.base }
+
+// Current returns the pace expected for work that starts now, or 0 if the pace is unknown.
+func (p *Pace) Current(now time.Time) float64 {
+	remaining := math.Exp(-now.Sub(p.statedAt).Seconds() / excessDecay.Seconds())
+	return p.base * (1 + (p.excess-1)*remaining)
+}
--- a/prefill/rates.go
+++ b/prefill/rates.go
@@ -79,6 +79,15 @@
 	return time.Duration(r.perToken(model) * float64(tokens) * float64(time.Second))
 }
 
+// LongestPrefillTime returns the expected prefill time of a number of tokens at the slowest model.
+func (r *Rates) LongestPrefillTime(tokens int) time.Duration {
+	slowest := 0.0
+	for m := range r.costs {
+		slowest = max(slowest, r.perToken(m))
+	}
+	return time.Duration(slowest * float64(tokens) * float64(time.Second))
+}
+
 // perToken returns the expected prefill time per token in seconds.
 func (r *Rates) perToken(m contract.ModelID) float64 {
 	if rate, ok := r.models[m]; ok {
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -23,6 +23,8 @@
 	TokenTime time.Duration `cbor:"6,keyasint,omitempty"`
 	// Incarnation identifies the instance of the upstream that received the prompt.
 	Incarnation int64 `cbor:"7,keyasint,omitempty"`
+	// Pace is the upstream's pace as known to the sending VM; zero if unknown.
+	Pace float32 `cbor:"8,keyasint,omitempty"`
 }
 
 // ConfidenceReport is the confidence that a model reported for one of its answers,
@@ -76,6 +78,7 @@
 		if !r.isCurrent(prompt.Upstream, prompt.Incarnation) {
 			continue // sent to an earlier instance, or to an upstream that is not in this VM's list
 		}
+		r.table.RecordPeerPace(prompt.Upstream, float64(prompt.Pace))
 		r.table.RecordPeerPrompt(prompt.Upstream, prefill.Prompt{Model: prompt.Model, Tokens: prompt.Tokens, Parts: prompt.Parts}, prompt.PrefillTime, prompt.TokenTime, now)
 	}
 }
--- a/relay/models.go
+++ b/relay/models.go
@@ -152,7 +152,7 @@
 	for i, m := range models {
 		option := modelOption{model: m, ModelOption: cascade.ModelOption{GoodProbability: r.confidences.GoodShare(m, largest), Cost: r.costToValue(j) * r.relativeCost(j, i)}}
 		if estimate, ok := r.estimateModel(j, m, now); ok {
-			option.timeToFirst, option.queueWait, option.QueueCost, option.available = estimate.TimeToFirstToken(), estimate.Wait, r.table.PrefillPrice(estimate)/j.relativeValue, true
+			option.timeToFirst, option.queueWait, option.QueueCost, option.available = estimate.TimeToFirstToken(), estimate.Wait, (r.table.PrefillPrice(estimate)+estimate.PauseCost)/j.relativeValue, true
 		}
 		option.ModelOption = option.afterDelay(j, 0, now)
 		out[i] = option
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -182,7 +182,7 @@
 func (r *Relay) promptWork(j *job, now time.Time) upstream.Work {
 	return upstream.Work{
 		Prompt:    prefill.Prompt{Model: j.model, Tokens: j.PromptTokens, Parts: j.PromptParts},
-		Objective: j.Route.Objective, Elapsed: now.Sub(j.Arrived),
+		Objective: j.Route.Objective, Elapsed: now.Sub(j.Arrived), PauseTarget: j.Route.TargetGap,
 	}
 }
 
@@ -201,7 +201,7 @@
 	if e := j.pending.estimate; e.Prefill >= minReportedPrefill && r.opts.OnSent != nil {
 		r.opts.OnSent(SentPrompt{
 			Upstream: id, Incarnation: j.pending.incarnation, Model: j.model, Tokens: j.PromptTokens, Parts: j.PromptParts,
-			PrefillTime: e.Prefill, TokenTime: r.table.PrefillTokenTime(j.model),
+			PrefillTime: e.Prefill, TokenTime: r.table.PrefillTokenTime(j.model), Pace: float32(r.table.BasePace(id)),
 		})
 	}
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -167,6 +167,7 @@
 	}
 	if current && h.Load != nil {
 		r.table.RecordAnswerLoad(e.ID, h.Load.Running, h.Load.Waiting, r.opts.Now())
+		r.table.RecordStatedPace(e.ID, h.Load.SlowdownPercent, r.opts.Now())
 	}
 	if h.Status == http.StatusOK && !h.NotRun && j.pending.upstream != "" {
 		r.logFirstToken(j, h)
--- a/relay/upstream_list.go
+++ b/relay/upstream_list.go
@@ -93,7 +93,7 @@
 	entries = slices.Clone(entries)
 	for i, e := range entries {
 		if s := services[e.Service]; s != nil {
-			entries[i].CacheTokens = s.CacheTokens
+			entries[i].CacheTokens, entries[i].EventTokens = s.CacheTokens, s.EventTokens
 		}
 	}
 	return upstream.List{
--- a/route/route.go
+++ b/route/route.go
@@ -81,6 +81,8 @@
 	// CacheTokens is the number of tokens that one engine of the service can cache; zero for a
 	// service without models.
 	CacheTokens int
+	// EventTokens is the number of tokens in an event of a stream; zero if it is not configured.
+	EventTokens int
 	// Cold is the load that an upstream of the service can handle while the upstream is cold
 	// (recently started).
 	Cold ColdCapacity
--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -17,6 +17,9 @@
 	// Objective is the time from the arrival of the request within which its answer should
 	// begin. Elapsed is the time since the arrival of the request.
 	Objective, Elapsed time.Duration
+	// PauseTarget is the longest pause between two events of the streamed answer that is in time.
+	// Zero means that there is no such target.
+	PauseTarget time.Duration
 }
 
 // hasPrompt reports whether the request requires a model engine to prefill a prompt.
@@ -55,7 +58,10 @@
 
 // LateRisk returns the probability that an answer is late if the answer is expected to begin after
 // the given fraction of its objective. A fraction of 1 is the objective itself.
-func LateRisk(fraction float64) float64 { return 1 / (1 + math.Exp((1-fraction)/lateRiskSpread)) }
+func LateRisk(fraction float64) float64 { return logistic((fraction - 1) / lateRiskSpread) }
+
+// logistic returns the logistic function of x, which rises from 0 to 1.
+func logistic(x float64) float64 { return 1 / (1 + math.Exp(-x)) }
 
 // Estimate is the expected timing of a request at an upstream.
 type Estimate struct {
@@ -64,6 +70,10 @@
 	Wait, Prefill time.Duration
 	// CachedTokens is the number of prompt tokens that are cached and need no prefill.
 	CachedTokens int
+	// Pace is the pace of the upstream for which Prefill was computed.
+	Pace float64
+	// PauseCost is the cost of pauses in streams, relative to the value of a mean request.
+	PauseCost float64
 }
 
 // TimeToFirstToken returns the time until the answer is expected to begin.
@@ -82,9 +92,11 @@
 	if t.opts.Policy.Has(PrefixCaching) {
 		cached = s.prefixCache.CachedTokens(w.Prompt)
 	}
-	e := Estimate{Wait: t.queueWait(s, dc, now), Prefill: t.prefillRates.PrefillTime(w.Prompt.Model, w.Prompt.Tokens-cached), CachedTokens: cached}
+	pace := t.paceOf(s, now)
+	e := Estimate{Wait: t.queueWait(s, dc, now), Prefill: t.prefillRates.PrefillTime(w.Prompt.Model, w.Prompt.Tokens-cached), CachedTokens: cached, Pace: pace}
 	e.Wait = time.Duration(slowness * float64(e.Wait+t.slotWait(s)))
-	e.Prefill = time.Duration(slowness * float64(e.Prefill))
+	e.Prefill = time.Duration(slowness * pace * float64(e.Prefill))
+	e.PauseCost = t.pauseCost(s, w, e, now)
 	return e
 }
 
@@ -173,7 +185,7 @@
 		loadCost = s.expectedLoad() / float64(s.pool.Slots) * fullLoadCost / ownRequestWeight
 		e := t.estimate(s, q.Work, q.DataCentre, now)
 		objectiveFraction := ObjectiveFraction(q.Work.Elapsed+e.TimeToFirstToken(), q.Work.Objective)
-		cost += cascade.LatePenalty*LateRisk(objectiveFraction) + waitCost*objectiveFraction + t.PrefillPrice(e)
+		cost += cascade.LatePenalty*LateRisk(objectiveFraction) + waitCost*objectiveFraction + t.PrefillPrice(e) + e.PauseCost
 	} else {
 		loadCost *= s.health.slownessVsPool()
 	}
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -21,6 +21,8 @@
 	// CacheTokens is the capacity of the engine's prompt cache in tokens; zero if unknown or for
 	// a plain service.
 	CacheTokens int
+	// EventTokens is the number of tokens in an event of a stream; zero if unknown.
+	EventTokens int
 	// Leaving means that the upstream is about to stop and gets no new work.
 	Leaving bool
 	// Preemptible means that the upstream costs less, but that the platform may remove it at
@@ -102,6 +104,7 @@
 // know the upstream before.
 func (t *Table) applyEntry(s *state, e Entry, l List, isNew bool) {
 	s.prefixCache.SetCapacity(e.CacheTokens)
+	s.eventTokens = e.EventTokens
 	s.incarnation, s.slots = e.Incarnation, e.Slots
 	s.notices = t.notices[e.Instance()]
 	s.leavingIncarnation = 0
@@ -313,6 +316,7 @@
 func (t *Table) CompareUpstreams(dc contract.DataCentreID, now time.Time) {
 	t.countActiveEngines(now)
 	t.updateMeanWait(dc, now)
+	t.updateMeanPaces()
 	t.dropStaleNotices(now)
 	for _, states := range t.pools {
 		total, n := time.Duration(0), 0
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -32,10 +32,14 @@
 	Exploration Mechanism = "untried"
 	// EarlyRefusal immediately refuses requests that cannot be answered in the time left.
 	EarlyRefusal Mechanism = "early-refusal"
+	// UpstreamPace estimates how fast each upstream works, from what the upstream states.
+	UpstreamPace Mechanism = "upstream-pace"
+	// StreamPauses is the cost of the pauses that a prefill causes in running streams.
+	StreamPauses Mechanism = "stream-pauses"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
--- a/upstream/prefill.go
+++ b/upstream/prefill.go
@@ -17,6 +17,7 @@
 	e := t.estimate(s, w, dc, now)
 	s.promptSentAt = now
 	queueID := s.queue.Add(e.Prefill, true, now)
+	s.prefillLoad.add(e.Prefill, now)
 	s.prefixCache.Insert(w.Prompt)
 	return e, queueID
 }
@@ -36,10 +37,19 @@
 			return
 		}
 		whole := e.Wait == 0 && e.CachedTokens == 0
-		t.prefillRates.RecordSample(w.Prompt.Model, w.Prompt.Tokens-e.CachedTokens, took, whole)
+		t.prefillRates.RecordSample(w.Prompt.Model, w.Prompt.Tokens-e.CachedTokens, atUsualPace(took, e.Pace), whole)
 	}
 }
 
+// atUsualPace converts the time until an answer began at an upstream of the given pace to the
+// time at an upstream of the usual pace.
+func atUsualPace(took time.Duration, pace float64) time.Duration {
+	if pace <= 0 || took <= prefill.BaseLatency {
+		return took
+	}
+	return prefill.BaseLatency + time.Duration(float64(took-prefill.BaseLatency)/pace)
+}
+
 // minPrefillSpan is the shortest prefill from which the prefill rate of a busy engine is learned.
 // During a shorter prefill, the engine works on other requests for as long as on the prefill.
 const minPrefillSpan = 40 * time.Millisecond
@@ -73,5 +83,6 @@
 	}
 	s.promptSentAt = now
 	s.queue.Add(prefillTime, false, now)
+	s.prefillLoad.add(prefillTime, now)
 	s.prefixCache.Insert(p)
 }
--- a/upstream/prefill_price.go
+++ b/upstream/prefill_price.go
@@ -45,11 +45,16 @@
 
 // decay reduces the weight of earlier prompts in promptRate.
 func (d *demand) decay(now time.Time) {
-	remaining := math.Exp(-now.Sub(d.updatedAt).Seconds() / demandWindow.Seconds())
-	d.promptRate *= remaining
+	d.promptRate *= expDecay(now.Sub(d.updatedAt), demandWindow)
 	d.updatedAt = now
 }
 
+// expDecay returns the weight that a value has after some time, if it decays exponentially
+// with the given time constant.
+func expDecay(elapsed, timeConstant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / timeConstant.Seconds())
+}
+
 // recordPrompt counts a prompt of this VM, scaled up by the number of VMs.
 func (d *demand) recordPrompt(objective time.Duration, value float64, vms int, now time.Time) {
 	d.decay(now)
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -84,6 +84,8 @@
 	// meanDecodeTime is the mean time that a listed upstream works on a prompt after its
 	// answer has begun.
 	meanDecodeTime time.Duration
+	// meanPaces holds the mean pace of each pool in which the pace of any upstream is known.
+	meanPaces map[contract.PoolID]float64
 	// listReceived is set once an upstream list has been applied. owners are the VMs that
 	// share the bounds of cold and rate-limited upstreams. coldTransitions holds the
 	// transitions to cold that TakeColdTransitions has not returned yet.
@@ -124,7 +126,12 @@
 	health             health // only used for listed upstreams
 	// queue and prefixCache are the estimated prefill queue and the estimated prompt cache
 	// of a listed upstream.
-	queue       prefill.Queue
+	queue prefill.Queue
+	// pace is how fast the upstream works, and prefillLoad how much of its time goes to prefill.
+	// eventTokens is the number of tokens in an event of a stream; zero if it is unknown.
+	pace        prefill.Pace
+	prefillLoad prefillLoad
+	eventTokens int
 	prefixCache *prefill.PrefixCache
 	// promptSentAt is when any VM was last known to send a prompt to the upstream.
 	promptSentAt time.Time
@@ -150,7 +157,7 @@
 	o := opts.withDefaults()
 	return &Table{
 		opts: o, unreachableUntil: make(map[contract.DataCentreID]time.Time), suspectedCentres: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state), byDataCentre: make(map[contract.DataCentreID][]*state),
-		prefillRates: prefill.NewRates(nil), notices: make(map[contract.UpstreamInstance]*instanceNotices),
+		prefillRates: prefill.NewRates(nil), meanPaces: make(map[contract.PoolID]float64), notices: make(map[contract.UpstreamInstance]*instanceNotices),
 	}
 }
 
