--- a/upstream/pauses.go
+++ b/upstream/pauses.go
@@ -14,9 +14,9 @@
 // steps. It is the default of the common inference servers, and engines do not state it.
 const prefillChunkTokens = 2048
 
-// pauseRiskSpread is the uncertainty of a pause as a fraction of its target.
-// A pause may start before the prompt is counted here, and decode steps take time too.
-const pauseRiskSpread = 0.2
+// pauseRiskSpread is the uncertainty of a pause as a fraction of its target. A machine that other
+// work slows down during an event adds a few hundred milliseconds, a third of a usual target.
+const pauseRiskSpread = 0.1
 
 // prefillPause returns the longest pause that queued prefill work causes in a stream:
 // the whole work, or what the engine processes of it during the decode steps of one event.
@@ -25,43 +25,23 @@
 	return min(work, time.Duration(float64(s.eventTokens)*pace*float64(chunk)))
 }
 
-// pauseCost returns the cost of the pauses that a prompt causes in the streams at an engine and
-// that the prompt's own stream has to expect there, relative to the value of a mean request.
+// pauseCost returns the cost of the pauses that a prompt causes in the streams at an engine,
+// relative to the value of a mean request. Streams that run now are affected if the prompt
+// lengthens their longest pause. Streams that begin while the prompt is prefilled meet the whole
+// queue. Without the second part, an engine whose queue is long already would cost nothing.
 func (t *Table) pauseCost(s *state, w Work, e Estimate, now time.Time) float64 {
 	if s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
 		return 0
 	}
 	pace := t.paceOf(s, now)
-	before, after := t.prefillPause(s, e.Wait, pace), t.prefillPause(s, e.Wait+e.Prefill, pace)
-	added := pauseRisk(after, w.PauseTarget) - pauseRisk(before, w.PauseTarget)
-	others := added * max(s.expectedLoad(), 0)
-	own := s.prefillLoad.utilization(now) * pauseRisk(t.prefillPause(s, time.Hour, pace), w.PauseTarget)
-	return cascade.LatePenalty * (others + own)
+	before := pauseRisk(t.prefillPause(s, e.Wait, pace), w.PauseTarget)
+	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, pace), w.PauseTarget)
+	running := max(s.expectedLoad(), 0)
+	beginning := t.demand.promptRate / float64(max(t.activeEngines, 1)) * e.Prefill.Seconds()
+	return cascade.LatePenalty * ((after-before)*running + after*beginning)
 }
 
 // pauseRisk returns the probability that a stream is late because of an expected pause.
 func pauseRisk(pause, target time.Duration) float64 {
 	return logistic((pause.Seconds()/target.Seconds() - 1) / pauseRiskSpread)
 }
-
-// prefillLoad measures the fraction of time that an engine spends on prefill.
-type prefillLoad struct {
-	seconds   float64
-	updatedAt time.Time
-}
-
-// add adds the prefill time of a prompt.
-func (l *prefillLoad) add(d time.Duration, now time.Time) {
-	l.seconds = l.decayed(now) + d.Seconds()
-	l.updatedAt = now
-}
-
-// decayed returns the prefill seconds of about the last demandWindow.
-func (l *prefillLoad) decayed(now time.Time) float64 {
-	return l.seconds * expDecay(now.Sub(l.updatedAt), demandWindow)
-}
-
-// utilization returns the fraction of time spent on prefill, from 0 to 1.
-func (l *prefillLoad) utilization(now time.Time) float64 {
-	return min(l.decayed(now)/demandWindow.Seconds(), 1)
-}
--- a/upstream/prefill.go
+++ b/upstream/prefill.go
@@ -17,7 +17,6 @@
 	e := t.estimate(s, w, dc, now)
 	s.promptSentAt = now
 	queueID := s.queue.Add(e.Prefill, true, now)
-	s.prefillLoad.add(e.Prefill, now)
 	s.prefixCache.Insert(w.Prompt)
 	return e, queueID
 }
@@ -83,6 +82,5 @@
 	}
 	s.promptSentAt = now
 	s.queue.Add(prefillTime, false, now)
-	s.prefillLoad.add(prefillTime, now)
 	s.prefixCache.Insert(p)
 }
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -127,10 +127,9 @@
 	// queue and prefixCache are the estimated prefill queue and the estimated prompt cache
 	// of a listed upstream.
 	queue prefill.Queue
-	// pace is how fast the upstream works, and prefillLoad how much of its time goes to prefill.
+	// pace is how fast the upstream works.
 	// eventTokens is the number of tokens in an event of a stream; zero if it is unknown.
 	pace        prefill.Pace
-	prefillLoad prefillLoad
 	eventTokens int
 	prefixCache *prefill.PrefixCache
 	// promptSentAt is when any VM was last known to send a prompt to the upstream.
