--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -32,10 +32,12 @@
 	Exploration Mechanism = "untried"
 	// EarlyRefusal immediately refuses requests that cannot be answered in the time left.
 	EarlyRefusal Mechanism = "early-refusal"
+	// Overflow is the use of the reports of other data centres on their queues.
+	Overflow Mechanism = "overflow"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, Gossip, Exploration}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
