relay, site: delegates report the engines of their data centre to others

The estimate of the queue wait in other data centres needs their reports. Two delegates of each data centre send one every 500 ms to one VM of each other data centre of the region, with the reports about upstreams; hubs forward it. None are sent where VMs of the region report their prompts. An evacuated data centre reports no engines. The log line "overflow" states the inputs of each prompt that is sent to another data centre on the basis of a report.

--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -55,6 +55,12 @@
 	// limitChanges counts the changes of upstreams' rate limits,
 	// and sendsToLimited the selections of upstreams with a rate limit.
 	limitChanges, sendsToLimited metrics.Counter
+	// overflowPrompts counts the prompts sent to another data centre on the basis of its report,
+	// and overflowAge is the age of that report.
+	// overflowReportsMade counts the reports of this data centre that this VM made, and
+	// overflowReportsUsed the reports of other data centres that were newer than those before.
+	overflowPrompts, overflowReportsMade, overflowReportsUsed metrics.Counter
+	overflowAge                                               metrics.Histogram
 }
 
 func newMetrics() *Metrics {
@@ -93,6 +99,11 @@
 		limitChanges:     metrics.NewRegisteredCounter("upstream_limits_total", r),
 		sendsToLimited:   metrics.NewRegisteredCounter("sends_to_limited_total", r),
 		sendsToBackedOff: metrics.NewRegisteredCounter("sends_to_resting_total", r),
+
+		overflowPrompts:     metrics.NewRegisteredCounter("overflow_prompts_total", r),
+		overflowReportsMade: metrics.NewRegisteredCounter("overflow_reports_made_total", r),
+		overflowReportsUsed: metrics.NewRegisteredCounter("overflow_reports_used_total", r),
+		overflowAge:         histogram("overflow_report_age_milliseconds"),
 	}
 }
 
--- a/site/peers.go
+++ b/site/peers.go
@@ -216,6 +216,8 @@
 	Limits() []upstream.LimitUpdate
 	LimitsDigest() uint64
 	OfferedLoad() map[contract.ServiceID]scaling.Load
+	OverflowReport() (upstream.OverflowReport, bool)
+	MergeOverflowReport(r upstream.OverflowReport)
 }
 
 // attachRelay sets the relay whose state is exchanged with other VMs.
@@ -343,6 +345,7 @@
 // Run exchanges messages with other VMs until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	go func() { _ = p.endpoint.Serve(ctx) }() // Serve ends with the endpoint
+	go p.reportOverflow(ctx)
 	var lastJoin, lastDiscovery time.Time
 	for tick := 0; ctx.Err() == nil; tick++ {
 		p.logLiveCount()
