--- a/site/peers.go
+++ b/site/peers.go
@@ -214,6 +214,8 @@
 	Limits() []upstream.LimitUpdate
 	LimitsDigest() uint64
 	OfferedLoad() map[contract.ServiceID]scaling.Load
+	OverflowReport() (upstream.OverflowReport, bool)
+	MergeOverflowReport(r upstream.OverflowReport)
 }
 
 // attachRelay sets the relay whose state is exchanged with other VMs.
@@ -337,6 +339,5 @@
 // sameRegion reports whether a data centre shares a watcher of the store
 // with the data centre of this VM.
 func (p *Peers) sameRegion(dc contract.DataCentreID) bool { return p.regions[dc] == p.regions[p.dc] }
-
 // Close closes all links.
 func (p *Peers) Close() error { return p.endpoint.Close() }
