--- a/command/command.go
+++ b/command/command.go
@@ -51,6 +51,7 @@
 	Losses   lossesCmd   `cmd:"" help:"Tell why requests were not answered well and in time, by route, from the log lines of VMs. Example: woaddoor losses vm-*.log"`
 	Changes  changesCmd  `cmd:"" help:"Tell what changed, by revision, from the log lines of VMs. Example: woaddoor changes vm-*.log"`
 	Usage    usageCmd    `cmd:"" help:"Tell who acted for all VMs and what was reported of usage, from the log lines of VMs. Example: woaddoor usage vm-*.log"`
+	Calls    callsCmd    `cmd:"" help:"Count the calls to the platform's store by VM, call and kind, from the log lines of VMs. Example: woaddoor calls vm-*.log"`
 	Vms      vmsCmd      `cmd:"" help:"Show a table of VMs from their metrics. Example: woaddoor vms 10.1.0.40:9464 10.2.0.29:9464"`
 	Keys     keysCmd     `cmd:"" help:"Make keys for VMs, or hash a workspace's key."`
 }
--- a/command/explain.go
+++ b/command/explain.go
@@ -77,6 +77,20 @@
 	Window time.Duration `help:"The length of a window of usage." default:"5s"`
 }
 
+// callsCmd prints the calls to the platform's store from the log lines of VMs.
+type callsCmd struct {
+	Files []string `arg:"" optional:"" help:"Log files of VMs; standard input when there is none." type:"existingfile"`
+}
+
+// Run prints the number of calls by VM, call and kind.
+func (c *callsCmd) Run(s *invocation) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	return explain.StoreCalls(s.out, lines)
+}
+
 // errInvalidWindow means that the length of a usage window is not positive.
 var errInvalidWindow = errors.New("--window must be greater than 0, for example 5s")
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,8 +17,10 @@
 // pathMetrics is where a VM serves its metrics as text.
 const pathMetrics = "/metrics"
 
-// countStoreCall counts a call to the platform's object store.
+// countStoreCall counts and logs a call to the platform's object store. One line per call is
+// affordable, because one VM of a region watches for all, and a VM that is killed has logged its calls.
 func (v *vmProcess) countStoreCall(c platform.Call, err error) {
+	v.log.Info("store-call", zap.String("call", c.Verb), zap.String("kind", c.Kind), zap.Bool("failed", err != nil))
 	v.countCall("store", fmt.Sprintf("call=%q,kind=%q", c.Verb, c.Kind), err)
 }
 
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -32,10 +32,13 @@
 	Exploration Mechanism = "untried"
 	// EarlyRefusal immediately refuses requests that cannot be answered in the time left.
 	EarlyRefusal Mechanism = "early-refusal"
+	// WatchBatching delays the next watch of the store after changes,
+	// so that several changes share a call.
+	WatchBatching Mechanism = "watch-batching"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration, WatchBatching}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
