--- a/site/peers.go
+++ b/site/peers.go
@@ -339,5 +339,6 @@
 // sameRegion reports whether a data centre shares a watcher of the store
 // with the data centre of this VM.
 func (p *Peers) sameRegion(dc contract.DataCentreID) bool { return p.regions[dc] == p.regions[p.dc] }
+
 // Close closes all links.
 func (p *Peers) Close() error { return p.endpoint.Close() }
