--- a/prefill/pace.go
+++ b/prefill/pace.go
@@ -16,6 +16,9 @@
 	// excess is the last stated pace divided by the base pace, as of statedAt.
 	excess   float64
 	statedAt time.Time
+	// logMeasured is the averaged logarithm of the measured time divided by the expected time,
+	// without the correction that follows from it.
+	logMeasured float64
 }
 
 // Parameters of Pace.
@@ -28,6 +31,11 @@
 	// excessDecay is the time over which a stated disturbance loses its effect on the estimate.
 	// A machine that is shared is busy with other work for some hundred milliseconds.
 	excessDecay = 300 * time.Millisecond
+	// measuredWeight is the weight of a measured time in logMeasured.
+	measuredWeight = 0.1
+	// trustedRatio is the ratio of measured to expected time up to which a stated pace is
+	// trusted. Prompts of which this VM does not know add up to half of the expected time.
+	trustedRatio = 1.5
 	// minPace and maxPace bound a stated pace, so that a wrong value has a limited effect.
 	minPace, maxPace = 0.1, 10
 )
@@ -54,11 +62,30 @@
 	}
 }
 
+// RecordMeasured records the measured time of a prefill as a multiple of the time that was expected
+// at the current estimate. An upstream that states to be faster than it is would otherwise attract
+// more work than it can do.
+func (p *Pace) RecordMeasured(ratio float64) {
+	if p.base == 0 || ratio <= 0 {
+		return
+	}
+	measured := math.Log(ratio * p.correction())
+	p.logMeasured += measuredWeight * (min(max(measured, 0), math.Log(maxPace/minPace)) - p.logMeasured)
+}
+
+// correction returns the factor by which the stated pace is too low.
+func (p *Pace) correction() float64 {
+	if ratio := math.Exp(p.logMeasured); ratio > trustedRatio {
+		return ratio
+	}
+	return 1
+}
+
 // Base returns the pace without short disturbances, or 0 if the pace is unknown.
-func (p *Pace) Base() float64 { return p.base }
+func (p *Pace) Base() float64 { return p.base * p.correction() }
 
 // Current returns the pace expected for work that starts now, or 0 if the pace is unknown.
 func (p *Pace) Current(now time.Time) float64 {
 	remaining := math.Exp(-now.Sub(p.statedAt).Seconds() / excessDecay.Seconds())
-	return p.base * (1 + (p.excess-1)*remaining)
+	return p.Base() * (1 + (p.excess-1)*remaining)
 }
--- /dev/null
+++ b/upstream/pace_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/contract"
+	"woaddoor/prefill"
+)
+
+// paceWork is a prompt that takes 0.5 s at the usual pace and the initial prefill rate.
+var paceWork = Work{Prompt: prefill.Prompt{Model: "m", Tokens: 10000}, Objective: 3 * time.Second}
+
+// newPaceTable returns a table of two engines of one pool.
+func newPaceTable(disabled ...Mechanism) *Table {
+	tb := NewTable(Options{Listed: true, Policy: Policy{disabled: disabled}})
+	tb.ApplyList(paceList(1))
+	return tb
+}
+
+// paceList returns a list of two engines, of which "a" is the given instance.
+func paceList(incarnation int64) List {
+	return List{
+		Entries: []Entry{
+			{ID: "a", Service: "s", DataCentre: "d", Slots: 8, Incarnation: incarnation, EventTokens: 8},
+			{ID: "b", Service: "s", DataCentre: "d", Slots: 8, Incarnation: 1, EventTokens: 8},
+		},
+		Connections: func(contract.ServiceID) int { return 100 },
+	}
+}
+
+// prefillAt returns the expected prefill time of paceWork at an engine.
+func prefillAt(tb *Table, id contract.UpstreamID, now time.Time) time.Duration {
+	return tb.estimate(tb.states[id], paceWork, "d", now).Prefill
+}
+
+// TestPaceOfUnknownUpstream guards against an estimate that takes an engine about which nothing is
+// known for one of the usual pace, although the other engines of its pool are slower.
+func TestPaceOfUnknownUpstream(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	is.Equal(prefillAt(tb, "b", now), 500*time.Millisecond)
+	tb.RecordStatedPace("a", 120, now)
+	tb.CompareUpstreams("d", now)
+	is.Equal(prefillAt(tb, "a", now), 600*time.Millisecond)
+	is.Equal(prefillAt(tb, "b", now), 600*time.Millisecond)
+}
+
+// TestPaceDisabled guards against a mechanism that still has an effect when it is disabled.
+func TestPaceDisabled(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable(UpstreamPace)
+	tb.RecordStatedPace("a", 300, now)
+	tb.RecordPeerPace("b", 3)
+	is.Equal(prefillAt(tb, "a", now), 500*time.Millisecond)
+	is.Equal(prefillAt(tb, "b", now), 500*time.Millisecond)
+}
+
+// TestDisturbanceExpires guards against a stated disturbance that is believed for longer than a
+// shared machine is busy, so that the engine gets nothing although it is as fast as usual again.
+func TestDisturbanceExpires(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.RecordStatedPace("a", 100, now)
+	tb.RecordStatedPace("a", 300, now)
+	is.True(prefillAt(tb, "a", now) > 1400*time.Millisecond)
+	is.True(prefillAt(tb, "a", now.Add(2*time.Second)) < 550*time.Millisecond)
+}
+
+// TestNewInstanceHasNoPace guards against the pace of a former instance: the new one may run on
+// another machine.
+func TestNewInstanceHasNoPace(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.RecordStatedPace("a", 300, now)
+	tb.ApplyList(paceList(2))
+	is.Equal(prefillAt(tb, "a", now), 500*time.Millisecond)
+}
+
+// TestOwnPaceOverridesReports guards against an old report of another VM that replaces what this
+// VM was told by the upstream itself.
+func TestOwnPaceOverridesReports(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.RecordPeerPace("a", 2)
+	is.Equal(prefillAt(tb, "a", now), time.Second)
+	tb.RecordStatedPace("a", 100, now)
+	tb.RecordStatedPace("a", 100, now)
+	tb.RecordPeerPace("a", 2)
+	is.True(prefillAt(tb, "a", now) < 700*time.Millisecond)
+}
+
+// TestFalsePaceIsCorrected guards against an engine that states to be far faster than it is and
+// attracts all prompts: its answers show that it is slow.
+func TestFalsePaceIsCorrected(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable(PrefillRates)
+	tb.RecordStatedPace("b", 100, now)
+	const actual = 500 * time.Millisecond
+	for range 30 {
+		tb.RecordStatedPace("a", 10, now)
+		tb.RecordSent("a")
+		e, id := tb.RecordExpected("a", paceWork, "d", now)
+		now = now.Add(actual)
+		tb.RecordAnswerBegin("a", id, paceWork, e, actual, now)
+		tb.RecordDone("a", Succeeded, actual, now)
+	}
+	is.True(prefillAt(tb, "a", now) > actual/2)
+}
+
+// TestPauseCost guards against prompts that are charged for pauses where there can be none: without
+// a target, without a configured event size, and where the prompt is short.
+func TestPauseCost(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.SetModelPrices(map[contract.ModelID]float64{"m": 1})
+	s := tb.states["a"]
+	s.inFlight = 4
+	cost := func(tokens int, target time.Duration) float64 {
+		w := Work{Prompt: prefill.Prompt{Model: "m", Tokens: tokens}, Objective: 3 * time.Second, PauseTarget: target}
+		return tb.estimate(s, w, "d", now).PauseCost
+	}
+	is.Equal(cost(30000, 0), 0.0)
+	is.True(cost(500, time.Second) < 0.01)
+	atUsualPace := cost(30000, time.Second)
+	tb.RecordStatedPace("a", 120, now)
+	is.True(cost(30000, time.Second) > 2*atUsualPace)
+	s.inFlight = 0
+	is.Equal(cost(30000, time.Second), 0.0)
+	s.inFlight, s.eventTokens = 4, 0
+	is.Equal(cost(30000, time.Second), 0.0)
+}
--- a/upstream/prefill.go
+++ b/upstream/prefill.go
@@ -30,6 +30,9 @@
 	}
 	span := s.queue.AnswerBegan(queueID, now)
 	s.health.recordFirstAnswer(took, e.TimeToFirstToken())
+	if e.Wait == 0 && e.Prefill >= minPrefillSpan {
+		s.pace.RecordMeasured((took - prefill.BaseLatency).Seconds() / e.Prefill.Seconds())
+	}
 	if s.health.slownessVsEstimate() == 1 && t.opts.Policy.Has(PrefillRates) {
 		if span.Newest >= minPrefillSpan && span.Newest > span.Expected/2 {
 			t.prefillRates.RecordRatio(w.Prompt.Model, float64(span.Actual)/float64(span.Expected))
