--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -51,11 +51,17 @@
 
 // paceOf returns how long work takes at an upstream, as a multiple of the usual time.
 func (t *Table) paceOf(s *state, now time.Time) float64 {
-	if s.pace.Base() > 0 {
-		return s.pace.Current(now)
-	}
-	if mean, ok := t.meanPaces[s.pool.ID]; ok {
-		return mean
+	if pace, known := t.statedPace(s, now); known {
+		return pace
 	}
 	return 1
 }
+
+// statedPace returns the pace of an upstream if the upstream or others of its pool have stated theirs.
+func (t *Table) statedPace(s *state, now time.Time) (pace float64, known bool) {
+	if s.pace.Base() > 0 {
+		return s.pace.Current(now), true
+	}
+	pace, known = t.meanPaces[s.pool.ID]
+	return pace, known
+}
--- a/upstream/pauses.go
+++ b/upstream/pauses.go
@@ -29,11 +29,13 @@
 // relative to the value of a mean request. Streams that run now are affected if the prompt
 // lengthens their longest pause. Streams that begin while the prompt is prefilled meet the whole
 // queue. Without the second part, an engine whose queue is long already would cost nothing.
+// The cost is zero where engines do not state their pace, because the length of a pause is then
+// unknown by a factor of two.
 func (t *Table) pauseCost(s *state, w Work, e Estimate, now time.Time) float64 {
-	if s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
+	pace, known := t.statedPace(s, now)
+	if !known || s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
 		return 0
 	}
-	pace := t.paceOf(s, now)
 	before := pauseRisk(t.prefillPause(s, e.Wait, pace), w.PauseTarget)
 	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, pace), w.PauseTarget)
 	running := max(s.expectedLoad(), 0)
