relay: requests beyond the share of their workspace are refused while upstreams are short

Cause: package fairshare needs the work of requests, the slots in use and the time until a request would begin, and its refusals have to reach callers. Workspaces may have a Weight.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -135,13 +135,15 @@
 // quantiles are the quantiles that are served for each histogram.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// registryMetrics returns the counters and histograms of a registry.
+// registryMetrics returns the counters, gauges and histograms of a registry.
 func registryMetrics(r metrics.Registry) []string {
 	var lines []string
 	r.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
 		case metrics.Histogram:
 			s := m.Snapshot()
 			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -148,6 +148,7 @@
 		OnSuspect: func() { go v.peers.AnnounceUrgent() }, OnQuarantined: func() { v.site.WriteQuarantined() },
 		OnBadRelease: func() { v.site.EvaluateVerdicts() }, OnSent: v.peers.ReportSent, OnConfidence: v.peers.ReportConfidence, OnBackoff: v.peers.ReportBackoff, OnLimit: v.peers.ReportLimit, GossipScope: v.peers.GossipScope,
 		OnExecution:     v.usageRecorder(),
+		WorkspaceWeight: v.workspaceWeight,
 		EvacuationBound: s.Bounds.Evacuation, ColdOwners: v.peers.ColdOwners, ColdBounds: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
 	options := &site.Options{
@@ -165,6 +166,14 @@
 	return nil
 }
 
+// workspaceWeight returns the weight of a workspace in the configuration in force, or zero.
+func (v *vmProcess) workspaceWeight(w contract.WorkspaceID) float64 {
+	if table := v.site.Table(); table != nil {
+		return table.Weight(w)
+	}
+	return 0
+}
+
 // Limits of callers' connections. These limits are fixed, because the limits in the configuration
 // are not known yet when the HTTP servers are created. Clients stay within the fixed limits.
 const (
--- a/fairshare/service_test.go
+++ b/fairshare/service_test.go
@@ -84,10 +84,13 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := newShortService(&now)
-	is.True(decideAll(s, request("a"), full(0.95), 100, 10*time.Millisecond, &now) > 0)
+	is.True(decideAll(s, request("a"), full(0.95), 600, 10*time.Millisecond, &now) > 0)
 	is.True(s.shortage.short)
+	s.SetOthers(ServiceDemand{Classes: Demand{request("a").Class: {Offered: 1e6}}}, now) // the share is used up
+	s.Refresh(nil, now)
 	is.Equal(decideAll(s, request("a"), full(0.75), 5, time.Millisecond, &now), 0)
 	is.True(s.shortage.short) // few estimates do not end it
+	is.True(decideAll(s, request("a"), full(0.95), 5, time.Millisecond, &now) > 0)
 	withoutObjective := request("a")
 	withoutObjective.Objective = 0
 	is.Equal(decideAll(s, withoutObjective, full(2), 20, time.Millisecond, &now), 0)
@@ -102,11 +105,11 @@
 	s, now := NewService(), time.Unix(1000, 0)
 	slow := request("a")
 	slow.Objective = 4 * testObjective
-	for range 50 {
+	for range 3 {
 		is.Equal(decideAll(s, slow, full(2), 1, 20*time.Millisecond, &now), 0)
-		is.Equal(decideAll(s, request("a"), full(2), 1, 20*time.Millisecond, &now), 0)
+		is.Equal(decideAll(s, request("a"), full(2), 50, 20*time.Millisecond, &now), 0)
+		is.True(!s.shortage.short)
 	}
-	is.True(!s.shortage.short)
 }
 
 // TestOtherVMsEvidenceCounts guards against VMs with few requests never dividing the capacity,
@@ -120,6 +123,26 @@
 	is.True(s.Decide(request("a"), full(0.9), nil, now.Add(4*time.Second)).Short)
 }
 
+// TestCapacityFollowsWaits checks that the capacity is below the admitted work while waits grow or
+// are too long, above it while they are short, and that a part of the offered work is admitted
+// whatever the estimates are, because there would be no answers to correct them otherwise.
+func TestCapacityFollowsWaits(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	capacity := func(fraction, growth float64) float64 {
+		s := shortage{fraction: fraction, growth: growth, updated: now}
+		return s.capacity(12, 2*time.Second)
+	}
+	is.Equal(capacity(targetFraction, 0), 12.0)
+	is.Equal(capacity(targetFraction, 1), 6.0)
+	is.True(capacity(targetFraction, -0.25) > 12)
+	is.True(capacity(beginsInTime, 0) > 12)
+	is.True(capacity(1, 0) < 12)
+	is.Equal((&shortage{}).capacity(12, time.Second), 12.0)
+	s := newShortService(&now)
+	is.True(decideAll(s, request("a"), full(20), 1000, 10*time.Millisecond, &now) < 950)
+}
+
 // TestCreditSpacesRefusals guards against runs of refusals, which would hit the same session again
 // and again: of a class that is admitted at half, no two consecutive requests are refused.
 func TestCreditSpacesRefusals(t *testing.T) {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -55,6 +55,10 @@
 	// limitChanges counts the changes of upstreams' rate limits,
 	// and sendsToLimited the selections of upstreams with a rate limit.
 	limitChanges, sendsToLimited metrics.Counter
+	// shareRefusals counts the requests that were refused because they were beyond the share of
+	// their workspace, and servicesShort is the number of services whose upstreams are short.
+	shareRefusals metrics.Counter
+	servicesShort metrics.Gauge
 }
 
 func newMetrics() *Metrics {
@@ -93,6 +97,8 @@
 		limitChanges:     metrics.NewRegisteredCounter("upstream_limits_total", r),
 		sendsToLimited:   metrics.NewRegisteredCounter("sends_to_limited_total", r),
 		sendsToBackedOff: metrics.NewRegisteredCounter("sends_to_resting_total", r),
+		shareRefusals:    metrics.NewRegisteredCounter("share_refusals_total", r),
+		servicesShort:    metrics.NewRegisteredGauge("services_short", r),
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"woaddoor/cascade"
 	"woaddoor/contract"
 	"woaddoor/exchange"
+	"woaddoor/fairshare"
 	"woaddoor/quarantine"
 	"woaddoor/retry"
 	"woaddoor/rollout"
@@ -96,6 +97,9 @@
 	// that an upstream has begun to execute, and the time at which execution began.
 	// OnExecution must not block and may be nil.
 	OnExecution func(w contract.WorkspaceID, at time.Time)
+	// WorkspaceWeight returns the weight of a workspace's fair share, or zero if none is configured.
+	// A nil WorkspaceWeight means equal weights.
+	WorkspaceWeight func(w contract.WorkspaceID) float64
 	// OnBadRelease is called when a release is found to be bad.
 	// OnBadRelease must not block and may be nil.
 	OnBadRelease func()
@@ -160,6 +164,8 @@
 	probesRunning map[contract.UpstreamInstance]chan struct{}
 	// promptLoads holds, by service, the prefill work that this VM sends to the engines.
 	promptLoads map[contract.ServiceID]*promptLoad
+	// shares decides, by service, on the admission of requests while upstreams are short.
+	shares map[contract.ServiceID]*fairshare.Service
 	// dataCentreOf maps each pool to its data centre.
 	dataCentreOf map[contract.PoolID]contract.DataCentreID
 }
@@ -190,6 +196,7 @@
 		latencies:         make(map[string]*latencyStats),
 		confidences:       cascade.NewConfidenceEstimator(),
 		promptLoads:       make(map[contract.ServiceID]*promptLoad),
+		shares:            make(map[contract.ServiceID]*fairshare.Service),
 		possibleCrashes:   quarantine.NewCrashTracker(), quarantineCases: quarantine.NewTable(),
 		running: make(map[*Request]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
 	}
@@ -267,19 +274,28 @@
 	j := &job{Request: req, outcome: contract.OutcomeNotRun, confidence: -1, relativeValue: 1}
 	var retryAfter time.Duration
 	unreachable := false
+	var overShare *contract.Refusal
 	r.withLock(func() {
 		j.service = req.Route.PickService(r.random.Float64())
 		r.retryBudget(j.service).RecordRequest(r.opts.Now())
+		share := r.checkShare(j, r.opts.Now())
+		if overShare = share.refusal; overShare != nil {
+			return
+		}
 		if isStream(req) {
 			j.relativeValue = r.table.RecordPrompt(req.Route.Objective, r.requestValue(j), r.sendingVMs(), r.opts.Now())
 		}
-		retryAfter, unreachable = r.chooseModel(j)
+		if retryAfter, unreachable = r.chooseModel(j); !unreachable {
+			r.recordAdmitted(j, share, r.opts.Now())
+		}
 	})
 	var end RequestEnd
 	var refused *contract.Refusal
 	switch {
 	case len(req.Route.Shares) == 0:
 		end, refused = Refused, refuseUnlisted(j)
+	case overShare != nil:
+		end, refused = Refused, overShare
 	case unreachable:
 		end, refused = Refused, refuseLongQueue(j, retryAfter)
 	case isStream(req):
--- a/route/route.go
+++ b/route/route.go
@@ -109,6 +109,8 @@
 	// Regions are the regions to which the workspace restricts its requests; empty means any
 	// region.
 	Regions []string
+	// Weight is the weight of the workspace's fair share; zero means 1.
+	Weight float64
 }
 
 // Limits bounds the requests that callers send. Zero means no limit.
@@ -130,15 +132,22 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
+	// weights holds the weights that workspaces have.
+	weights map[contract.WorkspaceID]float64
 }
 
 // NewTable returns a table with the given routes and with the workspaces by API key.
 // A nil map of workspaces means that requests need no API key.
 func NewTable(routes []*Route, keys map[string]*Workspace) *Table {
-	t := &Table{byHost: make(map[string][]*Route), byKey: keys, KeyRequired: keys != nil}
+	t := &Table{byHost: make(map[string][]*Route), byKey: keys, KeyRequired: keys != nil, weights: make(map[contract.WorkspaceID]float64)}
 	for _, r := range routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
+	for _, w := range keys {
+		if w.Weight > 0 {
+			t.weights[w.ID] = w.Weight
+		}
+	}
 	return t
 }
 
@@ -177,6 +186,9 @@
 	return w, ok
 }
 
+// Weight returns the weight of a workspace's fair share, or zero if none is configured.
+func (t *Table) Weight(w contract.WorkspaceID) float64 { return t.weights[w] }
+
 // PickService returns the service for a request, in proportion to the weights of the shares of the
 // route. The point in [0, 1) determines the choice and is usually random.
 // A share with weight zero is picked only if all weights are zero:
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -32,10 +32,12 @@
 	Exploration Mechanism = "untried"
 	// EarlyRefusal immediately refuses requests that cannot be answered in the time left.
 	EarlyRefusal Mechanism = "early-refusal"
+	// FairShare divides the capacity of a service among workspaces while its upstreams are short.
+	FairShare Mechanism = "fair-share"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, Gossip, Exploration}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
