site: VMs exchange the demand of workspaces

Cause: shares hold over all VMs together, but each VM knows only its own callers' demand. Change: a leaf reports its counts with its heartbeat and gets the sum of all others back; hubs exchange sums, delegates those of data centres.

--- a/site/gossip.go
+++ b/site/gossip.go
@@ -63,6 +63,9 @@
 	// Lease is what the sender knows of the lease whose holder makes the calls
 	// to the platform for all VMs. Lease is nil if the sender knows nothing of the lease.
 	Lease *LeaseStatus `cbor:"18,keyasint,omitempty"`
+	// Demand is the demand of workspaces as far as the sender reports it to the recipient.
+	// Demand is nil while no upstreams are busy.
+	Demand *DemandReport `cbor:"20,keyasint,omitempty"`
 }
 
 // VMCount is the number of VMs in a data centre.
@@ -215,6 +218,7 @@
 	p.recordMembers(reply, true)
 	p.updateRankKnown(reply)
 	p.recordLease(reply.Lease)
+	p.recordDemand(reply)
 	p.reconcileLimits(reply)
 	p.applyGossip(context.WithoutCancel(ctx), reply)
 	return true
@@ -225,6 +229,7 @@
 	p.recordUsage(msg.Usage)
 	p.recordLoad(p.leafLoad, instanceOf(msg.Self), msg.Load)
 	p.recordLease(msg.Lease)
+	p.recordDemand(msg)
 	go p.applyGossip(context.WithoutCancel(ctx), msg)
 	reply := p.gossipReply(msg)
 	if exchange := p.relayOrNil(); exchange != nil && reply.LimitsDigest != msg.LimitsDigest {
@@ -239,11 +244,13 @@
 	case msg.Joining:
 		return p.replyToJoining(msg.Self.DataCentre)
 	case msg.Self.DataCentre != p.dc:
-		return p.gossipFor(audienceRemote)
+		return p.withDemand(p.gossipFor(audienceRemote), audienceRemote)
 	case msg.FromLeaf:
-		return p.replyToLeaf(msg)
+		reply := p.replyToLeaf(msg)
+		reply.Demand = p.demandForLeaf(instanceOf(msg.Self))
+		return reply
 	case p.currentView().isHub:
-		return p.gossipFor(audienceHub)
+		return p.withDemand(p.gossipFor(audienceHub), audienceHub)
 	}
 	return p.gossipFor(audienceLocal)
 }
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -123,10 +123,10 @@
 // heartbeatHub exchanges gossip with the hub of this leaf,
 // or with the next hub if the first hub does not reply.
 func (p *Peers) heartbeatHub(ctx context.Context, v *view) {
-	load := p.localLoad()
+	load, demand := p.localLoad(), p.demandToHub()
 	for _, m := range p.hubsForLeaf(v) {
 		msg := p.gossipToHub()
-		msg.Load = load
+		msg.Load, msg.Demand = load, demand
 		var sequence uint64
 		msg.Usage, sequence = p.usageFor(instanceOf(m))
 		if p.exchangeGossip(ctx, m.ControlAddress, localTimeout, msg) {
--- a/site/peers.go
+++ b/site/peers.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/fairshare"
 	"woaddoor/leader"
 	"woaddoor/link"
 	"woaddoor/quarantine"
@@ -148,6 +149,8 @@
 	// leafLoad holds the load reported by this VM's leaves,
 	// and hubLoad holds the load reported by other hubs while this VM holds the lease.
 	leafLoad, hubLoad loadReports
+	// demand holds the demand of workspaces that other VMs have reported.
+	demand demandReports
 }
 
 // PeersOptions configure Peers.
@@ -180,7 +183,7 @@
 		kinds: make(map[string]replicatedKind), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlAddress }),
 		table: vm.NewTable(opts.Self), listedAddresses: make(map[string]bool), memberIPs: make(map[string]bool),
 		leaves: make(map[contract.VMID]leaf), unresponsiveUntil: make(map[string]time.Time), counts: make(map[contract.DataCentreID]dataCentreCount),
-		leafLoad: make(loadReports), hubLoad: make(loadReports),
+		leafLoad: make(loadReports), hubLoad: make(loadReports), demand: newDemandReports(),
 		announced: make(map[string]contract.Revision), unknownToHub: make(map[contract.VMID]string), activePulls: make(map[string]activePull),
 	}
 	p.changeRounds = newRounds(changeInterval, p.sendChanges)
@@ -216,6 +219,8 @@
 	Limits() []upstream.LimitUpdate
 	LimitsDigest() uint64
 	OfferedLoad() map[contract.ServiceID]scaling.Load
+	Demand() fairshare.Demands
+	SetOthersDemand(d fairshare.Demands)
 }
 
 // attachRelay sets the relay whose state is exchanged with other VMs.
@@ -392,7 +397,8 @@
 func (p *Peers) heartbeat(ctx context.Context, tick int) {
 	v := p.currentView()
 	if v.isHub {
-		msg := p.gossipFor(audienceHub)
+		p.applyOthersDemand()
+		msg := p.withDemand(p.gossipFor(audienceHub), audienceHub)
 		for _, m := range p.hubsToContact(v) {
 			go p.exchangeGossip(ctx, m.ControlAddress, localTimeout, msg)
 		}
@@ -402,7 +408,7 @@
 	if tick%heartbeatsPerRemote != 0 || v.rank.Local >= delegates {
 		return
 	}
-	msg := p.gossipFor(audienceRemote)
+	msg := p.withDemand(p.gossipFor(audienceRemote), audienceRemote)
 	for _, members := range v.remote {
 		if len(members) > 0 {
 			go p.exchangeGossip(ctx, members[rand.IntN(len(members))].ControlAddress, remoteTimeout, msg)
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/fairshare"
 	"woaddoor/keys"
 	"woaddoor/link"
 	"woaddoor/prefill"
@@ -32,6 +33,8 @@
 	mu     sync.Mutex
 	known  []upstream.LimitUpdate
 	digest uint64
+	// demand is the demand at the VM, and others the demand of other VMs that it last received.
+	demand, others fairshare.Demands
 }
 
 // setKnown sets the limits that the VM knows and their digest.
@@ -75,6 +78,18 @@
 	sendNonEmpty(r.limits, limits)
 }
 
+func (r *recordingRelay) Demand() fairshare.Demands {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.demand
+}
+
+func (r *recordingRelay) SetOthersDemand(d fairshare.Demands) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.others = d
+}
+
 // sendNonEmpty sends items unless there are none.
 func sendNonEmpty[T any](to chan []T, items []T) {
 	if len(items) > 0 {
