--- a/explain/explain.go
+++ b/explain/explain.go
@@ -165,6 +165,7 @@
 	{"upstream-leaves", "upstream", []string{"born", "listed_leaving", "status"}},
 	{"upstream-rests", "upstream", []string{"born", "for", "asked", "status"}},
 	{"upstream-limit", "upstream", []string{"born", "version", "named", "per_second", "request", "peer"}},
+	{"upstreams-short", "", []string{"service", "short", "begin_ms", "slots", "slots_in_use"}},
 	{"order", "", []string{"service", "release", "state", "revision"}},
 	{"release-bad", "", []string{"service", "release", "trial_bad", "trial_good", "others_bad", "others_good"}},
 	{"request-held", "print", []string{"print", "ended", "first_seen_by", "by", "workspace", "route"}},
@@ -222,7 +223,7 @@
 var auditEvents = map[string]bool{
 	"configuration": true, "upstream": true, "order": true, "order-noted": true, "release-bad": true, "enlisted": true,
 	"request-held": true, "request-released": true, "evacuation": true,
-	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true, "upstream-limit": true,
+	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true, "upstream-limit": true, "upstreams-short": true,
 	"start": true, "stop": true, "signal": true, "reload": true, "store-lost": true, "store-regained": true, "vms": true,
 }
 
