fairshare: the test of the least admitted part runs until the estimates have taken effect

Cause: the mutant without that part passed, since the requests admitted before it took effect hid the difference. Change: 5,000 requests pass before the 1,000 that are counted; the bound is on both sides.

--- a/fairshare/service_test.go
+++ b/fairshare/service_test.go
@@ -140,7 +140,9 @@
 	is.True(capacity(1, 0) < 12)
 	is.Equal((&shortage{}).capacity(12, time.Second), 12.0)
 	s := newShortService(&now)
-	is.True(decideAll(s, request("a"), full(20), 1000, 10*time.Millisecond, &now) < 950)
+	decideAll(s, request("a"), full(20), 5000, 10*time.Millisecond, &now)
+	refused := decideAll(s, request("a"), full(20), 1000, 10*time.Millisecond, &now)
+	is.True(refused > 850 && refused < 950)
 }
 
 // TestCreditSpacesRefusals guards against runs of refusals, which would hit the same session again
