--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -61,6 +61,10 @@
 	// overflowReportsUsed the reports of other data centres that were newer than those before.
 	overflowPrompts, overflowReportsMade, overflowReportsUsed metrics.Counter
 	overflowAge                                               metrics.Histogram
+	// shareRefusals counts the requests that were refused because they were beyond the share of
+	// their workspace, and servicesShort is the number of services whose upstreams are short.
+	shareRefusals metrics.Counter
+	servicesShort metrics.Gauge
 }
 
 func newMetrics() *Metrics {
@@ -104,6 +108,8 @@
 		overflowReportsMade: metrics.NewRegisteredCounter("overflow_reports_made_total", r),
 		overflowReportsUsed: metrics.NewRegisteredCounter("overflow_reports_used_total", r),
 		overflowAge:         histogram("overflow_report_age_milliseconds"),
+		shareRefusals:       metrics.NewRegisteredCounter("share_refusals_total", r),
+		servicesShort:       metrics.NewRegisteredGauge("services_short", r),
 	}
 }
 
--- a/site/heartbeat.go
+++ b/site/heartbeat.go
@@ -61,7 +61,8 @@
 func (p *Peers) heartbeat(ctx context.Context, tick int) {
 	v := p.currentView()
 	if v.isHub {
-		msg := p.gossipFor(audienceHub)
+		p.applyOthersDemand()
+		msg := p.withDemand(p.gossipFor(audienceHub), audienceHub)
 		for _, m := range p.hubsToContact(v) {
 			go p.exchangeGossip(ctx, m.ControlAddress, localTimeout, msg)
 		}
@@ -71,7 +72,7 @@
 	if tick%heartbeatsPerRemote != 0 || v.rank.Local >= delegates {
 		return
 	}
-	msg := p.gossipFor(audienceRemote)
+	msg := p.withDemand(p.gossipFor(audienceRemote), audienceRemote)
 	for _, members := range v.remote {
 		if len(members) > 0 {
 			go p.exchangeGossip(ctx, members[rand.IntN(len(members))].ControlAddress, remoteTimeout, msg)
--- a/site/peers.go
+++ b/site/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/fairshare"
 	"woaddoor/leader"
 	"woaddoor/link"
 	"woaddoor/quarantine"
@@ -146,6 +147,8 @@
 	// leafLoad holds the load reported by this VM's leaves,
 	// and hubLoad holds the load reported by other hubs while this VM holds the lease.
 	leafLoad, hubLoad loadReports
+	// demand holds the demand of workspaces that other VMs have reported.
+	demand demandReports
 }
 
 // PeersOptions configure Peers.
@@ -178,7 +181,7 @@
 		kinds: make(map[string]replicatedKind), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlAddress }),
 		table: vm.NewTable(opts.Self), listedAddresses: make(map[string]bool), memberIPs: make(map[string]bool),
 		leaves: make(map[contract.VMID]leaf), unresponsiveUntil: make(map[string]time.Time), counts: make(map[contract.DataCentreID]dataCentreCount),
-		leafLoad: make(loadReports), hubLoad: make(loadReports),
+		leafLoad: make(loadReports), hubLoad: make(loadReports), demand: newDemandReports(),
 		announced: make(map[string]contract.Revision), unknownToHub: make(map[contract.VMID]string), activePulls: make(map[string]activePull),
 	}
 	p.changeRounds = newRounds(changeInterval, p.sendChanges)
@@ -216,6 +219,8 @@
 	OfferedLoad() map[contract.ServiceID]scaling.Load
 	OverflowReport() (upstream.OverflowReport, bool)
 	MergeOverflowReport(r upstream.OverflowReport)
+	Demand() fairshare.Demands
+	SetOthersDemand(d fairshare.Demands)
 }
 
 // attachRelay sets the relay whose state is exchanged with other VMs.
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/fairshare"
 	"woaddoor/prefill"
 	"woaddoor/quarantine"
 	"woaddoor/relay"
@@ -33,6 +34,8 @@
 	digest uint64
 	// summary is what the VM reports of its data centre, if it has services.
 	summary upstream.OverflowReport
+	// demand is the demand at the VM, and others the demand of other VMs that it last received.
+	demand, others fairshare.Demands
 }
 
 // setKnown sets the limits that the VM knows and their digest.
@@ -76,6 +79,18 @@
 	sendNonEmpty(r.limits, limits)
 }
 
+func (r *recordingRelay) Demand() fairshare.Demands {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.demand
+}
+
+func (r *recordingRelay) SetOthersDemand(d fairshare.Demands) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.others = d
+}
+
 // sendNonEmpty sends items unless there are none.
 func sendNonEmpty[T any](to chan []T, items []T) {
 	if len(items) > 0 {
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -41,10 +41,12 @@
 	// WatchBatching delays the next watch of the store after changes,
 	// so that several changes share a call.
 	WatchBatching Mechanism = "watch-batching"
+	// FairShare divides the capacity of a service among workspaces while its upstreams are short.
+	FairShare Mechanism = "fair-share"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace, WatchBatching}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace, WatchBatching}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
