--- a/prefill/prefill_test.go
+++ b/prefill/prefill_test.go
@@ -316,3 +316,13 @@
 	}
 	is.True(a.PrefillTime("large", 1) <= 2*time.Millisecond)
 }
+
+// TestEquivalentTokens guards against estimates for long prompts that leave out attention: a prompt
+// of 30,000 tokens takes a quarter longer than its tokens at the rate of short prompts.
+func TestEquivalentTokens(t *testing.T) {
+	is := is.New(t)
+	is.Equal(EquivalentTokens(0, 1000), 0)
+	is.Equal(EquivalentTokens(1000, 0), 1009)
+	is.Equal(EquivalentTokens(30000, 0), 38490)
+	is.True(EquivalentTokens(5000, 25000) > EquivalentTokens(5000, 0))
+}
--- a/prefill/rates.go
+++ b/prefill/rates.go
@@ -88,6 +88,18 @@
 	return time.Duration(slowest * float64(tokens) * float64(time.Second))
 }
 
+// attentionParity is the context in tokens at which attention takes as long as the rest of the
+// prefill of a token. A model of 70 billion parameters in 80 layers of width 8,192 takes
+// 2 x 70e9 operations for a token's weights and 4 x 80 x 8,192 for each token of its context.
+const attentionParity = 53_000
+
+// EquivalentTokens returns the number of prompt tokens without context whose prefill takes as long
+// as that of uncached tokens which follow a number of cached tokens.
+func EquivalentTokens(uncached, cached int) int {
+	meanContext := float64(cached) + float64(uncached)/2
+	return int(float64(uncached) * (1 + meanContext/attentionParity))
+}
+
 // perToken returns the expected prefill time per token in seconds.
 func (r *Rates) perToken(m contract.ModelID) float64 {
 	if rate, ok := r.models[m]; ok {
--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -70,8 +70,10 @@
 	Wait, Prefill time.Duration
 	// CachedTokens is the number of prompt tokens that are cached and need no prefill.
 	CachedTokens int
-	// Pace is the pace of the upstream for which Prefill was computed.
-	Pace float64
+	// Tokens is the size of the prefill: the tokens that are not cached or, if the upstream states
+	// its pace, their prefill.EquivalentTokens. Pace is the pace for which Prefill was computed.
+	Tokens int
+	Pace   float64
 	// PauseCost is the cost of pauses in streams, relative to the value of a mean request.
 	PauseCost float64
 }
@@ -93,7 +95,8 @@
 		cached = s.prefixCache.CachedTokens(w.Prompt)
 	}
 	pace := t.paceOf(s, now)
-	e := Estimate{Wait: t.queueWait(s, dc, now), Prefill: t.prefillRates.PrefillTime(w.Prompt.Model, w.Prompt.Tokens-cached), CachedTokens: cached, Pace: pace}
+	tokens := t.prefillTokens(s, w.Prompt, cached, now)
+	e := Estimate{Wait: t.queueWait(s, dc, now), Prefill: t.prefillRates.PrefillTime(w.Prompt.Model, tokens), CachedTokens: cached, Tokens: tokens, Pace: pace}
 	e.Wait = time.Duration(slowness * float64(e.Wait+t.slotWait(s)))
 	e.Prefill = time.Duration(slowness * pace * float64(e.Prefill))
 	e.PauseCost = t.pauseCost(s, w, e, now)
--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/prefill"
 )
 
 // RecordStatedPace records how long work takes at an upstream, as stated in one of its answers,
@@ -57,6 +58,16 @@
 	return 1
 }
 
+// prefillTokens returns the size of a prompt's prefill at an upstream, in tokens.
+// The time that attention adds is counted only where the pace is stated: elsewhere the errors of
+// an unknown pace are larger.
+func (t *Table) prefillTokens(s *state, p prefill.Prompt, cached int, now time.Time) int {
+	if _, known := t.statedPace(s, now); known {
+		return prefill.EquivalentTokens(p.Tokens-cached, cached)
+	}
+	return p.Tokens - cached
+}
+
 // statedPace returns the pace of an upstream if the upstream or others of its pool have stated theirs.
 func (t *Table) statedPace(s *state, now time.Time) (pace float64, known bool) {
 	if s.pace.Base() > 0 {
--- a/upstream/prefill.go
+++ b/upstream/prefill.go
@@ -39,7 +39,7 @@
 			return
 		}
 		whole := e.Wait == 0 && e.CachedTokens == 0
-		t.prefillRates.RecordSample(w.Prompt.Model, w.Prompt.Tokens-e.CachedTokens, atUsualPace(took, e.Pace), whole)
+		t.prefillRates.RecordSample(w.Prompt.Model, e.Tokens, atUsualPace(took, e.Pace), whole)
 	}
 }
 
