site: watch-batching is taken out again

Result: after a watch that returned changes, the next watch begins after 80 ms (changeBatchPause), as before. The removed tests covered only the mechanism.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -153,7 +153,7 @@
 	})
 	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.ConfigurationApply),
-		Upstreams: platform.Upstreams(store, s.Bounds.UpstreamDrain), Rollouts: platform.Rollouts(store), WriteRolloutStatus: store.WriteRolloutStatus, Relay: v.relay, Policy: s.Policy, Log: v.log, Now: time.Now,
+		Upstreams: platform.Upstreams(store, s.Bounds.UpstreamDrain), Rollouts: platform.Rollouts(store), WriteRolloutStatus: store.WriteRolloutStatus, Relay: v.relay, Log: v.log, Now: time.Now,
 		Peers: v.peers, ListVMs: store.VMs, Link: s.Listen.Links, Registry: v.registry,
 		Quarantined: platform.QuarantineEntries(store), QuarantineStore: store,
 		RegisterVM: func(ctx context.Context) error { return store.PutVM(ctx, s.Name, s.Listen.Links) },
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -194,23 +194,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.canaries[s]
-	return c != nil && r.isRollingOut(c), r.completedReleases[s] != ""
-}
-
-// OrderOpen reports whether a rollout order of any service is in progress.
-func (r *Relay) OrderOpen() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.canaries {
-		if r.isRollingOut(c) {
-			return true
-		}
-	}
-	return false
-}
-
-// isRollingOut reports whether an order is open and its time is not over. The caller holds mu.
-func (r *Relay) isRollingOut(c *rollout.Canary) bool {
-	o := c.Order()
-	return o.State == rollout.OrderOpen && r.opts.Now().Sub(o.IssuedAt) < o.Duration
+	rollingOut = c != nil && c.Order().State == rollout.OrderOpen && r.opts.Now().Sub(c.Order().IssuedAt) < c.Order().Duration
+	return rollingOut, r.completedReleases[s] != ""
 }
--- a/relay/rollouts_test.go
+++ b/relay/rollouts_test.go
@@ -57,19 +57,3 @@
 	r.SetOrder(orderInEra(2, 8, "v2", rollout.OrderOpen)) // ordered anew
 	is.Equal(r.canaries["s"].Order().Release, "v2")
 }
-
-// TestOrderOpen checks that an order counts as in progress until it has ended: the VMs read its
-// changes from the store without a delay until then.
-func TestOrderOpen(t *testing.T) {
-	is := is.New(t)
-	r := relayWithoutUpstreams()
-	is.True(!r.OrderOpen())
-	r.SetOrder(orderInEra(1, 5, "v2", rollout.OrderOpen))
-	is.True(r.OrderOpen())
-	r.SetOrder(orderInEra(1, 9, "v2", rollout.OrderCompleted))
-	is.True(!r.OrderOpen())
-	over := orderInEra(1, 12, "v3", rollout.OrderOpen)
-	over.IssuedAt = over.IssuedAt.Add(-over.Duration)
-	r.SetOrder(over)
-	is.True(!r.OrderOpen())
-}
--- a/site/confirmation_test.go
+++ b/site/confirmation_test.go
@@ -18,7 +18,7 @@
 		election:     NewWatcherElection(Watcher{VM: id}, testTiming, time.Time{}),
 		decodeErrors: make(map[string]string), apply: func(Changes[Evacuation], bool) {}, applyFirstPage: func(Changes[Evacuation]) {},
 		onStoreCall: func(bool) {}, announceChange: func() {}, announceNoChange: func() {},
-		rank: func() Rank { return rank }, orderOpen: func() bool { return false }, batcher: NewWatchBatcher(testTiming, true),
+		rank: func() Rank { return rank },
 	}
 }
 
--- a/site/election.go
+++ b/site/election.go
@@ -18,17 +18,6 @@
 	// RankStep is added to StaleAfter once or more per rank of the VM,
 	// so that normally only the next VM in order starts to watch the store.
 	StaleAfter, RankStep time.Duration
-	// BatchPause is the pause between a watch that has returned changes and the next watch,
-	// see WatchBatcher. Zero means that changes of this kind are not batched.
-	BatchPause time.Duration
-}
-
-// WithoutBatching returns the timing for a kind of objects that VMs write themselves.
-// The VMs repeat a write whose effect they have not seen after writeRetryInterval,
-// and the next VMs make it after writeRankStep, so a longer pause would cost more calls.
-func (t Timing) WithoutBatching() Timing {
-	t.BatchPause = 0
-	return t
 }
 
 // The fractions apply to the bound, which is the time within
@@ -48,7 +37,7 @@
 // in force on every VM within bound after the store accepted the changes.
 func TimingFor(bound time.Duration) Timing {
 	bound = min(bound, watchDivisor*maxWatchDuration)
-	return Timing{WatchDuration: bound / watchDivisor, StaleAfter: time.Duration(staleFraction * float64(bound)), RankStep: bound / rankStepDivisor, BatchPause: bound / batchDivisor}
+	return Timing{WatchDuration: bound / watchDivisor, StaleAfter: time.Duration(staleFraction * float64(bound)), RankStep: bound / rankStepDivisor}
 }
 
 // Watcher identifies one run of a VM that may watch the store.
--- a/site/election_test.go
+++ b/site/election_test.go
@@ -25,8 +25,6 @@
 	// reaches reports whether a message from one VM reaches another at once. If it is
 	// nil, all messages do.
 	reaches func(from, to *modelVM) bool
-	// batching makes a VM pause after a watch that returned changes, see WatchBatcher.
-	batching bool
 }
 
 type modelVM struct {
@@ -35,10 +33,6 @@
 	rank       Rank
 	election   *WatcherElection
 	watchUntil time.Time // end of the current watch; zero without a watch
-	// pauseUntil is the end of the pause after changes, and shortening how much shorter the
-	// next watch is.
-	pauseUntil time.Time
-	shortening time.Duration
 	// storeRejects is set while the store rejects its calls, and frozen while it does not
 	// run. Only VMs with the same partition number receive its messages.
 	storeRejects, frozen bool
@@ -72,7 +66,7 @@
 	f.deliver(now)
 	for _, v := range f.vms {
 		changePending := !v.watchUntil.IsZero() && !v.storeRejects && v.revision < f.revision // the change ends the watch
-		if v.frozen || now.Before(v.watchUntil) && !changePending || !v.watchUntil.IsZero() && f.finishCall(v, now) || now.Before(v.pauseUntil) || !v.election.ShouldWatch(v.known, v.rank, now) {
+		if v.frozen || now.Before(v.watchUntil) && !changePending || !v.watchUntil.IsZero() && f.finishCall(v, now) || !v.election.ShouldWatch(v.known, v.rank, now) {
 			continue
 		}
 		f.calls++
@@ -80,8 +74,7 @@
 			f.finishCall(v, now)
 			continue
 		}
-		v.watchUntil = now.Add(v.election.timing.WatchDuration - v.shortening)
-		v.shortening = 0
+		v.watchUntil = now.Add(v.election.timing.WatchDuration)
 	}
 }
 
@@ -93,14 +86,6 @@
 	if v.storeRejects {
 		return false
 	}
-	if f.batching && (!v.known || v.revision < f.revision) {
-		batcher := NewWatchBatcher(v.election.timing, true)
-		p := batcher.PauseAfterChanges(false, now)
-		if !v.known {
-			p = batcher.PauseAfterFirstList(true)
-		}
-		v.pauseUntil, v.shortening = now.Add(p.Pause), p.Shortening
-	}
 	v.known, v.revision = true, f.revision
 	f.gossip(v, now)
 	return false
@@ -152,7 +137,7 @@
 	self := v.election.self
 	self.Incarnation++
 	v.election = NewWatcherElection(self, v.election.timing, now.Add(restartListDelay))
-	v.known, v.watchUntil, v.revision, v.pauseUntil, v.shortening = false, time.Time{}, 0, time.Time{}, 0
+	v.known, v.watchUntil, v.revision = false, time.Time{}, 0
 }
 
 var testTiming = TimingFor(2 * time.Second)
@@ -196,18 +181,13 @@
 func TestChangesKnownAfterRestarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newModelFleet(3, 2, testTiming, time.Unix(100, 0).Add(firstStartListDelay))
-		checkWithDelayedMessages(t, f)
+		const maxDelay = 150 * time.Millisecond
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		f.messageDelay = func() time.Duration { return time.Duration(draw.Int64N(int64(maxDelay))) }
+		checkChangesKnown(t, f, 2*maxDelay, 0, "restart", "restart", "reject calls", "accept calls", "wait")
 	})
 }
 
-// checkWithDelayedMessages runs checkChangesKnown with restarts and messages that take time.
-func checkWithDelayedMessages(t *rapid.T, f *modelFleet) {
-	const maxDelay = 150 * time.Millisecond
-	draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-	f.messageDelay = func() time.Duration { return time.Duration(draw.Int64N(int64(maxDelay))) }
-	checkChangesKnown(t, f, 2*maxDelay, 0, "restart", "restart", "reject calls", "accept calls", "wait")
-}
-
 // checkChangesKnown draws events and checks that a VM that reaches the store, or a VM that
 // does, knows each change within the bound and slack, from the time settle after an event.
 // A VM is not checked between its restart and the next event.
--- a/site/follow.go
+++ b/site/follow.go
@@ -25,6 +25,9 @@
 	// storeReachableWithin is the maximum age of a store confirmation from a peer
 	// that shows that the store is reachable.
 	storeReachableWithin = time.Second
+	// changeBatchPause is the pause between a change and the next watch.
+	// Changes come in bursts, so one call then returns several.
+	changeBatchPause = 80 * time.Millisecond
 	// idleCheckInterval and maxIdleInterval bound the time between two checks
 	// whether a VM that does not watch the store should start to watch.
 	// An idle VM checks about once per watch. A VM that was frozen checks soon after it resumes.
@@ -71,17 +74,8 @@
 	// randomRank is the same for all kinds of objects.
 	randomRank int
 
-	// hasPeers is set if other VMs may watch the store for this VM.
-	hasPeers bool
-	// orderOpen reports whether a release order is in progress.
-	orderOpen func() bool
-
 	// failedCalls is the number of consecutive failed calls. Only run uses failedCalls.
 	failedCalls int
-	// batcher decides on the pause after a watch that has returned changes. shortening is
-	// how much shorter the next watch is for that pause. Only run uses batcher and shortening.
-	batcher    *WatchBatcher
-	shortening time.Duration
 	// relist is set when the store no longer has the change history,
 	// so that all objects must be listed again.
 	// historyGone is how many watches in a row have found the history gone.
@@ -156,7 +150,6 @@
 	if f.election.ShouldWatch(known, rank, now) == wasWatching {
 		return wasWatching
 	}
-	f.batcher.ExpectChanges(now)
 	f.count("watches_begun_total", watchReason(known))
 	f.log.Info("watch-begins", zap.String("kind", f.source.Name()), zap.Bool("known", known), zap.Duration("age", f.age(now)),
 		zap.String("confirmed_by", string(f.election.newest.by.VM)), zap.Uint64("confirmation", f.election.newest.sequence),
@@ -215,15 +208,10 @@
 			return err
 		}
 		f.relist = false
-		f.batcher.ExpectChanges(f.now())
 		f.applyFromStore(c, true)
-		if !known {
-			f.pauseAfterFirstList(ctx)
-		}
 		return nil
 	}
 	c, err := f.source.Watch(ctx, revision, f.watchDuration())
-	f.shortening = 0
 	f.onStoreCall(err == nil || errors.Is(err, ErrHistoryGone))
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history-gone", zap.String("kind", f.source.Name()), zap.Stringer("revision", revision))
@@ -238,11 +226,8 @@
 	}
 	f.historyGone = 0
 	f.applyFromStore(c, false)
-	if f.failedCalls > 0 {
-		f.batcher.ExpectChanges(f.now())
-	}
 	if len(c.Items) > 0 {
-		f.pauseAfterChanges(ctx, len(c.Items))
+		clock.Sleep(ctx, changeBatchPause)
 	}
 	return nil
 }
@@ -299,7 +284,7 @@
 	if f.failedCalls > 0 {
 		return watchDurationAfterFailure
 	}
-	return f.source.Timing().WatchDuration - f.shortening
+	return f.source.Timing().WatchDuration
 }
 
 // revision returns the revision up to which this VM is up to date, and whether it has any state.
--- a/site/site.go
+++ b/site/site.go
@@ -48,10 +48,8 @@
 	// Link is this VM's link address: the UDP address of its endpoint of package link.
 	Link  string
 	Relay *relay.Relay
-	// Policy lists the disabled mechanisms.
-	Policy upstream.Policy
-	Log    *zap.Logger
-	Now    func() time.Time
+	Log   *zap.Logger
+	Now   func() time.Time
 	// Registry receives counters of the store calls and the reasons for them. Registry may be nil.
 	Registry metrics.Registry
 }
@@ -380,8 +378,6 @@
 		source: source, log: s.log, registry: s.opts.Registry, apply: apply, onStoreCall: onStoreCall, cache: NewObjectCache(source.Name()),
 		requestWaiting: s.requestWaiting, randomRank: s.randomRank,
 		election: NewWatcherElection(s.opts.Peers.AsWatcher(), source.Timing(), listNotBefore),
-		batcher:  NewWatchBatcher(source.Timing(), s.opts.Policy.Has(upstream.WatchBatching)), orderOpen: s.opts.Relay.OrderOpen,
-		hasPeers: s.opts.Peers.HasSeeds(),
 		rank:     s.opts.Peers.Rank, announceChange: s.opts.Peers.AnnounceChange, announceNoChange: s.opts.Peers.AnnounceNoChange, now: s.opts.Now,
 	}
 }
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -38,15 +38,12 @@
 	StreamPauses Mechanism = "stream-pauses"
 	// Overflow is the use of the reports of other data centres on their queues.
 	Overflow Mechanism = "overflow"
-	// WatchBatching delays the next watch of the store after changes,
-	// so that several changes share a call.
-	WatchBatching Mechanism = "watch-batching"
 	// FairShare divides the capacity of a service among workspaces while its upstreams are short.
 	FairShare Mechanism = "fair-share"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace, WatchBatching}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
