upstream, relay, site: overflow is taken out again

UpstreamReport.isFull stays, as it reads better.

Result: the queue wait at an engine of another data centre outside the gossip scope is again outOfScopeWaitFactor times the mean wait. The removed tests covered only the mechanism. "[policy] without = overflow" and "= watch-batching" are errors now.

--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -55,12 +55,6 @@
 	// limitChanges counts the changes of upstreams' rate limits,
 	// and sendsToLimited the selections of upstreams with a rate limit.
 	limitChanges, sendsToLimited metrics.Counter
-	// overflowPrompts counts the prompts sent to another data centre on the basis of its report,
-	// and overflowAge is the age of that report.
-	// overflowReportsMade counts the reports of this data centre that this VM made, and
-	// overflowReportsUsed the reports of other data centres that were newer than those before.
-	overflowPrompts, overflowReportsMade, overflowReportsUsed metrics.Counter
-	overflowAge                                               metrics.Histogram
 	// shareRefusals counts the requests that were refused because they were beyond the share of
 	// their workspace, and servicesShort is the number of services whose upstreams are short.
 	shareRefusals metrics.Counter
@@ -104,12 +98,8 @@
 		sendsToLimited:   metrics.NewRegisteredCounter("sends_to_limited_total", r),
 		sendsToBackedOff: metrics.NewRegisteredCounter("sends_to_resting_total", r),
 
-		overflowPrompts:     metrics.NewRegisteredCounter("overflow_prompts_total", r),
-		overflowReportsMade: metrics.NewRegisteredCounter("overflow_reports_made_total", r),
-		overflowReportsUsed: metrics.NewRegisteredCounter("overflow_reports_used_total", r),
-		overflowAge:         histogram("overflow_report_age_milliseconds"),
-		shareRefusals:       metrics.NewRegisteredCounter("share_refusals_total", r),
-		servicesShort:       metrics.NewRegisteredGauge("services_short", r),
+		shareRefusals: metrics.NewRegisteredCounter("share_refusals_total", r),
+		servicesShort: metrics.NewRegisteredGauge("services_short", r),
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -168,8 +168,6 @@
 	shares map[contract.ServiceID]*fairshare.Service
 	// dataCentreOf maps each pool to its data centre.
 	dataCentreOf map[contract.PoolID]contract.DataCentreID
-	// startedAt is when the relay was made. Overflow reports state times relative to it.
-	startedAt time.Time
 }
 
 // New returns a relay without upstreams.
@@ -181,7 +179,7 @@
 		seed = uint64(opts.Now().UnixNano())
 	}
 	return &Relay{
-		opts: opts, log: opts.Log, Metrics: newMetrics(), startedAt: opts.Now(),
+		opts: opts, log: opts.Log, Metrics: newMetrics(),
 		random:            rand.New(rand.NewPCG(seed, seed>>1)),
 		table:             upstream.NewTable(upstream.Options{Listed: true, Policy: opts.Policy}),
 		entries:           make(map[contract.UpstreamID]upstream.Entry),
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -195,7 +195,6 @@
 		return // a request to a plain service has no prompt
 	}
 	j.pending = pendingPrompt{upstream: id, incarnation: r.entries[id].Incarnation, work: r.promptWork(j, now), sentAt: now}
-	r.recordOverflow(j, id, now)
 	j.pending.estimate, j.pending.queueID = r.table.RecordExpected(id, j.pending.work, r.opts.DataCentre, now)
 	r.Metrics.countPrompt(j.pending.work, j.pending.estimate, r.table.PrefillPrice(j.pending.estimate))
 	r.recordPromptLoad(j.service, j.pending.estimate.Prefill, now)
--- a/site/heartbeat.go
+++ b/site/heartbeat.go
@@ -11,7 +11,6 @@
 // Run exchanges messages with other VMs until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	go func() { _ = p.endpoint.Serve(ctx) }() // Serve ends with the endpoint
-	go p.reportOverflow(ctx)
 	var lastJoin, lastDiscovery time.Time
 	for tick := 0; ctx.Err() == nil; tick++ {
 		p.logLiveCount()
--- a/site/peers.go
+++ b/site/peers.go
@@ -217,8 +217,6 @@
 	Limits() []upstream.LimitUpdate
 	LimitsDigest() uint64
 	OfferedLoad() map[contract.ServiceID]scaling.Load
-	OverflowReport() (upstream.OverflowReport, bool)
-	MergeOverflowReport(r upstream.OverflowReport)
 	Demand() fairshare.Demands
 	SetOthersDemand(d fairshare.Demands)
 }
--- a/site/reports.go
+++ b/site/reports.go
@@ -29,8 +29,6 @@
 	Backoffs []relay.Backoff `cbor:"5,keyasint,omitempty"`
 	// Limits are the rate limits of upstreams as the sender knows them.
 	Limits []upstream.LimitUpdate `cbor:"6,keyasint,omitempty"`
-	// Overflow holds summaries of the engines of other data centres.
-	Overflow []upstream.OverflowReport `cbor:"7,keyasint,omitempty"`
 }
 
 // Timings and limits of UpstreamReport.
@@ -52,7 +50,6 @@
 	maxConfidencePerMessage = 8
 	maxBackoffsPerMessage   = 16
 	maxLimitsPerMessage     = 16
-	maxOverflowPerMessage   = 4
 	// maxVMsForRegionalReports is the number of VMs up
 	// to which reports also go to other data centres.
 	maxVMsForRegionalReports = 12
@@ -80,7 +77,6 @@
 	confidence  *relay.ConfidenceReport
 	backoff     *relay.Backoff
 	limit       *upstream.LimitUpdate
-	overflow    *upstream.OverflowReport
 	// remote means that the report goes to other data centres regardless of the number of VMs.
 	remote bool
 }
@@ -210,8 +206,6 @@
 			m.Backoffs = append(m.Backoffs, *r.backoff)
 		case r.limit != nil:
 			m.Limits = append(m.Limits, *r.limit)
-		case r.overflow != nil:
-			m.Overflow = append(m.Overflow, *r.overflow)
 		default:
 			m.Confidence = append(m.Confidence, *r.confidence)
 		}
@@ -220,7 +214,7 @@
 			m = UpstreamReport{From: from, Forward: forward}
 		}
 	}
-	if len(m.Sent)+len(m.Confidence)+len(m.Backoffs)+len(m.Limits)+len(m.Overflow) > 0 {
+	if len(m.Sent)+len(m.Confidence)+len(m.Backoffs)+len(m.Limits) > 0 {
 		messages = append(messages, m)
 	}
 	if len(messages) == 0 {
@@ -241,7 +235,7 @@
 // isFull reports whether a message can take no more reports of some kind.
 func (m *UpstreamReport) isFull() bool {
 	return len(m.Sent) == maxSentPerMessage || len(m.Confidence) == maxConfidencePerMessage || len(m.Backoffs) == maxBackoffsPerMessage ||
-		len(m.Limits) == maxLimitsPerMessage || len(m.Overflow) == maxOverflowPerMessage
+		len(m.Limits) == maxLimitsPerMessage
 }
 
 // oneDelegatePerDataCentre returns a random delegate
@@ -266,9 +260,6 @@
 		exchange.MergeConfidence(m.Confidence)
 		exchange.MergeBackoffs(m.Backoffs)
 		exchange.MergeLimits(m.Limits, true, m.From)
-		for _, summary := range m.Overflow {
-			exchange.MergeOverflowReport(summary)
-		}
 	}
 	// Reports from a leaf or another data centre go to the other hubs and to the leaves.
 	// Reports from another hub go to the leaves only.
@@ -293,8 +284,5 @@
 	for i := range m.Limits {
 		out = append(out, report{from: m.From, knownToHubs: knownToHubs, limit: &m.Limits[i]})
 	}
-	for i := range m.Overflow {
-		out = append(out, report{from: m.From, knownToHubs: knownToHubs, overflow: &m.Overflow[i]})
-	}
 	return out
 }
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -26,14 +26,11 @@
 	confidence chan []relay.ConfidenceReport
 	backoffs   chan []relay.Backoff
 	limits     chan []upstream.LimitUpdate
-	overflow   chan []upstream.OverflowReport
 
 	// mu guards the fields below: an endpoint serves other VMs from its start.
 	mu     sync.Mutex
 	known  []upstream.LimitUpdate
 	digest uint64
-	// summary is what the VM reports of its data centre, if it has services.
-	summary upstream.OverflowReport
 	// demand is the demand at the VM, and others the demand of other VMs that it last received.
 	demand, others fairshare.Demands
 }
@@ -48,7 +45,7 @@
 func newRecordingRelay() *recordingRelay {
 	return &recordingRelay{
 		sent: make(chan []relay.SentPrompt, 10), confidence: make(chan []relay.ConfidenceReport, 10), backoffs: make(chan []relay.Backoff, 10),
-		limits: make(chan []upstream.LimitUpdate, 10), overflow: make(chan []upstream.OverflowReport, 10),
+		limits: make(chan []upstream.LimitUpdate, 10),
 	}
 }
 
--- a/upstream/gossip_scope.go
+++ b/upstream/gossip_scope.go
@@ -61,11 +61,5 @@
 	if t.inGossipScope(s, dc) {
 		return known
 	}
-	return t.remoteWait(s, known, t.assumedWait(known), now)
-}
-
-// assumedWait returns the wait that is assumed at an engine outside the gossip scope without a
-// report of its data centre. known is the wait for the prompts that this VM knows of.
-func (t *Table) assumedWait(known time.Duration) time.Duration {
 	return max(known, time.Duration(outOfScopeWaitFactor*float64(t.meanWait)))
 }
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -106,7 +106,6 @@
 	s.prefixCache.SetCapacity(e.CacheTokens)
 	s.eventTokens = e.EventTokens
 	s.incarnation, s.slots = e.Incarnation, e.Slots
-	s.service, s.remote = e.Service, t.overflow.summaryOf(centreService{e.DataCentre, e.Service})
 	s.notices = t.notices[e.Instance()]
 	s.leavingIncarnation = 0
 	if e.Leaving {
--- a/upstream/policy.go
+++ b/upstream/policy.go
@@ -36,14 +36,12 @@
 	UpstreamPace Mechanism = "upstream-pace"
 	// StreamPauses is the cost of the pauses that a prefill causes in running streams.
 	StreamPauses Mechanism = "stream-pauses"
-	// Overflow is the use of the reports of other data centres on their queues.
-	Overflow Mechanism = "overflow"
 	// FairShare divides the capacity of a service among workspaces while its upstreams are short.
 	FairShare Mechanism = "fair-share"
 )
 
 // Mechanisms lists all mechanisms, sorted by name.
-var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, Overflow, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace}
+var Mechanisms = []Mechanism{EarlyRefusal, Escalation, FairShare, HomeUpstreams, PrefixCaching, LargestAlone, PrefillRates, PrefillPrice, StreamPauses, Gossip, Exploration, UpstreamPace}
 
 // Policy is the set of disabled mechanisms. The zero value disables no mechanism.
 type Policy struct{ disabled []Mechanism }
--- a/upstream/policy_test.go
+++ b/upstream/policy_test.go
@@ -12,11 +12,10 @@
 func TestPolicy(t *testing.T) {
 	is := is.New(t)
 	is.True(Policy{}.Has(PrefillPrice))
-	p, err := NewPolicy([]string{"price", "kept", "overflow"})
+	p, err := NewPolicy([]string{"price", "kept"})
 	is.NoErr(err)
 	is.True(!p.Has(PrefillPrice))
 	is.True(!p.Has(PrefixCaching))
-	is.True(!p.Has(Overflow))
 	is.True(p.Has(Gossip))
 	_, err = NewPolicy([]string{"prices"})
 	is.True(err != nil)
--- a/upstream/reachability.go
+++ b/upstream/reachability.go
@@ -17,7 +17,7 @@
 func (t *Table) recordReachability(s *state, r Result, now time.Time) {
 	switch r {
 	case Unreachable:
-		t.setUnreachable(s.pool.DataCentre, now)
+		t.unreachableUntil[s.pool.DataCentre] = now.Add(unreachableFor)
 	case Succeeded, Rejected, ConnectionRefused:
 		delete(t.unreachableUntil, s.pool.DataCentre)
 	case Failed, Broken, Abandoned, NoConnection:
@@ -61,14 +61,7 @@
 		delete(t.unreachableUntil, dc)
 		return
 	}
-	t.setUnreachable(dc, now)
-}
-
-// setUnreachable records that a data centre appears to be unreachable. What it has reported of its
-// queues is discarded: the report was made before it was cut off.
-func (t *Table) setUnreachable(dc contract.DataCentreID, now time.Time) {
 	t.unreachableUntil[dc] = now.Add(unreachableFor)
-	t.overflow.forget(dc)
 }
 
 // Isolated reports whether a VM of data centre dc can reach no other data centre,
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -81,8 +81,6 @@
 	// meanWait is the mean time that a prompt waits in the prefill queue of such an upstream.
 	gossipScope GossipScope
 	meanWait    time.Duration
-	// overflow holds the reports of other data centres on their queues.
-	overflow overflowReports
 	// meanDecodeTime is the mean time that a listed upstream works on a prompt after its
 	// answer has begun.
 	meanDecodeTime time.Duration
@@ -140,10 +138,6 @@
 	// cold bound and its rate limit). cachedRankVersion is the version of the owners for which
 	// cachedRank was computed.
 	cachedRank, cachedRankVersion int
-	// service is the service of a listed upstream, and remote the summary that the upstream's data
-	// centre has reported of the service's engines.
-	service contract.ServiceID
-	remote  *centreSummary
 	// incarnation and slots are copied from the list entry.
 	// If the upstream sends load reports, incarnation is copied from a load report.
 	// cold is the estimated cold state.
