--- a/internal/rounds/variants.go
+++ b/internal/rounds/variants.go
@@ -26,8 +26,12 @@
 	}
 	var all []result
 	var failed error
+	commit, err := currentCommit()
+	if err != nil {
+		return nil, err
+	}
 	for _, v := range x.variants {
-		results, err := a.runVariant(x, v)
+		results, err := a.runVariant(x, commit, v)
 		all = append(all, results...)
 		failed = errors.Join(failed, err)
 	}
@@ -36,9 +40,9 @@
 
 // runVariant runs the missing simulated days of one variant of the policy settings, and returns
 // the results of all days of the variant.
-func (a *arguments) runVariant(x *experiment, v variant) ([]result, error) {
+func (a *arguments) runVariant(x *experiment, commit string, v variant) ([]result, error) {
 	if missing := x.missingDays(a.Out, v); len(missing) > 0 {
-		if err := a.runDays(x, v, missing); err != nil {
+		if err := a.runDays(x, commit, v, missing); err != nil {
 			return nil, fmt.Errorf("variant %s: %w", v.name, err)
 		}
 	}
@@ -87,10 +91,10 @@
 	})
 }
 
-// runDays runs simulated days of a variant in a clone of the current commit, a few days at a
-// time, and prints the progress.
-func (a *arguments) runDays(x *experiment, v variant, days []plannedDay) error {
-	dir, err := a.cloneAndBuild(v)
+// runDays runs simulated days of a variant in a clone of a commit, a few days at a time, and prints
+// the progress. All variants of an experiment use the same commit, whatever is committed meanwhile.
+func (a *arguments) runDays(x *experiment, commit string, v variant, days []plannedDay) error {
+	dir, err := a.cloneAndBuild(commit, v)
 	if err != nil {
 		return err
 	}
@@ -113,9 +117,18 @@
 // settingsTemplate is the settings file to which a variant's settings are appended.
 const settingsTemplate = "deploy/vm.ini"
 
-// cloneAndBuild clones the current commit into a temporary folder, appends the variant's
-// settings, builds it, and returns the folder.
-func (a *arguments) cloneAndBuild(v variant) (string, error) {
+// currentCommit returns the commit that is checked out.
+func currentCommit() (string, error) {
+	out, err := exec.Command("git", "rev-parse", "HEAD").Output()
+	if err != nil {
+		return "", fmt.Errorf("current commit: %w", err)
+	}
+	return strings.TrimSpace(string(out)), nil
+}
+
+// cloneAndBuild clones a commit into a temporary folder, appends the variant's settings, builds
+// it, and returns the folder.
+func (a *arguments) cloneAndBuild(commit string, v variant) (string, error) {
 	dir, err := os.MkdirTemp("", "way")
 	if err != nil {
 		return "", fmt.Errorf("folder for the clone: %w", err)
@@ -123,6 +136,9 @@
 	if out, err := exec.Command("git", "clone", "--quiet", ".", dir).CombinedOutput(); err != nil {
 		return "", fmt.Errorf("clone: %w\n%s", err, out)
 	}
+	if out, err := exec.Command("git", "-C", dir, "checkout", "--quiet", "--detach", commit).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("checkout: %w\n%s", err, out)
+	}
 	if len(v.settings) > 0 {
 		file, err := os.OpenFile(filepath.Join(dir, settingsTemplate), os.O_APPEND|os.O_WRONLY, 0)
 		if err != nil {
--- a/prefill/pace.go
+++ b/prefill/pace.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// Age returns the time since the upstream last stated its pace, or 0 if it never did.
+func (p *Pace) Age(now time.Time) time.Duration {
+	if p.statedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(p.statedAt)
+}
+
 // RecordMeasured records the measured time of a prefill as a multiple of the time that was expected
 // at the current estimate. An upstream that states to be faster than it is would otherwise attract
 // more work than it can do.
--- a/prefill/prefill_test.go
+++ b/prefill/prefill_test.go
@@ -326,3 +326,29 @@
 	is.Equal(EquivalentTokens(30000, 0), 38490)
 	is.True(EquivalentTokens(5000, 25000) > EquivalentTokens(5000, 0))
 }
+
+// TestBasePaceIgnoresDisturbances guards against a base pace that other work on the machine raises:
+// the engine would get too few prompts after each disturbance.
+func TestBasePaceIgnoresDisturbances(t *testing.T) {
+	is, now := is.New(t), time.Unix(100, 0)
+	var p Pace
+	for i := range 200 {
+		stated := 1.2
+		if i%7 == 6 {
+			stated = 3
+		}
+		p.RecordStated(stated, now)
+		is.True(p.Base() >= 1.2 && p.Base() < 1.5)
+	}
+}
+
+// TestPaceIsBounded guards against a wrong statement, such as 0.01 or 10,000, that makes an engine
+// attract or lose all prompts.
+func TestPaceIsBounded(t *testing.T) {
+	is, now := is.New(t), time.Unix(100, 0)
+	var low, high Pace
+	low.RecordStated(0.0001, now)
+	high.RecordStated(1e6, now)
+	is.Equal(low.Current(now), minPace)
+	is.Equal(high.Current(now), maxPace+0.0)
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -89,7 +89,9 @@
 	r.log.Info("attempt", zap.String("request", string(j.ID)), zap.String("upstream", string(pending.upstream)), zap.String("model", string(j.model)), zap.String("why", j.modelReason),
 		zap.Int("prompt", j.PromptTokens), zap.Int("shared", pending.work.Prompt.SharedTokens()), zap.Int("kept", pending.estimate.CachedTokens),
 		zap.Int64("wait_ms", pending.estimate.Wait.Milliseconds()), zap.Int64("read_ms", pending.estimate.Prefill.Milliseconds()),
-		zap.Int64("first_ms", r.opts.Now().Sub(pending.sentAt).Milliseconds()), zap.Float64("confidence", h.Confidence), zap.Int("slowdown_percent", slowdownPercent(h)))
+		zap.Int64("first_ms", r.opts.Now().Sub(pending.sentAt).Milliseconds()), zap.Float64("confidence", h.Confidence), zap.Int("slowdown_percent", slowdownPercent(h)),
+		zap.Float64("pace", roundToHundredths(pending.estimate.Pace)), zap.Int64("pace_age_ms", pending.estimate.PaceAge.Milliseconds()),
+		zap.Float64("pause_cost", roundToHundredths(pending.estimate.PauseCost)))
 }
 
 // slowdownPercent returns the slowdown that an upstream stated in an answer, or 0 if it stated none.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -38,6 +38,10 @@
 	// queued behind the prompt, in thousandths of the value of a mean request.
 	prefillPrice metrics.Histogram
 	wholeAnswer  metrics.Histogram
+	// pace is the pace of the chosen engines in percent of the usual time, and pauseCost the cost of
+	// the pauses that a prompt causes, in thousandths of the value of a mean request.
+	// Both count only prompts to engines that state their pace.
+	pace, pauseCost metrics.Histogram
 	// longestPause is the longest pause between two events of a delivered stream.
 	// longestForward is the longest time that events of a delivered stream took
 	// from the upstream's connection to the caller's.
@@ -85,6 +89,8 @@
 		promptTokens: metrics.NewRegisteredCounter("prompt_tokens_total", r),
 		cachedTokens: metrics.NewRegisteredCounter("prompt_tokens_kept_total", r),
 		wholeAnswer:  histogram("whole_answer_milliseconds"),
+		pace:         histogram("upstream_pace_percent"),
+		pauseCost:    histogram("pause_cost_thousandths"),
 
 		longestPause:   histogram("stream_pause_milliseconds"),
 		longestForward: histogram("stream_forward_milliseconds"),
@@ -109,6 +115,10 @@
 	m.prefillPrice.Update(int64(1000 * price))
 	m.promptTokens.Inc(int64(w.Prompt.Tokens))
 	m.cachedTokens.Inc(int64(e.CachedTokens))
+	if e.PaceKnown {
+		m.pace.Update(int64(100 * e.Pace))
+		m.pauseCost.Update(int64(1000 * e.PauseCost))
+	}
 	metrics.GetOrRegisterCounter("prompts_"+string(w.Prompt.Model)+"_total", m.Registry).Inc(1)
 }
 
--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -72,8 +72,12 @@
 	CachedTokens int
 	// Tokens is the size of the prefill: the tokens that are not cached or, if the upstream states
 	// its pace, their prefill.EquivalentTokens. Pace is the pace for which Prefill was computed.
-	Tokens int
-	Pace   float64
+	// PaceKnown is set if the upstream or others of its pool have stated their pace; PaceAge is
+	// the time since the upstream itself last did, or zero if it never did.
+	Tokens    int
+	Pace      float64
+	PaceKnown bool
+	PaceAge   time.Duration
 	// PauseCost is the cost of pauses in streams, relative to the value of a mean request.
 	PauseCost float64
 }
@@ -94,12 +98,19 @@
 	if t.opts.Policy.Has(PrefixCaching) {
 		cached = s.prefixCache.CachedTokens(w.Prompt)
 	}
-	pace := t.paceOf(s, now)
-	tokens := t.prefillTokens(s, w.Prompt, cached, now)
-	e := Estimate{Wait: t.queueWait(s, dc, now), Prefill: t.prefillRates.PrefillTime(w.Prompt.Model, tokens), CachedTokens: cached, Tokens: tokens, Pace: pace}
+	pace, known := t.paceOf(s, now)
+	e := Estimate{
+		Wait: t.queueWait(s, dc, now), CachedTokens: cached, Tokens: w.Prompt.Tokens - cached,
+		Pace: pace, PaceKnown: known, PaceAge: s.pace.Age(now),
+	}
+	if known {
+		// Elsewhere, the errors of an unknown pace are larger than the time that attention adds.
+		e.Tokens = prefill.EquivalentTokens(e.Tokens, cached)
+	}
+	e.Prefill = t.prefillRates.PrefillTime(w.Prompt.Model, e.Tokens)
 	e.Wait = time.Duration(slowness * float64(e.Wait+t.slotWait(s)))
 	e.Prefill = time.Duration(slowness * pace * float64(e.Prefill))
-	e.PauseCost = t.pauseCost(s, w, e, now)
+	e.PauseCost = t.pauseCost(s, w, e)
 	return e
 }
 
--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"woaddoor/contract"
-	"woaddoor/prefill"
 )
 
 // RecordStatedPace records how long work takes at an upstream, as stated in one of its answers,
@@ -51,28 +50,13 @@
 }
 
 // paceOf returns how long work takes at an upstream, as a multiple of the usual time.
-func (t *Table) paceOf(s *state, now time.Time) float64 {
-	if pace, known := t.statedPace(s, now); known {
-		return pace
-	}
-	return 1
-}
-
-// prefillTokens returns the size of a prompt's prefill at an upstream, in tokens.
-// The time that attention adds is counted only where the pace is stated: elsewhere the errors of
-// an unknown pace are larger.
-func (t *Table) prefillTokens(s *state, p prefill.Prompt, cached int, now time.Time) int {
-	if _, known := t.statedPace(s, now); known {
-		return prefill.EquivalentTokens(p.Tokens-cached, cached)
-	}
-	return p.Tokens - cached
-}
-
-// statedPace returns the pace of an upstream if the upstream or others of its pool have stated theirs.
-func (t *Table) statedPace(s *state, now time.Time) (pace float64, known bool) {
+// The pace is 1 and not known if neither the upstream nor others of its pool have stated theirs.
+func (t *Table) paceOf(s *state, now time.Time) (pace float64, known bool) {
 	if s.pace.Base() > 0 {
 		return s.pace.Current(now), true
 	}
-	pace, known = t.meanPaces[s.pool.ID]
-	return pace, known
+	if mean, ok := t.meanPaces[s.pool.ID]; ok {
+		return mean, true
+	}
+	return 1, false
 }
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -137,3 +137,17 @@
 	s.eventTokens, s.pace = 8, prefill.Pace{}
 	is.Equal(cost(30000, time.Second), 0.0)
 }
+
+// TestPauseCostBehindQueue guards against a long prompt that costs nothing behind a queue that is
+// already too long: long prompts would gather at that engine.
+func TestPauseCostBehindQueue(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.SetModelPrices(map[contract.ModelID]float64{"m": 1})
+	tb.RecordStatedPace("a", 150, now)
+	for range 8 {
+		tb.RecordPrompt(3*time.Second, 1, 10, now)
+	}
+	tb.RecordPeerPrompt("a", prefill.Prompt{Model: "m", Tokens: 60000}, 5*time.Second, 0, now)
+	w := Work{Prompt: prefill.Prompt{Model: "m", Tokens: 14000}, Objective: 3 * time.Second, PauseTarget: time.Second}
+	is.True(tb.estimate(tb.states["a"], w, "d", now).PauseCost > 0.5)
+}
--- a/upstream/pauses.go
+++ b/upstream/pauses.go
@@ -33,13 +33,12 @@
 // queue. Without the second part, an engine whose queue is long already would cost nothing.
 // The cost is zero where engines do not state their pace, because the length of a pause is then
 // unknown by a factor of two.
-func (t *Table) pauseCost(s *state, w Work, e Estimate, now time.Time) float64 {
-	pace, known := t.statedPace(s, now)
-	if !known || s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
+func (t *Table) pauseCost(s *state, w Work, e Estimate) float64 {
+	if !e.PaceKnown || s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
 		return 0
 	}
-	before := pauseRisk(t.prefillPause(s, e.Wait, w.Prompt.Tokens, pace), w.PauseTarget)
-	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, w.Prompt.Tokens, pace), w.PauseTarget)
+	before := pauseRisk(t.prefillPause(s, e.Wait, w.Prompt.Tokens, e.Pace), w.PauseTarget)
+	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, w.Prompt.Tokens, e.Pace), w.PauseTarget)
 	running := max(s.expectedLoad(), 0)
 	beginning := t.demand.promptRate / float64(max(t.activeEngines, 1)) * e.Prefill.Seconds()
 	return cascade.LatePenalty * ((after-before)*running + after*beginning)
