fairshare: max-min shares with very different weights

The remaining weight was found by subtraction. Where a weight is lost in rounding beside another one (1e17 and 1), the remainder was 0 and the last share NaN or the whole demand. The weights are now summed from the end of the order, so the remainder is at least the weight of the next claim. Weights of usual size give the same shares up to rounding.

--- a/fairshare/maxmin.go
+++ b/fairshare/maxmin.go
@@ -13,20 +13,25 @@
 // weight, at least as much as any other claim. The capacity is used up unless all demands are met.
 func MaxMin(claims []Claim, capacity float64) []float64 {
 	order := make([]int, len(claims))
-	weights := 0.0
-	for i, claim := range claims {
+	for i := range claims {
 		order[i] = i
-		weights += claim.Weight
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Compare(claims[a].Demand*claims[b].Weight, claims[b].Demand*claims[a].Weight)
 	})
+	// weightsFrom holds the sum of the weights from each position of the order on. Subtracting the
+	// weights from their total instead would leave 0 beside a weight that is lost in rounding.
+	weightsFrom := make([]float64, len(claims))
+	weights := 0.0
+	for n, i := range slices.Backward(order) {
+		weights += claims[i].Weight
+		weightsFrom[n] = weights
+	}
 	shares := make([]float64, len(claims))
-	for _, i := range order {
-		claim := claims[i]
+	for n, i := range order {
+		claim, weights := claims[i], weightsFrom[n]
 		shares[i] = min(claim.Demand, max(capacity, 0)*claim.Weight/weights)
 		capacity -= shares[i]
-		weights -= claim.Weight
 	}
 	return shares
 }
--- a/fairshare/maxmin_test.go
+++ b/fairshare/maxmin_test.go
@@ -51,6 +51,14 @@
 	})
 }
 
+// TestMaxMinWithExtremeWeights guards against a division by zero where the smaller weight is lost
+// when it is added to the larger one: its workspace would get more than the capacity, or no number.
+func TestMaxMinWithExtremeWeights(t *testing.T) {
+	is := is.New(t)
+	is.Equal(MaxMin([]Claim{{Demand: 10, Weight: 1e17}, {Demand: 10, Weight: 1}}, 10), []float64{10, 0})
+	is.Equal(MaxMin([]Claim{{Demand: 4, Weight: 1e17}, {Demand: 10, Weight: 1}}, 10), []float64{4, 6})
+}
+
 // TestCutOffSidesStayNearShares states the bound for VMs that are cut off from each other: if the
 // part of each workspace's demand on a side differs from the side's part of the capacity by at
 // most the fraction e, what a workspace gets on all sides together differs from its share by at
