upstream: the mean pace of a removed pool is dropped

The mean paces were updated only for pools that have upstreams, so that the entry of a pool that lost them all remained: the map grew, and the pool's new upstreams started with the pace of the former ones until the next comparison. All means are now computed anew.

--- a/upstream/pace.go
+++ b/upstream/pace.go
@@ -33,6 +33,7 @@
 // updateMeanPaces computes the mean pace of the upstreams of each pool. It is the pace of an
 // upstream of the pool whose pace is unknown, and 1 if no pace in the pool is known.
 func (t *Table) updateMeanPaces() {
+	clear(t.meanPaces) // pools without upstreams are not in t.pools
 	for id, states := range t.pools {
 		total, n := 0.0, 0
 		for _, s := range states {
@@ -43,8 +44,6 @@
 		}
 		if n > 0 {
 			t.meanPaces[id] = total / float64(n)
-		} else {
-			delete(t.meanPaces, id)
 		}
 	}
 }
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -56,6 +56,19 @@
 	is.Equal(prefillAt(tb, "b", now), statedPrefill(1.2))
 }
 
+// TestMeanPaceOfRemovedPool guards against the mean pace of a pool that lost all its upstreams being
+// kept: its new upstreams may run on other machines, and entries of removed pools would accumulate.
+func TestMeanPaceOfRemovedPool(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.RecordStatedPace("a", 300, now)
+	tb.CompareUpstreams("d", now)
+	tb.ApplyList(List{Connections: paceList(1).Connections})
+	tb.CompareUpstreams("d", now)
+	is.Equal(len(tb.meanPaces), 0)
+	tb.ApplyList(paceList(2))
+	is.Equal(prefillAt(tb, "b", now), usualPrefill)
+}
+
 // TestPaceDisabled guards against a mechanism that still has an effect when it is disabled.
 func TestPaceDisabled(t *testing.T) {
 	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable(UpstreamPace)
