upstream: an estimate without a prompt has no prefill latency

Estimate now contains a pace, which is 1 where none is stated. An estimate of a request without prompt tokens and without a queue was therefore no longer the zero value, and its time to the first token rose from 0 to the base latency of 20 ms, also where no upstream states its pace. The condition names the three fields that it meant before the pace was added.

--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -83,9 +83,9 @@
 }
 
 // TimeToFirstToken returns the time until the answer is expected to begin.
-// The time is zero for the zero value of Estimate.
+// The time is zero for a request that neither waits nor has prompt tokens, cached or not.
 func (e Estimate) TimeToFirstToken() time.Duration {
-	if e == (Estimate{}) {
+	if e.Wait == 0 && e.Prefill == 0 && e.CachedTokens == 0 {
 		return 0
 	}
 	return e.Wait + e.Prefill + prefill.BaseLatency
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -69,6 +69,13 @@
 	is.Equal(prefillAt(tb, "b", now), usualPrefill)
 }
 
+// TestEstimateWithoutPrompt guards against the base latency of a prefill in the estimate of a
+// request without a prompt, because the estimate contains a pace and is not the zero value.
+func TestEstimateWithoutPrompt(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	is.Equal(tb.estimate(tb.states["a"], Work{}, "d", now).TimeToFirstToken(), time.Duration(0))
+}
+
 // TestPaceDisabled guards against a mechanism that still has an effect when it is disabled.
 func TestPaceDisabled(t *testing.T) {
 	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable(UpstreamPace)
