fairshare: a shortage ends also where requests have ceased

Only a request could end a shortage. A service without further requests stayed short: the gauge services_short kept counting it, no upstreams-short line showed the end, and each refresh divided its capacity. Refresh now ends a shortage without an estimate for maxGap, after which the next request would discard it anyway, so that decisions are unchanged.

--- a/fairshare/service.go
+++ b/fairshare/service.go
@@ -159,12 +159,19 @@
 // creditTolerance keeps rounding from refusing a request of a class that is fully admitted.
 const creditTolerance = 1e-6
 
-// Refresh divides the capacity anew while the upstreams are short.
+// Refresh divides the capacity anew while the upstreams are short. A shortage without recent
+// estimates ends, and Refresh reports that it has ended.
 // Refresh is called several times a second.
-func (s *Service) Refresh(weight func(contract.WorkspaceID) float64, now time.Time) {
-	if s.shortage.short {
-		s.updatePlan(weight, now)
+func (s *Service) Refresh(weight func(contract.WorkspaceID) float64, now time.Time) (ended bool) {
+	if !s.shortage.short {
+		return false
+	}
+	if now.Sub(s.shortage.updated) > maxGap {
+		s.shortage = shortage{}
+		return true
 	}
+	s.updatePlan(weight, now)
+	return false
 }
 
 // updatePlan divides the capacity anew.
--- a/fairshare/service_test.go
+++ b/fairshare/service_test.go
@@ -98,6 +98,19 @@
 	is.True(!s.shortage.short)
 }
 
+// TestShortageEndsWithoutRequests guards against a service that stays short for ever because no
+// request comes that would show the end of the shortage.
+func TestShortageEndsWithoutRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := newShortService(&now)
+	is.True(!s.Refresh(nil, now.Add(maxGap)))
+	is.True(s.shortage.short)
+	is.True(s.Refresh(nil, now.Add(maxGap+time.Millisecond)))
+	is.True(!s.shortage.short)
+	is.True(!s.Refresh(nil, now.Add(2*maxGap))) // the end is reported once
+}
+
 // TestLongestObjectiveDecides guards against urgent requests with a short objective being refused
 // because of the queue of others, which the engines begin after them.
 func TestLongestObjectiveDecides(t *testing.T) {
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -223,6 +223,7 @@
 	{"fair shares: a shortage needs persistent evidence", "fairshare/shortage.go", "s.lateDecisions >= minLateDecisions && now.Sub(s.lateSince) >= minLateTime", "s.lateDecisions >= 1", "./fairshare", "TestShortNeedsEvidence"},
 	{"fair shares: not short while half of the slots are free", "fairshare/shortage.go", "u.Slots > 0 && u.SlotsInUse >= tightOccupancy*u.Slots", "u.Slots > 0", "./fairshare", "TestShortNeedsEvidence"},
 	{"fair shares: a shortage ends only when requests begin well in time", "fairshare/shortage.go", "case s.meanFraction < beginsInTime:", "case s.meanFraction < 1:", "./fairshare", "TestShortHasHysteresis"},
+	{"fair shares: a shortage ends without requests", "fairshare/service.go", "if now.Sub(s.shortage.updated) > maxGap {", "if false {", "./relay", "TestServicesShortAfterTraffic"},
 	{"fair shares: a request that begins in time is not refused", "fairshare/service.go", "r.Objective > 0 && d.BeginFraction >= beginsInTime", "r.Objective > 0", "./fairshare", "TestShortHasHysteresis"},
 	{"fair shares: the longest objective decides", "fairshare/service.go", "objective >= s.longestObjective ||", "objective > 0 ||", "./fairshare", "TestLongestObjectiveDecides"},
 	{"fair shares: another VM's evidence counts", "fairshare/shortage.go", "(persistent || othersShort)", "persistent", "./fairshare", "TestOtherVMsEvidenceCounts"},
--- a/relay/fairshare.go
+++ b/relay/fairshare.go
@@ -35,7 +35,7 @@
 	known := r.knownUpstreams(j, now)
 	decision := service.Decide(check.request, known, r.opts.WorkspaceWeight, now)
 	if decision.Changed {
-		r.logShortage(j, decision, known)
+		r.recordShortage(j.service, decision.Short, append([]zap.Field{zap.String("request", string(j.ID))}, shortageFields(decision, known)...)...)
 	}
 	if decision.Refused {
 		check.refusal = r.refuseOverShare(j, check.request, decision, known)
@@ -126,16 +126,27 @@
 	return f.WithRetryAfter(cmp.Or(d.RetryAfter, retryAfterBusy))
 }
 
-// logShortage logs that the upstreams of a service became short, or are not any more.
+// refreshShares divides the capacity of each service anew whose upstreams are short.
 // The caller holds mu.
-func (r *Relay) logShortage(j *job, d fairshare.Decision, known fairshare.Upstreams) {
+func (r *Relay) refreshShares() {
+	for id, service := range r.shares {
+		if service.Refresh(r.opts.WorkspaceWeight, r.opts.Now()) {
+			r.recordShortage(id, false)
+		}
+	}
+}
+
+// recordShortage counts and logs that the upstreams of a service became short, or are not any
+// more. details are the inputs of the decision. There are none if the shortage ended because
+// requests have ceased. The caller holds mu.
+func (r *Relay) recordShortage(s contract.ServiceID, short bool, details ...zap.Field) {
 	change := int64(1)
-	if !d.Short {
+	if !short {
 		change = -1
 	}
 	r.Metrics.servicesShort.Update(r.Metrics.servicesShort.Value() + change)
-	fields := []zap.Field{zap.String("service", string(j.service)), zap.Bool("short", d.Short), zap.String("request", string(j.ID))}
-	r.log.Info("upstreams-short", append(fields, shortageFields(d, known)...)...)
+	fields := []zap.Field{zap.String("service", string(s)), zap.Bool("short", short)}
+	r.log.Info("upstreams-short", append(fields, details...)...)
 }
 
 // shortageFields returns the inputs of a decision and their age. An estimate is made for each
--- a/relay/fairshare_test.go
+++ b/relay/fairshare_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// TestServicesShortAfterTraffic guards against the gauge services_short counting a service at which
+// requests have ceased.
+func TestServicesShortAfterTraffic(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newCrowdedRelay(t, 3, &now)
+	is.True(len(refusedOf(r, "w", 40, &now)) > 0)
+	is.Equal(r.Metrics.servicesShort.Value(), int64(1))
+	now = now.Add(time.Minute)
+	r.Refresh()
+	r.Refresh()
+	is.Equal(r.Metrics.servicesShort.Value(), int64(0))
+}
+
 // TestServeRefusesOverShare checks that Serve refuses a request beyond the share before anything
 // is sent, and does not count it as demand for engine time.
 func TestServeRefusesOverShare(t *testing.T) {
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -181,9 +181,7 @@
 	r.table.SetOwners(r.opts.DataCentre, owners)
 	r.table.CompareUpstreams(r.opts.DataCentre, r.opts.Now())
 	r.logEndedBackoffs(r.opts.Now())
-	for _, service := range r.shares {
-		service.Refresh(r.opts.WorkspaceWeight, r.opts.Now())
-	}
+	r.refreshShares()
 	r.possibleCrashes.Expire(r.opts.Now())
 	r.quarantineCases.Expire(r.opts.Now())
 }
