relay: names of fair shares differ from the shares of a route

Route.Shares are the shares of a route's services, and r.shares, shareOf and overShare were the fair shares of workspaces. They are now fairShares and fairShareOf, and Serve keeps the whole shareCheck in place of a second variable for its refusal. No change of behaviour.

--- a/relay/fairshare.go
+++ b/relay/fairshare.go
@@ -27,7 +27,7 @@
 	if j.Workspace == "" || len(j.Route.Shares) == 0 || !r.opts.Policy.Has(upstream.FairShare) {
 		return shareCheck{}
 	}
-	service := r.shareOf(j.service)
+	service := r.fairShareOf(j.service)
 	check := shareCheck{request: fairshare.Request{
 		Class: fairshare.Class{Workspace: j.Workspace, Priority: j.Priority}, Work: r.expectedWork(j),
 		Objective: j.Route.Objective, Remaining: j.Deadline.Sub(now), Jitter: r.random.Float64,
@@ -46,16 +46,17 @@
 // recordAdmitted counts a request that is sent on. The caller holds mu.
 func (r *Relay) recordAdmitted(j *job, check shareCheck, now time.Time) {
 	if check.request.Work > 0 {
-		r.shareOf(j.service).Admitted(check.request.Class, check.request.Work, now)
+		r.fairShareOf(j.service).Admitted(check.request.Class, check.request.Work, now)
 	}
 }
 
-// shareOf returns the state of a service and creates it if there is none. The caller holds mu.
-func (r *Relay) shareOf(s contract.ServiceID) *fairshare.Service {
-	service, ok := r.shares[s]
+// fairShareOf returns the fair shares of a service, and creates them if there are none.
+// The caller holds mu.
+func (r *Relay) fairShareOf(s contract.ServiceID) *fairshare.Service {
+	service, ok := r.fairShares[s]
 	if !ok {
 		service = fairshare.NewService()
-		r.shares[s] = service
+		r.fairShares[s] = service
 	}
 	return service
 }
@@ -126,10 +127,10 @@
 	return f.WithRetryAfter(cmp.Or(d.RetryAfter, retryAfterBusy))
 }
 
-// refreshShares divides the capacity of each service anew whose upstreams are short.
+// refreshFairShares divides the capacity of each service anew whose upstreams are short.
 // The caller holds mu.
-func (r *Relay) refreshShares() {
-	for id, service := range r.shares {
+func (r *Relay) refreshFairShares() {
+	for id, service := range r.fairShares {
 		if service.Refresh(r.opts.WorkspaceWeight, r.opts.Now()) {
 			r.recordShortage(id, false)
 		}
@@ -168,7 +169,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	demands := make(fairshare.Demands)
-	for id, service := range r.shares {
+	for id, service := range r.fairShares {
 		if d, ok := service.Demand(r.opts.Now()); ok {
 			demands[id] = d
 		}
@@ -184,9 +185,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id := range d {
-		r.shareOf(id)
+		r.fairShareOf(id)
 	}
-	for id, service := range r.shares {
+	for id, service := range r.fairShares {
 		service.SetOthers(d[id], r.opts.Now())
 	}
 }
--- a/relay/fairshare_test.go
+++ b/relay/fairshare_test.go
@@ -84,7 +84,7 @@
 			is.Equal(len(refusedOf(r, c.workspace, 3, &now)), 0)
 			refusals := refusedOf(r, c.workspace, 40, &now)
 			is.Equal(len(refusals) > 0, c.refuses)
-			is.Equal(len(r.shares) > 0, c.refuses) // nothing is counted otherwise
+			is.Equal(len(r.fairShares) > 0, c.refuses) // nothing is counted otherwise
 			is.Equal(r.Metrics.shareRefusals.Count(), int64(len(refusals)))
 			for _, refusal := range refusals {
 				is.Equal(refusal.Kind, contract.RefusedLimitReached)
@@ -177,7 +177,7 @@
 	r.SetOthersDemand(fairshare.Demands{"s": others})
 	r.Refresh()
 	j := newWorkspaceJob("w", now)
-	d := r.shareOf("s").Decide(r.checkShare(j, now).request, r.knownUpstreams(j, now), nil, now)
+	d := r.fairShareOf("s").Decide(r.checkShare(j, now).request, r.knownUpstreams(j, now), nil, now)
 	is.True(d.OthersKnown)
 	is.True(math.Abs(d.Plan.Share("w")-500) < 2) // x has less than its share
 	is.True(math.Abs(d.AdmitFraction-0.5) < 0.01)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -164,8 +164,8 @@
 	probesRunning map[contract.UpstreamInstance]chan struct{}
 	// promptLoads holds, by service, the prefill work that this VM sends to the engines.
 	promptLoads map[contract.ServiceID]*promptLoad
-	// shares decides, by service, on the admission of requests while upstreams are short.
-	shares map[contract.ServiceID]*fairshare.Service
+	// fairShares decides, by service, on the admission of requests while upstreams are short.
+	fairShares map[contract.ServiceID]*fairshare.Service
 	// dataCentreOf maps each pool to its data centre.
 	dataCentreOf map[contract.PoolID]contract.DataCentreID
 }
@@ -196,7 +196,7 @@
 		latencies:         make(map[string]*latencyStats),
 		confidences:       cascade.NewConfidenceEstimator(),
 		promptLoads:       make(map[contract.ServiceID]*promptLoad),
-		shares:            make(map[contract.ServiceID]*fairshare.Service),
+		fairShares:        make(map[contract.ServiceID]*fairshare.Service),
 		possibleCrashes:   quarantine.NewCrashTracker(), quarantineCases: quarantine.NewTable(),
 		running: make(map[*Request]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
 	}
@@ -274,12 +274,11 @@
 	j := &job{Request: req, outcome: contract.OutcomeNotRun, confidence: -1, relativeValue: 1}
 	var retryAfter time.Duration
 	unreachable := false
-	var overShare *contract.Refusal
+	var share shareCheck
 	r.withLock(func() {
 		j.service = req.Route.PickService(r.random.Float64())
 		r.retryBudget(j.service).RecordRequest(r.opts.Now())
-		share := r.checkShare(j, r.opts.Now())
-		if overShare = share.refusal; overShare != nil {
+		if share = r.checkShare(j, r.opts.Now()); share.refusal != nil {
 			return
 		}
 		if isStream(req) {
@@ -294,8 +293,8 @@
 	switch {
 	case len(req.Route.Shares) == 0:
 		end, refused = Refused, refuseUnlisted(j)
-	case overShare != nil:
-		end, refused = Refused, overShare
+	case share.refusal != nil:
+		end, refused = Refused, share.refusal
 	case unreachable:
 		end, refused = Refused, refuseLongQueue(j, retryAfter)
 	case isStream(req):
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -181,7 +181,7 @@
 	r.table.SetOwners(r.opts.DataCentre, owners)
 	r.table.CompareUpstreams(r.opts.DataCentre, r.opts.Now())
 	r.logEndedBackoffs(r.opts.Now())
-	r.refreshShares()
+	r.refreshFairShares()
 	r.possibleCrashes.Expire(r.opts.Now())
 	r.quarantineCases.Expire(r.opts.Now())
 }
