fairshare: the grouping of classes by workspace stands once, and clearer names

NewPlan and pack each sorted the classes and grouped them by workspace; Demand.classesByWorkspace does it for both. divide, setWorkspace and Packed are now decideWhileShort, setFractions and PackedService. Comments that described two fields in one sentence name each of them, and credit is explained where it is spent. The mutant of merged workspaces follows its line. Reports on the wire are unchanged.

--- a/fairshare/demand.go
+++ b/fairshare/demand.go
@@ -1,7 +1,10 @@
 package fairshare
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"woaddoor/contract"
@@ -46,6 +49,22 @@
 	return sum
 }
 
+// classesByWorkspace returns the classes of each workspace, sorted by workspace and priority.
+func (d Demand) classesByWorkspace() [][]Class {
+	sorted := slices.SortedFunc(maps.Keys(d), func(a, b Class) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
+	})
+	var groups [][]Class
+	for _, class := range sorted {
+		if n := len(groups); n == 0 || groups[n-1][0].Workspace != class.Workspace {
+			groups = append(groups, nil)
+		}
+		last := len(groups) - 1
+		groups[last] = append(groups[last], class)
+	}
+	return groups
+}
+
 // rate is an exponentially weighted average per second over Averaging.
 type rate struct {
 	perSecond float64
@@ -62,10 +81,11 @@
 	r.perSecond, r.updated = r.at(now)+amount/Averaging.Seconds(), now
 }
 
-// classRates are the averages of one class at this VM.
+// classRates are the averages of one class at this VM: its offered and admitted work, and the
+// number of its requests.
 type classRates struct{ offered, admitted, requests rate }
 
-// minRate is the work per second below which a class is forgotten. Reports round to thousandths.
+// minRate is the work per second below which a class is deleted. Reports round to thousandths.
 const minRate = 0.0005
 
 // counter counts the work of each class at this VM.
@@ -81,7 +101,7 @@
 	return rates
 }
 
-// demand returns the counted work and forgets classes without recent work.
+// demand returns the counted work and deletes classes without recent work.
 func (c counter) demand(now time.Time) Demand {
 	d := make(Demand, len(c))
 	for class, rates := range c {
--- a/fairshare/plan.go
+++ b/fairshare/plan.go
@@ -1,12 +1,6 @@
 package fairshare
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-
-	"woaddoor/contract"
-)
+import "woaddoor/contract"
 
 // Merged stands for the workspaces that are too small to be reported by name.
 // Their requests are always admitted, since each is far below an equal share.
@@ -27,26 +21,22 @@
 // NewPlan divides a capacity by the weights of the workspaces. A nil weight means equal weights.
 func NewPlan(d Demand, capacity float64, weight func(contract.WorkspaceID) float64) Plan {
 	plan := Plan{Capacity: capacity, Total: d.Sum(), shares: make(map[contract.WorkspaceID]float64), fractions: make(map[Class]float64, len(d))}
-	classes := slices.SortedFunc(maps.Keys(d), func(a, b Class) int {
-		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
-	})
 	var claims []Claim
-	var groups [][]Class
-	for _, class := range classes {
-		if class.Workspace == Merged {
-			capacity -= d[class].Offered
-			continue
+	var claimants [][]Class
+	for _, classes := range d.classesByWorkspace() {
+		workspace, offered := classes[0].Workspace, 0.0
+		for _, class := range classes {
+			offered += d[class].Offered
 		}
-		if n := len(groups); n == 0 || groups[n-1][0].Workspace != class.Workspace {
-			groups = append(groups, nil)
-			claims = append(claims, Claim{Weight: weightOf(class.Workspace, weight)})
+		if workspace == Merged {
+			capacity -= offered
+			continue
 		}
-		last := len(groups) - 1
-		groups[last] = append(groups[last], class)
-		claims[last].Demand += d[class].Offered
+		claims = append(claims, Claim{Demand: offered, Weight: weightOf(workspace, weight)})
+		claimants = append(claimants, classes)
 	}
 	for i, share := range MaxMin(claims, capacity) {
-		plan.setWorkspace(d, groups[i], share)
+		plan.setFractions(d, claimants[i], share)
 	}
 	return plan
 }
@@ -62,8 +52,8 @@
 	return 1
 }
 
-// setWorkspace divides the share of a workspace among its classes, sorted by priority.
-func (p *Plan) setWorkspace(d Demand, classes []Class, share float64) {
+// setFractions divides the share of a workspace among its classes, sorted by priority.
+func (p *Plan) setFractions(d Demand, classes []Class, share float64) {
 	p.shares[classes[0].Workspace] = share
 	demands := make([]float64, len(classes))
 	for i, class := range classes {
--- a/fairshare/report.go
+++ b/fairshare/report.go
@@ -1,7 +1,6 @@
 package fairshare
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -48,8 +47,8 @@
 	}
 }
 
-// Packed is the demand for a service in the form that VMs send each other.
-type Packed struct {
+// PackedService is the demand for a service in the form that VMs send each other.
+type PackedService struct {
 	_          struct{} `cbor:",toarray"`
 	Service    contract.ServiceID
 	Pressure   Pressure
@@ -78,10 +77,10 @@
 )
 
 // Pack returns the demands in the form that VMs send each other.
-func (d Demands) Pack() []Packed {
-	var packed []Packed
+func (d Demands) Pack() []PackedService {
+	var packed []PackedService
 	for _, id := range slices.Sorted(maps.Keys(d)) {
-		packed = append(packed, Packed{Service: id, Pressure: d[id].Pressure, Capacity: packWork(d[id].Capacity), Workspaces: d[id].Classes.mergeSmall().pack()})
+		packed = append(packed, PackedService{Service: id, Pressure: d[id].Pressure, Capacity: packWork(d[id].Capacity), Workspaces: d[id].Classes.mergeSmall().pack()})
 	}
 	return packed
 }
@@ -107,26 +106,25 @@
 
 // pack returns the demand by workspace.
 func (d Demand) pack() []PackedWorkspace {
-	classes := slices.SortedFunc(maps.Keys(d), func(a, b Class) int {
-		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
-	})
 	var packed []PackedWorkspace
-	for _, class := range classes {
-		if n := len(packed); n == 0 || packed[n-1].Workspace != class.Workspace {
-			packed = append(packed, PackedWorkspace{Workspace: class.Workspace})
+	for _, classes := range d.classesByWorkspace() {
+		w := PackedWorkspace{Workspace: classes[0].Workspace}
+		for _, class := range classes {
+			w.Work = append(w.Work, uint64(max(class.Priority, 0)), packWork(d[class].Offered), packWork(d[class].Admitted))
 		}
-		last := &packed[len(packed)-1]
-		last.Work = append(last.Work, uint64(max(class.Priority, 0)), packWork(d[class].Offered), packWork(d[class].Admitted))
+		packed = append(packed, w)
 	}
 	return packed
 }
 
+// packWork converts work per second to units of packedUnit.
 func packWork(perSecond float64) uint64 { return uint64(math.Round(max(perSecond, 0) / packedUnit)) }
 
+// unpackWork converts units of packedUnit to work per second.
 func unpackWork(n uint64) float64 { return min(float64(n)*packedUnit, maxPackedWork) }
 
 // Unpack returns the demands that another VM has sent.
-func Unpack(packed []Packed) Demands {
+func Unpack(packed []PackedService) Demands {
 	d := make(Demands, len(packed))
 	for _, p := range packed {
 		classes := make(Demand)
--- a/fairshare/service.go
+++ b/fairshare/service.go
@@ -27,8 +27,8 @@
 	// RetryAfter is then the time after which the caller should return.
 	Refused    bool
 	RetryAfter time.Duration
-	// Short is set while the upstreams are short, for the time ShortFor.
-	// Changed is set if that has changed with this decision.
+	// Short is set while the upstreams are short. Changed is set if this decision has changed Short.
+	// ShortFor is the time since the upstreams became short.
 	Short, Changed bool
 	ShortFor       time.Duration
 	// BeginFraction is the time until the request would begin, as a fraction of the longest
@@ -37,15 +37,15 @@
 	// Plan is the division of the capacity, which was made PlanAge ago.
 	Plan    Plan
 	PlanAge time.Duration
-	// AdmitFraction is the fraction of the class that is admitted, and Credit what the class
-	// has accumulated.
+	// AdmitFraction is the fraction of the class's requests that is admitted.
+	// Credit is the accumulated credit of the class after this decision, see spendCredit.
 	AdmitFraction, Credit float64
 	// OthersKnown is set if the demand of other VMs is known, with the age OthersAge.
 	OthersKnown bool
 	OthersAge   time.Duration
 }
 
-// Times of Service.
+// Expiry times of the state of a Service.
 const (
 	// OthersExpiry is how long the demand of other VMs is used. Without a newer report, the VM has
 	// ended or is cut off.
@@ -75,8 +75,10 @@
 	longestObjectiveAt time.Time
 	plan               Plan
 	planAt             time.Time
-	credits            map[Class]float64
-	schedules          map[contract.WorkspaceID]*retry.RetryScheduler
+	// credits holds the accumulated credit of each class, see spendCredit.
+	credits map[Class]float64
+	// schedules holds the reserved return times of refused callers.
+	schedules map[contract.WorkspaceID]*retry.RetryScheduler
 }
 
 // NewService returns a Service without any counts.
@@ -108,7 +110,7 @@
 	if now.Sub(s.planAt) > creditExpiry {
 		clear(s.credits)
 	}
-	s.divide(&d, r, weight, now)
+	s.decideWhileShort(&d, r, weight, now)
 	return d
 }
 
@@ -119,8 +121,8 @@
 	}
 }
 
-// divide decides on a request while the upstreams are short.
-func (s *Service) divide(d *Decision, r Request, weight func(contract.WorkspaceID) float64, now time.Time) {
+// decideWhileShort decides on a request by the share of its workspace.
+func (s *Service) decideWhileShort(d *Decision, r Request, weight func(contract.WorkspaceID) float64, now time.Time) {
 	if s.planAt.Before(s.shortage.since) || now.Sub(s.planAt) >= maxPlanAge {
 		s.updatePlan(weight, now)
 	}
@@ -134,8 +136,8 @@
 	}
 }
 
-// spendCredit adds a fraction to the credit of a class, and takes 1 for a request if there is
-// enough or if the request must not be refused. It reports whether the request is refused.
+// spendCredit decides on one request of a class. It adds the admitted fraction to the credit of the
+// class. The request costs 1 and is refused if the credit is lower, unless it is not refusable.
 // Credit spaces the admitted requests regularly, while random admission would refuse some sessions
 // many times in a row. Requests count and not their work, so that long prompts are not refused
 // more often. A class starts with credit for one request.
--- a/fairshare/shortage.go
+++ b/fairshare/shortage.go
@@ -60,12 +60,12 @@
 	// lateDecisions counts the consecutive late estimates; the first was made at lateSince.
 	lateDecisions int
 	lateSince     time.Time
-	// short is set while the upstreams are short, and since when.
+	// short is set while the upstreams are short. since is when that began.
 	short bool
 	since time.Time
-	// fraction and wait are the smoothed fraction and wait in seconds. meanFraction is the fraction
-	// and growth the growth of the wait, in seconds per second, both averaged over Averaging.
-	// updated is the time of the last estimate.
+	// fraction is the fraction, and wait the wait in seconds, averaged over estimateSmoothing.
+	// meanFraction is the fraction, and growth the growth of the wait in seconds per second,
+	// averaged over Averaging. updated is the time of the last estimate.
 	fraction, wait, meanFraction, growth float64
 	updated                              time.Time
 }
@@ -125,7 +125,8 @@
 	correctionTime = 2 * Averaging
 	// maxCorrection limits the correction to half of the capacity.
 	maxCorrection = 0.5
-	// minGrowth and maxGrowth limit the growth of the waits that is taken for real.
+	// minGrowth and maxGrowth bound the growth of the waits, in seconds per second, from which the
+	// capacity is computed.
 	minGrowth, maxGrowth = -0.5, 3.0
 	// minCapacityShare is the part of the offered work that is always admitted. If the estimated
 	// waits were wrong, there would otherwise be no answers that correct them.
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -217,7 +217,7 @@
 	{"arbiters learn of results", "entry/tickets.go", "s.settleAtArbiters(ctx, c, ticket.Result{Outcome: contract.OutcomeRan", "s.settleAtArbiters(ctx, &claim{settled: true}, ticket.Result{Outcome: contract.OutcomeRan", "./internal/fleet", "TestRulingAnswerReplayed"},
 	{"fair shares: nobody gets more than it demands", "fairshare/maxmin.go", "min(claim.Demand, max(capacity, 0)*claim.Weight/weights)", "max(capacity, 0) * claim.Weight / weights", "./fairshare", "TestMaxMin"},
 	{"fair shares: weights of the configuration count", "fairshare/plan.go", "if x := weight(w); x > 0 {", "if x := weight(w); x > 0 && false {", "./fairshare", "TestPlanUsesWeights"},
-	{"fair shares: small workspaces are admitted first", "fairshare/plan.go", "\t\t\tcapacity -= d[class].Offered\n", "", "./fairshare", "TestPlanUsesWeights"},
+	{"fair shares: small workspaces are admitted first", "fairshare/plan.go", "\t\t\tcapacity -= offered\n", "", "./fairshare", "TestPlanUsesWeights"},
 	{"fair shares: urgent requests are not admitted at a lower fraction", "fairshare/maxmin.go", "n > 1 && blocks[n-1].fraction() > blocks[n-2].fraction()", "n > 1 && n < 0", "./fairshare", "TestPriorityFractions"},
 	{"fair shares: each priority has a minimum", "fairshare/maxmin.go", "min(demands[i], minPriorityShare*share, left)", "min(demands[i], 0*minPriorityShare*share, left)", "./fairshare", "TestPriorityFractions"},
 	{"fair shares: a shortage needs persistent evidence", "fairshare/shortage.go", "s.lateDecisions >= minLateDecisions && now.Sub(s.lateSince) >= minLateTime", "s.lateDecisions >= 1", "./fairshare", "TestShortNeedsEvidence"},
--- a/site/demand.go
+++ b/site/demand.go
@@ -10,17 +10,17 @@
 // DemandReport is the demand of workspaces at one or several VMs.
 // A lost report does no harm: the next report replaces it.
 type DemandReport struct {
-	Source   demandSource       `cbor:"1,keyasint"`
-	Services []fairshare.Packed `cbor:"2,keyasint,omitempty"`
+	Source   demandSource              `cbor:"1,keyasint"`
+	Services []fairshare.PackedService `cbor:"2,keyasint,omitempty"`
 	// Centres is, in a report of a delegate to a hub, the demand of other data centres.
 	Centres []CentreDemand `cbor:"3,keyasint,omitempty"`
 }
 
 // CentreDemand is the demand at all VMs of a data centre, as reported Age ago.
 type CentreDemand struct {
-	DataCentre contract.DataCentreID `cbor:"1,keyasint"`
-	Age        time.Duration         `cbor:"2,keyasint,omitempty"`
-	Services   []fairshare.Packed    `cbor:"3,keyasint,omitempty"`
+	DataCentre contract.DataCentreID     `cbor:"1,keyasint"`
+	Age        time.Duration             `cbor:"2,keyasint,omitempty"`
+	Services   []fairshare.PackedService `cbor:"3,keyasint,omitempty"`
 }
 
 // demandSource tells whose demand a DemandReport contains.
