--- a/relay/fairshare_test.go
+++ b/relay/fairshare_test.go
@@ -84,7 +84,7 @@
 			is.Equal(len(refusedOf(r, c.workspace, 3, &now)), 0)
 			refusals := refusedOf(r, c.workspace, 40, &now)
 			is.Equal(len(refusals) > 0, c.refuses)
-			is.Equal(len(r.shares) > 0, c.refuses) // nothing is counted otherwise
+			is.Equal(len(r.fairShares) > 0, c.refuses) // nothing is counted otherwise
 			is.Equal(r.Metrics.shareRefusals.Count(), int64(len(refusals)))
 			for _, refusal := range refusals {
 				is.Equal(refusal.Kind, contract.RefusedLimitReached)
@@ -95,6 +95,20 @@
 	}
 }
 
+// TestServicesShortAfterTraffic guards against the gauge services_short counting a service at which
+// requests have ceased.
+func TestServicesShortAfterTraffic(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newCrowdedRelay(t, 3, &now)
+	is.True(len(refusedOf(r, "w", 40, &now)) > 0)
+	is.Equal(r.Metrics.servicesShort.Value(), int64(1))
+	now = now.Add(time.Minute)
+	r.Refresh()
+	r.Refresh()
+	is.Equal(r.Metrics.servicesShort.Value(), int64(0))
+}
+
 // TestServeRefusesOverShare checks that Serve refuses a request beyond the share before anything
 // is sent, and does not count it as demand for engine time.
 func TestServeRefusesOverShare(t *testing.T) {
@@ -163,7 +177,7 @@
 	r.SetOthersDemand(fairshare.Demands{"s": others})
 	r.Refresh()
 	j := newWorkspaceJob("w", now)
-	d := r.shareOf("s").Decide(r.checkShare(j, now).request, r.knownUpstreams(j, now), nil, now)
+	d := r.fairShareOf("s").Decide(r.checkShare(j, now).request, r.knownUpstreams(j, now), nil, now)
 	is.True(d.OthersKnown)
 	is.True(math.Abs(d.Plan.Share("w")-500) < 2) // x has less than its share
 	is.True(math.Abs(d.AdmitFraction-0.5) < 0.01)
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -56,6 +56,26 @@
 	is.Equal(prefillAt(tb, "b", now), statedPrefill(1.2))
 }
 
+// TestMeanPaceOfRemovedPool guards against the mean pace of a pool that lost all its upstreams being
+// kept: its new upstreams may run on other machines, and entries of removed pools would accumulate.
+func TestMeanPaceOfRemovedPool(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	tb.RecordStatedPace("a", 300, now)
+	tb.CompareUpstreams("d", now)
+	tb.ApplyList(List{Connections: paceList(1).Connections})
+	tb.CompareUpstreams("d", now)
+	is.Equal(len(tb.meanPaces), 0)
+	tb.ApplyList(paceList(2))
+	is.Equal(prefillAt(tb, "b", now), usualPrefill)
+}
+
+// TestEstimateWithoutPrompt guards against the base latency of a prefill in the estimate of a
+// request without a prompt, because the estimate contains a pace and is not the zero value.
+func TestEstimateWithoutPrompt(t *testing.T) {
+	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
+	is.Equal(tb.estimate(tb.states["a"], Work{}, "d", now).TimeToFirstToken(), time.Duration(0))
+}
+
 // TestPaceDisabled guards against a mechanism that still has an effect when it is disabled.
 func TestPaceDisabled(t *testing.T) {
 	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable(UpstreamPace)
