fairshare, upstream: returns are spread by class; the chunk of a pause leaves out attention

A refused caller of a rarely admitted priority was told to return at the rate of its whole workspace, and was refused again; TestReturnsFollowPriority fails without the change. Requests without an objective no longer replace the longest objective. Pauses: the chunk with attention charged long prompts twice.

--- a/fairshare/demand.go
+++ b/fairshare/demand.go
@@ -114,14 +114,3 @@
 	}
 	return d
 }
-
-// requestRate returns how many requests of a workspace arrive at this VM per second.
-func (c counter) requestRate(w contract.WorkspaceID, now time.Time) float64 {
-	perSecond := 0.0
-	for class, rates := range c {
-		if class.Workspace == w {
-			perSecond += rates.requests.at(now)
-		}
-	}
-	return perSecond
-}
--- a/fairshare/service.go
+++ b/fairshare/service.go
@@ -78,12 +78,12 @@
 	// credits holds the accumulated credit of each class, see spendCredit.
 	credits map[Class]float64
 	// schedules holds the reserved return times of refused callers.
-	schedules map[contract.WorkspaceID]*retry.RetryScheduler
+	schedules map[Class]*retry.RetryScheduler
 }
 
 // NewService returns a Service without any counts.
 func NewService() *Service {
-	return &Service{counter: make(counter), credits: make(map[Class]float64), schedules: make(map[contract.WorkspaceID]*retry.RetryScheduler)}
+	return &Service{counter: make(counter), credits: make(map[Class]float64), schedules: make(map[Class]*retry.RetryScheduler)}
 }
 
 // Decide counts the offered work of a request and decides whether the request is admitted.
@@ -116,6 +116,9 @@
 
 // recordObjective updates the longest objective.
 func (s *Service) recordObjective(objective time.Duration, now time.Time) {
+	if objective <= 0 {
+		return
+	}
 	if objective >= s.longestObjective || now.Sub(s.longestObjectiveAt) > objectiveExpiry {
 		s.longestObjective, s.longestObjectiveAt = objective, now
 	}
@@ -225,16 +228,16 @@
 	honouredShare = 1.0 / 3
 )
 
-// retryAfter returns when a refused caller should return. The callers of a workspace are spread
-// over the time in which its share serves what it has refused.
+// retryAfter returns when a refused caller should return. The callers of a class are spread over the
+// time in which the admitted part of the class serves what it has refused.
 // Callers for which that is too late are spread over the time for which they wait.
 func (s *Service) retryAfter(r Request, fraction float64, now time.Time) time.Duration {
-	schedule, ok := s.schedules[r.Workspace]
+	schedule, ok := s.schedules[r.Class]
 	if !ok {
 		schedule = &retry.RetryScheduler{}
-		s.schedules[r.Workspace] = schedule
+		s.schedules[r.Class] = schedule
 	}
-	served := fraction * s.counter.requestRate(r.Workspace, now)
+	served := fraction * s.counter.of(r.Class).requests.at(now)
 	jitter := r.Jitter()
 	delay := schedule.NextDelay(served, maxReturn, jitter, now)
 	longest := time.Duration(honouredShare * float64(r.Remaining))
--- a/fairshare/service_test.go
+++ b/fairshare/service_test.go
@@ -198,6 +198,25 @@
 	is.True(len(delays) >= 15)
 }
 
+// TestReturnsFollowPriority guards against refused callers of a rarely admitted priority that return
+// as soon as the workspace's urgent requests would be served: they would be refused again.
+func TestReturnsFollowPriority(t *testing.T) {
+	is, now := is.New(t), time.Unix(1000, 0)
+	s := NewService()
+	urgent, bulk := request("a"), request("a")
+	bulk.Priority = urgent.Priority + 1
+	bulk.Remaining, bulk.Jitter = time.Minute, func() float64 { return 0 }
+	for n := range 100 {
+		if n%10 == 0 {
+			s.Decide(bulk, full(0), nil, now)
+		} else {
+			s.Decide(urgent, full(0), nil, now)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(s.retryAfter(bulk, 0.1, now) > 4*time.Second) // 0.1 of one request per second
+}
+
 // TestDemandIsReportedWhileBusy guards against VMs exchanging demand that nobody needs.
 func TestDemandIsReportedWhileBusy(t *testing.T) {
 	is := is.New(t)
--- a/upstream/pauses.go
+++ b/upstream/pauses.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"woaddoor/cascade"
-	"woaddoor/prefill"
 )
 
 // While an engine prefills a prompt, each decode step of its running streams also processes one
@@ -21,9 +20,9 @@
 
 // prefillPause returns the longest pause that queued prefill work causes in a stream:
 // the whole work, or what the engine processes of it during the decode steps of one event.
-// The chunk is the last one of a prompt of the given number of tokens at the slowest model.
-func (t *Table) prefillPause(s *state, work time.Duration, promptTokens int, pace float64) time.Duration {
-	chunk := t.prefillRates.LongestPrefillTime(prefill.EquivalentTokens(prefillChunkTokens, max(promptTokens-prefillChunkTokens, 0)))
+// The chunk is that of the slowest model, whichever model the queued prompts are for.
+func (t *Table) prefillPause(s *state, work time.Duration, pace float64) time.Duration {
+	chunk := t.prefillRates.LongestPrefillTime(prefillChunkTokens)
 	return min(work, time.Duration(float64(s.eventTokens)*pace*float64(chunk)))
 }
 
@@ -34,11 +33,11 @@
 // The cost is zero where engines do not state their pace, because the length of a pause is then
 // unknown by a factor of two.
 func (t *Table) pauseCost(s *state, w Work, e Estimate) float64 {
-	if !e.PaceKnown || s.eventTokens == 0 || w.PauseTarget == 0 || !t.opts.Policy.Has(StreamPauses) {
+	if !e.PaceKnown || s.eventTokens == 0 || w.PauseTarget <= 0 || !t.opts.Policy.Has(StreamPauses) {
 		return 0
 	}
-	before := pauseRisk(t.prefillPause(s, e.Wait, w.Prompt.Tokens, e.Pace), w.PauseTarget)
-	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, w.Prompt.Tokens, e.Pace), w.PauseTarget)
+	before := pauseRisk(t.prefillPause(s, e.Wait, e.Pace), w.PauseTarget)
+	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, e.Pace), w.PauseTarget)
 	running := max(s.expectedLoad(), 0)
 	beginning := t.demand.promptRate / float64(max(t.activeEngines, 1)) * e.Prefill.Seconds()
 	return cascade.LatePenalty * ((after-before)*running + after*beginning)
