--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -1,11 +1,13 @@
 package upstream
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/prefill"
 )
@@ -171,3 +173,38 @@
 	w := Work{Prompt: prefill.Prompt{Model: "m", Tokens: 14000}, Objective: 3 * time.Second, PauseTarget: time.Second}
 	is.True(tb.estimate(tb.states["a"], w, "d", now).PauseCost > 0.5)
 }
+
+// BenchmarkPickAtPaces measures the choice of an upstream with and without the pace and the cost of
+// pauses, at 60 and 160 engines in three data centres.
+func BenchmarkPickAtPaces(b *testing.B) {
+	for _, engines := range []int{60, 160} {
+		for name, disabled := range map[string][]Mechanism{"with": nil, "without": {UpstreamPace, StreamPauses}} {
+			b.Run(fmt.Sprintf("%d/%s", engines, name), func(b *testing.B) { benchmarkPick(b, engines, disabled) })
+		}
+	}
+}
+
+func benchmarkPick(b *testing.B, engines int, disabled []Mechanism) {
+	var entries []Entry
+	for i := range engines {
+		id := contract.UpstreamID(fmt.Sprintf("u%03d", i))
+		entries = append(entries, Entry{ID: id, Service: "s", DataCentre: contract.DataCentreID(fmt.Sprint(i % 3)), Slots: 48, EventTokens: 8})
+	}
+	tb := NewTable(Options{Listed: true, Policy: Policy{disabled: disabled}})
+	tb.ApplyList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 100 }})
+	tb.SetModelPrices(map[contract.ModelID]float64{"m": 1})
+	now, random := time.Unix(100, 0), seededRandom()
+	for i, e := range entries {
+		tb.RecordStatedPace(e.ID, 50+i%3*50, now)
+		tb.RecordPeerPrompt(e.ID, paceWork.Prompt, 100*time.Millisecond, 0, now)
+	}
+	tb.CompareUpstreams("0", now)
+	w := paceWork
+	w.PauseTarget = time.Second
+	q := Query{Kind: config.EnginePool, DataCentre: "0", Work: w}
+	for b.Loop() {
+		if _, err := tb.Pick(q, now, random); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
