--- a/fairshare/report.go
+++ b/fairshare/report.go
@@ -18,7 +18,7 @@
 	Classes  Demand
 }
 
-// Pressure tells how far the upstreams of a service are in use, as seen by a VM.
+// Pressure is how far the upstreams of a service are in use, as seen by a VM.
 type Pressure uint8
 
 const (
--- a/fairshare/shortage.go
+++ b/fairshare/shortage.go
@@ -54,7 +54,7 @@
 	estimateSmoothing = 500 * time.Millisecond
 )
 
-// shortage tells from consecutive estimates whether the upstreams of a service are short.
+// shortage detects from consecutive estimates whether the upstreams of a service are short.
 // It also follows how fast the waits grow.
 type shortage struct {
 	// lateDecisions counts the consecutive late estimates; the first was made at lateSince.
--- a/site/demand.go
+++ b/site/demand.go
@@ -23,7 +23,7 @@
 	Services   []fairshare.PackedService `cbor:"3,keyasint,omitempty"`
 }
 
-// demandSource tells whose demand a DemandReport contains.
+// demandSource is the set of VMs whose demand a DemandReport contains.
 type demandSource uint8
 
 const (
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -107,7 +107,7 @@
 }
 
 // TestOwnPaceOverridesReports guards against an old report of another VM that replaces what this
-// VM was told by the upstream itself.
+// VM has learned from the upstream itself.
 func TestOwnPaceOverridesReports(t *testing.T) {
 	is, now, tb := is.New(t), time.Unix(100, 0), newPaceTable()
 	tb.RecordPeerPace("a", 2)
