upstream: the longest pause at an engine is computed once for each cost

pauseCost looked up the slowest model twice for each engine that a choice considers, with the same result.

--- a/prefill/pace.go
+++ b/prefill/pace.go
@@ -71,8 +71,8 @@
 }
 
 // RecordMeasured records the measured time of a prefill as a multiple of the time that was expected
-// at the current estimate. An upstream that states to be faster than it is would otherwise attract
-// more work than it can do.
+// at the current estimate. An upstream that states a lower pace than it has would otherwise
+// attract more work than it can do.
 func (p *Pace) RecordMeasured(ratio float64) {
 	if p.base == 0 || ratio <= 0 {
 		return
--- a/upstream/pauses.go
+++ b/upstream/pauses.go
@@ -18,12 +18,11 @@
 // work slows down during an event adds a few hundred milliseconds, a third of a usual target.
 const pauseRiskSpread = 0.1
 
-// prefillPause returns the longest pause that queued prefill work causes in a stream:
-// the whole work, or what the engine processes of it during the decode steps of one event.
-// The chunk is that of the slowest model, whichever model the queued prompts are for.
-func (t *Table) prefillPause(s *state, work time.Duration, pace float64) time.Duration {
+// longestPrefillPause returns the longest pause that prefill can cause in a stream at an engine:
+// what the engine processes of prompts for the slowest model during the decode steps of one event.
+func (t *Table) longestPrefillPause(s *state, pace float64) time.Duration {
 	chunk := t.prefillRates.LongestPrefillTime(prefillChunkTokens)
-	return min(work, time.Duration(float64(s.eventTokens)*pace*float64(chunk)))
+	return time.Duration(float64(s.eventTokens) * pace * float64(chunk))
 }
 
 // pauseCost returns the cost of the pauses that a prompt causes in the streams at an engine,
@@ -36,8 +35,9 @@
 	if !e.PaceKnown || s.eventTokens == 0 || w.PauseTarget <= 0 || !t.opts.Policy.Has(StreamPauses) {
 		return 0
 	}
-	before := pauseRisk(t.prefillPause(s, e.Wait, e.Pace), w.PauseTarget)
-	after := pauseRisk(t.prefillPause(s, e.Wait+e.Prefill, e.Pace), w.PauseTarget)
+	longest := t.longestPrefillPause(s, e.Pace)
+	before := pauseRisk(min(e.Wait, longest), w.PauseTarget)
+	after := pauseRisk(min(e.Wait+e.Prefill, longest), w.PauseTarget)
 	running := max(s.expectedLoad(), 0)
 	beginning := t.demand.promptRate / float64(max(t.activeEngines, 1)) * e.Prefill.Seconds()
 	return cascade.LatePenalty * ((after-before)*running + after*beginning)
