relay: a silent attempt goes on until its successor is accepted

Callers saw streams that ended in a closed connection seconds after their first event, and requests refused with 502, although the upstream that had begun the answer was still at work.

Cause: a silent attempt was ended as soon as its successor was reserved. A reserved upstream may still reject; the rejection counts as a send, and after an escalation or an earlier resume it was the last one.

A rejected successor counts as a send, and the silent attempt goes on. The line successor-rejected and successors_rejected_total tell.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -82,7 +82,7 @@
 // attemptBuffered makes one attempt and reads the answer to its end.
 func (r *Relay) attemptBuffered(ctx context.Context, j *job, e upstream.Entry) (*ResponseHead, []byte, error) {
 	began := r.opts.Now()
-	a, err := r.send(ctx, j, e, nil, r.firstAnswerTimeout(j))
+	a, err := r.send(ctx, j, e, r.firstAnswerTimeout(j))
 	if err != nil {
 		r.recordSendFailure(j, err, began)
 		return nil, nil, err
--- a/relay/log.go
+++ b/relay/log.go
@@ -117,6 +117,21 @@
 	r.log.Info("silent-ended", append(fields, zap.String("next", string(next.lastUpstream.ID)))...)
 }
 
+// logRejectedSuccessor logs that the successor of a silent attempt was rejected,
+// so that the silent attempt goes on.
+func (r *Relay) logRejectedSuccessor(s *successor) {
+	fields := []zap.Field{
+		zap.String("request", string(s.job.ID)), zap.String("upstream", string(s.job.lastUpstream.ID)), zap.Bool("began", s.job.headSent),
+		zap.Bool("sent", s.sent.Load()), zap.Int64("took_ms", r.opts.Now().Sub(s.startedAt).Milliseconds()),
+	}
+	if s.err != nil {
+		fields = append(fields, zap.Error(s.err))
+	} else {
+		fields = append(fields, zap.Int("status", s.head.Status), zap.Bool("not_run", s.head.NotRun))
+	}
+	r.log.Info("successor-rejected", fields...)
+}
+
 // logRetry logs the reason for another attempt.
 func (r *Relay) logRetry(j *job, err error) {
 	why := "upstream answered with a failure"
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -27,8 +27,10 @@
 	escalations metrics.Counter
 	stalls      metrics.Counter
 	// silentKept counts the silent attempts that went on because the next attempt was not allowed.
-	silentKept  metrics.Counter
-	firstAnswer metrics.Histogram
+	silentKept metrics.Counter
+	// successorsRejected counts the successors of silent attempts that were rejected.
+	successorsRejected metrics.Counter
+	firstAnswer        metrics.Histogram
 	// promptWait is the expected queueing time of prompts at the chosen engine.
 	// promptTokens counts the tokens of these prompts,
 	// and cachedTokens the prompt tokens that the engine was expected to have cached.
@@ -73,24 +75,25 @@
 		return h
 	}
 	return &Metrics{
-		Registry:     r,
-		requests:     metrics.NewRegisteredCounter("requests_total", r),
-		delivered:    metrics.NewRegisteredCounter("requests_delivered_total", r),
-		refused:      metrics.NewRegisteredCounter("requests_refused_total", r),
-		streamsCut:   metrics.NewRegisteredCounter("streams_cut_total", r),
-		callersGone:  metrics.NewRegisteredCounter("callers_gone_total", r),
-		retries:      metrics.NewRegisteredCounter("retries_total", r),
-		escalations:  metrics.NewRegisteredCounter("escalations_total", r),
-		stalls:       metrics.NewRegisteredCounter("streams_stalled_total", r),
-		silentKept:   metrics.NewRegisteredCounter("silent_attempts_kept_total", r),
-		firstAnswer:  histogram("first_answer_milliseconds"),
-		promptWait:   histogram("prompt_wait_milliseconds"),
-		prefillPrice: histogram("reading_price_thousandths"),
-		promptTokens: metrics.NewRegisteredCounter("prompt_tokens_total", r),
-		cachedTokens: metrics.NewRegisteredCounter("prompt_tokens_kept_total", r),
-		wholeAnswer:  histogram("whole_answer_milliseconds"),
-		pace:         histogram("upstream_pace_percent"),
-		pauseCost:    histogram("pause_cost_thousandths"),
+		Registry:           r,
+		requests:           metrics.NewRegisteredCounter("requests_total", r),
+		delivered:          metrics.NewRegisteredCounter("requests_delivered_total", r),
+		refused:            metrics.NewRegisteredCounter("requests_refused_total", r),
+		streamsCut:         metrics.NewRegisteredCounter("streams_cut_total", r),
+		callersGone:        metrics.NewRegisteredCounter("callers_gone_total", r),
+		retries:            metrics.NewRegisteredCounter("retries_total", r),
+		escalations:        metrics.NewRegisteredCounter("escalations_total", r),
+		stalls:             metrics.NewRegisteredCounter("streams_stalled_total", r),
+		silentKept:         metrics.NewRegisteredCounter("silent_attempts_kept_total", r),
+		successorsRejected: metrics.NewRegisteredCounter("successors_rejected_total", r),
+		firstAnswer:        histogram("first_answer_milliseconds"),
+		promptWait:         histogram("prompt_wait_milliseconds"),
+		prefillPrice:       histogram("reading_price_thousandths"),
+		promptTokens:       metrics.NewRegisteredCounter("prompt_tokens_total", r),
+		cachedTokens:       metrics.NewRegisteredCounter("prompt_tokens_kept_total", r),
+		wholeAnswer:        histogram("whole_answer_milliseconds"),
+		pace:               histogram("upstream_pace_percent"),
+		pauseCost:          histogram("pause_cost_thousandths"),
 
 		longestPause:   histogram("stream_pause_milliseconds"),
 		longestForward: histogram("stream_forward_milliseconds"),
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -109,8 +110,8 @@
 			j := newStreamJob(true)
 			j.service, j.lastUpstream = "s", u1
 			aborted := time.Time{}
-			watchdog := r.watchSilence(j, now.Add(timeout), func() { aborted = now })
-			defer watchdog.stop()
+			watchdog := r.watchSilence(context.Background(), j, now.Add(timeout), func() { aborted = now })
+			defer watchdog.stop(j, true)
 			started := now
 			for aborted.IsZero() && now.Sub(started) < time.Minute {
 				now = now.Add(recheckInterval / 2)
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -14,8 +14,15 @@
 	selection
 	// resend is set if the attempt was taken from the retry budget.
 	resend bool
+	// successor is set if the attempt was sent while the current attempt was silent.
+	successor *successor
+	// currentFailed is set if the current attempt failed before this VM ended it.
+	currentFailed bool
 }
 
+// endedForSuccessor reports whether this VM has ended the current attempt in favor of the next one.
+func (j *job) endedForSuccessor() bool { return j.reserved != nil && !j.reserved.currentFailed }
+
 // reserveRetry reserves the attempt that follows the current attempt of a job
 // if the current attempt is ended now: its upstream is selected,
 // and the resend is taken from the retry budget.
@@ -58,16 +65,17 @@
 // The caller holds mu.
 func (r *Relay) reserve(next *job, p retry.Purpose, resend bool, now time.Time) (*reservation, retry.Reason) {
 	budget, vms := r.retryBudget(next.service), r.opts.VMs()
-	if resend && !budget.CanTake(p, vms, now) {
+	take := resend && !next.spareResend
+	if take && !budget.CanTake(p, vms, now) {
 		return nil, retry.BudgetExhausted
 	}
 	if _, refused := r.pickUpstream(next, now); refused != nil {
 		return nil, retry.NoOtherUpstream
 	}
-	if resend {
+	if take {
 		budget.Take(p, vms, now)
 	}
-	return &reservation{next.selection, resend}, ""
+	return &reservation{selection: next.selection, resend: resend}, ""
 }
 
 // releaseReserved undoes the reservation of an attempt that is not made,
@@ -76,8 +84,14 @@
 	if j.reserved == nil {
 		return
 	}
+	next := j.reserved
+	j.reserved = nil
+	if next.successor != nil {
+		r.abandonSuccessor(next.successor)
+		return
+	}
 	unused := *j
-	unused.selection, j.reserved = j.reserved.selection, nil
+	unused.selection = next.selection
 	r.releaseLimitClaim(&unused)
 	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)
 }
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -23,7 +23,8 @@
 // If none is reserved, selectUpstream chooses one and counts the request at that upstream.
 func (r *Relay) selectUpstream(j *job) (upstream.Entry, *contract.Refusal) {
 	if j.reserved != nil {
-		j.selection, j.resendTaken, j.reserved = j.reserved.selection, j.reserved.resend, nil
+		next := j.reserved
+		j.selection, j.resendTaken, j.successor, j.reserved = next.selection, next.resend, next.successor, nil
 		return j.lastUpstream, nil
 	}
 	r.prepareFingerprint(j)
@@ -158,7 +159,7 @@
 			r.table.RecordDone(e.ID, result, timeToFirst, r.opts.Now())
 			r.logColdUpstreams()
 		}
-		if result == upstream.Broken && j.reserved == nil { // an attempt that this VM has ended did not break
+		if result == upstream.Broken && !j.endedForSuccessor() { // an attempt that this VM has ended did not break
 			r.recordBrokenConnection(j, e)
 		}
 	})
--- a/relay/send.go
+++ b/relay/send.go
@@ -48,15 +48,23 @@
 	selection
 	// reserved is the next attempt if it was reserved before the current attempt was ended.
 	reserved *reservation
+	// successor is the selected attempt if it was sent before the previous attempt was ended.
+	successor *successor
 	// resendTaken is set once a resend was taken from the retry budget,
 	// until an upstream may have received that resend.
-	resendTaken    bool
+	resendTaken bool
+	// spareResend is set if a resend was taken for a successor that reached no upstream.
+	spareResend    bool
 	exclude        []contract.UpstreamID
 	sends          int // attempts that may have reached an upstream
 	failures       int // failed attempts of any kind
 	outcome        contract.Outcome
 	status         int // status code of the delivered answer
 	weightsVersion string
+	// lastEvent is the ID of the newest event of a stream that the caller has received.
+	// resumes is set if there is such an event, after which the next attempt resumes the stream.
+	lastEvent int64
+	resumes   bool
 	// headSent is set once the caller has received the head of a stream.
 	headSent            bool
 	escalated           bool
@@ -119,46 +127,47 @@
 const maxIdleUnrepeatable = time.Second
 
 // send sends the request to an upstream and waits for the head of the answer.
-// After the timeout, send continues to wait only while no other upstream could accept the request.
-func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, lastEvent *int64, timeout time.Duration) (*attempt, error) {
-	now := r.opts.Now()
-	pool := r.connectionPool(e)
-	ctx, cancel := context.WithCancelCause(ctx)
-	watchdog := r.watchSilence(j, now.Add(timeout), func() { cancel(errSilent) })
-	send := Send{Upstream: e, Model: j.model, Remaining: j.Deadline.Sub(now), LastEvent: lastEvent}
-	if lastEvent != nil {
-		send.WeightsVersion = j.weightsVersion
+// If the attempt was sent already as the successor of the previous one, send only waits.
+// After the timeout, send continues to wait only while no other upstream accepts the request.
+func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, timeout time.Duration) (*attempt, error) {
+	o, s := (*outgoing)(nil), j.successor
+	j.successor = nil
+	if s != nil {
+		o = &s.outgoing
+	} else {
+		o = r.newOutgoing(ctx, j, e)
 	}
-	req := r.opts.Protocol.Encode(j.Request, send)
-	if !j.Route.Repeatable() {
-		req.MaxIdle = maxIdleUnrepeatable
+	watchdog := r.watchSilence(ctx, j, o.startedAt.Add(timeout), func() { o.cancel(errSilent) })
+	if s != nil {
+		watchdog.awaitSuccessor(s)
+		j.selection = s.job.selection
+	} else {
+		o.exchange(r, j, e, watchdog.markSent)
 	}
-	req.BeforeSend = func() error {
-		if err := r.checkStillAvailable(j, e); err != nil {
-			return err
-		}
-		return watchdog.markSent()
+	j.reserved = watchdog.stop(j, o.answers(j.resumes))
+	if o.err != nil {
+		o.cancel(nil)
+		return nil, o.err
 	}
-	answer, err := pool.Do(ctx, req, func(h http.Header) bool { return r.opts.Protocol.Matches(j.Request, h) })
-	j.reserved = watchdog.stop()
-	if err != nil {
-		cancel(nil)
-		return nil, err
-	}
-	head := r.opts.Protocol.Decode(answer.Status, answer.Header)
-	r.recordNotices(j, head, e)
-	if j.reserved != nil {
-		answer.Close()
-		cancel(nil)
+	if j.endedForSuccessor() {
+		r.recordNotices(j, o.head, e)
+		o.answer.Close()
+		o.cancel(nil)
 		return nil, &exchange.Error{Sent: true, Err: errSilent}
 	}
-	a := &attempt{entry: e, answer: answer, head: head, startedAt: now, cancel: func() { cancel(nil) }}
-	j.upstreamSeen = true
-	r.withLock(func() { r.recordHead(j, head, e) })
-	r.reportExecution(j, head)
+	a := r.acceptHead(j, o, e)
+	r.reportExecution(j, a.head)
 	return a, nil
 }
 
+// acceptHead records the head of an answer and returns the attempt that received it.
+func (r *Relay) acceptHead(j *job, o *outgoing, e upstream.Entry) *attempt {
+	r.recordNotices(j, o.head, e)
+	j.upstreamSeen = true
+	r.withLock(func() { r.recordHead(j, o.head, e) })
+	return &attempt{entry: e, answer: o.answer, head: o.head, startedAt: o.startedAt, cancel: func() { o.cancel(nil) }}
+}
+
 // recordHead records the head of an answer. The caller holds mu.
 func (r *Relay) recordHead(j *job, h *ResponseHead, e upstream.Entry) {
 	current := r.isCurrent(e.ID, e.Incarnation) // otherwise the head describes an earlier instance
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -46,6 +46,7 @@
 	s := &streamTransfer{relay: r, job: j, caller: c}
 	if j.LastEvent != nil {
 		s.events.SkipThrough(*j.LastEvent)
+		s.recordLastEvent()
 	}
 	for {
 		e, refused := r.selectUpstream(j)
@@ -106,12 +107,9 @@
 	return s.caller.BeginStream(h)
 }
 
-// lastEvent returns the ID of the event after which an upstream must resume the stream, or nil.
-func (s *streamTransfer) lastEvent() *int64 {
-	if last, ok := s.events.LastID(); ok {
-		return &last
-	}
-	return nil
+// recordLastEvent records after which event the next attempt resumes the stream.
+func (s *streamTransfer) recordLastEvent() {
+	s.job.lastEvent, s.job.resumes = s.events.LastID()
 }
 
 // attemptStream forwards the stream of one upstream to its end.
@@ -121,7 +119,7 @@
 	r, j := s.relay, s.job
 	began := r.opts.Now()
 	s.nonStreamHead, s.nonStreamBody = nil, nil
-	a, err := r.send(ctx, j, e, s.lastEvent(), s.eventTimeout())
+	a, err := r.send(ctx, j, e, s.eventTimeout())
 	if err != nil {
 		r.recordSendFailure(j, err, began)
 		return err
@@ -140,7 +138,7 @@
 		return errEscalated
 	}
 	j.weightsVersion, j.confidence = a.head.WeightsVersion, a.head.Confidence
-	err = s.forward(a)
+	err = s.forward(ctx, a)
 	if err == nil && s.sendHead(a.head) != nil { // a stream without events is complete too
 		err = errCallerGone
 	}
@@ -229,22 +227,24 @@
 const readBufferSize = 4 << 10
 
 // forward sends the events of a stream to the caller as they arrive.
-func (s *streamTransfer) forward(a *attempt) error {
+func (s *streamTransfer) forward(ctx context.Context, a *attempt) (err error) {
 	r, j := s.relay, s.job
 	longest := r.maxPause(j.Route.TargetGap)
 	detector := stream.NewStallDetector(stream.StallOptions{
 		MaxGap: longest, MinGap: time.Duration(minPauseFactor / maxPauseFactor * float64(longest)),
 		FirstChunk: max(a.startedAt.Add(s.eventTimeout()).Sub(r.opts.Now()), longest),
 	}, r.opts.Now())
-	watchdog := r.watchSilence(j, detector.Deadline(), a.answer.Abort)
-	defer func() { j.reserved = watchdog.stop() }()
+	watchdog := r.watchSilence(ctx, j, detector.Deadline(), a.answer.Abort)
+	defer func() { j.reserved = watchdog.stop(j, err == nil) }()
 	buf := make([]byte, readBufferSize)
 	for {
 		n, err := a.answer.Read(buf)
 		if forwardErr := s.forwardEvents(a, detector, buf[:n]); forwardErr != nil {
 			return forwardErr
 		}
-		watchdog.extend(j, detector.Deadline())
+		if n > 0 {
+			watchdog.extend(j, detector.Deadline())
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.events.HasPartial():
 			return errTruncated
@@ -269,6 +269,7 @@
 	if err != nil || n == 0 {
 		return err
 	}
+	s.recordLastEvent()
 	now := s.relay.opts.Now()
 	detector.RecordChunk(now)
 	if s.eventsForwarded == 0 {
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,23 +21,31 @@
 // moving a request from one queue to the end of another only adds work.
 const hungFactor = 3
 
-// silenceWatchdog aborts an attempt
-// that has been silent beyond its deadline once the next attempt is reserved.
-// silenceWatchdog never aborts an attempt whose request may not be sent again:
+// silenceWatchdog ends an attempt
+// that has been silent beyond its deadline once the next attempt is accepted.
+// The next attempt is reserved first, and sent while the silent attempt goes on.
+// silenceWatchdog never ends an attempt whose request may not be sent again:
 // a slow answer is better than none.
 type silenceWatchdog struct {
 	relay *Relay
+	ctx   context.Context // context of the request
 	abort func()
 
 	// mu guards the fields below.
 	// The mutex mu is acquired before the relay's mutex, never after the relay's mutex.
-	mu           sync.Mutex
-	job          job       // copy from when data was last received
-	sent         bool      // an upstream may have received the attempt
+	mu   sync.Mutex
+	job  job  // copy from when data was last received
+	sent bool // an upstream may have received the attempt
+	// sending is the attempt if it was sent as the successor of the previous one.
+	sending      *successor
 	lastReceived time.Time // when the attempt last received data
 	deadline     time.Time
 	timer        *time.Timer // nil if the request may not be sent again
 	done         bool
+	// pending is the next attempt while it is being sent.
+	// failed holds the successors that were rejected or dropped.
+	pending *reservation
+	failed  []failedSuccessor
 	// reserved is the next attempt, set when the watchdog aborts the current one.
 	reserved *reservation
 	// keptFor is the last reason not to abort the silent attempt.
@@ -48,9 +57,9 @@
 func (j *job) mayResend() bool { return j.Route.Repeatable() && j.sends+1 < j.Route.MaxAttempts }
 
 // watchSilence calls abort once an attempt has been silent beyond the deadline
-// and the next attempt is reserved.
-func (r *Relay) watchSilence(j *job, deadline time.Time, abort func()) *silenceWatchdog {
-	w := &silenceWatchdog{relay: r, job: *j, sent: j.upstreamSeen, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
+// and the next attempt is accepted.
+func (r *Relay) watchSilence(ctx context.Context, j *job, deadline time.Time, abort func()) *silenceWatchdog {
+	w := &silenceWatchdog{relay: r, ctx: ctx, job: *j, sent: j.upstreamSeen, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
 	if j.mayResend() {
 		w.mu.Lock()
 		w.timer = time.AfterFunc(deadline.Sub(r.opts.Now()), w.check)
@@ -71,18 +80,34 @@
 	return nil
 }
 
+// awaitSuccessor waits for the head of the answer to an attempt that has been sent already.
+func (w *silenceWatchdog) awaitSuccessor(s *successor) {
+	w.mu.Lock()
+	w.sending = s
+	w.mu.Unlock()
+	<-s.done
+}
+
 // extend records that the attempt of the job has received data, and sets the next deadline.
+// A successor is dropped if the attempt is no longer silent.
 func (w *silenceWatchdog) extend(j *job, deadline time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.job = *j
-	w.lastReceived, w.deadline, w.keptFor = w.relay.opts.Now(), deadline, ""
-	if w.timer != nil && !w.done {
+	w.lastReceived = w.relay.opts.Now()
+	if !deadline.After(w.lastReceived) || w.done {
+		return
+	}
+	w.dropPending()
+	w.job, w.deadline, w.keptFor = *j, deadline, ""
+	for _, f := range w.failed {
+		w.job.recordFailedSuccessor(f)
+	}
+	if w.timer != nil {
 		w.timer.Reset(deadline.Sub(w.lastReceived))
 	}
 }
 
-// check aborts the attempt or schedules the next check.
+// check ends the attempt, sends its successor or schedules the next check.
 func (w *silenceWatchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -90,34 +115,70 @@
 		return
 	}
 	now := w.relay.opts.Now()
+	if w.pending != nil {
+		w.checkPending(now)
+		return
+	}
 	if now.Before(w.deadline) { // data has arrived since the timer was set
 		w.timer.Reset(w.deadline.Sub(now))
 		return
 	}
-	late := now.Sub(w.deadline)
+	sent := w.sent || w.sending != nil && w.sending.sent.Load()
 	hung := now.Sub(w.lastReceived) >= hungFactor*w.deadline.Sub(w.lastReceived)
-	reserved, reason := w.relay.reserveRetry(&w.job, w.sent, hung)
-	if reason != w.keptFor || reserved != nil {
-		w.keptFor = reason
-		w.relay.logSilence(&w.job, reserved, reason, now.Sub(w.lastReceived), late)
-	}
+	reserved, reason := w.relay.reserveRetry(&w.job, sent, hung)
 	if reserved == nil {
+		w.logKept(reason, now)
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	w.done, w.reserved = true, reserved
+	if !sent { // no upstream works on the attempt
+		w.endAttempt(reserved)
+		return
+	}
+	w.startSuccessor(reserved)
+	w.timer.Reset(recheckInterval)
+}
+
+// logKept logs why the silent attempt goes on, once for each reason. The caller holds mu.
+func (w *silenceWatchdog) logKept(reason retry.Reason, now time.Time) {
+	if reason != w.keptFor {
+		w.keptFor = reason
+		w.relay.logSilence(&w.job, nil, reason, now.Sub(w.lastReceived), now.Sub(w.deadline))
+	}
+}
+
+// endAttempt aborts the attempt in favor of the next one. The caller holds mu.
+func (w *silenceWatchdog) endAttempt(next *reservation) {
+	now := w.relay.opts.Now()
+	w.relay.logSilence(&w.job, next, "", now.Sub(w.lastReceived), now.Sub(w.deadline))
+	w.done, w.reserved, w.pending = true, next, nil
+	if next.successor != nil {
+		next.successor.taken = true
+	}
 	w.abort()
 }
 
-// stop stops the watchdog and returns the reserved next attempt,
-// or nil if the watchdog has not aborted the current attempt.
-func (w *silenceWatchdog) stop() *reservation {
+// stop stops the watchdog at the end of the attempt and returns the reserved next attempt, if any.
+// The argument answered is set if the attempt has received an answer for the caller;
+// a successor that is not accepted yet is then dropped, and otherwise it is the next attempt.
+// Successors that were rejected or dropped are added to the state of the job.
+func (w *silenceWatchdog) stop(j *job, answered bool) *reservation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.done = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if answered {
+		w.dropPending()
+	}
+	if w.pending != nil {
+		w.reserved, w.pending = w.pending, nil
+		w.reserved.currentFailed, w.reserved.successor.taken = true, true
+	}
+	for _, f := range w.failed {
+		j.recordFailedSuccessor(f)
+	}
 	return w.reserved
 }
 
