relay: an answer that is no stream does not complete a stream that has begun

Callers could get a stream without its end that looked complete, with the body of an upstream's 404 in it. Nobody has reported it; found while the answers to a resume were listed.

Cause: an answer below 500 that is not a stream was final for an attempt that resumes one as well. Change: it is a rejection of the resume once the caller has received a part of the stream; the next upstream is tried, and without one the stream is cut.

Test: TestResumeAnsweredWithoutStream; its four cases fail on the commit before (a body without the last event, no error) and pass now.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -150,6 +150,7 @@
 	{"a resume is accepted by a stream alone", "relay/successor.go", "(!resumes || o.head.Status == http.StatusOK)", "true", "./platform", "TestStalledStreamSurvivesRejectedResumes"},
 	{"a reservation that is not used is released", "relay/reservation.go", "	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)\n", "	_ = upstream.Abandoned\n", "./relay", "TestReservedAttemptIsUsedOrReleased"},
 	{"a delivered event is not forwarded again", "stream/events.go", "if e.hasID && id <= e.lastID {", "if false {", "./stream", "TestEventsDeliveredWholeAndOnce"},
+	{"another answer does not complete a stream", "relay/streaming.go", "if j.headSent && !a.head.NotRun && ", "if false && ", "./platform", "TestResumeAnsweredWithoutStream"},
 	{"a partial event is dropped on resume", "relay/streaming.go", "		s.events.DiscardPartial()\n", "", "./platform", "TestStreamResumes"},
 	{"engines differ in pace", "upstream/cost.go", "time.Duration(slowness * pace * float64(e.Prefill))", "time.Duration(slowness * float64(e.Prefill))", "./upstream", "TestReplayUnevenEngines"},
 	{"an unknown pace is that of the pool", "upstream/pace.go", "if mean, ok := t.meanPaces[s.pool.ID]; ok {", "if mean, ok := t.meanPaces[s.pool.ID]; ok && false {", "./upstream", "TestPaceOfUnknownUpstream"},
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -24,6 +24,8 @@
 	errEscalated = errors.New("answer of the smaller model discarded")
 	// errServerFailure means that the upstream answered with a 5xx status.
 	errServerFailure = errors.New("upstream answered with a server error")
+	// errNoStream means that an upstream that was to resume a stream sent another answer.
+	errNoStream = errors.New("upstream did not answer with the rest of the stream")
 	// errCallerGone means that writing to the caller failed.
 	errCallerGone = errors.New("caller has disconnected")
 )
@@ -154,8 +156,15 @@
 }
 
 // readNonStream reads an answer that is not an event stream.
+// Such an answer is final only if the caller has received no part of a stream:
+// a stream that has begun ends with its last event or with a closed connection.
 func (s *streamTransfer) readNonStream(a *attempt) error {
 	r, j := s.relay, s.job
+	if j.headSent && !a.head.NotRun && a.head.Status < http.StatusInternalServerError {
+		r.recordAttemptEnd(j, a.entry, upstream.Rejected, 0)
+		j.recordFailure(contract.OutcomeUnknown, true)
+		return errNoStream
+	}
 	body, err := io.ReadAll(io.LimitReader(a.answer, maxBufferedAnswer))
 	if err = r.recordAnswer(j, a, err); err != nil {
 		return err
