relay: the end of a refused or cut request names its attempts

The line told the last upstream and a count of failures; whether earlier attempts had been ended by the VM, rejected or broken off had to be put together from silent-ended and retry lines, and a rejected resume left no line. The field attempts lists upstream and end, oldest first. No behaviour changes.

--- a/relay/log.go
+++ b/relay/log.go
@@ -11,6 +11,7 @@
 	"woaddoor/contract"
 	"woaddoor/retry"
 	"woaddoor/rollout"
+	"woaddoor/upstream"
 )
 
 // recordRequestEnd counts a request that has ended and logs it once.
@@ -32,6 +33,7 @@
 	}
 	fields = append(fields, j.timing.fields(j.Route.TargetGap)...)
 	if end == Refused || end == StreamCut {
+		fields = append(fields, zap.Strings("attempts", attemptTexts(j.attempts)))
 		fields = append(fields, r.decisionContext(j)...)
 	}
 	if refusal != nil && refusal.Kind == contract.RefusedQuarantined {
@@ -52,6 +54,34 @@
 	}
 }
 
+// Ends of attempts that are not results of an upstream.
+const (
+	// endSilent means that this VM ended the attempt in favor of another one, because it was silent.
+	endSilent = "ended-silent"
+	// endNotAccepted means that a successor of a silent attempt was rejected, or was not needed.
+	endNotAccepted = "not-accepted"
+)
+
+// logAttemptEnd keeps the end of an attempt without a complete answer for the line
+// with which the request ends.
+func (j *job) logAttemptEnd(e upstream.Entry, result upstream.Result) {
+	switch {
+	case j.endedForSuccessor():
+		j.attempts = append(j.attempts, endedAttempt{e.ID, endSilent})
+	case result != upstream.Succeeded:
+		j.attempts = append(j.attempts, endedAttempt{e.ID, result.String()})
+	}
+}
+
+// attemptTexts returns the attempts of a request as text, oldest first.
+func attemptTexts(attempts []endedAttempt) []string {
+	texts := make([]string, len(attempts))
+	for i, a := range attempts {
+		texts[i] = string(a.upstream) + " " + a.end
+	}
+	return texts
+}
+
 // decisionContext returns log fields with the state on which the decisions
 // for a request were based, and the age of that state.
 func (r *Relay) decisionContext(j *job) []zap.Field {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -152,6 +152,7 @@
 // recordAttemptEnd records how an attempt ended.
 // The argument timeToFirst is the time until the answer to the attempt began.
 func (r *Relay) recordAttemptEnd(j *job, e upstream.Entry, result upstream.Result, timeToFirst time.Duration) {
+	j.logAttemptEnd(e, result)
 	r.withLock(func() {
 		r.endAttempt(j)
 		r.recordPromptDropped(j)
--- a/relay/send.go
+++ b/relay/send.go
@@ -54,10 +54,12 @@
 	// until an upstream may have received that resend.
 	resendTaken bool
 	// spareResend is set if a resend was taken for a successor that reached no upstream.
-	spareResend    bool
-	exclude        []contract.UpstreamID
-	sends          int // attempts that may have reached an upstream
-	failures       int // failed attempts of any kind
+	spareResend bool
+	exclude     []contract.UpstreamID
+	sends       int // attempts that may have reached an upstream
+	failures    int // failed attempts of any kind
+	// attempts holds the attempts that have ended without a complete answer, for the log.
+	attempts       []endedAttempt
 	outcome        contract.Outcome
 	status         int // status code of the delivered answer
 	weightsVersion string
@@ -78,6 +80,12 @@
 	executionReported bool
 }
 
+// endedAttempt is an attempt that has ended, and how.
+type endedAttempt struct {
+	upstream contract.UpstreamID
+	end      string
+}
+
 // selection is the choice of an upstream for one attempt, and what was counted for the attempt.
 type selection struct {
 	lastUpstream upstream.Entry
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -105,7 +105,7 @@
 // startSuccessor sends the reserved attempt while the current one goes on. The caller holds mu.
 func (w *silenceWatchdog) startSuccessor(next *reservation) {
 	s := &successor{job: w.job, done: make(chan struct{})}
-	s.job.selection, s.job.resendTaken, s.job.reserved = next.selection, next.resend, nil
+	s.job.selection, s.job.resendTaken, s.job.reserved, s.job.attempts = next.selection, next.resend, nil, nil
 	s.outgoing = *w.relay.newOutgoing(w.ctx, &s.job, next.lastUpstream)
 	next.successor, w.pending = s, next
 	w.job.spareResend = false
@@ -201,6 +201,7 @@
 		j.sends++
 	}
 	j.outcome = j.outcome.Combine(f.outcome)
+	j.attempts = append(slices.Clip(j.attempts), endedAttempt{f.upstream, endNotAccepted})
 	j.exclude = append(slices.Clip(j.exclude), f.upstream)
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -262,6 +262,15 @@
 	Broken
 )
 
+// String returns the name of the result as it appears in the log.
+func (r Result) String() string {
+	names := [...]string{"succeeded", "failed", "cancelled", "unreachable", "connection-refused", "no-connection", "rejected", "broken"}
+	if int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Parameters of the circuit breaker and the service time average of an upstream that sends
 // load reports.
 const (
