relay: a dropped successor is recorded without reading its answer

The exchange of a dropped successor may still be writing its answer's head, which recordFailed read (found by reading the code; the race detector had not met it). The end of a rejected successor that sent no stream is a rejection as elsewhere, not a success, and an unsigned answer a failure; their bodies are not read, since a stream could last.

--- a/relay/send.go
+++ b/relay/send.go
@@ -138,17 +138,16 @@
 // If the attempt was sent already as the successor of the previous one, send only waits.
 // After the timeout, send continues to wait only while no other upstream accepts the request.
 func (r *Relay) send(ctx context.Context, j *job, e upstream.Entry, timeout time.Duration) (*attempt, error) {
-	o, s := (*outgoing)(nil), j.successor
-	j.successor = nil
-	if s != nil {
-		o = &s.outgoing
+	var o *outgoing
+	if j.successor != nil {
+		o = &j.successor.outgoing
 	} else {
 		o = r.newOutgoing(ctx, j, e)
 	}
 	watchdog := r.watchSilence(ctx, j, o.startedAt.Add(timeout), func() { o.cancel(errSilent) })
-	if s != nil {
-		watchdog.awaitSuccessor(s)
-		j.selection = s.job.selection
+	if s := j.successor; s != nil {
+		<-s.done
+		j.selection, j.successor = s.job.selection, nil
 	} else {
 		o.exchange(r, j, e, watchdog.markSent)
 	}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -147,9 +147,13 @@
 		w.mu.Unlock()
 		return
 	}
+	sent, outcome := s.sent.Load(), contract.OutcomeUnknown
+	if !sent || s.head != nil && s.head.NotRun {
+		outcome = contract.OutcomeNotRun
+	}
+	w.recordFailed(failedSuccessor{w.pending.lastUpstream.ID, outcome, sent})
+	w.job.spareResend = w.pending.resend && !sent
 	w.pending = nil
-	w.recordFailed(s, s.sent.Load())
-	w.job.spareResend = s.job.resendTaken && !s.sent.Load()
 	w.timer.Reset(recheckInterval)
 	w.mu.Unlock()
 	w.relay.recordRejectedSuccessor(s)
@@ -157,12 +161,7 @@
 
 // recordFailed records a successor that is not the next attempt of the request.
 // The caller holds mu.
-func (w *silenceWatchdog) recordFailed(s *successor, sent bool) {
-	outcome := contract.OutcomeUnknown
-	if !sent || s.head != nil && s.head.NotRun {
-		outcome = contract.OutcomeNotRun
-	}
-	f := failedSuccessor{s.job.lastUpstream.ID, outcome, sent}
+func (w *silenceWatchdog) recordFailed(f failedSuccessor) {
 	w.failed = append(w.failed, f)
 	w.job.recordFailedSuccessor(f)
 }
@@ -188,10 +187,10 @@
 	if w.pending == nil {
 		return
 	}
-	s := w.pending.successor
-	w.pending, s.dropped = nil, true
-	w.recordFailed(s, true)
-	s.cancel(context.Canceled)
+	w.recordFailed(failedSuccessor{w.pending.lastUpstream.ID, contract.OutcomeUnknown, true})
+	w.pending.successor.dropped = true
+	w.pending.successor.cancel(context.Canceled)
+	w.pending = nil
 }
 
 // recordFailedSuccessor adds a successor that was rejected or dropped to the state of the request.
@@ -216,10 +215,18 @@
 	}
 	a := r.acceptHead(&s.job, &s.outgoing, s.job.lastUpstream)
 	defer a.close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.answer, maxBufferedAnswer)); err != nil {
+	switch {
+	case !s.head.NotRun && s.head.Status < http.StatusMultipleChoices && !s.head.Signed:
+		r.recordAttemptEnd(&s.job, a.entry, upstream.Failed, 0)
+		return
+	case !s.head.NotRun && s.head.Status < http.StatusInternalServerError: // no stream
+		r.recordAttemptEnd(&s.job, a.entry, upstream.Rejected, 0)
+		return
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(a.answer, maxBufferedAnswer)) // the connection can be reused
+	if err = r.recordAnswer(&s.job, a, err); err != nil {
 		r.log.Debug("rejection-not-read", zap.String("request", string(s.job.ID)), zap.Error(err))
 	}
-	_ = r.recordAnswer(&s.job, a, nil) // the rejection is logged above
 }
 
 // abandonSuccessor releases a successor that was cancelled, after the end of its exchange.
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -59,7 +59,8 @@
 // watchSilence calls abort once an attempt has been silent beyond the deadline
 // and the next attempt is accepted.
 func (r *Relay) watchSilence(ctx context.Context, j *job, deadline time.Time, abort func()) *silenceWatchdog {
-	w := &silenceWatchdog{relay: r, ctx: ctx, job: *j, sent: j.upstreamSeen, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
+	w := &silenceWatchdog{relay: r, ctx: ctx, job: *j, sent: j.upstreamSeen, sending: j.successor, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
+	w.job.successor = nil
 	if j.mayResend() {
 		w.mu.Lock()
 		w.timer = time.AfterFunc(deadline.Sub(r.opts.Now()), w.check)
@@ -80,30 +81,22 @@
 	return nil
 }
 
-// awaitSuccessor waits for the head of the answer to an attempt that has been sent already.
-func (w *silenceWatchdog) awaitSuccessor(s *successor) {
-	w.mu.Lock()
-	w.sending = s
-	w.mu.Unlock()
-	<-s.done
-}
-
 // extend records that the attempt of the job has received data, and sets the next deadline.
 // A successor is dropped if the attempt is no longer silent.
 func (w *silenceWatchdog) extend(j *job, deadline time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastReceived = w.relay.opts.Now()
-	if !deadline.After(w.lastReceived) || w.done {
+	now := w.relay.opts.Now()
+	if !deadline.After(now) || w.done {
 		return
 	}
 	w.dropPending()
-	w.job, w.deadline, w.keptFor = *j, deadline, ""
+	w.job, w.lastReceived, w.deadline, w.keptFor = *j, now, deadline, ""
 	for _, f := range w.failed {
 		w.job.recordFailedSuccessor(f)
 	}
 	if w.timer != nil {
-		w.timer.Reset(deadline.Sub(w.lastReceived))
+		w.timer.Reset(deadline.Sub(now))
 	}
 }
 
