relay: an escalated attempt is not logged as ended for silence

The field attempts called an attempt whose answer was discarded for a larger model "ended-silent", since its successor is reserved as well; OPERATIONS says "cancelled". Found by reading the diff; log only.

--- a/relay/log.go
+++ b/relay/log.go
@@ -66,7 +66,7 @@
 // with which the request ends.
 func (j *job) logAttemptEnd(e upstream.Entry, result upstream.Result) {
 	switch {
-	case j.endedForSuccessor():
+	case j.endedForSuccessor() && result != upstream.Abandoned: // an abandoned attempt was escalated
 		j.attempts = append(j.attempts, endedAttempt{e.ID, endSilent})
 	case result != upstream.Succeeded:
 		j.attempts = append(j.attempts, endedAttempt{e.ID, result.String()})
