upstream, relay, daemon: the path to a service's upstreams and changes of readiness are logged

Observability only; no decision reads the new state. The lines of the incident could not tell whether no verdict was reached, or reached late, or did not help.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -95,6 +95,7 @@
 		line("configuration_version", version),
 		line("connections_open", open),
 		line("connections_opened_total", dialed),
+		line("paths_failing", v.relay.CountPathsFailing()),
 		line("requests_held", v.relay.CountQuarantined()),
 		line("goroutines", runtime.NumGoroutine()),
 		line("log_lines_left_out_total", v.logWriter.Dropped()),
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -69,6 +69,8 @@
 	logWriter    *logs.LineQueue
 	registry     metrics.Registry
 	stopping     atomic.Bool
+	// notReady holds, as a string, the reason that the last readiness check was given, or "".
+	notReady atomic.Value
 	// lease is the lease whose holder acts on behalf of all VMs, and usage counts the
 	// requests for the holder's usage reports. Each of lease and usage is nil if the
 	// deployment does not configure it.
@@ -231,13 +233,30 @@
 // knows a configuration and the upstreams,
 // and while all upstreams of a service have been unreachable for a while.
 func (v *vmProcess) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if v.stopping.Load() || !v.site.Ready() || v.relay.Isolated() {
+	why := v.notReadyReason()
+	if before, _ := v.notReady.Swap(why).(string); before != why {
+		v.log.Info("readiness", zap.Bool("ready", why == ""), zap.String("why", why), zap.Int("caller_connections", v.callers.OpenConns()))
+	}
+	if why != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// notReadyReason returns why this VM reports that it is not ready, or "" if it is ready.
+func (v *vmProcess) notReadyReason() string {
+	switch {
+	case v.stopping.Load():
+		return "stopping"
+	case !v.site.Ready():
+		return "no configuration or no upstreams known"
+	case v.relay.Isolated():
+		return "all upstreams of a service are unreachable"
+	}
+	return ""
+}
+
 // balancerDetectionTime is how long the load balancer keeps sending connections to a VM that
 // is no longer ready: the balancer checks every second and needs two failed checks.
 const balancerDetectionTime = 2500 * time.Millisecond
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -9,6 +9,10 @@
 // Pool holds the connections to one upstream.
 type Pool struct {
 	address string
+	// OnConnect is called after each attempt to open a connection for a request, with the error of
+	// the attempt. Attempts that were cancelled are left out. OnConnect may be nil and must be set
+	// before the first request.
+	OnConnect func(err error)
 
 	// The mutex mu guards the fields below. It is not held during I/O.
 	mu     sync.Mutex
@@ -58,6 +62,9 @@
 		p.discard(c)
 	}
 	c, err := dial(ctx, p.address)
+	if p.OnConnect != nil && ctx.Err() == nil {
+		p.OnConnect(err)
+	}
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,6 +151,10 @@
 	// isolatedSince is the time since which this VM has reached no upstream of some service;
 	// zero while this VM is not isolated.
 	isolatedSince time.Time
+	// paths tracks whether this VM can establish connections to the upstreams of each service.
+	// loggedPaths holds the state of each path as last logged.
+	paths       *upstream.PathMonitor
+	loggedPaths map[contract.ServiceID]upstream.PathState
 	// evacuations holds the data centres whose upstreams must receive no more requests.
 	evacuations map[contract.DataCentreID]evacuation
 	// possibleCrashes holds the upstreams whose connections broke off and that may have crashed.
@@ -198,6 +202,7 @@
 		promptLoads:       make(map[contract.ServiceID]*promptLoad),
 		fairShares:        make(map[contract.ServiceID]*fairshare.Service),
 		possibleCrashes:   quarantine.NewCrashTracker(), quarantineCases: quarantine.NewTable(),
+		paths: upstream.NewPathMonitor(), loggedPaths: make(map[contract.ServiceID]upstream.PathState),
 		running: make(map[*Request]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
 	}
 }
@@ -228,6 +233,7 @@
 	p, ok := r.pools[e.ID]
 	if !ok {
 		p = exchange.NewPool(e.Address, cmp.Or(r.connectionLimits[e.Service], minConnections))
+		p.OnConnect = func(err error) { r.recordConnect(e, err) }
 		r.pools[e.ID] = p
 	}
 	return p
--- a/relay/send.go
+++ b/relay/send.go
@@ -177,6 +177,7 @@
 
 // recordHead records the head of an answer. The caller holds mu.
 func (r *Relay) recordHead(j *job, h *ResponseHead, e upstream.Entry) {
+	r.paths.RecordAnswer(e.Service, r.opts.Now())
 	current := r.isCurrent(e.ID, e.Incarnation) // otherwise the head describes an earlier instance
 	if current && !h.NotRun {
 		r.table.RecordAccepted(e.ID)
--- a/relay/upstream_list.go
+++ b/relay/upstream_list.go
@@ -107,6 +107,7 @@
 	_, total := p.Stats()
 	r.closedPoolDials += total
 	p.Close()
+	r.paths.Forget(r.entries[id].Service, id)
 	delete(r.pools, id)
 }
 
--- a/upstream/reachability.go
+++ b/upstream/reachability.go
@@ -89,3 +89,16 @@
 	}
 	return len(pools) > 0
 }
+
+// Wanted returns the upstreams of the given pools that are not about to stop.
+func (t *Table) Wanted(pools []contract.PoolID) []contract.UpstreamID {
+	var ids []contract.UpstreamID
+	for _, id := range pools {
+		for _, s := range t.pools[id] {
+			if !s.isLeaving() {
+				ids = append(ids, s.upstream.ID)
+			}
+		}
+	}
+	return ids
+}
