--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -57,8 +57,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Probe checks whether a connection to the address can be opened.
-func Probe(ctx context.Context, address string) error {
+func Probe(ctx context.Context, dial DialFunc, address string) error {
 	c, err := dial(ctx, address)
 	if err != nil {
 		return err
@@ -66,7 +69,8 @@
 	return c.Close()
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+// Dial opens a TCP connection with the timeouts of this package.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// The error is ignored: without the option a broken connection is still detected,
@@ -74,11 +78,11 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(ackTimeout/time.Millisecond))
 		})
 	}}
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), connState: connState{idleSince: time.Now()}}, nil
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), connState: connState{idleSince: time.Now()}}
 }
 
 // write writes a request. The headers and a small body fit into one packet.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -9,6 +9,8 @@
 // Pool holds the connections to one upstream.
 type Pool struct {
 	address string
+	// Dial opens the connections. It must be set before the first request, or is the function Dial.
+	Dial DialFunc
 	// OnConnect is called after each attempt to open a connection for a request, with the error of
 	// the attempt. Attempts that were cancelled are left out. OnConnect may be nil and must be set
 	// before the first request.
@@ -25,7 +27,7 @@
 
 // NewPool returns a pool of at most limit connections to an address.
 func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(limit, 1)}
+	return &Pool{address: address, Dial: Dial, limit: max(limit, 1)}
 }
 
 // SetLimit changes the maximum number of connections. Open connections stay open.
@@ -61,7 +63,7 @@
 		}
 		p.discard(c)
 	}
-	c, err := dial(ctx, p.address)
+	c, err := p.Dial(ctx, p.address)
 	if p.OnConnect != nil && ctx.Err() == nil {
 		p.OnConnect(err)
 	}
@@ -71,7 +73,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return c, nil
+	return newConn(c), nil
 }
 
 // reserve takes the most recently used idle connection, or counts a new connection as open.
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -85,7 +85,7 @@
 		})
 		close(done)
 	}()
-	err := exchange.Probe(ctx, address)
+	err := exchange.Probe(ctx, r.opts.Dial, address)
 	if !exchange.IsConnectionRefused(err) {
 		r.log.Debug("upstream-reached", zap.String("upstream", string(instance.Upstream)), zap.Error(err))
 		return
--- a/relay/reachability.go
+++ b/relay/reachability.go
@@ -42,7 +42,7 @@
 
 // probeDataCentre probes a data centre through one of its upstreams.
 func (r *Relay) probeDataCentre(ctx context.Context, dc contract.DataCentreID, address string) {
-	err := exchange.Probe(ctx, address)
+	err := exchange.Probe(ctx, r.opts.Dial, address)
 	ok := err == nil || exchange.IsConnectionRefused(err)
 	r.withLock(func() { r.table.RecordDataCentreProbe(dc, ok, r.opts.Now()) })
 	if ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,8 @@
 	// OnBadRelease is called when a release is found to be bad.
 	// OnBadRelease must not block and may be nil.
 	OnBadRelease func()
+	// Dial opens connections to upstreams. A nil Dial means exchange.Dial.
+	Dial exchange.DialFunc
 	// Seed seeds the random source. Zero means a seed from the clock.
 	Seed uint64
 }
@@ -178,6 +180,9 @@
 func New(opts *Options) *Relay {
 	opts.ValueCostRatio = cmp.Or(opts.ValueCostRatio, cascade.DefaultValueCostRatio)
 	opts.MaxBackoff = cmp.Or(opts.MaxBackoff, upstream.DefaultMaxBackoff)
+	if opts.Dial == nil {
+		opts.Dial = exchange.Dial
+	}
 	seed := opts.Seed
 	if seed == 0 {
 		seed = uint64(opts.Now().UnixNano())
@@ -233,6 +238,7 @@
 	p, ok := r.pools[e.ID]
 	if !ok {
 		p = exchange.NewPool(e.Address, cmp.Or(r.connectionLimits[e.Service], minConnections))
+		p.Dial = r.opts.Dial
 		p.OnConnect = func(err error) { r.recordConnect(e, err) }
 		r.pools[e.ID] = p
 	}
