forward, relay, link: a VM without a path to a service's upstreams passes its requests to another VM

What callers saw: a VM that had lost its connections to all upstreams, while callers, the store and other VMs reached it, refused two thirds of its requests or all. Cause: a request had no way but this VM's own connections, and the verdict on the path was wrong (a refused connection counted as proof of a reachable data centre), lapsed after 1.5 s, and could not tell a lost path from a service that is down. The class: one VM's view of its own path taken for a fact about upstreams.

A path counts as lost when connections to three upstreams (or all) fail, refused or silent, and nothing answers; only an established connection ends that. A silent upstream is probed, for requests that may run once too. Other VMs are asked whether they reach the service: if one does, this VM is not ready and passes its requests on; if none does, the service is down and the VM stays ready. Deadline, cancellation, resumption, attempts and the retry budget go with it. A refused connection proves a crash only if another upstream can be reached.

--- a/contract/errors.go
+++ b/contract/errors.go
@@ -85,6 +85,7 @@
 	RefusedInvalidSession      RefusalKind = "session-invalid"
 	RefusedLimitReached        RefusalKind = "limit-reached"
 	RefusedNoUpstream          RefusalKind = "no-upstream"
+	RefusedNoPath              RefusalKind = "no-path"
 	RefusedUpstreamsBackedOff  RefusalKind = "upstreams-rest"
 	RefusedRegionNotAllowed    RefusalKind = "region-not-allowed"
 	RefusedUpstreamsAtLimit    RefusalKind = "upstreams-at-limit"
@@ -101,6 +102,16 @@
 	RefusedInvalidStreamToken  RefusalKind = "stream-invalid"
 )
 
+// ConcernsUpstreams reports whether a refusal says that this VM found no upstream for a request,
+// or that its attempts failed. Another VM may find one.
+func (k RefusalKind) ConcernsUpstreams() bool {
+	switch k {
+	case RefusedNoUpstream, RefusedNoPath, RefusedLimitReached, RefusedUpstreamFailed:
+		return true
+	}
+	return false
+}
+
 // Refusal is the error response to a request that the router does not serve or
 // stops retrying.
 type Refusal struct {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -84,6 +84,7 @@
 		version, revision = t.Version, t.Revision
 	}
 	open, dialed := v.relay.Connections()
+	helping, helped := v.helper.Counts()
 	resting, leaving := v.relay.CountBackedOff()
 	line := func(name string, value any) string { return fmt.Sprintf("%s %v", name, value) }
 	return []string{
@@ -97,6 +98,8 @@
 		line("connections_opened_total", dialed),
 		line("paths_failing", v.relay.CountPathsFailing()),
 		line("requests_held", v.relay.CountQuarantined()),
+		line("forwarded_requests_running", helping),
+		line("forwarded_requests_total", helped),
 		line("goroutines", runtime.NumGoroutine()),
 		line("log_lines_left_out_total", v.logWriter.Dropped()),
 		line("memory_heap_bytes", memory.HeapAlloc),
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -20,6 +20,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/drain"
+	"woaddoor/forward"
 	"woaddoor/keys"
 	"woaddoor/leader"
 	"woaddoor/link"
@@ -76,6 +77,8 @@
 	// deployment does not configure it.
 	lease *leader.LeaseClient
 	usage *leader.UsageLedger
+	// helper serves the requests that other VMs pass to this one.
+	helper *forward.Helper
 	// callers is the listener for callers, which tracks their connections.
 	callers *drain.Listener
 }
@@ -141,8 +144,10 @@
 		Endpoint: endpoint, Self: self, Seeds: s.Listen.Seeds, Regions: s.Regions, FirstStart: s.FirstStart, Log: v.log, Now: time.Now,
 		Lease: v.lease, Usage: v.usage,
 	})
+	forwarder := forward.NewClient(&forward.ClientOptions{Endpoint: endpoint, Candidates: v.peers.ForwardCandidates, Log: v.log, Now: time.Now})
 	v.relay = relay.New(&relay.Options{
-		Protocol: platform.UpstreamProtocol{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
+		Forwarder: forwarder,
+		Protocol:  platform.UpstreamProtocol{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget:  retry.ResendWindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:     v.peers.EstimatedVMs,
 		ListAge: v.listAge,
@@ -153,6 +158,7 @@
 		WorkspaceWeight: v.workspaceWeight,
 		EvacuationBound: s.Bounds.Evacuation, ColdOwners: v.peers.ColdOwners, ColdBounds: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
+	v.helper = forward.NewHelper(endpoint, v.relay, v.stopping.Load, v.log)
 	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.ConfigurationApply),
 		Upstreams: platform.Upstreams(store, s.Bounds.UpstreamDrain), Rollouts: platform.Rollouts(store), WriteRolloutStatus: store.WriteRolloutStatus, Relay: v.relay, Log: v.log, Now: time.Now,
@@ -302,6 +308,7 @@
 	}()
 	time.Sleep(min(balancerDetectionTime, v.settings.Bounds.ShutdownGrace/2))
 	drained := v.callers.Drain(ctx)
+	v.helper.Drain(ctx)
 	<-resigned
 	v.peers.FlushUsage(ctx)
 	v.log.Info("stop", zap.Bool("whole", drained))
--- /dev/null
+++ b/forward/directory.go
@@ -0,0 +1,259 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/contract"
+	"woaddoor/relay"
+)
+
+// Candidate is a VM that may serve requests for this one.
+type Candidate struct {
+	VM         contract.VMID
+	Address    string // link address
+	DataCentre contract.DataCentreID
+	// Distance is 0 for VMs of this VM's data centre, 1 for its region, and 2 for other regions.
+	Distance int
+}
+
+// Parameters of the search for helpers.
+const (
+	// askedPerDistance is how many VMs of each distance are asked.
+	askedPerDistance = 3
+	// askInterval is the minimum time between two rounds in which VMs are asked about a service.
+	askInterval = 500 * time.Millisecond
+	// answerTTL is how long the answers of a round count.
+	answerTTL = 2 * time.Second
+	// helperTTL is how long a VM stays a helper without a further answer.
+	helperTTL = 5 * time.Second
+	// droppedFor is how long a VM that has declined a request or was lost is not offered another.
+	droppedFor = time.Second
+)
+
+// directory holds which VMs reach which services.
+type directory struct {
+	opts *ClientOptions
+	ask  func(ctx context.Context, address string, s contract.ServiceID) (ReachAnswer, error)
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	services map[contract.ServiceID]*serviceHelpers
+}
+
+// serviceHelpers holds what other VMs have answered about a service.
+type serviceHelpers struct {
+	askedAt time.Time
+	// round is the round in progress, or nil.
+	round *round
+	// reach is what the VMs have answered, the last one at answeredAt.
+	reach      relay.Reach
+	answeredAt time.Time
+	logged     relay.Reach // as last logged
+	helpers    []helper
+}
+
+// round is one round of questions to other VMs. The channel settled is closed once a VM has answered
+// that it reaches the service, or the round has ended.
+type round struct {
+	settled chan struct{}
+	once    sync.Once
+}
+
+func (r *round) settle() { r.once.Do(func() { close(r.settled) }) }
+
+// helper is a VM that reaches a service.
+type helper struct {
+	Candidate
+	// running is the number of requests that the VM has stated to run for other VMs,
+	// and sent the number of requests of this VM that it runs.
+	running, sent int
+	answeredAt    time.Time
+	droppedUntil  time.Time
+}
+
+func newDirectory(opts *ClientOptions, ask func(context.Context, string, contract.ServiceID) (ReachAnswer, error)) *directory {
+	return &directory{opts: opts, ask: ask, services: make(map[contract.ServiceID]*serviceHelpers)}
+}
+
+// service returns the helpers of a service. The caller holds mu.
+func (d *directory) service(s contract.ServiceID) *serviceHelpers {
+	h, ok := d.services[s]
+	if !ok {
+		h = &serviceHelpers{}
+		d.services[s] = h
+	}
+	return h
+}
+
+func (d *directory) reach(s contract.ServiceID) relay.Reach {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.service(s)
+	if d.opts.Now().Sub(h.answeredAt) >= answerTTL {
+		return relay.ReachUnknown
+	}
+	return h.reach
+}
+
+// refresh asks other VMs about a service, unless they were asked within askInterval.
+// If no helper is known, refresh waits until one is found or the round has ended.
+func (d *directory) refresh(ctx context.Context, s contract.ServiceID) {
+	d.mu.Lock()
+	h, now := d.service(s), d.opts.Now()
+	if h.round == nil && (h.askedAt.IsZero() || now.Sub(h.askedAt) >= askInterval) {
+		h.askedAt, h.round = now, &round{settled: make(chan struct{})}
+		go d.askAll(context.WithoutCancel(ctx), s, h.round)
+	}
+	current, known := h.round, h.reach == relay.ReachElsewhere && now.Sub(h.answeredAt) < answerTTL
+	d.mu.Unlock()
+	if current == nil || known {
+		return
+	}
+	select {
+	case <-current.settled:
+	case <-ctx.Done():
+	}
+}
+
+// answered is the answer of one VM, or no answer.
+type answered struct {
+	Candidate
+	ReachAnswer
+	err error
+}
+
+// askAll asks some VMs of each distance about a service, and records the answers.
+func (d *directory) askAll(ctx context.Context, s contract.ServiceID, current *round) {
+	defer current.settle()
+	asked := someOfEach(d.opts.Candidates())
+	answers := make(chan answered, len(asked))
+	for _, c := range asked {
+		go func() {
+			a, err := d.ask(ctx, c.Address, s)
+			answers <- answered{c, a, err}
+		}()
+	}
+	var all []answered
+	for range asked {
+		a := <-answers
+		all = append(all, a)
+		if a.err == nil && a.Reaches { // requests need not wait for VMs that do not answer
+			d.add(s, a)
+			current.settle()
+		}
+	}
+	d.record(s, all)
+}
+
+// someOfEach returns askedPerDistance random VMs of each distance.
+func someOfEach(candidates []Candidate) []Candidate {
+	var picked []Candidate
+	count := make(map[int]int)
+	for _, i := range rand.Perm(len(candidates)) {
+		c := candidates[i]
+		if count[c.Distance]++; count[c.Distance] <= askedPerDistance {
+			picked = append(picked, c)
+		}
+	}
+	return picked
+}
+
+// add records that a VM reaches a service.
+func (d *directory) add(s contract.ServiceID, a answered) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, now := d.service(s), d.opts.Now()
+	h.reach, h.answeredAt = relay.ReachElsewhere, now
+	i := h.index(a.VM)
+	if i < 0 {
+		h.helpers = append(h.helpers, helper{})
+		i = len(h.helpers) - 1
+	}
+	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].answeredAt = a.Candidate, a.Running, now
+}
+
+// record ends a round. A VM that has answered that it has no path is no helper any more.
+func (d *directory) record(s contract.ServiceID, all []answered) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, now := d.service(s), d.opts.Now()
+	silent, reach := 0, relay.ReachUnknown
+	for _, a := range all {
+		switch {
+		case a.err != nil:
+			silent++
+		case a.Reaches:
+			reach = relay.ReachElsewhere
+		default:
+			if i := h.index(a.VM); i >= 0 {
+				h.helpers[i].droppedUntil = now.Add(droppedFor)
+			}
+			if a.Distance > 0 && reach == relay.ReachUnknown {
+				reach = relay.ReachNowhere
+			}
+		}
+	}
+	h.helpers = slices.DeleteFunc(h.helpers, func(known helper) bool { return known.sent == 0 && now.Sub(known.answeredAt) >= helperTTL })
+	h.reach, h.answeredAt, h.round = reach, now, nil
+	if reach != h.logged {
+		h.logged = reach
+		d.opts.Log.Info("reach", zap.String("service", string(s)), zap.Stringer("reached", reach),
+			zap.Int("asked", len(all)), zap.Int("silent", silent), zap.Int("helpers", len(h.helpers)))
+	}
+}
+
+// index returns the index of a helper, or -1.
+func (h *serviceHelpers) index(id contract.VMID) int {
+	return slices.IndexFunc(h.helpers, func(known helper) bool { return known.VM == id })
+}
+
+// pick returns the nearest helper for a request, of several the least loaded, and counts the request.
+func (d *directory) pick(s contract.ServiceID, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, now := d.service(s), d.opts.Now()
+	best := -1
+	for i, known := range h.helpers {
+		if now.Before(known.droppedUntil) || !allowed(known.DataCentre) {
+			continue
+		}
+		if best < 0 || compareHelpers(known, h.helpers[best]) < 0 {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Candidate{}, false
+	}
+	h.helpers[best].sent++
+	return h.helpers[best].Candidate, true
+}
+
+// compareHelpers orders helpers by their distance, then by their load.
+func compareHelpers(a, b helper) int {
+	return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.running+a.sent, b.running+b.sent))
+}
+
+// drop records that a VM has not accepted a request.
+func (d *directory) drop(s contract.ServiceID, id contract.VMID) { d.done(s, id, false) }
+
+// done records that a request has ended at a VM. If the VM has failed it, it gets no other for a while.
+func (d *directory) done(s contract.ServiceID, id contract.VMID, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.service(s)
+	i := h.index(id)
+	if i < 0 {
+		return
+	}
+	h.helpers[i].sent--
+	if !ok {
+		h.helpers[i].droppedUntil = d.opts.Now().Add(droppedFor)
+	}
+}
--- /dev/null
+++ b/forward/helper.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woaddoor/contract"
+	"woaddoor/link"
+	"woaddoor/logs"
+	"woaddoor/relay"
+)
+
+// Bounds on what a helper takes on for other VMs.
+const (
+	// maxRunning is the largest number of requests.
+	maxRunning = 128
+	// maxBytes bounds the sum of the requests' bodies.
+	maxBytes = 16 * contract.MiB
+)
+
+// Helper serves the requests that other VMs pass to this one.
+type Helper struct {
+	relay    *relay.Relay
+	stopping func() bool
+	log      *zap.Logger
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	running int
+	bytes   contract.Bytes
+	served  int64
+}
+
+// NewHelper returns a Helper and registers its handlers with an endpoint.
+// The function stopping reports whether this VM accepts no more requests.
+func NewHelper(e *link.Endpoint, r *relay.Relay, stopping func() bool, log *zap.Logger) *Helper {
+	h := &Helper{relay: r, stopping: stopping, log: log}
+	link.Handle(e, link.KindReach, h.answerReach)
+	link.HandleStream(e, link.KindForward, h.serve)
+	return h
+}
+
+// Counts returns the number of requests that run for other VMs, and that have run so far.
+func (h *Helper) Counts() (running int, total int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.running, h.served
+}
+
+// drainPollInterval is how often Drain checks whether requests still run.
+const drainPollInterval = 20 * time.Millisecond
+
+// Drain waits until no request of another VM runs or ctx ends.
+// The caller has made stopping return true before.
+func (h *Helper) Drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		if running, _ := h.Counts(); running == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(drainPollInterval):
+		}
+	}
+}
+
+func (h *Helper) answerReach(ctx context.Context, _ string, q ReachQuery) (ReachAnswer, error) {
+	running, _ := h.Counts()
+	return ReachAnswer{Reaches: !h.stopping() && h.relay.Reaches(ctx, q.Service), Running: running}, nil
+}
+
+// admit reserves room for a request, or returns why it is not accepted.
+func (h *Helper) admit(ctx context.Context, o Offer) Reason {
+	switch {
+	case h.stopping():
+		return Stopping
+	case !h.relay.Reaches(ctx, o.Service):
+		return NoPath
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running >= maxRunning || h.running > 0 && h.bytes+o.Bytes > maxBytes {
+		return Full
+	}
+	h.running++
+	h.bytes += o.Bytes
+	return ""
+}
+
+func (h *Helper) release(o Offer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running--
+	h.bytes -= o.Bytes
+}
+
+// serve serves one request of another VM.
+func (h *Helper) serve(ctx context.Context, peer string, s *link.Stream) {
+	var o Offer
+	if err := s.Receive(&o, requestTimeout); err != nil {
+		return
+	}
+	if why := h.admit(ctx, o); why != "" {
+		_ = s.Send(Admission{Why: why}) // a lost admission is an unanswered offer
+		return
+	}
+	defer h.release(o)
+	if s.Send(Admission{Accepted: true}) != nil {
+		return
+	}
+	var f relay.ForwardedRequest
+	if err := s.Receive(&f, requestTimeout); err != nil {
+		h.log.Info("forward-not-received", append(logs.ErrorFields(err), zap.String("from", peer))...)
+		return
+	}
+	h.mu.Lock()
+	h.served++
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer := &answerWriter{stream: s}
+	go answer.keepAlive(ctx)
+	end, refusal, outcome, sends := h.relay.ServeForwarded(ctx, &f, answer)
+	if end == relay.CallerGone { // the stream has failed, which does not tell whether the caller has left
+		s.Cancel()
+		return
+	}
+	_ = s.Send(Part{End: &End{RequestEnd: end, Refusal: refusal, Outcome: outcome, Sends: sends}}) // without it, the helper counts as lost
+}
+
+// answerWriter sends the answer to a request to the VM that passed it on. It implements relay.Caller.
+type answerWriter struct{ stream *link.Stream }
+
+// SendResponse sends a complete answer.
+func (a *answerWriter) SendResponse(h *relay.ResponseHead, body []byte) error {
+	return a.stream.Send(Part{Head: newHead(h), Whole: true, Body: body})
+}
+
+// BeginStream sends the head of a stream.
+func (a *answerWriter) BeginStream(h *relay.ResponseHead) error {
+	return a.stream.Send(Part{Head: newHead(h)})
+}
+
+// SendEvents sends complete events.
+func (a *answerWriter) SendEvents(events []byte) error { return a.stream.Send(Part{Events: events}) }
+
+// EndStream does nothing: the last part ends the stream.
+func (a *answerWriter) EndStream() error { return nil }
+
+// keepAlive sends empty parts until ctx ends.
+func (a *answerWriter) keepAlive(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(keepAliveInterval):
+		}
+		if a.stream.Send(Part{}) != nil {
+			return
+		}
+	}
+}
+
+func newHead(h *relay.ResponseHead) *Head {
+	return &Head{Status: h.Status, Header: h.Header, Confidence: h.Confidence, WeightsVersion: h.WeightsVersion}
+}
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -145,7 +145,7 @@
 	{"an engine outside the gossip scope is not assumed idle", "upstream/gossip_scope.go", "	if t.inGossipScope(s, dc) {", "	if true {", "./upstream", "TestEnginesOutsideGossipScopeAreNotIdle"},
 	{"a request that no engine can prefill in time is refused", "relay/models.go", "return retryAfter, true", "return retryAfter, false", "./relay", "TestQueueBeyondDeadlineIsRefused"},
 	{"a silent attempt is ended only with a resend in the budget", "relay/reservation.go", "take && !budget.CanTake(p, vms, now)", "false", "./relay", "TestSilentAttemptIsEndedOnlyWithSuccessor"},
-	{"a silent attempt goes on until its successor is accepted", "relay/watchdog.go", "	if !sent { // no upstream works on the attempt\n", "	if true {\n", "./platform", "TestStalledStreamSurvivesRejectedResumes"},
+	{"a silent attempt goes on until its successor is accepted", "relay/watchdog.go", "	if !sent || reserved.forward { // no upstream works on the attempt, or its answer cannot arrive\n", "	if true {\n", "./platform", "TestStalledStreamSurvivesRejectedResumes"},
 	{"a silent upstream is released soon after the next send", "relay/successor.go", "wait := maxOverlap - now.Sub(s.sentAt); wait > 0", "wait := recheckInterval; wait > 0", "./platform", "TestStalledUpstreamIsReleasedSoon"},
 	{"a resume is accepted by a stream alone", "relay/successor.go", "(!resumes || o.head.Status == http.StatusOK)", "true", "./platform", "TestStalledStreamSurvivesRejectedResumes"},
 	{"a reservation that is not used is released", "relay/reservation.go", "	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)\n", "	_ = upstream.Abandoned\n", "./relay", "TestReservedAttemptIsUsedOrReleased"},
--- a/link/message.go
+++ b/link/message.go
@@ -47,12 +47,19 @@
 	KindUpstreamReport
 	// KindUsageReport sends the lease holder the usage that the sender has aggregated.
 	KindUsageReport
+	// KindReach asks a VM whether it reaches the upstreams of a service.
+	KindReach
+	// KindForward is the kind of streams with which a VM that reaches no upstream of a service passes
+	// a request to another VM. A lost message ends the stream; package forward states what the VMs
+	// then know of the request.
+	KindForward
 )
 
 // kindNames maps each kind to its label in metrics.
 var kindNames = map[Kind]string{
 	KindPullConfig: "pull", KindHeartbeat: "heartbeat", KindTicketVote: "vote", KindCopyBills: "keep", KindFileBills: "file", KindBillsFiled: "filed",
 	KindTicketSettled: "settled", KindGossip: "word", KindObjectChanges: "changes", KindUpstreamReport: "reads", KindUsageReport: "usage",
+	KindReach: "reach", KindForward: "forward",
 }
 
 // String returns the label of the kind in metrics.
--- a/link/server.go
+++ b/link/server.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -23,6 +25,10 @@
 	keepAlivePeriod  = 4 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
+	// streamWindow bounds the bytes of a stream that its receiver has not read, as long as the receiver
+	// reads slowly. connectionWindow leaves room for calls beside many such streams.
+	streamWindow     = 64 << 10
+	connectionWindow = 9 << 20
 	codeRefused      = quic.ApplicationErrorCode(1)
 	codeNormal       = quic.ApplicationErrorCode(0)
 )
@@ -44,6 +50,9 @@
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIncomingStreams:   maxStreams,
 		EnableDatagrams:      true,
+
+		InitialStreamReceiveWindow:     streamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
 	}
 	if e.sharedConns {
 		c.KeepAlivePeriod = 0
@@ -67,6 +76,8 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	handlers  map[Kind]handler
+	// streamHandlers holds the handlers of streams.
+	streamHandlers map[Kind]StreamHandler
 	// InOtherDataCentre reports whether the peer at an address is in another data centre.
 	// SentCounts counts the messages to peers in other data centres separately.
 	// InOtherDataCentre may be nil, and must be set before Serve is called.
@@ -106,7 +117,7 @@
 	}
 	e := &Endpoint{
 		identity: identity, transport: &quic.Transport{Conn: socket},
-		handlers: make(map[Kind]handler), conns: make(map[string]*peerConn),
+		handlers: make(map[Kind]handler), streamHandlers: make(map[Kind]StreamHandler), conns: make(map[string]*peerConn),
 	}
 	for _, apply := range options {
 		apply(e)
@@ -181,11 +192,21 @@
 	}
 }
 
-// serveStream handles the request on one stream and writes the response.
+// serveStream handles the request on one stream and writes the response,
+// or handles the messages if the stream carries a Stream.
 func (e *Endpoint) serveStream(ctx context.Context, peer, remoteAddr string, stream *quic.Stream) {
 	defer stream.Close()
+	var first [1]byte
+	if _, err := io.ReadFull(stream, first[:]); err != nil {
+		stream.CancelWrite(quic.StreamErrorCode(codeRefused))
+		return
+	}
+	if first[0] == streamMarker {
+		e.serveMessages(ctx, peer, remoteAddr, stream)
+		return
+	}
 	var req requestFrame
-	if err := readFrame(stream, &req); err != nil {
+	if err := readFrame(io.MultiReader(bytes.NewReader(first[:]), stream), &req); err != nil {
 		stream.CancelWrite(quic.StreamErrorCode(codeRefused))
 		return
 	}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -90,9 +90,39 @@
 		r.log.Debug("upstream-reached", zap.String("upstream", string(instance.Upstream)), zap.Error(err))
 		return
 	}
+	if !r.refusalIsUpstreams(ctx, instance) {
+		r.log.Info("crash-undecided", zap.String("upstream", string(instance.Upstream)), zap.String("why", "no connection to any other upstream can be established either"))
+		return
+	}
 	r.withLock(func() { r.recordCrash(instance, "nothing listens", r.possibleCrashes.Confirm(instance)) })
 }
 
+// comparedUpstreams is the number of other upstreams that are probed before a refused connection
+// counts as the crash of an upstream.
+const comparedUpstreams = 3
+
+// refusalIsUpstreams reports whether a refused connection shows that an upstream has crashed.
+// If no other upstream can be reached either, this VM may have lost its path to all of them.
+// Without another upstream there is nothing to compare with.
+func (r *Relay) refusalIsUpstreams(ctx context.Context, instance contract.UpstreamInstance) bool {
+	var others []upstream.Entry
+	r.withLock(func() {
+		for s := range r.poolsByRelease {
+			others = append(others, r.randomUpstreams(s, comparedUpstreams, instance.Upstream, r.opts.Now())...)
+		}
+	})
+	reached := make(chan bool, len(others))
+	for _, e := range others {
+		go func() { reached <- r.probePath(ctx, e) }()
+	}
+	for range others {
+		if <-reached {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // detectReplaced detects crashes from the upstream list:
 // a new instance at the address of an upstream shows that the earlier instance has ended.
 // The caller holds mu.
--- a/relay/log.go
+++ b/relay/log.go
@@ -28,6 +28,12 @@
 	if j.escalated {
 		fields = append(fields, zap.Float64("given_up_confidence", j.discardedConfidence))
 	}
+	if j.via != "" {
+		fields = append(fields, zap.String("via", string(j.via)))
+	}
+	if j.forwarded {
+		fields = append(fields, zap.Bool("forwarded", true))
+	}
 	if !j.firstAnswerAt.IsZero() {
 		fields = append(fields, zap.Int64("first_ms", j.firstAnswerAt.Sub(j.Arrived).Milliseconds()))
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -61,6 +61,9 @@
 	// limitChanges counts the changes of upstreams' rate limits,
 	// and sendsToLimited the selections of upstreams with a rate limit.
 	limitChanges, sendsToLimited metrics.Counter
+	// forwards counts the requests that another VM has ended for this one, forwardsLost those whose VM
+	// was lost, and forwardsNotTaken those that no VM has taken.
+	forwards, forwardsLost, forwardsNotTaken metrics.Counter
 	// shareRefusals counts the requests that were refused because they were beyond the share of
 	// their workspace, and servicesShort is the number of services whose upstreams are short.
 	shareRefusals metrics.Counter
@@ -107,6 +110,10 @@
 		sendsToLimited:   metrics.NewRegisteredCounter("sends_to_limited_total", r),
 		sendsToBackedOff: metrics.NewRegisteredCounter("sends_to_resting_total", r),
 
+		forwards:         metrics.NewRegisteredCounter("forwards_total", r),
+		forwardsLost:     metrics.NewRegisteredCounter("forwards_lost_total", r),
+		forwardsNotTaken: metrics.NewRegisteredCounter("forwards_not_taken_total", r),
+
 		shareRefusals: metrics.NewRegisteredCounter("share_refusals_total", r),
 		servicesShort: metrics.NewRegisteredGauge("services_short", r),
 	}
--- a/relay/reachability.go
+++ b/relay/reachability.go
@@ -25,8 +25,9 @@
 	isolationDelay = 500 * time.Millisecond
 )
 
-// ProbeDataCentres probes data centres that appear unreachable,
-// so that no request is needed to find out that a data centre is reachable again.
+// ProbeDataCentres probes data centres that appear unreachable and the upstreams of services to
+// which this VM may have lost its path, so that no request is needed to find out that they are
+// reachable again.
 // ProbeDataCentres returns when ctx ends.
 func (r *Relay) ProbeDataCentres(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -36,6 +37,7 @@
 		for dc, address := range targets {
 			go r.probeDataCentre(ctx, dc, address)
 		}
+		r.checkPaths(ctx)
 		r.updateIsolation()
 	}
 }
@@ -52,13 +54,6 @@
 	r.log.Debug("data-centre-away", append(logs.ErrorFields(err), zap.String("data_centre", string(dc)))...)
 }
 
-// suspectDataCentre schedules a probe of the data centre of an upstream that has become silent.
-func (r *Relay) suspectDataCentre(e upstream.Entry) {
-	if e.DataCentre != r.opts.DataCentre {
-		r.withLock(func() { r.table.SuspectDataCentre(e.DataCentre) })
-	}
-}
-
 // updateIsolation checks whether this VM is isolated, and logs changes.
 func (r *Relay) updateIsolation() {
 	r.mu.Lock()
@@ -80,14 +75,26 @@
 	}
 }
 
-// isIsolated reports whether no upstream of a service can be reached
-// because all other data centres are unreachable.
+// isIsolated reports whether other VMs can serve the requests for a service better than this VM:
+// this VM has no path to its upstreams and another VM has,
+// or all other data centres are unreachable and no upstream of this one works.
+// If other VMs answer that they have no path either, the service itself is down;
+// callers gain nothing from another VM, and other services would lose this one.
 // While the VM's own data centre is evacuated,
 // the upstreams of that data centre do not count as reachable.
 // The operator's order to evacuate applies even if no other upstream is left.
-// If a VM reports that it is not ready, callers are directed to VMs that can serve them.
 // The caller holds mu.
 func (r *Relay) isIsolated(s contract.ServiceID, now time.Time) bool {
+	elsewhere := r.elsewhere(s)
+	if elsewhere == ReachElsewhere && r.pathState(s, now) == upstream.PathLost {
+		return true
+	}
+	return elsewhere != ReachNowhere && r.noDataCentreReached(s, now)
+}
+
+// noDataCentreReached reports whether all other data centres are unreachable and
+// no upstream of a service works in this one. The caller holds mu.
+func (r *Relay) noDataCentreReached(s contract.ServiceID, now time.Time) bool {
 	return r.table.Isolated(r.opts.DataCentre, r.notEvacuated(poolsExcept(r.poolsByRelease[s], r.rolledBack[s]), 0, now), now)
 }
 
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -94,6 +94,21 @@
 	return f.WithRetryAfter(r.retryAfter(j.service, o, retryAfterListUpdate, now))
 }
 
+// refuseNoPath refuses a request because this VM has no path to the upstreams of its service.
+// The caller holds mu.
+func (r *Relay) refuseNoPath(j *job, now time.Time) *contract.Refusal {
+	status := r.paths.Status(j.service, now)
+	f := &contract.Refusal{
+		Kind: contract.RefusedNoPath, Outcome: j.outcome, Step: contract.StepPick,
+		Detail: fmt.Sprintf("no connection to an upstream of the service can be established: %d failed since one was last established", status.Failed),
+	}
+	return f.WithRetryAfter(retryAfterNoPath)
+}
+
+// retryAfterNoPath is the delay before a retry after a VM without a path has refused a request.
+// The next connection of the caller may lead to another VM.
+const retryAfterNoPath = 100 * time.Millisecond
+
 // retryAfter returns the delay before a retry.
 // The delay is defaultDelay unless all upstreams of the service reject requests.
 // If all upstreams have requested a back-off, retries start when the first back-off ends.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,9 @@
 	// OnBadRelease is called when a release is found to be bad.
 	// OnBadRelease must not block and may be nil.
 	OnBadRelease func()
+	// Forwarder passes requests to other VMs while this VM has no path to the upstreams.
+	// A nil Forwarder means that there is no other VM.
+	Forwarder Forwarder
 	// Dial opens connections to upstreams. A nil Dial means exchange.Dial.
 	Dial exchange.DialFunc
 	// Seed seeds the random source. Zero means a seed from the clock.
@@ -157,6 +160,10 @@
 	// loggedPaths holds the state of each path as last logged.
 	paths       *upstream.PathMonitor
 	loggedPaths map[contract.ServiceID]upstream.PathState
+	// suspectedPaths holds, by service, an upstream that has become silent and has yet to be probed.
+	// pathSuspectedAt is when an upstream of a service last became silent.
+	suspectedPaths  map[contract.ServiceID]contract.UpstreamID
+	pathSuspectedAt map[contract.ServiceID]time.Time
 	// evacuations holds the data centres whose upstreams must receive no more requests.
 	evacuations map[contract.DataCentreID]evacuation
 	// possibleCrashes holds the upstreams whose connections broke off and that may have crashed.
@@ -208,6 +215,7 @@
 		fairShares:        make(map[contract.ServiceID]*fairshare.Service),
 		possibleCrashes:   quarantine.NewCrashTracker(), quarantineCases: quarantine.NewTable(),
 		paths: upstream.NewPathMonitor(), loggedPaths: make(map[contract.ServiceID]upstream.PathState),
+		suspectedPaths: make(map[contract.ServiceID]contract.UpstreamID), pathSuspectedAt: make(map[contract.ServiceID]time.Time),
 		running: make(map[*Request]int), probesRunning: make(map[contract.UpstreamInstance]chan struct{}),
 	}
 }
@@ -281,42 +289,72 @@
 // Serve answers a request through an upstream and returns how the request ended.
 // A refusal is always returned with Refused, and may be returned with StreamCut.
 func (r *Relay) Serve(ctx context.Context, req *Request, c Caller) (RequestEnd, *contract.Refusal) {
-	ctx, cancel := context.WithDeadlineCause(ctx, req.Deadline, errDeadline)
+	j := newJob(req)
+	r.withLock(func() { j.service = req.Route.PickService(r.random.Float64()) })
+	return r.serve(ctx, j, c)
+}
+
+// serve answers the request of a job through an upstream, or through another VM
+// if this VM has no path to the upstreams.
+func (r *Relay) serve(ctx context.Context, j *job, c Caller) (RequestEnd, *contract.Refusal) {
+	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, errDeadline)
 	defer cancel()
-	j := &job{Request: req, outcome: contract.OutcomeNotRun, confidence: -1, relativeValue: 1}
+	forwards := false
+	r.withLock(func() { forwards = r.forwardsFirst(j, r.opts.Now()) })
+	var end RequestEnd
+	var refused *contract.Refusal
+	ended := false
+	if forwards {
+		end, refused, ended = r.forward(ctx, j, c)
+	}
+	if !ended {
+		end, refused = r.serveLocally(ctx, j, c)
+		if !forwards && r.forwardAfter(ctx, j, refused) {
+			if e, f, ok := r.forward(ctx, j, c); ok {
+				end, refused = e, f
+			}
+		}
+	}
+	r.recordRequestEnd(j, end, refused)
+	return end, refused
+}
+
+// serveLocally answers the request of a job through an upstream that this VM reaches.
+func (r *Relay) serveLocally(ctx context.Context, j *job, c Caller) (RequestEnd, *contract.Refusal) {
 	var retryAfter time.Duration
 	unreachable := false
 	var share shareCheck
 	r.withLock(func() {
-		j.service = req.Route.PickService(r.random.Float64())
-		r.retryBudget(j.service).RecordRequest(r.opts.Now())
+		if !j.counted {
+			r.retryBudget(j.service).RecordRequest(r.opts.Now())
+			j.counted = true
+		}
 		if share = r.checkShare(j, r.opts.Now()); share.refusal != nil {
 			return
 		}
-		if isStream(req) {
-			j.relativeValue = r.table.RecordPrompt(req.Route.Objective, r.requestValue(j), r.sendingVMs(), r.opts.Now())
+		if isStream(j.Request) {
+			j.relativeValue = r.table.RecordPrompt(j.Route.Objective, r.requestValue(j), r.sendingVMs(), r.opts.Now())
+		}
+		if j.model == "" { // otherwise the stream stays with the model that began it
+			retryAfter, unreachable = r.chooseModel(j)
 		}
-		if retryAfter, unreachable = r.chooseModel(j); !unreachable {
+		if !unreachable {
 			r.recordAdmitted(j, share, r.opts.Now())
 		}
 	})
-	var end RequestEnd
-	var refused *contract.Refusal
+	defer r.releaseReserved(j)
 	switch {
-	case len(req.Route.Shares) == 0:
-		end, refused = Refused, refuseUnlisted(j)
+	case len(j.Route.Shares) == 0:
+		return Refused, refuseUnlisted(j)
 	case share.refusal != nil:
-		end, refused = Refused, share.refusal
+		return Refused.afterHead(j), share.refusal
 	case unreachable:
-		end, refused = Refused, refuseLongQueue(j, retryAfter)
-	case isStream(req):
-		end, refused = r.serveStream(ctx, j, c)
+		return Refused, refuseLongQueue(j, retryAfter)
+	case isStream(j.Request):
+		return r.serveStream(ctx, j, c)
 	default:
-		end, refused = r.serveBuffered(ctx, j, c)
+		return r.serveBuffered(ctx, j, c)
 	}
-	r.releaseReserved(j)
-	r.recordRequestEnd(j, end, refused)
-	return end, refused
 }
 
 // sendingVMs returns how many VMs send requests to the engines in this VM's gossip scope,
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -14,6 +14,8 @@
 	selection
 	// resend is set if the attempt was taken from the retry budget.
 	resend bool
+	// forward is set if the attempt is made by another VM.
+	forward bool
 	// successor is set if the attempt was sent while the current attempt was silent.
 	successor *successor
 	// currentFailed is set if the current attempt failed before this VM ended it.
@@ -44,12 +46,24 @@
 	r.prepareFingerprint(&next)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.forwardsFirst(&next, now) {
+		return r.reserveForward(&next, now)
+	}
 	if !r.hasAlternative(&next, suspected, now) {
 		return nil, retry.NoOtherUpstream
 	}
 	return r.reserve(&next, retry.ForRetry, next.sends > 0, now)
 }
 
+// reserveForward reserves an attempt by another VM. The caller holds mu.
+func (r *Relay) reserveForward(next *job, now time.Time) (*reservation, retry.Reason) {
+	resend := next.sends > 0
+	if resend && !next.spareResend && !r.retryBudget(next.service).Take(retry.ForRetry, r.opts.VMs(), now) {
+		return nil, retry.BudgetExhausted
+	}
+	return &reservation{forward: true, resend: resend}, ""
+}
+
 // reserveEscalation reserves the attempt with a larger model for which
 // the current answer of a job is to be discarded.
 // The answer is kept if there is no such attempt. The caller holds mu.
@@ -86,6 +100,9 @@
 	}
 	next := j.reserved
 	j.reserved = nil
+	if next.forward {
+		return
+	}
 	if next.successor != nil {
 		r.abandonSuccessor(next.successor)
 		return
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -22,6 +22,12 @@
 // selectUpstream returns the reserved upstream of the next attempt.
 // If none is reserved, selectUpstream chooses one and counts the request at that upstream.
 func (r *Relay) selectUpstream(j *job) (upstream.Entry, *contract.Refusal) {
+	if next := j.reserved; next != nil && next.forward {
+		j.resendTaken, j.reserved = next.resend, nil
+		var refused *contract.Refusal
+		r.withLock(func() { refused = r.refuseNoPath(j, r.opts.Now()) })
+		return upstream.Entry{}, refused
+	}
 	if j.reserved != nil {
 		next := j.reserved
 		j.selection, j.resendTaken, j.successor, j.reserved = next.selection, next.resend, next.successor, nil
@@ -43,8 +49,8 @@
 	if refused := r.checkSuspectRunning(j); refused != nil {
 		return upstream.Entry{}, refused
 	}
-	if j.failures > 0 && r.isIsolated(j.service, now) {
-		return upstream.Entry{}, r.refuseNoUpstream(j, now) // other upstreams would fail too
+	if r.otherUpstreamsWouldFail(j, now) {
+		return upstream.Entry{}, r.refuseNoPath(j, now)
 	}
 	for _, pools := range r.eligiblePools(j, now) {
 		id, err := r.table.Pick(r.upstreamQuery(j, pools, now), now, r.random)
@@ -255,8 +261,7 @@
 // retryBlocked returns why there must not be another attempt, regardless of the retry budget
 // and of the upstreams. The result is "" if another attempt is allowed.
 func (j *job) retryBlocked(repeatable bool, now time.Time) retry.Reason {
-	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
-	if reason := attempt.RetryBlocked(max(j.Route.MaxAttempts, 1), now); reason != "" {
+	if reason := j.resendBlocked(repeatable, now); reason != "" {
 		return reason
 	}
 	if j.failures >= maxUnreachable+j.Route.MaxAttempts {
@@ -265,6 +270,13 @@
 	return ""
 }
 
+// resendBlocked returns why the request must not be sent to an upstream again,
+// regardless of how many upstreams this VM could not reach.
+func (j *job) resendBlocked(repeatable bool, now time.Time) retry.Reason {
+	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
+	return attempt.RetryBlocked(max(j.Route.MaxAttempts, 1), now)
+}
+
 // takeResend takes a resend of the request from the retry budget,
 // unless the resend that was taken last has reached no upstream.
 // takeResend returns false if the budget is exhausted.
@@ -318,7 +330,7 @@
 	r.recordAttemptEnd(j, j.lastUpstream, result, took)
 	if errors.Is(err, errSilent) {
 		r.observeLatency(j, took) // a lower bound of the answer's latency
-		r.suspectDataCentre(j.lastUpstream)
+		r.suspectPath(j.lastUpstream)
 	}
 	j.recordFailure(outcome, sent)
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -40,9 +40,13 @@
 // job is the state of one request that is being served.
 type job struct {
 	*Request
-	service     contract.ServiceID
-	model       contract.ModelID
-	modelReason string // reason for the choice of the model
+	service contract.ServiceID
+	// forwarded is set if another VM has passed the request to this one, and via is the VM to which
+	// this one has passed it. counted is set once a retry budget has counted the request.
+	forwarded, counted bool
+	via                contract.VMID
+	model              contract.ModelID
+	modelReason        string // reason for the choice of the model
 	// relativeValue is the value of the request relative to that of a mean request.
 	relativeValue float64
 	selection
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -46,10 +46,7 @@
 // serveStream answers a request with a stream of events.
 func (r *Relay) serveStream(ctx context.Context, j *job, c Caller) (RequestEnd, *contract.Refusal) {
 	s := &streamTransfer{relay: r, job: j, caller: c}
-	if j.LastEvent != nil {
-		s.events.SkipThrough(*j.LastEvent)
-		s.recordLastEvent()
-	}
+	s.skipReceived()
 	for {
 		e, refused := r.selectUpstream(j)
 		if refused != nil {
@@ -77,6 +74,17 @@
 	}
 }
 
+// skipReceived makes the transfer continue after the last event that the caller has received.
+func (s *streamTransfer) skipReceived() {
+	switch j := s.job; {
+	case j.resumes:
+		s.events.SkipThrough(j.lastEvent)
+	case j.LastEvent != nil:
+		s.events.SkipThrough(*j.LastEvent)
+		s.recordLastEvent()
+	}
+}
+
 // complete ends a transfer whose answer is complete.
 func (s *streamTransfer) complete() (RequestEnd, *contract.Refusal) {
 	s.job.outcome, s.job.status = contract.OutcomeRan, http.StatusOK
@@ -261,7 +269,7 @@
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			r.Metrics.stalls.Inc(1)
-			r.suspectDataCentre(a.entry)
+			r.suspectPath(a.entry)
 			return errStalled
 		case err != nil:
 			return err
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -25,7 +25,7 @@
 // that has been silent beyond its deadline once the next attempt is accepted.
 // The next attempt is reserved first, and sent while the silent attempt goes on.
 // silenceWatchdog never ends an attempt whose request may not be sent again:
-// a slow answer is better than none.
+// a slow answer is better than none. For such a request, it only notes that the upstream is silent.
 type silenceWatchdog struct {
 	relay *Relay
 	ctx   context.Context // context of the request
@@ -40,7 +40,7 @@
 	sending      *successor
 	lastReceived time.Time // when the attempt last received data
 	deadline     time.Time
-	timer        *time.Timer // nil if the request may not be sent again
+	timer        *time.Timer
 	done         bool
 	// pending is the next attempt while it is being sent.
 	// failed holds the successors that were rejected or dropped.
@@ -61,11 +61,9 @@
 func (r *Relay) watchSilence(ctx context.Context, j *job, deadline time.Time, abort func()) *silenceWatchdog {
 	w := &silenceWatchdog{relay: r, ctx: ctx, job: *j, sent: j.upstreamSeen, sending: j.successor, abort: abort, lastReceived: r.opts.Now(), deadline: deadline}
 	w.job.successor = nil
-	if j.mayResend() {
-		w.mu.Lock()
-		w.timer = time.AfterFunc(deadline.Sub(r.opts.Now()), w.check)
-		w.mu.Unlock()
-	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(deadline.Sub(r.opts.Now()), w.check)
 	return w
 }
 
@@ -95,9 +93,7 @@
 	for _, f := range w.failed {
 		w.job.recordFailedSuccessor(f)
 	}
-	if w.timer != nil {
-		w.timer.Reset(deadline.Sub(now))
-	}
+	w.timer.Reset(deadline.Sub(now))
 }
 
 // check ends the attempt, sends its successor or schedules the next check.
@@ -116,6 +112,10 @@
 		w.timer.Reset(w.deadline.Sub(now))
 		return
 	}
+	w.relay.suspectPath(w.job.lastUpstream)
+	if !w.job.mayResend() {
+		return
+	}
 	sent := w.sent || w.sending != nil && w.sending.sent.Load()
 	hung := now.Sub(w.lastReceived) >= hungFactor*w.deadline.Sub(w.lastReceived)
 	reserved, reason := w.relay.reserveRetry(&w.job, sent, hung)
@@ -124,7 +124,7 @@
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	if !sent { // no upstream works on the attempt
+	if !sent || reserved.forward { // no upstream works on the attempt, or its answer cannot arrive
 		w.endAttempt(reserved)
 		return
 	}
@@ -159,9 +159,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.done = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.timer.Stop()
 	if answered {
 		w.dropPending()
 	}
