--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -106,6 +106,7 @@
 		line("memory_system_bytes", memory.Sys),
 		line("retry_budget_left_ratio", v.relay.BudgetLeft()),
 		line("upstreams", v.relay.CountUpstreams()),
+		line("upstreams_brittle", v.relay.CountBrittle()),
 		line("upstreams_cold", v.relay.CountCold()),
 		line("upstreams_limited", v.relay.CountLimited()),
 		line("upstreams_resting", resting),
--- a/forward/client.go
+++ b/forward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -97,6 +98,9 @@
 	return s, ""
 }
 
+// errAbandoned means that a helper has abandoned a request although its caller waits.
+var errAbandoned = errors.New("the other VM has abandoned the request")
+
 // exchange sends an accepted request to its helper and delivers the answer.
 // It reports whether the helper has failed.
 func (c *Client) exchange(s *link.Stream, f *relay.ForwardedRequest, to relay.AnswerReceiver) (result relay.ForwardResult, helperFailed bool) {
@@ -110,6 +114,9 @@
 			s.DropIfSilent(began)
 			return relay.ForwardResult{End: relay.ForwardLost, Err: err}, true
 		}
+		if p.End != nil && p.End.RequestEnd == relay.CallerGone { // the helper stops, or has lost this stream
+			return relay.ForwardResult{End: relay.ForwardLost, Err: errAbandoned}, true
+		}
 		if p.End != nil {
 			return relay.ForwardResult{End: relay.ForwardEnded, RequestEnd: p.End.RequestEnd, Refusal: p.End.Refusal, Outcome: p.End.Outcome, Sends: p.End.Sends}, false
 		}
--- a/forward/helper.go
+++ b/forward/helper.go
@@ -124,10 +124,6 @@
 	answer := &answerWriter{stream: s}
 	go answer.keepAlive(ctx)
 	end, refusal, outcome, sends := h.relay.ServeForwarded(ctx, &f, answer)
-	if end == relay.CallerGone { // the stream has failed, which does not tell whether the caller has left
-		s.Cancel()
-		return
-	}
 	_ = s.Send(Part{End: &End{RequestEnd: end, Refusal: refusal, Outcome: outcome, Sends: sends}}) // without it, the helper counts as lost
 }
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -155,6 +155,10 @@
 // the upstream accepts from all VMs together.
 func LimitHeader(perSecond float64) string { return fmt.Sprintf("Server-Limit: %g", perSecond) }
 
+// BrittleHeader returns the header line by which an upstream states that it fails if it rejects more
+// requests per second, of all VMs together, for want of room.
+func BrittleHeader(perSecond float64) string { return fmt.Sprintf("Server-Brittle: %g", perSecond) }
+
 // BeginStream sends the status line and headers of a chunked event stream.
 func (c *Conn) BeginStream(id string, headers ...string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", id, c.Signature())
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -19,7 +19,8 @@
 
 // newEndpoint starts an endpoint with the keys of the given name. Its KindTicketVote
 // handler echoes the text of a message with the peer's name, or fails on the text "fail".
-func newEndpoint(t *testing.T, dir, name string) *Endpoint {
+// The functions prepare are called before the endpoint serves.
+func newEndpoint(t *testing.T, dir, name string, prepare ...func(*Endpoint)) *Endpoint {
 	t.Helper()
 	is := is.New(t)
 	keySet, err := keys.Load(filepath.Join(dir, name+".pem"), filepath.Join(dir, keys.PinsFile), filepath.Join(dir, keys.SigningFile))
@@ -32,6 +33,9 @@
 		}
 		return echoMessage{Text: peer + ": " + req.Text}, nil
 	})
+	for _, p := range prepare {
+		p(e)
+	}
 	go func() { _ = e.Serve(context.Background()) }()
 	t.Cleanup(func() { _ = e.Close() })
 	return e
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -59,6 +59,7 @@
 		zap.String("upstream", string(k.Instance.Upstream)), zap.Int64("born", k.Instance.Incarnation), zap.Uint64("version", k.Version),
 		zap.Bool("named", k.Limit.Statement == upstream.LimitStated), zap.Float64("per_second", k.Limit.PerSecond),
 		zap.Bool("named_before", before.Statement == upstream.LimitStated), zap.Float64("per_second_before", before.PerSecond),
+		zap.Bool("brittle", k.Limit.Brittle == upstream.LimitStated), zap.Float64("rejections_per_second", k.Limit.Rejections),
 	}, source...)...)
 }
 
@@ -94,6 +95,13 @@
 	r.withLock(func() { r.table.ReleaseShare(j.lastUpstream.Instance(), r.opts.Now()) })
 }
 
+// CountBrittle returns how many of the listed upstreams state that they are brittle.
+func (r *Relay) CountBrittle() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CountBrittle()
+}
+
 // CountLimited returns how many of the listed upstreams have a rate limit in force.
 func (r *Relay) CountLimited() int {
 	r.mu.Lock()
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -81,8 +81,8 @@
 	}
 	f := &contract.Refusal{
 		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: fmt.Sprintf("none of %d upstreams of the service can accept the request now: %d back off, %d are leaving, %d are at their rate limit (%.1f requests/s)",
-			o.Listed, o.BackedOff, o.Leaving, o.AtLimit, o.PerSecond),
+		Detail: fmt.Sprintf("none of %d upstreams of the service can accept the request now: %d back off, %d are leaving, %d are at their rate limit (%.1f requests/s), %d are brittle and have no room for this VM",
+			o.Listed, o.BackedOff, o.Leaving, o.AtLimit, o.PerSecond, o.NoRoom),
 	}
 	switch {
 	case o.NoneAccepting() && o.AtLimit > 0:
@@ -91,7 +91,11 @@
 		f.Kind = contract.RefusedUpstreamsBackedOff
 		f.Detail += fmt.Sprintf(", the first back-off ends in %v", o.NextBackoffEnd.Round(time.Millisecond))
 	}
-	return f.WithRetryAfter(r.retryAfter(j.service, o, retryAfterListUpdate, now))
+	defaultDelay := retryAfterListUpdate
+	if o.NoRoom > 0 {
+		defaultDelay = retryAfterBusy
+	}
+	return f.WithRetryAfter(r.retryAfter(j.service, o, defaultDelay, now))
 }
 
 // refuseNoPath refuses a request because this VM has no path to the upstreams of its service.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -179,6 +179,7 @@
 	r.gossipScope = scope
 	r.table.SetGossipScope(scope)
 	r.table.SetOwners(r.opts.DataCentre, owners)
+	r.table.SetVMs(r.opts.VMs())
 	r.table.CompareUpstreams(r.opts.DataCentre, r.opts.Now())
 	r.logEndedBackoffs(r.opts.Now())
 	r.refreshFairShares()
--- /dev/null
+++ b/upstream/brittle.go
@@ -0,0 +1,118 @@
+package upstream
+
+import "time"
+
+// A brittle upstream fails if it has to reject more than a stated number of requests per second, of
+// all VMs together, because they find no room. It may also let fewer requests wait than usual.
+// No VM knows what the other VMs send at the same moment. Each VM therefore has at most its part of
+// the slots of a brittle upstream in use, so that the sum finds room without waiting, and makes a
+// pause after a rejection that is long enough for the rejections of all VMs to stay within the bound.
+
+// Parameters of the requests to brittle upstreams.
+const (
+	// rejectionWindow is the window in which an upstream counts the requests that it rejects.
+	rejectionWindow = time.Second
+	// rejectionReserve is the factor by which the pauses after rejections are longer than needed:
+	// the clocks and pauses of VMs are not aligned.
+	rejectionReserve = 1.25
+	// maxRejectionPause limits the pause after a rejection, also for an upstream that bears none.
+	maxRejectionPause = 10 * time.Second
+)
+
+// SetVMs sets the number of VMs that send requests to the upstreams.
+func (t *Table) SetVMs(n int) { t.vms = max(n, 1) }
+
+// isBrittle reports whether an instance states that it is brittle. A nil receiver states nothing.
+func (a *instanceNotices) isBrittle() bool { return a != nil && a.limit.Brittle == LimitStated }
+
+// CountBrittle returns how many of the listed upstreams state that they are brittle.
+func (t *Table) CountBrittle() int {
+	n := 0
+	for _, s := range t.bounded {
+		if s.notices.isBrittle() {
+			n++
+		}
+	}
+	return n
+}
+
+// recordBrittleRejection begins the pause after a brittle upstream has rejected a request.
+func (t *Table) recordBrittleRejection(s *state, now time.Time) {
+	if s.notices.isBrittle() {
+		s.notices.limit.pauseUntil = now.Add(rejectionPause(s.notices.limit.Rejections, t.roomOf(s).senders))
+	}
+}
+
+// rejectionPause returns how long each of several senders sends nothing to an upstream that has rejected
+// its request, if the upstream bears the given number of rejections per second.
+func rejectionPause(perSecond float64, senders int) time.Duration {
+	if perSecond <= 0 {
+		return maxRejectionPause
+	}
+	pause := rejectionReserve * float64(max(senders, 1)) / perSecond * rejectionWindow.Seconds()
+	return min(max(time.Duration(pause*float64(time.Second)), rejectionWindow), maxRejectionPause)
+}
+
+// withinRoom reports whether this VM may send one more request to an upstream now
+// as far as its brittleness is concerned. A VM without a part of the upstream's slots
+// sends one request when no answer has confirmed the brittleness for a while.
+func (t *Table) withinRoom(s *state, now time.Time) bool {
+	switch {
+	case !s.notices.isBrittle():
+		return true
+	case now.Before(s.notices.limit.pauseUntil):
+		return false
+	}
+	if share := t.roomShare(s); share > 0 {
+		return s.inFlight < share
+	}
+	return s.inFlight == 0 && t.probeDelay(s, t.roomOf(s).localSenders, now) == 0
+}
+
+// room is the division of a brittle upstream's slots among the VMs. The VMs of its own data centre
+// get at least half of the slots.
+type room struct {
+	// senders is the number of VMs that may have a request in flight.
+	senders int
+	// local is the share of a VM of the upstream's data centre, of which localSenders have one.
+	// remote is the share of any other VM.
+	local, localSenders, remote int
+}
+
+// divideRoom divides slots among the VMs of a data centre and those of other data centres.
+// VMs of other data centres get a share only if there is a slot for each VM.
+func divideRoom(slots, localVMs, remoteVMs int) room {
+	slots, localVMs = max(slots, 1), max(localVMs, 1)
+	var r room
+	if remoteVMs > 0 && localVMs+remoteVMs <= slots {
+		r.remote = max(slots/2/remoteVMs, 1)
+		r.senders = remoteVMs
+	}
+	left := slots - r.remote*remoteVMs
+	r.localSenders = min(localVMs, left)
+	r.local = left / r.localSenders
+	r.senders += r.localSenders
+	return r
+}
+
+// roomOf returns the division of an upstream's slots.
+func (t *Table) roomOf(s *state) room {
+	vms := max(t.vms, len(t.owners.VMs), 1)
+	if s.pool.DataCentre != t.owners.dc { // assume that the VMs are spread evenly
+		local := max(vms/max(len(t.byDataCentre), 1), 1)
+		return divideRoom(s.slots, local, vms-local)
+	}
+	return divideRoom(s.slots, len(t.owners.VMs), vms-len(t.owners.VMs))
+}
+
+// roomShare returns how many requests this VM may have in flight at a brittle upstream.
+func (t *Table) roomShare(s *state) int {
+	r := t.roomOf(s)
+	switch {
+	case s.pool.DataCentre != t.owners.dc:
+		return r.remote
+	case t.ownerRank(s) < r.localSenders:
+		return r.local
+	}
+	return 0
+}
--- /dev/null
+++ b/upstream/brittle_test.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woaddoor/contract"
+)
+
+// brittleUpstream is an upstream that lets none wait from the end of a period of notice on.
+type brittleUpstream struct {
+	slots    int
+	running  []time.Time // when the running requests end
+	rejected []time.Time
+	most     int // largest number of rejections within rejectionWindow
+}
+
+func (u *brittleUpstream) take(queue int, now time.Time) bool {
+	for len(u.running) > 0 && !now.Before(u.running[0]) {
+		u.running = u.running[1:]
+	}
+	if len(u.running) < u.slots+queue {
+		u.running = append(u.running, now.Add(100*time.Millisecond))
+		return true
+	}
+	for len(u.rejected) > 0 && now.Sub(u.rejected[0]) >= rejectionWindow {
+		u.rejected = u.rejected[1:]
+	}
+	u.rejected = append(u.rejected, now)
+	u.most = max(u.most, len(u.rejected))
+	return false
+}
+
+// limitReport is a report of an upstream's statement to all VMs, and when it arrives.
+type limitReport struct {
+	update  LimitUpdate
+	arrives time.Time
+}
+
+// reportDelay is how long a report takes.
+const reportDelay = 300 * time.Millisecond
+
+// TestRejectionsOfBrittleUpstreamStayWithinBound checks that VMs which send as much as they may
+// cause no more rejections together than a brittle upstream bears, and use it all the same.
+func TestRejectionsOfBrittleUpstreamStayWithinBound(t *testing.T) {
+	const notice, bears = 3 * time.Second, 2
+	for _, vms := range []int{1, 6, 61} {
+		for _, slots := range []int{4, 32} {
+			t.Run(fmt.Sprintf("%d VMs, %d slots", vms, slots), func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(1, 2))
+				var names []contract.VMID
+				for n := range vms {
+					names = append(names, contract.VMID(fmt.Sprintf("vm%d", n)))
+				}
+				tables := make([]*Table, vms)
+				for n := range tables {
+					tables[n] = NewTable(Options{Listed: true})
+					tables[n].ApplyList(List{
+						Entries:     []Entry{{ID: "u", Service: "s", Address: "u", DataCentre: "d", Release: "v1", Slots: slots}},
+						Connections: func(contract.ServiceID) int { return 100 },
+					})
+					tables[n].SetOwners("d", Owners{Self: names[n], VMs: names})
+					tables[n].SetVMs(vms)
+				}
+				start := time.Unix(100, 0)
+				u := &brittleUpstream{slots: slots}
+				ends := make([][]time.Time, vms)
+				var reports []limitReport // on their way to all VMs
+				served := 0
+				for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(time.Millisecond) {
+					enforced := now.Sub(start) >= notice
+					queue := 2 * slots
+					if enforced {
+						queue = 0
+					}
+					for len(reports) > 0 && !now.Before(reports[0].arrives) {
+						for _, tb := range tables {
+							tb.MergeLimit(reports[0].update, true, now)
+						}
+						reports = reports[1:]
+					}
+					for range 4 {
+						n := random.IntN(vms)
+						tb := tables[n]
+						for len(ends[n]) > 0 && !now.Before(ends[n][0]) {
+							ends[n] = ends[n][1:]
+							tb.RecordDone("u", Succeeded, 0, now)
+						}
+						if _, err := tb.Pick(listedQuery, now, random); err != nil {
+							continue
+						}
+						tb.RecordSent("u")
+						ok := u.take(queue, now)
+						stated := RateLimit{Brittle: LimitStated, Rejections: bears}
+						if change := tb.ApplyLimitAnswer(contract.UpstreamInstance{Upstream: "u"}, stated, now, now); change.Report {
+							reports = append(reports, limitReport{change.Update, now.Add(reportDelay)})
+						}
+						if !ok {
+							tb.RecordDone("u", Rejected, 0, now)
+							continue
+						}
+						ends[n] = append(ends[n], now.Add(100*time.Millisecond))
+						if enforced {
+							served++
+						}
+					}
+					if !enforced {
+						u.rejected, u.most = nil, 0
+					}
+				}
+				t.Logf("%d served, %d rejected within a second at most", served, u.most)
+				is.True(u.most <= bears)
+				is.True(served > slots*9*10/4) // a quarter of what the slots can serve in 9 s
+			})
+		}
+	}
+}
+
+// TestBrittleStatementEnds checks that a statement ends with an answer that does not repeat it, but
+// not with an earlier request's answer nor with a rejection, that a rate limit outlasts it, and that
+// a VM which may send nothing learns of the end through one request after a while.
+func TestBrittleStatementEnds(t *testing.T) {
+	is := is.New(t)
+	tb, _ := newListedTable(1)
+	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
+	tb.SetVMs(100) // more than the slots: this VM may send nothing to another data centre
+	now := time.Unix(100, 0)
+	instance := contract.UpstreamInstance{Upstream: "e0"}
+	s := tb.states["e0"]
+	tb.ApplyLimitAnswer(instance, RateLimit{Statement: LimitStated, PerSecond: 8, Brittle: LimitStated, Rejections: 3}, now, now)
+	is.True(!tb.withinRoom(s, now))
+	tb.ApplyLimitAnswer(instance, RateLimit{Statement: LimitNone, Brittle: LimitNone}, now.Add(-time.Millisecond), now)
+	is.True(!tb.withinRoom(s, now))
+	tb.ApplyLimitAnswer(instance, RateLimit{}, now, now)
+	is.True(!tb.withinRoom(s, now))
+	late := now.Add(remoteProbeDelay + 10*probeStagger)
+	is.True(tb.withinRoom(s, late))
+	tb.claimShare(s, late)
+	is.True(!tb.withinRoom(s, late))
+	tb.ApplyLimitAnswer(instance, RateLimit{Brittle: LimitNone}, late, late)
+	is.True(tb.withinRoom(s, late))
+	is.True(tb.HasLimit(instance))
+}
+
+// TestDivideRoom checks that the shares of all VMs together never exceed the slots of an upstream, and
+// that each slot-holding VM has a share.
+func TestDivideRoom(t *testing.T) {
+	is := is.New(t)
+	for slots := 1; slots <= 40; slots++ {
+		for local := 1; local <= 61; local++ {
+			for _, remote := range []int{0, 1, 4, 20, 240} {
+				r := divideRoom(slots, local, remote)
+				is.True(r.local*r.localSenders+r.remote*remote <= slots)
+				is.True(r.local > 0 && r.localSenders > 0)
+			}
+		}
+	}
+	is.Equal(divideRoom(32, 2, 4), room{senders: 6, local: 8, localSenders: 2, remote: 4})
+	is.Equal(divideRoom(6, 2, 4), room{senders: 6, local: 1, localSenders: 2, remote: 1})
+	is.Equal(divideRoom(6, 3, 4), room{senders: 3, local: 2, localSenders: 3})
+}
+
+// TestRejectionPause checks the pauses after a rejection, by the number of VMs and what is borne.
+func TestRejectionPause(t *testing.T) {
+	is := is.New(t)
+	is.Equal(rejectionPause(20, 6), rejectionWindow)
+	is.Equal(rejectionPause(3, 6), 2500*time.Millisecond)
+	is.Equal(rejectionPause(3, 600), maxRejectionPause)
+	is.Equal(rejectionPause(0, 6), maxRejectionPause)
+}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -6,11 +6,29 @@
 	"woaddoor/contract"
 )
 
-// RateLimit is the rate limit that an upstream states in an answer.
+// RateLimit is what an upstream states in an answer about the requests of all VMs together.
 type RateLimit struct {
 	Statement LimitStatement `cbor:"1,keyasint"`
 	// PerSecond is how many requests per second the upstream accepts from all VMs together.
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
+	// Brittle is LimitStated if the upstream fails when it has to reject, for want of room, more than
+	// Rejections requests per second.
+	Brittle    LimitStatement `cbor:"3,keyasint,omitempty"`
+	Rejections float64        `cbor:"4,keyasint,omitempty"`
+}
+
+// statesAny reports whether the upstream states any bound on the requests of all VMs.
+func (a RateLimit) statesAny() bool { return a.Statement == LimitStated || a.Brittle == LimitStated }
+
+// withUnknownFrom returns the limit with the parts that an answer leaves unknown taken from before.
+func (a RateLimit) withUnknownFrom(before RateLimit) RateLimit {
+	if a.Statement == LimitUnknown {
+		a.Statement, a.PerSecond = before.Statement, before.PerSecond
+	}
+	if a.Brittle == LimitUnknown {
+		a.Brittle, a.Rejections = before.Brittle, before.Rejections
+	}
+	return a
 }
 
 // LimitStatement classifies what an answer states about a rate limit.
@@ -30,10 +48,15 @@
 // stricterThan reports whether the limit a is stricter than the limit b.
 // Of two limits of the same version, the stricter limit applies.
 func (a RateLimit) stricterThan(b RateLimit) bool {
-	if a.Statement != b.Statement {
+	switch {
+	case a.Statement != b.Statement:
 		return a.Statement > b.Statement
+	case a.PerSecond != b.PerSecond:
+		return a.PerSecond < b.PerSecond
+	case a.Brittle != b.Brittle:
+		return a.Brittle > b.Brittle
 	}
-	return a.PerSecond < b.PerSecond
+	return a.Rejections < b.Rejections
 }
 
 // LimitUpdate is what a VM knows about the rate limit of an instance, as exchanged between
@@ -60,6 +83,8 @@
 	// reportedRemoteAt is when this VM last reported the limit to all data centres.
 	reportedAt, reportedRemoteAt time.Time
 	limiter                      limiter
+	// pauseUntil is the end of the pause of this VM after a brittle upstream has rejected a request.
+	pauseUntil time.Time
 }
 
 // Intervals between reports of a rate limit to other VMs.
@@ -88,18 +113,19 @@
 // applyAnswer applies what an answer states about the rate limit.
 // The request for that answer was sent at sentAt.
 func (l *limitState) applyAnswer(answered RateLimit, sentAt, now time.Time) (change LimitChange) {
-	if answered.Statement == LimitUnknown || sentAt.Before(l.learnedAt) {
+	if answered.Statement == LimitUnknown && answered.Brittle == LimitUnknown || sentAt.Before(l.learnedAt) {
 		return LimitChange{}
 	}
+	answered = answered.withUnknownFrom(l.RateLimit)
 	change.Before = l.RateLimit
 	if answered != l.RateLimit {
-		statementChanged := answered.Statement != l.Statement
+		statementChanged := answered.Statement != l.Statement || answered.Brittle != l.Brittle
 		l.set(answered, l.version+1, now)
 		change.Changed = true
 		change.ReportRemote = statementChanged || now.Sub(l.reportedAt) >= minChangeInterval
 		change.Report = change.ReportRemote
 	}
-	if answered.Statement == LimitStated {
+	if answered.statesAny() {
 		l.confirmedAt = now
 		change.ReportRemote = change.ReportRemote || now.Sub(l.reportedRemoteAt) >= remoteReportInterval
 		change.Report = change.Report || change.ReportRemote || now.Sub(l.reportedAt) >= localReportInterval
@@ -130,7 +156,7 @@
 // set replaces the limit. If no limit was stated before, the limiter starts without unused requests
 // for a burst.
 func (l *limitState) set(next RateLimit, version uint64, now time.Time) {
-	if l.Statement != LimitStated {
+	if l.Statement != LimitStated && next.Statement == LimitStated {
 		l.limiter = limiter{startedAt: now}
 	}
 	l.RateLimit, l.version, l.learnedAt = next, version, now
--- a/upstream/limit_table.go
+++ b/upstream/limit_table.go
@@ -15,7 +15,7 @@
 // for that answer was sent at sentAt.
 func (t *Table) ApplyLimitAnswer(instance contract.UpstreamInstance, answered RateLimit, sentAt, now time.Time) LimitChange {
 	a := t.notices[instance]
-	if answered.Statement != LimitStated && (a == nil || a.limit.version == 0) {
+	if !answered.statesAny() && (a == nil || a.limit.version == 0) {
 		return LimitChange{}
 	}
 	a = t.ensureNotices(instance, now)
@@ -48,16 +48,23 @@
 // has stated nothing.
 func (a *instanceNotices) hasLimit() bool { return a != nil && a.limit.Statement == LimitStated }
 
-// refreshLimited rebuilds the list of listed upstreams with a rate limit in force.
+// refreshLimited rebuilds the lists of listed upstreams with a rate limit or any other bound in force.
 func (t *Table) refreshLimited() {
-	t.limited = t.limited[:0]
+	t.limited, t.bounded = t.limited[:0], t.bounded[:0]
 	for _, s := range t.sortedStates {
 		if s.notices.hasLimit() {
 			t.limited = append(t.limited, s)
 		}
+		if s.notices.hasBound() {
+			t.bounded = append(t.bounded, s)
+		}
 	}
 }
 
+// hasBound reports whether the instance has stated a bound on the requests of all VMs that is in
+// force. A nil receiver has stated nothing.
+func (a *instanceNotices) hasBound() bool { return a != nil && a.limit.statesAny() }
+
 // HasLimit reports whether an instance has a rate limit in force.
 func (t *Table) HasLimit(instance contract.UpstreamInstance) bool {
 	return t.notices[instance].hasLimit()
@@ -73,7 +80,7 @@
 	var limited, lifted []LimitUpdate
 	for _, s := range t.sortedStates {
 		switch {
-		case s.notices.hasLimit():
+		case s.notices.hasBound():
 			limited = append(limited, s.notices.limit.toUpdate(t.Instance(s.upstream.ID)))
 		case s.notices != nil && s.notices.limit.version > 0:
 			lifted = append(lifted, s.notices.limit.toUpdate(t.Instance(s.upstream.ID)))
@@ -87,11 +94,14 @@
 // limits. The hash is zero if no limit is in force.
 func (t *Table) LimitsDigest() uint64 {
 	sum := uint64(0)
-	for _, s := range t.limited {
+	for _, s := range t.bounded {
 		b := []byte(s.upstream.ID)
 		b = binary.BigEndian.AppendUint64(b, uint64(s.incarnation))
 		b = binary.BigEndian.AppendUint64(b, s.notices.limit.version)
 		b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.notices.limit.PerSecond))
+		if s.notices.isBrittle() {
+			b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.notices.limit.Rejections))
+		}
 		sum += xxhash.Sum64(b)
 	}
 	return sum
@@ -117,19 +127,24 @@
 func (t *Table) vmShare(s *state, now time.Time) (limitShare, time.Duration) {
 	l := &s.notices.limit
 	owners, share := divideLimit(l.PerSecond, len(t.owners.VMs))
-	isLocal := s.pool.DataCentre == t.owners.dc
-	rank := t.ownerRank(s)
 	if t.owners.Incomplete {
 		share = probeShare()
 	}
-	if isLocal && rank < owners {
+	if s.pool.DataCentre == t.owners.dc && t.ownerRank(s) < owners {
 		return share, 0
 	}
+	return probeShare(), t.probeDelay(s, owners, now)
+}
+
+// probeDelay returns the time until this VM, which is not among the owners of an upstream, may send
+// it a probe request because no answer has confirmed the upstream's statement for a while.
+func (t *Table) probeDelay(s *state, owners int, now time.Time) time.Duration {
+	rank := t.ownerRank(s)
 	delay := localProbeDelay + time.Duration(rank-owners)*probeStagger
-	if !isLocal {
+	if s.pool.DataCentre != t.owners.dc {
 		delay = remoteProbeDelay + time.Duration(rank*len(t.byDataCentre)+t.dataCentreRank())*probeStagger
 	}
-	return probeShare(), max(l.confirmedAt.Add(delay).Sub(now), 0)
+	return max(s.notices.limit.confirmedAt.Add(delay).Sub(now), 0)
 }
 
 // dataCentreRank returns the index of this VM's data centre among the data centres with
@@ -174,6 +189,9 @@
 
 // claimShare uses one request of this VM's share of a rate limit.
 func (t *Table) claimShare(s *state, now time.Time) {
+	if s.notices.isBrittle() && t.roomShare(s) == 0 {
+		s.notices.limit.confirmedAt = now // a probe
+	}
 	if !s.notices.hasLimit() {
 		return
 	}
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -10,7 +10,9 @@
 	"woaddoor/contract"
 )
 
-func statedLimit(perSecond float64) RateLimit { return RateLimit{LimitStated, perSecond} }
+func statedLimit(perSecond float64) RateLimit {
+	return RateLimit{Statement: LimitStated, PerSecond: perSecond}
+}
 
 var noLimit = RateLimit{Statement: LimitNone}
 
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -172,9 +172,9 @@
 }
 
 // withinBounds reports whether this VM may send one more request to an upstream now according
-// to the bounds that all VMs share: the cold bound and the rate limit.
+// to the bounds that all VMs share: the cold bound, the rate limit and the room of a brittle upstream.
 func (t *Table) withinBounds(s *state, now time.Time) bool {
-	return t.withinColdBound(s, now) && t.withinLimit(s, now)
+	return t.withinColdBound(s, now) && t.withinLimit(s, now) && t.withinRoom(s, now)
 }
 
 // recordPick counts a request to an upstream against the bounds that all VMs share.
--- a/upstream/notices.go
+++ b/upstream/notices.go
@@ -13,7 +13,7 @@
 	Leaving bool
 	// Backoff is a requested pause: how long this VM should send the upstream no requests.
 	Backoff time.Duration
-	// Limit is the rate limit that the upstream states for the requests of all VMs together.
+	// Limit is what the upstream states about the requests of all VMs together.
 	Limit RateLimit
 }
 
--- a/upstream/outlook.go
+++ b/upstream/outlook.go
@@ -8,7 +8,9 @@
 	// BackedOff counts the upstreams that requested a back-off (a time without requests),
 	// Leaving counts the upstreams that are about to stop, and AtLimit counts the upstreams
 	// whose rate limit allows this VM no request now.
-	Listed, BackedOff, Leaving, AtLimit int
+	// NoRoom counts the brittle upstreams of whose room this VM has used its part,
+	// or which have rejected a request a moment ago.
+	Listed, BackedOff, Leaving, AtLimit, NoRoom int
 	// PerSecond is the total request rate that the upstreams counted in AtLimit accept from
 	// all VMs.
 	PerSecond float64
@@ -45,6 +47,8 @@
 		case !t.withinLimit(s, now):
 			o.AtLimit++
 			o.PerSecond += maxSendRate(s.notices.limit.PerSecond)
+		case !t.withinRoom(s, now):
+			o.NoRoom++
 		}
 	}
 	return o
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -96,6 +96,10 @@
 	// listed upstreams whose stated rate limit is in force, sorted by ID.
 	notices map[contract.UpstreamInstance]*instanceNotices
 	limited []*state
+	// bounded holds the listed upstreams with a rate limit or brittleness in force, sorted by ID.
+	bounded []*state
+	// vms is the number of VMs that send requests to the upstreams.
+	vms int
 }
 
 // state holds what is known about one upstream.
@@ -292,6 +296,9 @@
 	if t.opts.Listed {
 		t.recordReachability(s, r, now)
 		t.detectCold(s, r, now)
+		if r == Rejected {
+			t.recordBrittleRejection(s, now)
+		}
 		s.recordResult(r, took, now)
 		return
 	}
