--- a/explain/losses.go
+++ b/explain/losses.go
@@ -83,6 +83,9 @@
 		if r.outcome == nil {
 			continue // the request is still running, or its VM was killed
 		}
+		if r.outcome.Value("forwarded") == "true" {
+			continue // counted at the VM that has passed it on
+		}
 		name := r.outcome.Value("route")
 		if routes[name] == nil {
 			routes[name] = &routeLosses{causes: make(map[string]int)}
--- a/explain/losses_test.go
+++ b/explain/losses_test.go
@@ -36,6 +36,15 @@
 	})
 }
 
+// TestLossesCountsForwardedRequestOnce checks that a request counts at the VM of its caller alone, and
+// not at the VM that has served it for that VM.
+func TestLossesCountsForwardedRequestOnce(t *testing.T) {
+	is.New(t).Equal(lossLines(t, `
+time=2026-05-07T06:48:43Z event=delivered vm=b request=r1 route=chat status=200 objective_ms=2000 forwarded=true first_ms=90
+time=2026-05-07T06:48:43Z event=delivered vm=a request=r1 route=chat status=200 objective_ms=2000 via=b first_ms=95
+`), []string{"chat asked 1 in time 1 100.0%"})
+}
+
 // lossLines returns the lines that Losses prints for a log, with single spaces between columns.
 func lossLines(t *testing.T, log string) []string {
 	t.Helper()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -299,7 +299,7 @@
 		j.outcome = j.outcome.Combine(contract.OutcomeUnknown)
 		j.sends++
 		j.failures++
-		j.resendTaken = false
+		j.resendTaken, j.counted = false, true // the lost VM has counted the request
 		r.Metrics.forwardsLost.Inc(1)
 	case ForwardNotTaken:
 		r.Metrics.forwardsNotTaken.Inc(1)
