--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -14,8 +14,11 @@
 	Service     contract.ServiceID
 	Workspace   contract.WorkspaceID
 	Route       string
-	// SentAt is when the request was sent to the upstream, BrokenAt when its connection broke.
-	SentAt, BrokenAt time.Time
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []Fingerprint
+	// SentAt is when the request was sent to the upstream, BeganAt when its answer began (zero if it
+	// did not begin), and BrokenAt when its connection broke.
+	SentAt, BeganAt, BrokenAt time.Time
 }
 
 // confirmTimeout bounds how long a suspected upstream crash may stay unconfirmed.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -23,8 +23,9 @@
 // match the fingerprint of another caller's request.
 const fingerprintBytes = 16
 
-// Fingerprint is the fingerprint of a request's content: workspace, host, path and body. The
-// request id, the headers and the transfer encoding do not affect it.
+// Fingerprint is the fingerprint of a request's content, or of one part of its prompt. A content is
+// workspace, host, path and body: the request id, the headers and the transfer encoding do not
+// affect it.
 type Fingerprint [fingerprintBytes]byte
 
 // FingerprintOf returns the fingerprint of a request.
@@ -40,6 +41,17 @@
 	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
 }
 
+// partPrefix precedes the name of a part in its fingerprint. No content begins with it: the
+// fingerprint of a content begins with the length of the workspace.
+const partPrefix = "prompt part\x00"
+
+// FingerprintOfPart returns the fingerprint of a prompt part, which is the same for all requests
+// with the part, whatever their workspace, path, model and other parts.
+func FingerprintOfPart(name string) Fingerprint {
+	sum := sha256.Sum256([]byte(partPrefix + name))
+	return Fingerprint(sum[:fingerprintBytes])
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -27,6 +27,19 @@
 	return *j.cachedFingerprint
 }
 
+// partFingerprints returns the fingerprints of the prompt's parts. The last part is left out:
+// it belongs to this request alone.
+func (j *job) partFingerprints() []quarantine.Fingerprint {
+	if j.cachedParts == nil && len(j.PartNames) > 1 {
+		shared := j.PartNames[:len(j.PartNames)-1]
+		j.cachedParts = make([]quarantine.Fingerprint, len(shared))
+		for i, name := range shared {
+			j.cachedParts[i] = quarantine.FingerprintOfPart(name)
+		}
+	}
+	return j.cachedParts
+}
+
 // staleConnectionWindow is the time after a send within which a broken connection does not prove
 // that the upstream was running at the time of the send.
 // If the connection no longer exists on the machine,
@@ -47,7 +60,8 @@
 	}
 	instance := e.Instance()
 	s := quarantine.SuspectRequest{
-		Fingerprint: j.contentFingerprint(), Request: j.ID, Service: j.service, Workspace: j.Workspace, Route: j.Route.Name, SentAt: j.sentAt, BrokenAt: now,
+		Fingerprint: j.contentFingerprint(), Request: j.ID, Service: j.service, Workspace: j.Workspace, Route: j.Route.Name,
+		Parts: j.partFingerprints(), SentAt: j.sentAt, BeganAt: j.answerBeganAt, BrokenAt: now,
 	}
 	probe, crashed := r.possibleCrashes.ConnectionBroke(instance, e.Address, s)
 	if probe {
@@ -150,9 +164,27 @@
 		r.log.Warn("upstream-ended", zap.String("upstream", string(instance.Upstream)), zap.Int64("born", instance.Incarnation), zap.String("by", evidence),
 			zap.String("request", string(s.Request)), zap.Stringer("print", s.Fingerprint), zap.String("route", s.Route),
 			zap.String("workspace", string(s.Workspace)), zap.Int64("ran_ms", s.BrokenAt.Sub(s.SentAt).Milliseconds()),
-			zap.Int("beside", len(suspects)-1))
+			zap.Int("beside", len(suspects)-1), zap.Strings("parts", partTexts(s.Parts)), zap.Int64("answered_ms", answeredFor(s).Milliseconds()))
 	}
 	if len(suspects) > 0 {
 		r.Metrics.upstreamsCrashed.Inc(1)
 	}
 }
+
+// partTexts returns fingerprints as text.
+func partTexts(parts []quarantine.Fingerprint) []string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = p.String()
+	}
+	return texts
+}
+
+// answeredFor returns how long an upstream had been answering a request when it crashed.
+// It is negative if the answer had not begun.
+func answeredFor(s quarantine.SuspectRequest) time.Duration {
+	if s.BeganAt.IsZero() {
+		return -time.Millisecond
+	}
+	return s.BrokenAt.Sub(s.BeganAt)
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -73,6 +73,8 @@
 	Counted bool `cbor:"22,keyasint,omitempty"`
 	// Progress is how far the request has come at the forwarding VM.
 	Progress Progress `cbor:"23,keyasint"`
+	// PartNames are the names of PromptParts.
+	PartNames []string `cbor:"24,keyasint,omitempty"`
 }
 
 // Progress is how far a request has come before it is passed to another VM.
@@ -145,7 +147,7 @@
 		ID: f.ID, Workspace: f.Workspace, Regions: f.Regions, Priority: f.Priority, Route: &f.Route, Revision: f.Revision,
 		Method: f.Method, URI: f.URI, Host: f.Host, Header: f.Header, Body: f.Body,
 		Arrived: now.Add(-f.Elapsed), Deadline: now.Add(f.Remaining), LastEvent: f.LastEvent,
-		ChooseModel: f.ChooseModel, PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, PromptParts: f.PromptParts,
+		ChooseModel: f.ChooseModel, PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, PromptParts: f.PromptParts, PartNames: f.PartNames,
 		SharedPromptKey: f.SharedPromptKey, Session: f.Session,
 	})
 	j.service, j.forwarded, j.counted = f.Service, true, f.Counted
@@ -167,7 +169,7 @@
 		ID: j.ID, Workspace: j.Workspace, Regions: j.Regions, Priority: j.Priority, Route: *j.Route, Revision: j.Revision,
 		Method: j.Method, URI: j.URI, Host: j.Host, Header: j.Header, Body: j.Body,
 		Elapsed: now.Sub(j.Arrived), Remaining: j.Deadline.Sub(now), LastEvent: j.LastEvent,
-		ChooseModel: j.ChooseModel, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, PromptParts: j.PromptParts,
+		ChooseModel: j.ChooseModel, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, PromptParts: j.PromptParts, PartNames: j.PartNames,
 		SharedPromptKey: j.SharedPromptKey, Session: j.Session, Service: j.service, Counted: j.counted,
 		Progress: Progress{Sends: j.sends, Outcome: j.outcome, HeadSent: j.headSent, WeightsVersion: j.weightsVersion},
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -53,6 +53,8 @@
 	// PromptParts are the parts of the prompt in order.
 	// The last part belongs to this request alone.
 	PromptParts []prefill.Part
+	// PartNames are the names of PromptParts, as the caller sent them.
+	PartNames []string
 	// SharedPromptKey is a key of the part of the prompt
 	// that is shared with other requests; zero if no part is shared.
 	SharedPromptKey uint64
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -65,7 +65,7 @@
 		if j.release == "" {
 			j.release = r.entries[id].Release
 		}
-		j.lastUpstream, j.sentAt, j.upstreamSeen = r.entries[id], now, false
+		j.lastUpstream, j.sentAt, j.upstreamSeen, j.answerBeganAt = r.entries[id], now, false, time.Time{}
 		return j.lastUpstream, nil
 	}
 	return upstream.Entry{}, r.refuseNoUpstream(j, now)
--- a/relay/send.go
+++ b/relay/send.go
@@ -80,6 +80,8 @@
 	discardedConfidence float64 // reported for a smaller model's discarded answer
 	// cachedFingerprint is the fingerprint of the request's content, computed on first use.
 	cachedFingerprint *quarantine.Fingerprint
+	// cachedParts are the fingerprints of the shared parts of the prompt, computed on first use.
+	cachedParts []quarantine.Fingerprint
 	// executionReported is set once OnExecution has been called for the request.
 	executionReported bool
 }
@@ -100,6 +102,8 @@
 	// upstreamSeen is set once the upstream has responded.
 	sentAt       time.Time
 	upstreamSeen bool
+	// answerBeganAt is when a successful answer to the attempt began; zero before.
+	answerBeganAt time.Time
 	// limitClaimed is set if the attempt has used one request
 	// of this VM's share of its upstream's rate limit.
 	limitClaimed bool
@@ -190,7 +194,11 @@
 		r.table.RecordAnswerLoad(e.ID, h.Load.Running, h.Load.Waiting, r.opts.Now())
 		r.table.RecordStatedPace(e.ID, h.Load.SlowdownPercent, r.opts.Now())
 	}
-	if h.Status == http.StatusOK && !h.NotRun && j.pending.upstream != "" {
+	if h.Status != http.StatusOK || h.NotRun {
+		return
+	}
+	j.answerBeganAt = r.opts.Now()
+	if j.pending.upstream != "" {
 		r.logFirstToken(j, h)
 		r.recordAnswerBegin(j)
 	}
