quarantine, relay, platform: a part of a prompt that crashes upstreams is quarantined

Cause: suspicion knew whole contents only. Whatever crashes an upstream through anything smaller than its content never comes twice. Class: evidence was kept for one way in which requests can be alike. Change: one table of suspicion over everything that requests may share: the content, and each part of the prompt but the last. A part is held after four crashes without an answer, 0.7 s after the last of them, since the answer may be on its way from another VM; crashes of one content count twice at most. An upstream that has been answering for a second has survived the parts, and a VM that has seen a part answered contradicts its quarantine elsewhere and in the store. A held part explains its crashes: contents and parts that ran beside it are released. A part that came only together with another held one gets a trial as soon as it comes alone. Log lines of suspicion are written from the second crash on, by the VM that saw it. The literals and the fleet simulation of earlier tests have one more field; their checks are as they were.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -98,6 +98,7 @@
 		line("connections_opened_total", dialed),
 		line("paths_failing", v.relay.CountPathsFailing()),
 		line("requests_held", v.relay.CountQuarantined()),
+		line("prompt_parts_held", v.relay.CountQuarantinedParts()),
 		line("forwarded_requests_running", helping),
 		line("forwarded_requests_total", helped),
 		line("goroutines", runtime.NumGoroutine()),
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -33,7 +33,7 @@
 func BenchmarkUpdatesWithoutChanges(b *testing.B) {
 	table, now := NewTable(), time.Unix(1000, 0)
 	for n := range 4000 {
-		table.RecordCrash(Fingerprint{byte(n), byte(n >> 8)}, Source{}, Crash{contract.UpstreamInstance{Upstream: "u", Incarnation: 1}, now, now}, now)
+		table.RecordCrash(Fingerprint{byte(n), byte(n >> 8)}, Source{}, Crash{contract.UpstreamInstance{Upstream: "u", Incarnation: 1}, now, now, 0}, now)
 	}
 	now = now.Add(time.Minute)
 	b.ReportAllocs()
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -15,10 +15,12 @@
 	Workspace   contract.WorkspaceID
 	Route       string
 	// Parts are the parts of the prompt that other requests may share.
-	Parts []Fingerprint
-	// SentAt is when the request was sent to the upstream, BeganAt when its answer began (zero if it
-	// did not begin), and BrokenAt when its connection broke.
-	SentAt, BeganAt, BrokenAt time.Time
+	Parts []Part
+	// SentAt is when the request was sent to the upstream, BrokenAt when its connection broke.
+	SentAt, BrokenAt time.Time
+	// AnsweredFor is the time from the begin of the answer to its last data.
+	// It is negative if the answer had not begun.
+	AnsweredFor time.Duration
 }
 
 // confirmTimeout bounds how long a suspected upstream crash may stay unconfirmed.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -55,6 +55,9 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Prefix returns the first 64 bits of the fingerprint.
+func (f Fingerprint) Prefix() uint64 { return binary.BigEndian.Uint64(f[:8]) }
+
 // ParseFingerprint parses a fingerprint in the format of Fingerprint.String.
 func ParseFingerprint(text string) (Fingerprint, error) {
 	var f Fingerprint
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -28,6 +28,13 @@
 	// crashes holds the times of upstream crashes, sends the sends by all VMs.
 	crashes []int
 	sends   []simSend
+	// suspect and source identify what crashes upstreams. knownAfter is the number of crashes after
+	// which the sends are limited.
+	suspect    Fingerprint
+	source     Source
+	knownAfter int
+	// contents counts the contents of the requests.
+	contents uint64
 }
 
 // simVM is a simulated VM.
@@ -90,23 +97,31 @@
 // quarantined content with the store.
 func (s *fleetSim) scheduleHeartbeat(v *simVM) {
 	s.after(rapid.IntRange(400, 600).Draw(s.t, "heartbeat"), func() {
+		v.table.Settle(at(s.now))
 		s.broadcast(v)
 		if !s.isolated && s.now >= v.disconnectedUntil {
 			if len(v.table.ToStore()) > 0 {
 				s.inStore = true
 			}
 			if s.inStore {
-				v.table.SetStored(QuarantinedContent{Fingerprint: crashingContent, Revision: 1}, at(s.now))
+				v.table.SetStored(QuarantinedContent{Fingerprint: s.suspect, Source: s.source, Revision: 1}, at(s.now))
 			}
 		}
 		s.scheduleHeartbeat(v)
 	})
 }
 
-// send simulates the arrival of the crashing content at a VM, which may
+// sendNew simulates the arrival of a request with a new content at a VM.
+func (s *fleetSim) sendNew(v *simVM, attempts int) {
+	s.contents++
+	s.send(v, attempts, s.contents)
+}
+
+// send simulates the arrival of a crashing request at a VM, which may
 // try several upstreams in turn.
-func (s *fleetSim) send(v *simVM, attempts int) {
-	if attempts == 0 || v.table.Blocks(crashingContent, at(s.now)) {
+func (s *fleetSim) send(v *simVM, attempts int, content uint64) {
+	v.table.Settle(at(s.now))
+	if attempts == 0 || v.table.Blocks(s.suspect, at(s.now)) {
 		return
 	}
 	sent, table := s.now, v.table
@@ -118,22 +133,22 @@
 		if v.table != table {
 			return // the VM restarted meanwhile and lost track of the request
 		}
-		if v.table.RecordCrash(crashingContent, Source{}, Crash{instance, at(sent), at(s.now)}, at(s.now)) {
+		if v.table.RecordCrash(s.suspect, s.source, Crash{instance, at(sent), at(s.now), content}, at(s.now)) {
 			s.broadcast(v)
 		}
-		s.send(v, attempts-1)
+		s.send(v, attempts-1, content)
 	})
 }
 
-// lateSends counts the sends of the crashing content later than propagationMs after the third
-// crash, by VMs that had been running and connected for at least propagationMs.
+// lateSends counts the sends of what crashes upstreams later than propagationMs after crash
+// knownAfter, by VMs that had been running and connected for at least propagationMs.
 func (s *fleetSim) lateSends() int {
-	if len(s.crashes) < CrashLimit {
+	if len(s.crashes) < s.knownAfter {
 		return 0
 	}
 	n := 0
 	for _, x := range s.sends {
-		if x.at > s.crashes[CrashLimit-1]+propagationMs && x.upFor >= propagationMs && x.connectedFor >= propagationMs {
+		if x.at > s.crashes[s.knownAfter-1]+propagationMs && x.upFor >= propagationMs && x.connectedFor >= propagationMs {
 			n++
 		}
 	}
@@ -148,7 +163,7 @@
 	baselineViolations := 0
 	rapid.Check(t, func(t *rapid.T) {
 		simulate := func(isolated bool) int {
-			s := &fleetSim{t: t, isolated: isolated}
+			s := &fleetSim{t: t, isolated: isolated, suspect: crashingContent, knownAfter: CrashLimit}
 			for range rapid.IntRange(3, 9).Draw(t, "vms") {
 				v := &simVM{table: NewTable(), startedAt: -10_000, disconnectedUntil: -10_000}
 				s.vms = append(s.vms, v)
@@ -157,7 +172,7 @@
 			attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
 			randomVM := func(label string) *simVM { return s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, label)] }
 			for ms := 0; ms < 20_000; ms += rapid.IntRange(50, 1500).Draw(t, "gap") {
-				s.after(ms, func() { s.send(randomVM("vm"), attempts) })
+				s.after(ms, func() { s.send(randomVM("vm"), attempts, 0) })
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "faults") {
 				kind := rapid.IntRange(0, 2).Draw(t, "fault")
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -24,6 +24,7 @@
 	Instance contract.UpstreamInstance `cbor:"1,keyasint"`
 	SentAge  time.Duration             `cbor:"2,keyasint"`
 	BrokeAge time.Duration             `cbor:"3,keyasint"`
+	Content  uint64                    `cbor:"4,keyasint,omitempty"`
 }
 
 // Updates returns the updates for the next gossip message: request contents that changed recently,
@@ -39,25 +40,41 @@
 		delete(t.gossiping, p)
 	}
 	slices.SortFunc(records, func(a, b *Record) int {
-		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), b.changedAt.Compare(a.changedAt), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		return cmp.Or(cmp.Compare(b.gossipRank(), a.gossipRank()), b.changedAt.Compare(a.changedAt), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	out := make([]Update, 0, min(len(records), maxUpdates))
-	singles := 0
-	for _, c := range records[:min(len(records), maxUpdates)] {
-		if len(c.Crashes) == 1 {
-			singles++
+	singles := make(map[bool]int) // by whether the record is about a part
+	for _, c := range records {
+		if len(out) == maxUpdates {
+			break
 		}
-		if singles <= maxSingleCrashUpdates {
-			out = append(out, c.update(now))
+		if len(c.Crashes) == 1 && !c.Quarantined {
+			singles[c.IsPart()]++
+			if singles[c.IsPart()] > maxSingleCrashUpdates {
+				continue
+			}
 		}
+		out = append(out, c.update(now))
 	}
 	return out
 }
 
+// gossipRank returns the importance of a record in a gossip message: quarantined ones come first,
+// then those with the most crashes. An urgent release comes before two crashes.
+func (c *Record) gossipRank() int {
+	switch {
+	case c.Quarantined:
+		return 2*maxCrashesKept + 1
+	case c.clearedUrgent:
+		return 2*2 + 1
+	}
+	return 2 * len(c.Crashes)
+}
+
 // Urgent reports whether a change must be sent to other VMs at once instead of with the
-// next periodic message. Contents with a single crash are not urgent: most of them, about a dozen
-// per crash, merely ran on the upstream that crashed.
-func (c *Record) Urgent() bool { return c.Quarantined || countSuccessive(c.Crashes) >= CrashLimit-1 }
+// next periodic message. Contents and parts with a single crash are not urgent: most of them, about
+// a dozen per crash, merely ran on the upstream that crashed.
+func (c *Record) Urgent() bool { return c.Quarantined || c.clearedUrgent || c.crashCount() >= 2 }
 
 // gossipTTL returns how long gossip messages repeat the last change of the record.
 func (c *Record) gossipTTL() time.Duration {
@@ -71,7 +88,7 @@
 func (c *Record) update(now time.Time) Update {
 	out := Update{Fingerprint: c.Fingerprint, About: c.Source, Epoch: c.Epoch, Quarantined: c.Quarantined}
 	for _, e := range c.Crashes {
-		out.Crashes = append(out.Crashes, CrashUpdate{e.UpstreamInstance, now.Sub(e.SentAt), now.Sub(e.BrokenAt)})
+		out.Crashes = append(out.Crashes, CrashUpdate{e.UpstreamInstance, now.Sub(e.SentAt), now.Sub(e.BrokenAt), e.Content})
 	}
 	return out
 }
@@ -82,10 +99,16 @@
 	for _, u := range updates[:min(len(updates), maxUpdates)] {
 		other := Record{Fingerprint: u.Fingerprint, Source: u.About, Epoch: u.Epoch, Quarantined: u.Quarantined}
 		for _, e := range u.Crashes[:min(len(u.Crashes), maxCrashesKept)] {
-			other.Crashes = append(other.Crashes, Crash{e.Instance, now.Add(-e.SentAge), now.Add(-e.BrokeAge)})
+			other.Crashes = append(other.Crashes, Crash{e.Instance, now.Add(-e.SentAge), now.Add(-e.BrokeAge), e.Content})
 		}
-		if t.merge(other, now) {
-			changed = append(changed, t.records[u.Fingerprint])
+		other, released := t.contradict(other, now)
+		if t.merge(other, now) || released {
+			c := t.records[u.Fingerprint]
+			if released {
+				c.clearedUrgent = true
+				t.markChanged(c, now)
+			}
+			changed = append(changed, c)
 		}
 	}
 	return changed
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -42,7 +42,15 @@
 	}
 	c.storeRevision = h.Revision
 	t.setInStore(c, true)
+	if c.IsPart() && t.answeredRecently(c.Fingerprint, now) {
+		return // differs from the store now, and is deleted there
+	}
 	c.trials.setCount(h.Trials, now)
+	if c.IsPart() && len(c.Crashes) == 0 {
+		for _, id := range h.Upstreams {
+			c.Crashes = append(c.Crashes, instanceOnly(id))
+		}
+	}
 	t.setQuarantined(c, true)
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -44,13 +44,17 @@
 	maxSingleCrashUpdates = 8
 )
 
-// Source identifies the source of a request content for operators.
+// Source identifies a request content, or a part of a prompt, for operators. Service, workspace and
+// route are those of the first request that ran on an upstream when it crashed.
 type Source struct {
 	Service   contract.ServiceID   `cbor:"1,keyasint"`
 	Workspace contract.WorkspaceID `cbor:"2,keyasint,omitempty"`
 	Route     string               `cbor:"3,keyasint"`
 	// ObservedBy is the VM that observed the first crash.
 	ObservedBy contract.VMID `cbor:"4,keyasint"`
+	// Part is the name of the part of a prompt, at most maxPartName bytes of it.
+	// It is empty for a whole content.
+	Part string `cbor:"5,keyasint,omitempty"`
 }
 
 // Crash is the crash of an upstream while it ran a request: when the request was sent and when
@@ -59,10 +63,13 @@
 type Crash struct {
 	contract.UpstreamInstance
 	SentAt, BrokenAt time.Time
+	// Content identifies the content of the request with the part, by the begin of its fingerprint.
+	// It is zero in the record of a content.
+	Content uint64
 }
 
-// Record is the suspicion record of one request content:
-// the crashes of upstreams that ran the content.
+// Record is the suspicion record of one request content, or of one part of prompts:
+// the crashes of upstreams that ran requests with it.
 type Record struct {
 	Fingerprint Fingerprint
 	Source
@@ -79,6 +86,10 @@
 	storeRevision contract.Revision
 	inStore       bool
 	trials        trials
+	// limitReachedAt is when a part in Table.settling has reached its limit of crashes.
+	limitReachedAt time.Time
+	// clearedUrgent is set while the newest change is a release that other VMs should know at once.
+	clearedUrgent bool
 }
 
 // Table holds one VM's suspicion records. Table is not safe for concurrent use;
@@ -93,11 +104,25 @@
 	// quarantinedCount is the number of records that are quarantined.
 	// storedCount is the number of records that are in the platform's object store.
 	quarantinedCount, storedCount int
+	// settling holds the parts that have reached their limit of crashes and are not quarantined yet.
+	settling map[Fingerprint]*Record
+	// quarantinedParts holds the quarantined parts, and explained, for each upstream instance that
+	// crashed under one, that part.
+	quarantinedParts map[Fingerprint]*Record
+	explained        map[contract.UpstreamInstance]Fingerprint
+	// answered holds when parts were last answered at this VM, while anything is suspected.
+	answered map[Fingerprint]time.Time
+	// excused holds the records for TakeExcused.
+	excused []*Record
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[Fingerprint]*Record), gossiping: make(map[Fingerprint]*Record)}
+	return &Table{
+		records: make(map[Fingerprint]*Record), gossiping: make(map[Fingerprint]*Record), settling: make(map[Fingerprint]*Record),
+		quarantinedParts: make(map[Fingerprint]*Record), explained: make(map[contract.UpstreamInstance]Fingerprint),
+		answered: make(map[Fingerprint]time.Time),
+	}
 }
 
 // Empty reports whether no request content is under suspicion.
@@ -142,9 +167,11 @@
 
 // resetTo clears a request content of suspicion and moves the content to a new epoch.
 func (t *Table) resetTo(c *Record, epoch uint32, now time.Time) {
+	c.clearedUrgent = c.Urgent()
 	c.Epoch, c.Crashes, c.trials = epoch, nil, trials{}
 	t.markChanged(c, now)
 	t.setQuarantined(c, false)
+	t.updateSettling(c, now)
 }
 
 // setQuarantined sets the record's field Quarantined and keeps quarantinedCount up to date.
@@ -156,6 +183,7 @@
 		t.quarantinedCount--
 	}
 	c.Quarantined = quarantined
+	t.trackQuarantinedPart(c)
 }
 
 // setInStore sets the record's field inStore and keeps storedCount up to date.
@@ -184,6 +212,9 @@
 		t.markChanged(c, now)
 	}
 	if other.Epoch < c.Epoch {
+		if other.Quarantined && !c.Quarantined {
+			t.markChanged(c, now) // the other VM has missed the release
+		}
 		return false
 	}
 	changed := other.Epoch > c.Epoch
@@ -191,16 +222,28 @@
 		t.resetTo(c, other.Epoch, now)
 	}
 	if c.Quarantined && !changed {
-		return false // further crashes make no difference to a quarantined content
+		if c.IsPart() { // explains what ran beside it
+			c.Crashes = c.withCrashes(other.Crashes)
+			t.trackQuarantinedPart(c)
+		}
+		return false // further crashes make no other difference
 	}
-	crashes := mergeCrashes(c.Crashes, other.Crashes)
-	quarantined := c.Quarantined || other.Quarantined || countSuccessive(crashes) >= CrashLimit
+	crashes := c.withCrashes(t.unexplained(c.Fingerprint, other.Crashes))
+	quarantined := c.Quarantined || other.Quarantined || !c.IsPart() && countSuccessive(crashes) >= CrashLimit
 	// Only a longer list of crashes, or a shorter run, counts as a change.
 	// Once the list is full, VMs keep different newest crashes.
 	// If those differences counted as changes, VMs would exchange them forever.
 	changed = changed || len(crashes) > len(c.Crashes) || hasShorterRun(c.Crashes, crashes) || quarantined != c.Quarantined
+	if len(crashes) > 0 {
+		c.clearedUrgent = false
+	}
 	c.Crashes = crashes
+	newlyQuarantined := quarantined && !c.Quarantined
 	t.setQuarantined(c, quarantined)
+	t.updateSettling(c, now)
+	if newlyQuarantined && c.IsPart() {
+		t.excuseOthers(c, now)
+	}
 	if changed {
 		t.markChanged(c, now)
 	}
@@ -213,7 +256,16 @@
 	t.gossiping[c.Fingerprint] = c
 }
 
-// mergeCrashes returns the newest crashes of both lists, oldest first.
+// withCrashes returns the newest crashes of the record and a list, oldest first.
+func (c *Record) withCrashes(others []Crash) []Crash {
+	out := mergeCrashes(c.Crashes, others)
+	if c.IsPart() {
+		out = thinnedCrashes(out)
+	}
+	return out[max(len(out)-maxCrashesKept, 0):]
+}
+
+// mergeCrashes returns the crashes of both lists, oldest first.
 // An incarnation of an upstream
 // crashes only once. Of several reports of one crash, the earliest is the most accurate,
 // since gossip arrives with a delay. The shortest run tells when the content was sent last:
@@ -234,7 +286,7 @@
 	slices.SortFunc(out, func(a, b Crash) int {
 		return cmp.Or(a.BrokenAt.Compare(b.BrokenAt), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	return out[max(len(out)-maxCrashesKept, 0):]
+	return out
 }
 
 // ran returns how long the request ran until the upstream crashed.
@@ -274,10 +326,10 @@
 	return n
 }
 
-// CrashCount returns the number of successive crashes of upstreams that ran a content.
+// CrashCount returns the number of crashes that count against a content or a part.
 func (t *Table) CrashCount(p Fingerprint) int {
 	if c := t.records[p]; c != nil {
-		return countSuccessive(c.Crashes)
+		return c.crashCount()
 	}
 	return 0
 }
@@ -308,6 +360,7 @@
 			t.remove(c)
 		}
 	}
+	t.expireAnswers(now)
 }
 
 // remove deletes a record and updates the counts.
@@ -315,7 +368,10 @@
 	if c.Quarantined {
 		t.quarantinedCount--
 	}
+	c.Quarantined = false
+	t.trackQuarantinedPart(c)
 	t.setInStore(c, false)
 	delete(t.records, c.Fingerprint)
 	delete(t.gossiping, c.Fingerprint)
+	delete(t.settling, c.Fingerprint)
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -21,7 +21,7 @@
 // crash returns the crash of an upstream to which a request was sent at one time, and whose
 // connection broke at another, in simulated milliseconds.
 func crash(upstream string, sent, broke int) Crash {
-	return Crash{contract.UpstreamInstance{Upstream: contract.UpstreamID(upstream), Incarnation: 1}, at(sent), at(broke)}
+	return Crash{contract.UpstreamInstance{Upstream: contract.UpstreamID(upstream), Incarnation: 1}, at(sent), at(broke), 0}
 }
 
 // TestThreeSuccessiveCrashesQuarantineContent checks that a content is quarantined once it has
@@ -99,7 +99,7 @@
 		broke := rapid.IntRange(0, 20).Draw(t, fmt.Sprint(label, "broke", incarnation))
 		out.Crashes = append(out.Crashes, CrashUpdate{
 			contract.UpstreamInstance{Upstream: contract.UpstreamID(fmt.Sprint("u", incarnation)), Incarnation: 1},
-			time.Duration(broke+rapid.IntRange(1, 5).Draw(t, fmt.Sprint(label, "ran", incarnation))) * time.Second, time.Duration(broke) * time.Second,
+			time.Duration(broke+rapid.IntRange(1, 5).Draw(t, fmt.Sprint(label, "ran", incarnation))) * time.Second, time.Duration(broke) * time.Second, 0,
 		})
 	}
 	return out
@@ -180,7 +180,7 @@
 func TestUpdateEncodingIsCompact(t *testing.T) {
 	is := is.New(t)
 	table := NewTable()
-	about := Source{"service-name", "workspace", "route-name", "vm-of-a-data-centre-1"}
+	about := Source{"service-name", "workspace", "route-name", "vm-of-a-data-centre-1", ""}
 	for n := range maxUpdates {
 		for k := range 3 {
 			table.RecordCrash(Fingerprint{byte(n)}, about, crash(fmt.Sprint("i-0123456789", k), k*100, k*100+40), at(400))
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -50,16 +50,7 @@
 // If a trial of the content is granted, the call of Blocks uses up the trial.
 // If a trial of the content is due, the call of Blocks requests a trial.
 func (t *Table) Blocks(p Fingerprint, now time.Time) bool {
-	c := t.records[p]
-	if c == nil || !c.Quarantined {
-		return false
-	}
-	if now.Before(c.trials.grantedUntil) {
-		c.trials.grantedUntil = time.Time{}
-		return false
-	}
-	c.trials.requested = c.trials.requested || c.trials.due(now)
-	return true
+	return t.BlockedBy([]Fingerprint{p}, now) != nil
 }
 
 // TrialRequests returns the quarantined contents for which this VM should request a trial
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -55,6 +55,11 @@
 	return !h.NotRun && (h.Status < http.StatusInternalServerError || !j.Route.Repeatable())
 }
 
+// isSuccess reports whether the answer is a successful one.
+func (h *ResponseHead) isSuccess() bool {
+	return h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
+}
+
 // deliver sends a complete answer to the caller.
 func (r *Relay) deliver(j *job, c Caller, h *ResponseHead, body []byte) (RequestEnd, *contract.Refusal) {
 	j.outcome, j.status = contract.OutcomeRan, h.Status
@@ -122,7 +127,7 @@
 		j.firstAnswerAt = r.opts.Now()
 		j.sends++
 		r.recordAttemptEnd(j, a.entry, upstream.Succeeded, took)
-		r.clearSuspect(j)
+		r.recordSurvival(j, a)
 		return nil
 	}
 	r.recordAttemptEnd(j, a.entry, result, took)
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -27,19 +27,36 @@
 	return *j.cachedFingerprint
 }
 
-// partFingerprints returns the fingerprints of the prompt's parts. The last part is left out:
-// it belongs to this request alone.
-func (j *job) partFingerprints() []quarantine.Fingerprint {
+// maxTrackedParts bounds the parts of one prompt that may come under suspicion.
+const maxTrackedParts = 64
+
+// sharedParts returns the parts of the prompt that other requests may share, maxTrackedParts at most.
+// The last part is left out: it belongs to this request alone. So are parts without a name.
+func (j *job) sharedParts() []quarantine.Part {
 	if j.cachedParts == nil && len(j.PartNames) > 1 {
-		shared := j.PartNames[:len(j.PartNames)-1]
-		j.cachedParts = make([]quarantine.Fingerprint, len(shared))
-		for i, name := range shared {
-			j.cachedParts[i] = quarantine.FingerprintOfPart(name)
+		shared := j.PartNames[:min(len(j.PartNames)-1, maxTrackedParts)]
+		j.cachedParts = make([]quarantine.Part, 0, len(shared))
+		for _, name := range shared {
+			if name != "" {
+				j.cachedParts = append(j.cachedParts, quarantine.NewPart(name))
+			}
 		}
 	}
 	return j.cachedParts
 }
 
+// fingerprints returns the fingerprints of the request's content and of the shared parts of its
+// prompt, each of which may be quarantined.
+func (j *job) fingerprints() []quarantine.Fingerprint {
+	if j.cachedFingerprints == nil {
+		j.cachedFingerprints = append(j.cachedFingerprints, j.contentFingerprint())
+		for _, p := range j.sharedParts() {
+			j.cachedFingerprints = append(j.cachedFingerprints, p.Fingerprint)
+		}
+	}
+	return j.cachedFingerprints
+}
+
 // staleConnectionWindow is the time after a send within which a broken connection does not prove
 // that the upstream was running at the time of the send.
 // If the connection no longer exists on the machine,
@@ -58,11 +75,21 @@
 	if !j.upstreamSeen && now.Sub(j.sentAt) < staleConnectionWindow || !r.endIsUnplanned(e) {
 		return
 	}
-	instance := e.Instance()
-	s := quarantine.SuspectRequest{
+	r.recordPossibleCrash(e, j.suspectRequest(now))
+}
+
+// suspectRequest describes the current attempt of a job, whose connection broke off at a time.
+func (j *job) suspectRequest(brokenAt time.Time) quarantine.SuspectRequest {
+	return quarantine.SuspectRequest{
 		Fingerprint: j.contentFingerprint(), Request: j.ID, Service: j.service, Workspace: j.Workspace, Route: j.Route.Name,
-		Parts: j.partFingerprints(), SentAt: j.sentAt, BeganAt: j.answerBeganAt, BrokenAt: now,
+		Parts: j.sharedParts(), SentAt: j.sentAt, BrokenAt: brokenAt, AnsweredFor: j.answeredFor(),
 	}
+}
+
+// recordPossibleCrash records that the connection of a request to an upstream broke off, and probes
+// the upstream unless a probe is in progress. The caller holds mu.
+func (r *Relay) recordPossibleCrash(e upstream.Entry, s quarantine.SuspectRequest) {
+	instance := e.Instance()
 	probe, crashed := r.possibleCrashes.ConnectionBroke(instance, e.Address, s)
 	if probe {
 		done := make(chan struct{})
@@ -159,32 +186,43 @@
 
 // recordCrash records that an upstream crashed while it executed requests. The caller holds mu.
 func (r *Relay) recordCrash(instance contract.UpstreamInstance, evidence string, suspects []quarantine.SuspectRequest) {
+	for _, s := range suspects {
+		r.recordSuspectParts(instance, s, s.BrokenAt)
+	}
 	for _, s := range suspects {
 		r.recordSuspect(instance, s, s.BrokenAt)
 		r.log.Warn("upstream-ended", zap.String("upstream", string(instance.Upstream)), zap.Int64("born", instance.Incarnation), zap.String("by", evidence),
 			zap.String("request", string(s.Request)), zap.Stringer("print", s.Fingerprint), zap.String("route", s.Route),
 			zap.String("workspace", string(s.Workspace)), zap.Int64("ran_ms", s.BrokenAt.Sub(s.SentAt).Milliseconds()),
-			zap.Int("beside", len(suspects)-1), zap.Strings("parts", partTexts(s.Parts)), zap.Int64("answered_ms", answeredFor(s).Milliseconds()))
+			zap.Int("beside", len(suspects)-1), zap.Strings("parts", partTexts(s.Parts)), zap.Int64("answered_ms", s.AnsweredFor.Milliseconds()))
 	}
 	if len(suspects) > 0 {
 		r.Metrics.upstreamsCrashed.Inc(1)
 	}
 }
 
-// partTexts returns fingerprints as text.
-func partTexts(parts []quarantine.Fingerprint) []string {
+// partTexts returns the fingerprints of parts as text.
+func partTexts(parts []quarantine.Part) []string {
 	texts := make([]string, len(parts))
 	for i, p := range parts {
-		texts[i] = p.String()
+		texts[i] = p.Fingerprint.String()
 	}
 	return texts
 }
 
-// answeredFor returns how long an upstream had been answering a request when it crashed.
-// It is negative if the answer had not begun.
-func answeredFor(s quarantine.SuspectRequest) time.Duration {
-	if s.BeganAt.IsZero() {
+// answeredFor returns for how long the upstream has been answering the current attempt, up to its
+// last data. It is negative if the answer has not begun.
+func (j *job) answeredFor() time.Duration {
+	if j.answerBeganAt.IsZero() {
 		return -time.Millisecond
 	}
-	return s.BrokenAt.Sub(s.BeganAt)
+	return j.answerDataAt.Sub(j.answerBeganAt)
+}
+
+// suspectFingerprint returns the fingerprint because of which a request was refused.
+func (j *job) suspectFingerprint() quarantine.Fingerprint {
+	if j.heldBy != (quarantine.Fingerprint{}) {
+		return j.heldBy
+	}
+	return j.contentFingerprint()
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -43,7 +43,7 @@
 		fields = append(fields, r.decisionContext(j)...)
 	}
 	if refusal != nil && refusal.Kind == contract.RefusedQuarantined {
-		fields = append(fields, zap.Stringer("print", j.contentFingerprint()))
+		fields = append(fields, zap.Stringer("print", j.suspectFingerprint()))
 	}
 	if refusal != nil {
 		fields = append(fields, zap.String("reason", string(refusal.Kind)), zap.String("step", string(refusal.Step)), zap.String("detail", refusal.Detail))
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/exchange"
 	"woaddoor/quarantine"
+	"woaddoor/upstream"
 )
 
 // prepareFingerprint computes the fingerprint of the request's content
@@ -16,19 +20,52 @@
 	suspecting := false
 	r.withLock(func() { suspecting = !r.quarantineCases.Empty() })
 	if suspecting {
-		j.contentFingerprint()
+		j.fingerprints()
 	}
 }
 
-// checkQuarantine returns a refusal if the request's content is quarantined.
+// checkQuarantine returns a refusal if the request's content or a part of its prompt is quarantined.
 // The check runs before each attempt: a first attempt,
 // a retry, an escalation, or the resumption of a stream.
 // The caller holds mu.
 func (r *Relay) checkQuarantine(j *job, now time.Time) *contract.Refusal {
-	if r.quarantineCases.Empty() || !r.quarantineCases.Blocks(j.contentFingerprint(), now) {
+	if r.quarantineCases.Empty() {
+		return nil
+	}
+	r.settleSuspects(now)
+	c := r.quarantineCases.BlockedBy(j.fingerprints(), now)
+	if c == nil {
 		return nil
 	}
-	return refuseQuarantined(j, r.quarantineCases.Record(j.contentFingerprint()))
+	j.heldBy = c.Fingerprint
+	return refuseQuarantined(j, c)
+}
+
+// settleSuspects quarantines the parts whose time for an answer has passed. The caller holds mu.
+func (r *Relay) settleSuspects(now time.Time) {
+	for _, c := range r.quarantineCases.Settle(now) {
+		r.recordCase(c, "own")
+	}
+	r.logExcused()
+}
+
+// recordCase logs a record that has changed, and reports it to the other VMs and to the site as far
+// as its state requires. The caller holds mu.
+func (r *Relay) recordCase(c *quarantine.Record, reporter string) {
+	r.logCase(c, reporter)
+	if c.Urgent() {
+		r.notifySuspected()
+	}
+	r.notifyIfQuarantined(c)
+}
+
+// logExcused logs what is no longer quarantined because a part explains its crashes.
+// The caller holds mu.
+func (r *Relay) logExcused() {
+	for _, c := range r.quarantineCases.TakeExcused() {
+		r.log.Info("suspect-excused", zap.Stringer("print", c.Fingerprint), zap.String("part", c.Part), zap.String("route", c.Route), zap.Uint32("epoch", c.Epoch))
+		r.notifySuspected()
+	}
 }
 
 // risksLastUpstream reports whether a request could crash the last available upstream
@@ -57,12 +94,23 @@
 	if !r.quarantineCases.RecordCrash(suspect.Fingerprint, source, quarantine.Crash{UpstreamInstance: instance, SentAt: suspect.SentAt, BrokenAt: suspect.BrokenAt}, now) {
 		return
 	}
-	c := r.quarantineCases.Record(suspect.Fingerprint)
-	r.logCase(c, "own")
-	if c.Urgent() {
-		r.notifySuspected()
+	r.recordCase(r.quarantineCases.Record(suspect.Fingerprint), "own")
+}
+
+// recordSuspectParts records that an upstream crashed while it executed a request, against the parts
+// of the request's prompt. An upstream that had been answering for long has survived the parts.
+// The caller holds mu.
+func (r *Relay) recordSuspectParts(instance contract.UpstreamInstance, suspect quarantine.SuspectRequest, now time.Time) {
+	if suspect.AnsweredFor >= quarantine.PartCrashWindow {
+		return
+	}
+	crash := quarantine.Crash{UpstreamInstance: instance, SentAt: suspect.SentAt, BrokenAt: suspect.BrokenAt, Content: suspect.Fingerprint.Prefix()}
+	for _, p := range suspect.Parts {
+		source := quarantine.Source{Service: suspect.Service, Workspace: suspect.Workspace, Route: suspect.Route, ObservedBy: r.opts.Self.VM, Part: p.Name}
+		if r.quarantineCases.RecordCrash(p.Fingerprint, source, crash, now) {
+			r.recordCase(r.quarantineCases.Record(p.Fingerprint), "own")
+		}
 	}
-	r.notifyIfQuarantined(c)
 }
 
 // notifyIfQuarantined reports newly quarantined content to the site. The caller holds mu.
@@ -72,24 +120,98 @@
 	}
 }
 
-// clearSuspect records that an upstream has executed the job's request successfully,
-// so that the request's content is no longer suspected of crashing upstreams.
-func (r *Relay) clearSuspect(j *job) {
+// recordSurvival records that an upstream has answered the job's request whole, so that the request's
+// content and the parts of its prompt are no longer suspected of crashing upstreams.
+// An answer whose end is not marked looks whole too if the upstream crashed after an event.
+func (r *Relay) recordSurvival(j *job, a *attempt) {
 	r.prepareFingerprint(j)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.quarantineCases.Empty() {
+	if !a.answer.Delimited {
+		go r.probeSurvival(a.entry, j.suspectRequest(r.opts.Now()), j.fingerprints(), a.head.isSuccess())
 		return
 	}
-	c := r.quarantineCases.Record(j.contentFingerprint())
-	urgent := c != nil && c.Urgent()
-	if !r.quarantineCases.RecordAnswer(j.contentFingerprint(), r.opts.Now()) {
+	r.withLock(func() { r.clearSuspects(j.ID, a.entry, j.fingerprints(), a.head.isSuccess()) })
+}
+
+// recordAnswerData records that more data of an answer has arrived. An upstream that has been answering
+// for PartCrashWindow has survived the parts of the prompt, however the answer ends.
+func (r *Relay) recordAnswerData(j *job, e upstream.Entry, now time.Time) {
+	survivedBefore := j.answeredFor() >= quarantine.PartCrashWindow
+	j.answerDataAt = now
+	if survivedBefore || j.answeredFor() < quarantine.PartCrashWindow {
 		return
 	}
-	r.log.Info("suspect-cleared", zap.String("request", string(j.ID)), zap.Stringer("print", j.contentFingerprint()), zap.String("upstream", string(j.lastUpstream.ID)))
-	if urgent {
-		r.notifySuspected()
+	r.prepareFingerprint(j)
+	r.withLock(func() {
+		if !r.quarantineCases.Empty() {
+			r.clearParts(j.ID, e, j.fingerprints()[1:])
+		}
+	})
+}
+
+// probeSurvival determines whether an upstream has survived an answer whose end was not marked.
+func (r *Relay) probeSurvival(e upstream.Entry, s quarantine.SuspectRequest, fingerprints []quarantine.Fingerprint, success bool) {
+	suspected := false
+	r.withLock(func() { suspected = r.anySuspected(fingerprints) })
+	if !suspected {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := exchange.Probe(ctx, r.opts.Dial, e.Address)
+	r.withLock(func() {
+		switch {
+		case err == nil:
+			r.clearSuspects(s.Request, e, fingerprints, success)
+		case exchange.IsConnectionRefused(err) && r.endIsUnplanned(e):
+			r.recordPossibleCrash(e, s)
+		}
+	})
+}
+
+// anySuspected reports whether any content or part with one of the fingerprints is suspected.
+// The caller holds mu.
+func (r *Relay) anySuspected(fingerprints []quarantine.Fingerprint) bool {
+	return slices.ContainsFunc(fingerprints, func(p quarantine.Fingerprint) bool {
+		c := r.quarantineCases.Record(p)
+		return c != nil && (c.Quarantined || len(c.Crashes) > 0)
+	})
+}
+
+// clearSuspects records that an upstream has survived a request. The first fingerprint is that of
+// the request's content, the others are those of the parts of its prompt. An upstream that fails a
+// request need not have begun to answer its prompt: only a success clears the parts.
+// The caller holds mu.
+func (r *Relay) clearSuspects(id contract.RequestID, e upstream.Entry, fingerprints []quarantine.Fingerprint, success bool) {
+	if r.quarantineCases.Empty() {
+		return
+	}
+	now := r.opts.Now()
+	if r.quarantineCases.RecordAnswer(fingerprints[0], now) {
+		r.recordCleared(id, e, fingerprints[0])
 	}
+	if success {
+		r.clearParts(id, e, fingerprints[1:])
+	}
+}
+
+// clearParts records that an upstream has survived the parts of a prompt. The caller holds mu.
+func (r *Relay) clearParts(id contract.RequestID, e upstream.Entry, parts []quarantine.Fingerprint) {
+	for _, p := range parts {
+		if r.quarantineCases.RecordPartAnswer(p, r.opts.Now()) {
+			r.recordCleared(id, e, p)
+		}
+	}
+}
+
+// recordCleared logs that a content or part is no longer suspected, and notifies the other VMs at
+// once if they may be about to quarantine it. The caller holds mu.
+func (r *Relay) recordCleared(id contract.RequestID, e upstream.Entry, p quarantine.Fingerprint) {
+	c := r.quarantineCases.Record(p)
+	if !c.Urgent() {
+		return
+	}
+	r.log.Info("suspect-cleared", zap.String("request", string(id)), zap.Stringer("print", p), zap.String("part", c.Part), zap.String("upstream", string(e.ID)))
+	r.notifySuspected()
 }
 
 // notifySuspected requests that the other VMs be notified at once of suspected content.
@@ -100,8 +222,12 @@
 	}
 }
 
-// logCase logs the state of content that is suspected of crashing upstreams. The caller holds mu.
+// logCase logs the state of a content or part that is suspected of crashing upstreams. The many that
+// merely ran on one upstream that crashed are left out. The caller holds mu.
 func (r *Relay) logCase(c *quarantine.Record, reporter string) {
+	if !c.Urgent() {
+		return
+	}
 	event := "suspect"
 	if c.Quarantined {
 		event = "request-held"
@@ -110,7 +236,7 @@
 	for _, e := range c.Crashes {
 		crashed = append(crashed, e.Upstream)
 	}
-	r.log.Warn(event, zap.Stringer("print", c.Fingerprint), zap.String("route", c.Route), zap.String("workspace", string(c.Workspace)),
+	r.log.Warn(event, zap.Stringer("print", c.Fingerprint), zap.String("part", c.Part), zap.String("route", c.Route), zap.String("workspace", string(c.Workspace)),
 		zap.String("service", string(c.Service)), zap.String("by", reporter), zap.String("first_seen_by", string(c.ObservedBy)),
 		zap.Strings("ended", idStrings(crashed)), zap.Uint32("epoch", c.Epoch))
 }
@@ -119,6 +245,7 @@
 func (r *Relay) Suspects() []quarantine.Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.settleSuspects(r.opts.Now())
 	return r.quarantineCases.Updates(r.opts.Now())
 }
 
@@ -131,10 +258,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.quarantineCases.Merge(updates, r.opts.Now()) {
-		r.logCase(c, string(from))
+		if c.Quarantined {
+			r.logCase(c, string(from))
+		}
 		r.notifyIfQuarantined(c)
 		urgent = urgent || c.Urgent()
 	}
+	r.logExcused()
 	return urgent
 }
 
@@ -143,6 +273,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.quarantineCases.SetStored(h, r.opts.Now())
+	r.logExcused()
 }
 
 // ReplaceQuarantined records which content is marked as quarantined in the platform's
@@ -199,7 +330,14 @@
 	r.log.Info("held-trial", zap.Stringer("print", p), zap.Bool("granted", ok))
 }
 
-// CountQuarantined returns how many request contents are quarantined.
+// CountQuarantinedParts returns how many parts of prompts are quarantined.
+func (r *Relay) CountQuarantinedParts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantineCases.CountQuarantinedParts()
+}
+
+// CountQuarantined returns how many request contents and parts of prompts are quarantined.
 func (r *Relay) CountQuarantined() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -18,13 +18,21 @@
 	retryAfterListUpdate = 600 * time.Millisecond
 )
 
-// refuseQuarantined refuses a request whose content has crashed the upstreams that executed it.
+// refuseQuarantined refuses a request whose content, or a part of whose prompt, has crashed the
+// upstreams that executed it.
 func refuseQuarantined(j *job, c *quarantine.Record) *contract.Refusal {
+	what, crashes, retryAfter := "this content", max(len(c.Crashes), quarantine.CrashLimit), quarantine.RetryAfter
+	if c.IsPart() {
+		what, crashes = "this part of their prompts", max(len(c.Crashes), quarantine.PartCrashLimit)
+	}
+	if c.TrialPending() {
+		retryAfter = retryAfterRestart
+	}
 	f := &contract.Refusal{
 		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: fmt.Sprintf("requests with this content (%s) have crashed %d upstreams one after another and are no longer sent", c.Fingerprint, max(len(c.Crashes), quarantine.CrashLimit)),
+		Detail: fmt.Sprintf("requests with %s (%s) have crashed %d upstreams one after another and are no longer sent", what, c.Fingerprint, crashes),
 	}
-	return f.WithRetryAfter(quarantine.RetryAfter)
+	return f.WithRetryAfter(retryAfter)
 }
 
 // retryAfterRestart is the approximate time in which a crashed upstream restarts.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -184,6 +184,7 @@
 	r.logEndedBackoffs(r.opts.Now())
 	r.refreshFairShares()
 	r.possibleCrashes.Expire(r.opts.Now())
+	r.settleSuspects(r.opts.Now())
 	r.quarantineCases.Expire(r.opts.Now())
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -80,8 +80,12 @@
 	discardedConfidence float64 // reported for a smaller model's discarded answer
 	// cachedFingerprint is the fingerprint of the request's content, computed on first use.
 	cachedFingerprint *quarantine.Fingerprint
-	// cachedParts are the fingerprints of the shared parts of the prompt, computed on first use.
-	cachedParts []quarantine.Fingerprint
+	// cachedParts are the shared parts of the prompt, and cachedFingerprints the fingerprints of the
+	// content and of these parts, computed on first use.
+	cachedParts        []quarantine.Part
+	cachedFingerprints []quarantine.Fingerprint
+	// heldBy is the fingerprint because of which the request was refused; zero if it was not.
+	heldBy quarantine.Fingerprint
 	// executionReported is set once OnExecution has been called for the request.
 	executionReported bool
 }
@@ -103,7 +107,8 @@
 	sentAt       time.Time
 	upstreamSeen bool
 	// answerBeganAt is when a successful answer to the attempt began; zero before.
-	answerBeganAt time.Time
+	// answerDataAt is when its last data arrived.
+	answerBeganAt, answerDataAt time.Time
 	// limitClaimed is set if the attempt has used one request
 	// of this VM's share of its upstream's rate limit.
 	limitClaimed bool
@@ -198,6 +203,7 @@
 		return
 	}
 	j.answerBeganAt = r.opts.Now()
+	j.answerDataAt = j.answerBeganAt
 	if j.pending.upstream != "" {
 		r.logFirstToken(j, h)
 		r.recordAnswerBegin(j)
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -202,7 +202,7 @@
 			a.addTime(j, timePerEvent, r.opts.Now().Sub(j.firstAnswerAt)/time.Duration(s.eventsForwarded))
 		}
 		r.observeRelease(j, a, false)
-		r.clearSuspect(j)
+		r.recordSurvival(j, a)
 		j.sends++
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
@@ -288,6 +288,7 @@
 	}
 	s.recordLastEvent()
 	now := s.relay.opts.Now()
+	s.relay.recordAnswerData(s.job, a.entry, now)
 	detector.RecordChunk(now)
 	if s.eventsForwarded == 0 {
 		s.job.firstAnswerAt = now
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -23,7 +23,7 @@
 	crashes := 0
 	r.withLock(func() {
 		if j.failures > 0 && !r.quarantineCases.Empty() {
-			probe, crashes = r.probesRunning[j.lastUpstream.Instance()], r.quarantineCases.CrashCount(j.contentFingerprint())
+			probe, crashes = r.probesRunning[j.lastUpstream.Instance()], r.mostCrashes(j)
 		}
 	})
 	if probe == nil || crashes == 0 {
@@ -38,6 +38,19 @@
 	}
 }
 
+// mostCrashes returns the number of crashes that count against the request's content or a part of its
+// prompt, whichever has more. A single crash of a part does not count: parts are shared with many
+// requests, which would wait too. The caller holds mu.
+func (r *Relay) mostCrashes(j *job) int {
+	most := r.quarantineCases.CrashCount(j.contentFingerprint())
+	for _, p := range j.sharedParts() {
+		if n := r.quarantineCases.CrashCount(p.Fingerprint); n >= 2 {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // checkSuspectRunning returns a refusal if one more crash quarantines the request's content
 // and an attempt with the same content is in progress at this VM.
 // The end of that attempt decides on the content;
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -114,7 +114,7 @@
 
 // logQuarantineWrite logs the outcome of a write.
 func (s *Site) logQuarantineWrite(content quarantine.QuarantinedContent, state string, err error) {
-	fields := []zap.Field{zap.Stringer("print", content.Fingerprint), zap.String("state", state), zap.String("route", content.Route), zap.String("workspace", string(content.Workspace))}
+	fields := []zap.Field{zap.Stringer("print", content.Fingerprint), zap.String("state", state), zap.String("part", content.Part), zap.String("route", content.Route), zap.String("workspace", string(content.Workspace))}
 	if err != nil {
 		s.log.Warn("held-note-failed", append(fields, logs.ErrorFields(err)...)...)
 		return
