forward, relay, upstream: a VM that has used up its share of what upstreams accept passes requests to one that has room

Cause: what an upstream accepts is divided equally among the VMs, whatever comes to each. A VM with nine in ten callers refused them for its own share (no-upstream, 0 of each known cause), while the shares of five others were unused. Change: such a request is offered to another VM through package forward, which counts it against its own share, so that all VMs together stay within the upstream's bound. Only VMs that state room get an offer: none is made in a general overload.

--- a/forward/client.go
+++ b/forward/client.go
@@ -55,7 +55,7 @@
 func (c *Client) Forward(ctx context.Context, f *relay.ForwardedRequest, allowed func(contract.DataCentreID) bool, to relay.AnswerReceiver) relay.ForwardResult {
 	c.helpers.refresh(ctx, f.Service)
 	for range maxOffers {
-		h, ok := c.helpers.pick(f.Service, allowed)
+		h, ok := c.helpers.pick(f.Service, f.Overflow, allowed)
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -83,7 +83,7 @@
 		return nil, err.Error()
 	}
 	var a Admission
-	if err = s.Send(Offer{Service: f.Service, Bytes: contract.Bytes(len(f.Body))}); err == nil {
+	if err = s.Send(Offer{Service: f.Service, Bytes: contract.Bytes(len(f.Body)), Overflow: f.Overflow}); err == nil {
 		err = s.Receive(&a, admissionTimeout)
 	}
 	if err != nil {
--- a/forward/directory.go
+++ b/forward/directory.go
@@ -74,8 +74,10 @@
 	// running is the number of requests that the VM has stated to run for other VMs,
 	// and sent the number of requests of this VM that it runs.
 	running, sent int
-	answeredAt    time.Time
-	droppedUntil  time.Time
+	// room is set if the VM has stated that it can send more requests to the service.
+	room         bool
+	answeredAt   time.Time
+	droppedUntil time.Time
 }
 
 func newDirectory(opts *ClientOptions, ask func(context.Context, string, contract.ServiceID) (ReachAnswer, error)) *directory {
@@ -176,7 +178,7 @@
 		h.helpers = append(h.helpers, helper{})
 		i = len(h.helpers) - 1
 	}
-	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].answeredAt = a.Candidate, a.Running, now
+	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room, now
 }
 
 // record ends a round. A VM that has answered that it has no path is no helper any more.
@@ -215,13 +217,14 @@
 }
 
 // pick returns the nearest helper for a request, of several the least loaded, and counts the request.
-func (d *directory) pick(s contract.ServiceID, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
+// The argument overflow means that only helpers with room come into question.
+func (d *directory) pick(s contract.ServiceID, overflow bool, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h, now := d.service(s), d.opts.Now()
 	best := -1
 	for i, known := range h.helpers {
-		if now.Before(known.droppedUntil) || !allowed(known.DataCentre) {
+		if now.Before(known.droppedUntil) || overflow && !known.room || !allowed(known.DataCentre) {
 			continue
 		}
 		if best < 0 || compareHelpers(known, h.helpers[best]) < 0 {
--- a/forward/directory_test.go
+++ b/forward/directory_test.go
@@ -15,8 +15,9 @@
 
 var errNoAnswer = errors.New("no answer")
 
-// newTestDirectory returns a directory whose candidates answer as given: 1 for a VM that reaches the
-// service, 0 for one that does not, -1 for one that does not answer.
+// newTestDirectory returns a directory whose candidates answer as given: 2 for a VM that reaches the
+// service and has room, 1 for one that reaches it, 0 for one that does not, -1 for one that does not
+// answer.
 func newTestDirectory(now *time.Time, candidates []Candidate, answers map[contract.VMID]int) *directory {
 	opts := &ClientOptions{Candidates: func() []Candidate { return candidates }, Log: zap.NewNop(), Now: func() time.Time { return *now }}
 	byAddress := make(map[string]contract.VMID)
@@ -24,9 +25,9 @@
 		byAddress[c.Address] = c.VM
 	}
 	return newDirectory(opts, func(_ context.Context, address string, _ contract.ServiceID) (ReachAnswer, error) {
-		switch answers[byAddress[address]] {
-		case 1:
-			return ReachAnswer{Reaches: true}, nil
+		switch answer := answers[byAddress[address]]; answer {
+		case 1, 2:
+			return ReachAnswer{Reaches: true, Room: answer == 2}, nil
 		case 0:
 			return ReachAnswer{}, nil
 		}
@@ -89,22 +90,42 @@
 	now := time.Unix(100, 0)
 	candidates := append([]Candidate{{VM: "near2", Address: "4", DataCentre: "d"}}, testCandidates...)
 	d := newTestDirectory(&now, candidates, map[contract.VMID]int{"near": 1, "near2": 1, "region": 1, "far": 1})
-	_, ok := d.pick("s", anywhere)
+	_, ok := d.pick("s", false, anywhere)
 	is.True(!ok) // no helper is known
 	d.askAndWait(is)
-	first, _ := d.pick("s", anywhere)
-	second, _ := d.pick("s", anywhere)
+	first, _ := d.pick("s", false, anywhere)
+	second, _ := d.pick("s", false, anywhere)
 	is.True(first.VM != second.VM)
 	is.Equal(first.Distance+second.Distance, 0)
-	elsewhere, _ := d.pick("s", func(dc contract.DataCentreID) bool { return dc == "f" })
+	elsewhere, _ := d.pick("s", false, func(dc contract.DataCentreID) bool { return dc == "f" })
 	is.Equal(elsewhere.VM, contract.VMID("far"))
 	d.drop("s", first.VM)
 	d.drop("s", second.VM)
-	third, _ := d.pick("s", anywhere)
+	third, _ := d.pick("s", false, anywhere)
 	is.Equal(third.VM, contract.VMID("region"))
 	now = now.Add(droppedFor)
-	again, _ := d.pick("s", anywhere)
+	again, _ := d.pick("s", false, anywhere)
 	is.Equal(again.Distance, 0)
-	_, ok = d.pick("s", func(contract.DataCentreID) bool { return false })
+	_, ok = d.pick("s", false, func(contract.DataCentreID) bool { return false })
 	is.True(!ok)
 }
+
+// TestOverflowGoesToVMWithRoom guards against requests beyond a VM's share being offered to VMs that
+// have used up their own, which would add work to an overload.
+func TestOverflowGoesToVMWithRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	answers := map[contract.VMID]int{"near": 1, "region": 2, "far": 1}
+	d := newTestDirectory(&now, testCandidates, answers)
+	d.askAndWait(is)
+	withRoom, ok := d.pick("s", true, anywhere)
+	is.True(ok)
+	is.Equal(withRoom.VM, contract.VMID("region"))
+	answers["region"] = 1
+	now = now.Add(askInterval)
+	d.askAndWait(is)
+	_, ok = d.pick("s", true, anywhere)
+	is.True(!ok)
+	_, ok = d.pick("s", false, anywhere)
+	is.True(ok) // a lost path is another matter
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,5 +1,7 @@
 // Package forward passes requests between VMs. A VM that has lost its network path to the upstreams
 // of a service asks other VMs whether they reach the service, and passes its requests to one of them.
+// So does a VM that has used up its share of what the upstreams accept, because callers came to it
+// instead of to the other VMs.
 //
 // A request is passed on in these steps, all on one stream of package link:
 //
@@ -34,6 +36,8 @@
 	Reaches bool `cbor:"1,keyasint"`
 	// Running is the number of requests that the VM serves for other VMs.
 	Running int `cbor:"2,keyasint,omitempty"`
+	// Room means that the VM has not used up its share of what the upstreams accept.
+	Room bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Offer announces a request before it is sent.
@@ -41,6 +45,9 @@
 	Service contract.ServiceID `cbor:"1,keyasint"`
 	// Bytes is the size of the request's body.
 	Bytes contract.Bytes `cbor:"2,keyasint"`
+	// Overflow means that the forwarding VM has used up its share of what the upstreams accept.
+	// A helper that has used up its own declines.
+	Overflow bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Admission is the answer to an Offer.
--- a/forward/helper.go
+++ b/forward/helper.go
@@ -69,7 +69,7 @@
 
 func (h *Helper) answerReach(ctx context.Context, _ string, q ReachQuery) (ReachAnswer, error) {
 	running, _ := h.Counts()
-	return ReachAnswer{Reaches: !h.stopping() && h.relay.Reaches(ctx, q.Service), Running: running}, nil
+	return ReachAnswer{Reaches: !h.stopping() && h.relay.Reaches(ctx, q.Service), Running: running, Room: h.relay.HasRoom(q.Service)}, nil
 }
 
 // admit reserves room for a request, or returns why it is not accepted.
@@ -79,6 +79,8 @@
 		return Stopping
 	case !h.relay.Reaches(ctx, o.Service):
 		return NoPath
+	case o.Overflow && !h.relay.HasRoom(o.Service):
+		return Full
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -112,6 +112,8 @@
 	{"capacity is reserved for quiet workspaces", "workspace/queue.go", "if q.running < q.opts.Capacity-q.reservedSlots() {", "if q.running < q.opts.Capacity {", "./workspace", "TestReserveAdmitsQuietWorkspace"},
 	{"an empty set of pools does not mean all pools", "relay/evacuation.go", "return len(c.pools) == 0", "return false", "./platform", "TestServiceWithoutUpstreamsRefuses"},
 	{"a quarantined content is not sent", "relay/quarantine.go", "c := r.quarantineCases.BlockedBy(j.fingerprints(), now)", "c := r.quarantineCases.BlockedBy(nil, now)", "./platform", "TestCrashingRequestIsQuarantined"},
+	{"a VM that has used up its share passes requests on", "relay/forward.go", "upstream.PathOpen && !j.sharesUsed", "upstream.PathOpen", "./platform", "TestUnevenConnectionsAreServed"},
+	{"requests beyond a share go to VMs with room", "forward/directory.go", "overflow && !known.room", "false", "./forward", "TestOverflowGoesToVMWithRoom"},
 	{"a part that crashes upstreams is not sent", "relay/crashes.go", "			j.cachedFingerprints = append(j.cachedFingerprints, p.Fingerprint)\n", "", "./platform", "TestCrashingPartIsQuarantined"},
 	{"an answer clears a part", "relay/quarantine.go", "r.clearParts(id, e, fingerprints[1:])", "_ = success", "./platform", "TestCommonPartIsNotQuarantined"},
 	{"a part is held only after the time for an answer", "quarantine/parts.go", "now.Sub(c.limitReachedAt) >= settleDelay", "true", "./quarantine", "TestPartWithoutAnswerIsQuarantined"},
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -75,6 +75,9 @@
 	Progress Progress `cbor:"23,keyasint"`
 	// PartNames are the names of PromptParts.
 	PartNames []string `cbor:"24,keyasint,omitempty"`
+	// Overflow means that the forwarding VM reaches the service, but has used up its share of what the
+	// upstreams accept.
+	Overflow bool `cbor:"25,keyasint,omitempty"`
 }
 
 // Progress is how far a request has come before it is passed to another VM.
@@ -172,6 +175,7 @@
 		ChooseModel: j.ChooseModel, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, PromptParts: j.PromptParts, PartNames: j.PartNames,
 		SharedPromptKey: j.SharedPromptKey, Session: j.Session, Service: j.service, Counted: j.counted,
 		Progress: Progress{Sends: j.sends, Outcome: j.outcome, HeadSent: j.headSent, WeightsVersion: j.weightsVersion},
+		Overflow: j.sharesUsed,
 	}
 	if j.sends > 0 { // upstreams that were only unreachable from this VM may be tried by another one
 		f.Progress.Tried = j.exclude
@@ -197,6 +201,8 @@
 func (r *Relay) canForward(j *job) bool { return r.opts.Forwarder != nil && !j.forwarded }
 
 // forwardAfter reports whether a request that this VM would refuse is passed to another VM instead.
+// It is if this VM has lost its path to the upstreams, or has used up its share of what they accept:
+// the shares are equal, and callers may have come to one VM.
 // A request that an upstream may have received is sent again only if that is allowed, and the resend
 // is taken from the retry budget.
 func (r *Relay) forwardAfter(ctx context.Context, j *job, refused *contract.Refusal) bool {
@@ -209,7 +215,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.pathState(j.service, now) == upstream.PathOpen {
+	if r.pathState(j.service, now) == upstream.PathOpen && !j.sharesUsed {
 		return false
 	}
 	return j.sends == 0 || r.takeResend(j, now)
--- a/relay/path.go
+++ b/relay/path.go
@@ -187,6 +187,15 @@
 	return open && (recent || len(probe) > 0 && r.probePath(ctx, probe[0]))
 }
 
+// HasRoom reports whether this VM may send a request to any upstream of a service now.
+func (r *Relay) HasRoom(s contract.ServiceID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	pools := r.notEvacuated(poolsExcept(r.poolsByRelease[s], r.rolledBack[s]), 0, now)
+	return len(pools) > 0 && r.table.CanPick(r.poolQuery(candidatePools{pools: pools}, nil), now)
+}
+
 // usableUpstreams returns the upstreams of a service that requests may be sent to,
 // apart from their health. The caller holds mu.
 func (r *Relay) usableUpstreams(s contract.ServiceID, now time.Time) []contract.UpstreamID {
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -89,9 +89,10 @@
 	}
 	f := &contract.Refusal{
 		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: fmt.Sprintf("none of %d upstreams of the service can accept the request now: %d back off, %d are leaving, %d are at their rate limit (%.1f requests/s), %d are brittle and have no room for this VM",
-			o.Listed, o.BackedOff, o.Leaving, o.AtLimit, o.PerSecond, o.NoRoom),
+		Detail: fmt.Sprintf("none of %d upstreams of the service can accept the request now: %d back off, %d are leaving, %d are at their rate limit (%.1f requests/s), %d are brittle and have no room for this VM, of %d this VM has used its share of the connections",
+			o.Listed, o.BackedOff, o.Leaving, o.AtLimit, o.PerSecond, o.NoRoom, o.ShareUsed),
 	}
+	j.sharesUsed = o.SharesUsed()
 	switch {
 	case o.NoneAccepting() && o.AtLimit > 0:
 		f.Kind = contract.RefusedUpstreamsAtLimit
@@ -100,7 +101,7 @@
 		f.Detail += fmt.Sprintf(", the first back-off ends in %v", o.NextBackoffEnd.Round(time.Millisecond))
 	}
 	defaultDelay := retryAfterListUpdate
-	if o.NoRoom > 0 {
+	if o.NoRoom+o.ShareUsed > 0 {
 		defaultDelay = retryAfterBusy
 	}
 	return f.WithRetryAfter(r.retryAfter(j.service, o, defaultDelay, now))
--- a/relay/send.go
+++ b/relay/send.go
@@ -45,8 +45,10 @@
 	// this one has passed it. counted is set once a retry budget has counted the request.
 	forwarded, counted bool
 	via                contract.VMID
-	model              contract.ModelID
-	modelReason        string // reason for the choice of the model
+	// sharesUsed is set if the last refusal was for want of this VM's share of what upstreams accept.
+	sharesUsed  bool
+	model       contract.ModelID
+	modelReason string // reason for the choice of the model
 	// relativeValue is the value of the request relative to that of a mean request.
 	relativeValue float64
 	selection
--- a/upstream/outlook.go
+++ b/upstream/outlook.go
@@ -9,8 +9,9 @@
 	// Leaving counts the upstreams that are about to stop, and AtLimit counts the upstreams
 	// whose rate limit allows this VM no request now.
 	// NoRoom counts the brittle upstreams of whose room this VM has used its part,
-	// or which have rejected a request a moment ago.
-	Listed, BackedOff, Leaving, AtLimit, NoRoom int
+	// or which have rejected a request a moment ago. ShareUsed counts the upstreams of whose
+	// connections this VM has used its share.
+	Listed, BackedOff, Leaving, AtLimit, NoRoom, ShareUsed int
 	// PerSecond is the total request rate that the upstreams counted in AtLimit accept from
 	// all VMs.
 	PerSecond float64
@@ -26,6 +27,10 @@
 	return o.BackedOff+o.AtLimit > 0 && o.BackedOff+o.AtLimit+o.Leaving == o.Listed
 }
 
+// SharesUsed reports whether upstreams may accept requests of other VMs though none of this one:
+// what they accept is divided among the VMs, and this VM has used up its part.
+func (o Outlook) SharesUsed() bool { return o.AtLimit+o.NoRoom+o.ShareUsed > 0 }
+
 // Outlook returns when the upstreams that a query allows will accept requests again. It includes
 // the upstreams that have already failed the request.
 func (t *Table) Outlook(q Query, now time.Time) Outlook {
@@ -49,6 +54,8 @@
 			o.PerSecond += maxSendRate(s.notices.limit.PerSecond)
 		case !t.withinRoom(s, now):
 			o.NoRoom++
+		case !s.hasFreeConnection():
+			o.ShareUsed++
 		}
 	}
 	return o
