--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -168,8 +168,28 @@
 	fmt.Fprint(c, "\r\n")
 }
 
+// BeginUndelimited sends the status line and headers of an answer with neither a length nor chunks:
+// it ends when the handler closes the connection.
+func (c *Conn) BeginUndelimited(id string, headers ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", id, c.Signature())
+	for _, h := range headers {
+		fmt.Fprintf(c, "%s\r\n", h)
+	}
+	fmt.Fprint(c, "\r\n")
+}
+
+// Reset makes the end of the connection a reset.
+func (c *Conn) Reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that is closed already needs no reset
+	}
+}
+
+// EventText returns one event of a stream as it is sent.
+func EventText(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+
 // Event sends one event of a stream.
-func (c *Conn) Event(id int, data string) { c.Chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)) }
+func (c *Conn) Event(id int, data string) { c.Chunk(EventText(id, data)) }
 
 // Chunk sends text as one chunk of a stream.
 func (c *Conn) Chunk(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -15,7 +15,7 @@
 
 // Errors that end an attempt at a streamed answer.
 var (
-	// errTruncated means that a stream ended within an event.
+	// errTruncated means that a stream ended within an event, or before the first one.
 	errTruncated = errors.New("stream ended within an event")
 	// errStalled means that an upstream paused for too long compared
 	// with the earlier pauses of the same stream.
@@ -263,7 +263,7 @@
 			watchdog.extend(j, detector.Deadline())
 		}
 		switch {
-		case errors.Is(err, io.EOF) && s.events.HasPartial():
+		case errors.Is(err, io.EOF) && (s.events.HasPartial() || s.endedBeforeFirstEvent(a)):
 			return errTruncated
 		case errors.Is(err, io.EOF):
 			return nil
@@ -277,6 +277,12 @@
 	}
 }
 
+// endedBeforeFirstEvent reports whether the end of an answer without a marked end came before any
+// event. An upstream that crashes after the head of such an answer ends it in the same way.
+func (s *streamTransfer) endedBeforeFirstEvent(a *attempt) bool {
+	return !a.answer.Delimited && s.eventsForwarded == 0 && !s.job.resumes && s.job.LastEvent == nil
+}
+
 // forwardEvents sends the complete events among the received bytes to the caller.
 func (s *streamTransfer) forwardEvents(a *attempt, detector *stream.StallDetector, p []byte) error {
 	if len(p) == 0 {
