quarantine: a part is not blamed while its service answers nothing else

Cause, by reading: a service that crashes under everything crashes under the part that all its requests share, with no answer to clear it; the part would have been held for five minutes after the service was back. Change: a part is held only if its service has answered other requests between its crashes. Evidence: TestPartOfBrokenServiceIsNotQuarantined, which fails without the rule (mutant). Left: a part whose requests are the only ones of a service is not held.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -121,6 +121,7 @@
 	{"a part is held only after the time for an answer", "quarantine/parts.go", "now.Sub(c.limitReachedAt) >= settleDelay", "true", "./quarantine", "TestPartWithoutAnswerIsQuarantined"},
 	{"crashes of one content count against a part a few times", "quarantine/parts.go", "same < maxCrashesPerContent", "true", "./quarantine", "TestPartWithoutAnswerIsQuarantined"},
 	{"an answer contradicts the quarantine of another VM", "quarantine/parts.go", "if !other.IsPart() || !t.answeredRecently(other.Fingerprint, now) {", "if true {", "./quarantine", "TestAnsweredPartIsReleasedElsewhere"},
+	{"a part is not blamed for a service that answers nothing", "quarantine/parts.go", "if !c.othersAnswered {", "if false {", "./quarantine", "TestPartOfBrokenServiceIsNotQuarantined"},
 	{"a quarantined part excuses what ran beside it", "quarantine/parts.go", "c.Crashes = kept\n", "", "./quarantine", "TestQuarantinedPartExcusesOthers"},
 	{"a part that came only with the one at fault gets a trial", "quarantine/parts.go", "c.trials.count == 0 && t.isAmbiguous(c, fingerprints)", "false", "./quarantine", "TestCompanionOfCrashingPartGetsTrial"},
 	{"VMs exchange request contents that crash upstreams", "site/receive.go", "exchange.MergeSuspects(msg.Suspects, msg.Self.VM) || worse", "worse", "./platform", "TestQuarantineDuringStoreOutage"},
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -97,6 +97,7 @@
 // quarantined content with the store.
 func (s *fleetSim) scheduleHeartbeat(v *simVM) {
 	s.after(rapid.IntRange(400, 600).Draw(s.t, "heartbeat"), func() {
+		v.table.RecordServiceAnswer(s.source.Service, at(s.now)) // other requests are answered
 		v.table.Settle(at(s.now))
 		s.broadcast(v)
 		if !s.isolated && s.now >= v.disconnectedUntil {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -20,6 +20,8 @@
 //     only maxCrashesPerContent times.
 //   - Answers are known to the VM that received them first, so a part is quarantined only settleDelay
 //     after its last crash that counts.
+//   - If a service answers nothing, the service is at fault and not the part, which all requests may
+//     share. A part is quarantined only if requests without it were answered between its crashes.
 
 // PartCrashLimit is the number of crashes without an answer after which a part is quarantined.
 const PartCrashLimit = 4
@@ -115,6 +117,9 @@
 		if t.settling[c.Fingerprint] == nil {
 			continue // explained by a part that came first
 		}
+		if !c.othersAnswered {
+			continue
+		}
 		t.setQuarantined(c, true)
 		t.updateSettling(c, now)
 		t.markChanged(c, now)
@@ -124,6 +129,18 @@
 	return quarantined
 }
 
+// updateOthersAnswered notes, at each crash that is newer than those of the record, whether the
+// service of a part has answered other requests since the first one.
+func (t *Table) updateOthersAnswered(c *Record, crashes []Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	known, newest := c.Crashes, crashes[len(crashes)-1]
+	if len(known) == 0 || newest.BrokenAt.After(known[len(known)-1].BrokenAt) {
+		c.othersAnswered = c.othersAnswered || t.serviceAnswers[c.Service].After(crashes[0].BrokenAt)
+	}
+}
+
 // updateSettling begins or ends the time after which a part is quarantined.
 func (t *Table) updateSettling(c *Record, now time.Time) {
 	if !c.IsPart() || c.Quarantined || c.crashCount() < PartCrashLimit {
@@ -210,6 +227,9 @@
 	return t.RecordAnswer(p, now)
 }
 
+// RecordServiceAnswer records that an upstream of a service has answered a request whole.
+func (t *Table) RecordServiceAnswer(s contract.ServiceID, now time.Time) { t.serviceAnswers[s] = now }
+
 // rememberAnswer keeps when a part was last answered.
 func (t *Table) rememberAnswer(p Fingerprint, now time.Time) {
 	if _, known := t.answered[p]; !known && len(t.answered) >= maxAnswered {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -32,6 +32,7 @@
 func recordPart(t *Table, p Part, crashes ...int) {
 	for n, broke := range crashes {
 		t.RecordCrash(p.Fingerprint, Source{Service: "s", Part: p.Name}, partCrash(broke, uint64(n+1), broke), at(broke))
+		t.RecordServiceAnswer("s", at(broke+1)) // to another request
 	}
 }
 
@@ -63,6 +64,7 @@
 			last := start
 			for _, e := range c.crashes {
 				table.RecordCrash(testPart.Fingerprint, partSource, e, e.BrokenAt)
+				table.RecordServiceAnswer("s", e.BrokenAt.Add(time.Millisecond)) // to another request
 				last = e.BrokenAt
 			}
 			is.Equal(len(table.Settle(last)), 0) // an answer may be on its way from another VM
@@ -100,6 +102,7 @@
 			case 0:
 				n++
 				from.RecordCrash(testPart.Fingerprint, partSource, partCrash(n, uint64(n), now), at(now))
+				from.RecordServiceAnswer("s", at(now+1))
 			case 1:
 				to := others[rapid.IntRange(0, 2).Draw(t, "to")]
 				to.Merge(from.Updates(at(now)), at(now+rapid.IntRange(0, 300).Draw(t, "delay")))
@@ -130,6 +133,25 @@
 	})
 }
 
+// TestPartOfBrokenServiceIsNotQuarantined guards against the part that all requests of a service share
+// being held for minutes because the service crashed under everything: it is not known to be at fault
+// before the service has answered something else.
+func TestPartOfBrokenServiceIsNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.RecordServiceAnswer("s", at(-100))
+	for n := range 8 {
+		table.RecordCrash(testPart.Fingerprint, partSource, partCrash(n, uint64(n), 200*n), at(200*n))
+	}
+	table.RecordServiceAnswer("another", at(2000))
+	is.Equal(len(table.Settle(at(3000))), 0)
+	table.RecordServiceAnswer("s", at(3001))                                             // the service is back
+	table.RecordCrash(testPart.Fingerprint, partSource, partCrash(7, 7, 1400), at(3500)) // reported once more
+	is.Equal(len(table.Settle(at(4000))), 0)
+	table.RecordCrash(testPart.Fingerprint, partSource, partCrash(9, 9, 4100), at(4100))
+	is.Equal(len(table.Settle(at(4100))), 1) // and crashes under the part while it answers others
+}
+
 // TestAnsweredPartIsReleasedElsewhere guards against a quarantine that spreads to a VM which has
 // received answers to the part: the VM goes on serving it and releases it at the other.
 func TestAnsweredPartIsReleasedElsewhere(t *testing.T) {
@@ -290,6 +312,7 @@
 	is.NoErr(err)
 	var updates []Update
 	is.NoErr(link.Decode(raw, &updates))
+	peer.RecordServiceAnswer("s", at(500))
 	is.Equal(len(peer.Merge(updates, at(650))), 1)
 	is.Equal(peer.CrashCount(testPart.Fingerprint), 4)
 	is.Equal(len(peer.Settle(at(650).Add(settleDelay))), 1)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -88,6 +88,8 @@
 	trials        trials
 	// limitReachedAt is when a part in Table.settling has reached its limit of crashes.
 	limitReachedAt time.Time
+	// othersAnswered is set once the service of a part has answered other requests between two crashes.
+	othersAnswered bool
 	// clearedUrgent is set while the newest change is a release that other VMs should know at once.
 	clearedUrgent bool
 }
@@ -112,6 +114,9 @@
 	explained        map[contract.UpstreamInstance]Fingerprint
 	// answered holds when parts were last answered at this VM, while anything is suspected.
 	answered map[Fingerprint]time.Time
+	// serviceAnswers holds when this VM last received an answer of each service, while anything is
+	// suspected.
+	serviceAnswers map[contract.ServiceID]time.Time
 	// excused holds the records for TakeExcused.
 	excused []*Record
 }
@@ -121,7 +126,7 @@
 	return &Table{
 		records: make(map[Fingerprint]*Record), gossiping: make(map[Fingerprint]*Record), settling: make(map[Fingerprint]*Record),
 		quarantinedParts: make(map[Fingerprint]*Record), explained: make(map[contract.UpstreamInstance]Fingerprint),
-		answered: make(map[Fingerprint]time.Time),
+		answered: make(map[Fingerprint]time.Time), serviceAnswers: make(map[contract.ServiceID]time.Time),
 	}
 }
 
@@ -167,7 +172,7 @@
 
 // resetTo clears a request content of suspicion and moves the content to a new epoch.
 func (t *Table) resetTo(c *Record, epoch uint32, now time.Time) {
-	c.clearedUrgent = c.Urgent()
+	c.clearedUrgent, c.othersAnswered = c.Urgent(), false
 	c.Epoch, c.Crashes, c.trials = epoch, nil, trials{}
 	t.markChanged(c, now)
 	t.setQuarantined(c, false)
@@ -237,6 +242,7 @@
 	if len(crashes) > 0 {
 		c.clearedUrgent = false
 	}
+	t.updateOthersAnswered(c, crashes)
 	c.Crashes = crashes
 	newlyQuarantined := quarantined && !c.Quarantined
 	t.setQuarantined(c, quarantined)
