--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// runPoisonParts sends requests that share nothing but a prompt part which crashes the upstream that
+// answers them, to randomly chosen VMs until ctx ends.
+func (c *callers) runPoisonParts(ctx context.Context, random *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		v := c.fleet.vms[random.IntN(len(c.fleet.vms))]
+		body := fmt.Sprintf("%s %d", bodyPoisonPart, n)
+		go c.call(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 6 * time.Second}, v, "/safe/review", body, keyKept)
+		time.Sleep(poisonInterval)
+	}
+}
+
+// promptOf returns the parts of the prompt of a request with a body. The first part is shared by all.
+func promptOf(body string) []string {
+	if strings.HasPrefix(body, bodyPoisonPart) {
+		return []string{"system", "poison", body}
+	}
+	return []string{"system", "session", body}
+}
+
 // runRevokedKey sends requests with the key that is revoked during the run, until ctx ends.
 func (c *callers) runRevokedKey(ctx context.Context, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 6 * time.Second}
@@ -81,6 +100,7 @@
 		return nil, err
 	}
 	replica.SetDeadline(req, callerTimeout)
+	replica.SetPrompt(req, promptOf(body)...)
 	req.Header.Set(headerVMIncarnation, c.fleet.upstreams.notices.recordSend(id, v.name))
 	return req, nil
 }
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -104,6 +104,7 @@
 		start(clients.runNormal, n)
 	}
 	start(clients.runPoison, 1000)
+	start(clients.runPoisonParts, 1003)
 	start(clients.runRevokedKey, 1001)
 	start(clients.runVersionProbe, 1002)
 	go f.backups.run(ctx, f.store) // until the process ends
@@ -136,6 +137,7 @@
 	stop()
 	running.Wait()
 	f.upstreams.checkQuarantine()
+	f.upstreams.checkPartQuarantine()
 	f.upstreams.checkRetryBudget(clients.countSent)
 }
 
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -14,6 +14,7 @@
 	guaranteeOwnAnswer     = "a complete answer belongs to the caller's request and carries the upstream's signature"
 	guaranteeEventOrder    = "stream events arrive in order, each once, and a stream that ends normally is complete"
 	guaranteeQuarantine    = "a content that has crashed three upstreams reaches at most three more"
+	guaranteePartHeld      = "a prompt part under which five upstreams have crashed reaches at most three more"
 	guaranteeRevokedKey    = "a revoked key is refused once the configuration is in force everywhere"
 	guaranteeRetryBudget   = "repeated sends stay within the retry budget"
 	guaranteeRecovery      = "requests are served again after the last fault"
@@ -28,7 +29,7 @@
 
 // guarantees lists all guarantees. A run that does not check each guarantee at least once fails.
 var guarantees = []string{
-	guaranteeAtMostOnce, guaranteeNotRun, guaranteeOwnAnswer, guaranteeEventOrder, guaranteeQuarantine, guaranteeRevokedKey, guaranteeRetryBudget, guaranteeRecovery, guaranteeDrain, guaranteeBackoff,
+	guaranteeAtMostOnce, guaranteeNotRun, guaranteeOwnAnswer, guaranteeEventOrder, guaranteeQuarantine, guaranteePartHeld, guaranteeRevokedKey, guaranteeRetryBudget, guaranteeRecovery, guaranteeDrain, guaranteeBackoff,
 	guaranteeRateLimit, guaranteeEvacuation, guaranteeDrainEntry, guaranteeConfiguration, guaranteeResources,
 }
 
--- a/internal/soak/upstream_checks.go
+++ b/internal/soak/upstream_checks.go
@@ -41,16 +41,34 @@
 func (u *upstreams) checkQuarantine() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if len(u.poisonExits) < 3 {
-		return
+	if len(u.poisonExits) >= 3 {
+		u.checkLateArrivals(guaranteeQuarantine, bodyPoison, u.poisonArrivals, u.poisonExits, 3)
 	}
-	lateArrivals := 0
-	for _, at := range u.poisonArrivals {
-		if at.Sub(u.poisonExits[2]) > settleTime {
-			lateArrivals++
+}
+
+// checkPartQuarantine is checkQuarantine for the poison part and five crashes. A part that is held
+// before the fifth crash has no late arrivals.
+func (u *upstreams) checkPartQuarantine() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch n := len(u.partExits); {
+	case n >= 5:
+		u.checkLateArrivals(guaranteePartHeld, bodyPoisonPart, u.partArrivals, u.partExits, 5)
+	case n > 0:
+		u.recorder.check(guaranteePartHeld, true, bodyPoisonPart, "")
+	}
+}
+
+// checkLateArrivals checks that at most three requests arrived later than settleTime after the crash
+// with the given number. The caller holds mu.
+func (u *upstreams) checkLateArrivals(guarantee, id string, arrivals, exits []time.Time, crashes int) {
+	late := 0
+	for _, at := range arrivals {
+		if at.Sub(exits[crashes-1]) > settleTime {
+			late++
 		}
 	}
-	u.recorder.check(guaranteeQuarantine, lateArrivals <= 3, bodyPoison, fmt.Sprintf("arrived %d times later than %v after the third of %d upstream crashes", lateArrivals, settleTime, len(u.poisonExits)))
+	u.recorder.check(guarantee, late <= 3, id, fmt.Sprintf("arrived %d times later than %v after crash %d of %d", late, settleTime, crashes, len(exits)))
 }
 
 // checkRetryBudget checks that no window of ten seconds (retryWindow) contains more repeated
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -14,8 +14,9 @@
 
 // Request bodies that select the upstreams' behaviour.
 const (
-	bodyPoison = "deadly" // crashes the upstream that runs it
-	bodyNormal = "sound"
+	bodyPoison     = "deadly"        // crashes the upstream that runs it
+	bodyPoisonPart = "deadly prompt" // begins bodies whose prompt has a part that crashes the upstream
+	bodyNormal     = "sound"
 )
 
 // Timing and stream length of the upstreams.
@@ -46,7 +47,8 @@
 	// poisonArrivals is when poison requests arrived, and poisonExits when upstreams crashed while
 	// running a poison request.
 	poisonArrivals, poisonExits []time.Time
-	ignorePoison                bool
+	// partArrivals and partExits are the same for requests with the poison part.
+	partArrivals, partExits []time.Time
 	// failing makes every repeatable request fail.
 	failing bool
 	// evacuatedAt is when the evacuation of each evacuated data centre began.
@@ -151,9 +153,14 @@
 	}
 	u.runCounts[r.ID()]++
 	runs, hanging, body := u.runCounts[r.ID()], position.hanging, string(r.BodyBytes)
-	poison := body == bodyPoison && !u.ignorePoison
-	if body == bodyPoison {
-		u.poisonArrivals = append(u.poisonArrivals, time.Now())
+	poisonPart := strings.HasPrefix(body, bodyPoisonPart)
+	poison := body == bodyPoison || poisonPart
+	arrivals, exits := &u.poisonArrivals, &u.poisonExits
+	if poisonPart {
+		arrivals, exits = &u.partArrivals, &u.partExits
+	}
+	if poison {
+		*arrivals = append(*arrivals, time.Now())
 	}
 	fails := u.failing || u.random.IntN(50) == 0
 	evacuatedAt, isEvacuated := u.evacuatedAt[position.dataCentre]
@@ -177,7 +184,7 @@
 	case poison:
 		time.Sleep(poisonExitDelay)
 		u.mu.Lock()
-		u.poisonExits = append(u.poisonExits, time.Now())
+		*exits = append(*exits, time.Now())
 		u.mu.Unlock()
 		u.kill(position, 700*time.Millisecond)
 		return false
--- a/internal/standin/replica/caller.go
+++ b/internal/standin/replica/caller.go
@@ -43,6 +43,11 @@
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 }
 
+// SetPrompt sets the header that names the parts of the request's prompt.
+func SetPrompt(r *http.Request, parts ...string) {
+	r.Header.Set("X-Prompt-Prefix", strings.Join(parts, ":100,")+":100")
+}
+
 // HasSignature reports whether an answer carries an upstream's signature.
 func HasSignature(resp *http.Response) bool { return resp.Header.Get("X-Response-Signature") != "" }
 
