--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"woaddoor/contract"
+	"woaddoor/exchange"
 	"woaddoor/quarantine"
 	"woaddoor/retry"
 	"woaddoor/upstream"
@@ -98,3 +99,18 @@
 		r.withLock(func() { is.Equal(r.possibleCrashes.Any(), !ended) })
 	}
 }
+
+// TestNoFingerprintsWithoutSuspects guards against the body of each answered request being hashed while
+// nothing is suspected.
+func TestNoFingerprintsWithoutSuspects(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r, j := newSilentAttempt(&now, retry.ResendWindowOptions{Slack: 100})
+	j.PartNames = []string{"system", "own"}
+	answered := &attempt{entry: j.lastUpstream, answer: &exchange.Response{Delimited: true}, head: &ResponseHead{Status: 200}}
+	r.recordSurvival(j, answered)
+	is.True(j.cachedFingerprint == nil && j.cachedFingerprints == nil)
+	recordCrashes(r, newContentJob(now, "another"), 1, now)
+	r.recordSurvival(j, answered)
+	is.Equal(len(j.cachedFingerprints), 2)
+}
