--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -141,6 +141,15 @@
 	})
 }
 
+// startVMs starts some VMs long before the first request.
+func (s *fleetSim) startVMs() {
+	for range rapid.IntRange(3, 9).Draw(s.t, "vms") {
+		v := &simVM{table: NewTable(), startedAt: -10_000, disconnectedUntil: -10_000}
+		s.vms = append(s.vms, v)
+		s.scheduleHeartbeat(v)
+	}
+}
+
 // lateSends counts the sends of what crashes upstreams later than propagationMs after crash
 // knownAfter, by VMs that had been running and connected for at least propagationMs.
 func (s *fleetSim) lateSends() int {
@@ -165,11 +174,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		simulate := func(isolated bool) int {
 			s := &fleetSim{t: t, isolated: isolated, suspect: crashingContent, knownAfter: CrashLimit}
-			for range rapid.IntRange(3, 9).Draw(t, "vms") {
-				v := &simVM{table: NewTable(), startedAt: -10_000, disconnectedUntil: -10_000}
-				s.vms = append(s.vms, v)
-				s.scheduleHeartbeat(v)
-			}
+			s.startVMs()
 			attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
 			randomVM := func(label string) *simVM { return s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, label)] }
 			for ms := 0; ms < 20_000; ms += rapid.IntRange(50, 1500).Draw(t, "gap") {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -278,11 +278,7 @@
 func TestFleetLimitsSendsOfCrashingPart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &fleetSim{t: t, source: partSource, suspect: testPart.Fingerprint, knownAfter: 5}
-		for range rapid.IntRange(3, 9).Draw(t, "vms") {
-			v := &simVM{table: NewTable(), startedAt: -10_000, disconnectedUntil: -10_000}
-			s.vms = append(s.vms, v)
-			s.scheduleHeartbeat(v)
-		}
+		s.startVMs()
 		attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
 		randomVM := func(label string) *simVM { return s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, label)] }
 		for ms := 0; ms < 20_000; ms += rapid.IntRange(50, 1500).Draw(t, "gap") {
--- a/relay/path.go
+++ b/relay/path.go
@@ -29,12 +29,11 @@
 // recordPath records whether a connection to an upstream was established,
 // and logs a change of the state of the path to the service. The caller holds mu.
 func (r *Relay) recordPath(s contract.ServiceID, id contract.UpstreamID, ok bool, now time.Time) {
-	if ok && !r.paths.Failing(s) {
-		r.paths.RecordConnect(s, id, true, now)
-		return
-	}
+	mayChange := !ok || r.paths.Failing(s)
 	r.paths.RecordConnect(s, id, ok, now)
-	r.logPath(s, now)
+	if mayChange {
+		r.logPath(s, now)
+	}
 }
 
 // logPath logs the state of the path to a service if it has changed. The caller holds mu.
