quarantine: a crash that a held part explains makes no record of what ran beside it

Found when the diff was read again: an empty record was kept and told to other VMs. The new lines of TestQuarantinedPartExcusesOthers show it.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -206,6 +206,8 @@
 	stale := Update{Fingerprint: rare.Fingerprint, About: Source{Part: rare.Name}, Crashes: []CrashUpdate{{Instance: partCrash(400, 2, 400).UpstreamInstance, BrokeAge: time.Second, SentAge: time.Second}}}
 	table.Merge([]Update{stale}, at(2000))
 	is.Equal(table.CrashCount(rare.Fingerprint), 0) // gossip does not bring explained crashes back
+	is.True(!table.RecordCrash(Fingerprint{8}, Source{}, partCrash(400, 0, 400), at(2000)))
+	is.True(table.Record(Fingerprint{8}) == nil) // nor are they recorded for anything else
 }
 
 // TestCompanionOfCrashingPartGetsTrial guards against a sound part that came only together with the
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -208,6 +208,7 @@
 func (t *Table) merge(other Record, now time.Time) bool {
 	c := t.records[other.Fingerprint]
 	if c == nil {
+		other.Crashes = t.unexplained(other.Fingerprint, other.Crashes)
 		if len(other.Crashes) == 0 && !other.Quarantined && other.Epoch == 0 {
 			return false
 		}
