--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -83,12 +83,7 @@
 func newFleet(folder string, vms int, seed uint64, rec *recorder) (*fleet, error) {
 	f := &fleet{folder: folder, store: objects.New(), recorder: rec, workspaceKeys: []string{keyKept, keyRevoked}}
 	f.writeConfiguration()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	go func() { _ = http.Serve(listener, f.store) }() // until the process ends
-	if f.storeLink, err = newProxy("127.0.0.1:0", listener.Addr().String()); err != nil {
+	if err := f.startStore(); err != nil {
 		return nil, err
 	}
 	f.upstreams = newUpstreams(f.store, rec, seed)
@@ -100,6 +95,17 @@
 	return f, f.startVMs(vms)
 }
 
+// startStore serves the store behind a proxy.
+func (f *fleet) startStore() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(listener, f.store) }() // until the process ends
+	f.storeLink, err = newProxy("127.0.0.1:0", listener.Addr().String())
+	return err
+}
+
 func dataCentre(n int) string { return "d" + string(rune('a'+n%3)) }
 
 // The ports of VMs are below the range from which the system picks ephemeral ports. Any connection
@@ -136,23 +142,28 @@
 	return nil, errNoPorts
 }
 
+// linkHost returns the loopback address of a VM's links. VMs use the same port for links, and tell each
+// other apart by their addresses.
+func linkHost(n int) string { return fmt.Sprintf("127.0.%d.%d", 1+n/200, 1+n%200) }
+
 func (f *fleet) startVMs(n int) error {
-	const portsPerVM = 4 // callers, ready, links, metrics
-	addresses, err := freeAddresses(portsPerVM * n)
+	const portsPerVM = 3 // callers, ready, metrics
+	addresses, err := freeAddresses(portsPerVM*n + 1)
 	if err != nil {
 		return err
 	}
+	_, linkPort, _ := net.SplitHostPort(addresses[portsPerVM*n])
 	var seeds []string
 	for i := range min(n, 3) {
-		seeds = append(seeds, addresses[portsPerVM*i+2])
+		seeds = append(seeds, net.JoinHostPort(linkHost(i), linkPort))
 	}
 	for i := range n {
 		vmAddresses := addresses[portsPerVM*i : portsPerVM*i+portsPerVM]
-		_, metricsPort, _ := net.SplitHostPort(vmAddresses[3])
+		_, metricsPort, _ := net.SplitHostPort(vmAddresses[2])
 		v := &vm{name: fmt.Sprintf("vm%d", i), settingsPath: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", i)), readyAddress: vmAddresses[1], metricsAddress: "127.0.0.1:" + metricsPort}
 		ini := fmt.Sprintf("[vm]\nname = %s\ndata-centre = %s\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\nseeds = %s\nmetrics-port = %s\n\n"+
 			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = %v\nevacuation = %v\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\n",
-			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], vmAddresses[2], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow)
+			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], net.JoinHostPort(linkHost(i), linkPort), strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow)
 		if err := os.WriteFile(v.settingsPath, []byte(ini), 0o600); err != nil {
 			return err
 		}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -3,6 +3,7 @@
 // seed determines every fault and its time.
 //
 //	go run ./internal/soak --seed 7 --for 30s
+//	go run ./internal/soak --brittle-run --vms 30 --brittle-per-second 400
 //
 // The store and the upstreams are the stand-ins of internal/standin and run in this process. Each
 // TCP link goes through a proxy that can inject faults. Links between VMs use UDP and have no
@@ -36,6 +37,8 @@
 	// and fail many VMs under the load of few callers.
 	Callers int    `help:"How many callers in all; 0 means three for each VM." default:"0"`
 	Folder  string `help:"Where logs go." default:"bench-out/soak"`
+
+	Brittle brittleTrial `embed:"" prefix:"brittle-" group:"A trial with brittle upstreams"`
 }
 
 func main() {
@@ -68,6 +71,9 @@
 	if err := os.MkdirAll(args.Folder, 0o700); err != nil {
 		return false, err
 	}
+	if args.Brittle.Run {
+		return runBrittle(args)
+	}
 	rec := newRecorder()
 	f, err := newFleet(args.Folder, args.VMs, args.Seed, rec)
 	if f != nil {
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -1,6 +1,9 @@
 package objects
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // SampleDeployment describes a deployment with one route, one service and one upstream.
 type SampleDeployment struct {
@@ -82,12 +85,17 @@
 // Upstream is an upstream of the service of a Deployment.
 type Upstream struct {
 	ID, Address, DataCentre string
+	// Slots is how many requests the upstream works on at a time; zero means defaultSlots.
+	Slots int
 	// Incarnation differs between successive processes with the same ID.
 	Incarnation int
 	// Leaving is true if the upstream has announced that it will end soon.
 	Leaving bool
 }
 
+// defaultSlots is the number of slots of an upstream that does not state it.
+const defaultSlots = 8
+
 // PutUpstream writes an upstream's entry, as the upstream itself would.
 func (s *Store) PutUpstream(u Upstream) {
 	state := "ready"
@@ -95,7 +103,7 @@
 		state = "draining"
 	}
 	s.Put(kindUpstreams, u.ID, map[string]any{
-		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": "v1", "Slots": 8, "State": state, "born": u.Incarnation,
+		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": "v1", "Slots": cmp.Or(u.Slots, defaultSlots), "State": state, "born": u.Incarnation,
 	})
 }
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,10 +30,19 @@
 // Handler handles one request and returns whether the connection stays open.
 type Handler func(c *Conn, r *Request) bool
 
+// Hooks are what a replica calls.
+type Hooks struct {
+	Serve Handler
+	// Connected is called with each new connection before its first request is read. It may be nil.
+	Connected func()
+}
+
 // Replica is the stand-in.
 type Replica struct {
 	ID       string
 	listener net.Listener
+	// connected is called with each new connection; nil for none.
+	connected func()
 
 	mu       sync.Mutex
 	handler  Handler
@@ -40,12 +51,15 @@
 }
 
 // Start starts a replica on a free loopback port.
-func Start(id string, h Handler) (*Replica, error) {
+func Start(id string, h Handler) (*Replica, error) { return StartWith(id, Hooks{Serve: h}) }
+
+// StartWith starts a replica with the given hooks on a free loopback port.
+func StartWith(id string, h Hooks) (*Replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, listener: l, handler: h}
+	r := &Replica{ID: id, listener: l, handler: h.Serve, connected: h.Connected}
 	go r.accept()
 	return r, nil
 }
@@ -98,6 +112,9 @@
 
 func (r *Replica) serve(c *Conn) {
 	defer c.Close()
+	if r.connected != nil {
+		r.connected()
+	}
 	reader := bufio.NewReader(c)
 	for {
 		httpRequest, err := http.ReadRequest(reader)
@@ -128,7 +145,10 @@
 
 // Respond sends a complete answer with a Content-Length, to the request with the given id.
 func (c *Conn) Respond(status int, id, body string, headers ...string) {
-	fmt.Fprintf(c, "HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nX-Instance-Load: 1,0,4\r\n", status, id, c.Signature())
+	fmt.Fprintf(c, "HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", status, id, c.Signature())
+	if !slices.ContainsFunc(headers, func(h string) bool { return strings.HasPrefix(h, loadHeader) }) {
+		fmt.Fprintf(c, "%s: 1,0,4\r\n", loadHeader)
+	}
 	for _, h := range headers {
 		fmt.Fprintf(c, "%s\r\n", h)
 	}
@@ -144,6 +164,9 @@
 	fmt.Fprint(c, "Content-Length: 0\r\n\r\n")
 }
 
+// loadHeader is the name of the header with the requests running and waiting, and the slots.
+const loadHeader = "X-Instance-Load"
+
 // LeavingHeader is the header line by which an upstream announces that it will end soon.
 const LeavingHeader = "Server-Leaving: 1"
 
