relay: a line for each request that an upstream rejects for want of room

Callers were refused, and brittle upstreams failed, without a line that tells an instance nobody had heard of from shares that add up to too much, or from work that no VM counts. Change: upstream-full has what the VM assumed when it selected the upstream (for how long it had listed the instance, whether it was known to be brittle, share, in flight, senders, VMs known) and the load that the upstream states; the counter is rejections_full_total.

--- a/relay/log.go
+++ b/relay/log.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"fmt"
 	"maps"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -130,6 +132,26 @@
 		zap.Float64("pause_cost", roundToHundredths(pending.estimate.PauseCost)))
 }
 
+// isFull reports whether an upstream has rejected a request for want of room.
+func (h *ResponseHead) isFull() bool {
+	return h.NotRun && h.Status == http.StatusServiceUnavailable && h.Notices.Backoff == 0
+}
+
+// logFull logs that an upstream had no room for a request, with what this VM had assumed about the room
+// when it selected the upstream, and the load that the upstream states. The caller holds mu.
+func (r *Relay) logFull(j *job, h *ResponseHead, e upstream.Entry) {
+	r.Metrics.rejectionsFull.Inc(1)
+	load := ""
+	if h.Load != nil {
+		load = fmt.Sprintf("%d,%d", h.Load.Running, h.Load.Waiting)
+	}
+	r.log.Info("upstream-full", zap.String("upstream", string(e.ID)), zap.Int64("born", e.Incarnation), zap.String("request", string(j.ID)),
+		zap.Int64("listed_ms", j.room.ListedFor.Milliseconds()), zap.Bool("known_brittle", j.room.Brittle),
+		zap.Int("in_flight", j.room.InFlight), zap.Int("share", j.room.Share), zap.Int("slots", e.Slots), zap.Int("senders", j.room.Senders),
+		zap.Int("vms", j.room.VMs), zap.Int("near", j.room.LocalVMs), zap.Bool("near_incomplete", j.room.Incomplete),
+		zap.String("load", load), zap.Int64("sent_ms", r.opts.Now().Sub(j.sentAt).Milliseconds()))
+}
+
 // slowdownPercent returns the slowdown that an upstream stated in an answer, or 0 if it stated none.
 func slowdownPercent(h *ResponseHead) int {
 	if h.Load == nil {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -28,6 +28,8 @@
 	stalls      metrics.Counter
 	// silentKept counts the silent attempts that went on because the next attempt was not allowed.
 	silentKept metrics.Counter
+	// rejectionsFull counts the requests that upstreams rejected for want of room.
+	rejectionsFull metrics.Counter
 	// successorsRejected counts the successors of silent attempts that were rejected.
 	successorsRejected metrics.Counter
 	firstAnswer        metrics.Histogram
@@ -88,6 +90,7 @@
 		escalations:        metrics.NewRegisteredCounter("escalations_total", r),
 		stalls:             metrics.NewRegisteredCounter("streams_stalled_total", r),
 		silentKept:         metrics.NewRegisteredCounter("silent_attempts_kept_total", r),
+		rejectionsFull:     metrics.NewRegisteredCounter("rejections_full_total", r),
 		successorsRejected: metrics.NewRegisteredCounter("successors_rejected_total", r),
 		firstAnswer:        histogram("first_answer_milliseconds"),
 		promptWait:         histogram("prompt_wait_milliseconds"),
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -58,6 +58,7 @@
 		}
 		r.countUnwantedSend(id, now)
 		r.recordLimitClaim(j, r.entries[id].Instance())
+		j.room = r.table.RoomState(id, now)
 		r.table.RecordSent(id)
 		r.beginAttempt(j)
 		r.recordPendingPrompt(j, id, now)
--- a/relay/send.go
+++ b/relay/send.go
@@ -114,6 +114,8 @@
 	// limitClaimed is set if the attempt has used one request
 	// of this VM's share of its upstream's rate limit.
 	limitClaimed bool
+	// room is what was known about the room at the upstream when it was selected.
+	room upstream.RoomState
 	// running is set while the attempt is counted in Relay.running.
 	running bool
 }
@@ -201,6 +203,9 @@
 		r.table.RecordAnswerLoad(e.ID, h.Load.Running, h.Load.Waiting, r.opts.Now())
 		r.table.RecordStatedPace(e.ID, h.Load.SlowdownPercent, r.opts.Now())
 	}
+	if h.isFull() {
+		r.logFull(j, h, e)
+	}
 	if h.Status != http.StatusOK || h.NotRun {
 		return
 	}
--- a/upstream/brittle.go
+++ b/upstream/brittle.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"woaddoor/contract"
+)
 
 // A brittle upstream fails if it has to reject more than a stated number of requests per second, of
 // all VMs together, because they find no room. It may also let fewer requests wait than usual.
@@ -105,6 +109,32 @@
 	return divideRoom(s.slots, len(t.owners.VMs), vms-len(t.owners.VMs))
 }
 
+// RoomState is what this VM assumes about the room at an upstream.
+type RoomState struct {
+	// Brittle means that the upstream is known to be brittle. Share is how many requests this VM may
+	// then have in flight there.
+	Brittle         bool
+	Share, InFlight int
+	// Senders is how many of the VMs may have a request in flight. LocalVMs is how many VMs this VM
+	// knows in its own data centre. Incomplete means that there may be more.
+	Senders, VMs, LocalVMs int
+	Incomplete             bool
+	// ListedFor is how long this VM has listed the instance.
+	ListedFor time.Duration
+}
+
+// RoomState returns what this VM assumes about the room at an upstream.
+func (t *Table) RoomState(id contract.UpstreamID, now time.Time) RoomState {
+	s, ok := t.states[id]
+	if !ok {
+		return RoomState{}
+	}
+	return RoomState{
+		Brittle: s.notices.isBrittle(), Share: t.roomShare(s), InFlight: s.inFlight,
+		Senders: t.roomOf(s).senders, VMs: t.vms, LocalVMs: len(t.owners.VMs), Incomplete: t.owners.Incomplete, ListedFor: now.Sub(s.listedAt),
+	}
+}
+
 // roomShare returns how many requests this VM may have in flight at a brittle upstream.
 func (t *Table) roomShare(s *state) int {
 	r := t.roomOf(s)
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -107,6 +107,9 @@
 	s.eventTokens = e.EventTokens
 	s.incarnation, s.slots = e.Incarnation, e.Slots
 	s.notices = t.notices[e.Instance()]
+	if isNew {
+		s.listedAt = l.Now
+	}
 	s.leavingIncarnation = 0
 	if e.Leaving {
 		s.leavingIncarnation = 1
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -148,6 +148,8 @@
 	incarnation int64
 	slots       int
 	cold        coldState
+	// listedAt is when this VM first listed the instance.
+	listedAt time.Time
 	// notices is what the current instance stated about itself in answers.
 	// notices is nil if the instance stated nothing. The upstream may have requested back-offs
 	// (pauses) from other VMs: othersBackoffUntil is when the last of these back-offs ends.
