upstream: a new instance has the bound of its brittle service

What callers saw: one upstream that ended was followed by a row of failures of those that came back, each within 0.2 s of its start, and by refusals. Cause: the statement of brittleness is the service's, but was kept by instance. A new instance had stated nothing, so each VM took it for idle and without a bound, and the first answer that said otherwise came after the rejections. Change: what a service's upstreams state is kept for the service, and a new instance starts with it until its own answer says otherwise, which all VMs hear. A VM learns it with reports about instances that it does not list, and at its start also when all upstreams that stated it are gone. The age of the statement travels with it, so that VMs do not keep it alive by telling each other. Why it holds: the first request to an instance is divided like all others; no answer has to come first. Evidence: upstream-full lines, 79 of 89 rejections by instances not known to be brittle.

--- a/relay/limits.go
+++ b/relay/limits.go
@@ -25,6 +25,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, k := range known {
+		r.table.LearnService(k, r.opts.Now())
 		if !r.isCurrent(k.Instance.Upstream, k.Instance.Incarnation) {
 			continue
 		}
@@ -41,7 +42,7 @@
 func (r *Relay) Limits() []upstream.LimitUpdate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Limits(maxLimitsPerUpdate)
+	return r.table.Limits(maxLimitsPerUpdate, r.opts.Now())
 }
 
 // LimitsDigest returns a digest of the rate limits in force.
--- a/upstream/brittle_test.go
+++ b/upstream/brittle_test.go
@@ -173,3 +173,60 @@
 	is.Equal(rejectionPause(3, 600), maxRejectionPause)
 	is.Equal(rejectionPause(0, 6), maxRejectionPause)
 }
+
+// TestBrittleStatementIsInherited checks that a new instance has the bound of its service until its own
+// answer says otherwise, which all VMs hear, and that a statement is forgotten after a while, also if
+// VMs go on telling it to each other.
+func TestBrittleStatementIsInherited(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	list := func(tb *Table, ids ...contract.UpstreamID) {
+		var entries []Entry
+		for _, id := range ids {
+			entries = append(entries, Entry{ID: id, Service: "s", Address: string(id), DataCentre: "d", Release: "v1", Slots: 4, Incarnation: 1})
+		}
+		tb.ApplyList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 100 }, Now: now})
+	}
+	instance := func(id contract.UpstreamID) contract.UpstreamInstance {
+		return contract.UpstreamInstance{Upstream: id, Incarnation: 1}
+	}
+	stated, none := RateLimit{Brittle: LimitStated, Rejections: 2}, RateLimit{Statement: LimitNone, Brittle: LimitNone}
+	tb, other := NewTable(Options{Listed: true}), NewTable(Options{Listed: true})
+	list(tb, "u1", "u2")
+	list(other, "u3")
+	change := tb.ApplyLimitAnswer(instance("u1"), stated, now, now)
+	is.True(tb.states["u2"].notices.isBrittle()) // has not stated it yet
+	other.LearnService(change.Update, now)       // does not list the instance that stated it
+	is.True(other.states["u3"].notices.isBrittle())
+
+	list(tb) // all are gone
+	started := NewTable(Options{Listed: true})
+	is.True(tb.LimitsDigest() != started.LimitsDigest()) // a VM that starts hears of it
+	for _, k := range tb.Limits(10, now) {
+		started.LearnService(k, now)
+	}
+	list(started, "u4")
+	is.True(started.states["u4"].notices.isBrittle())
+
+	list(tb, "u4")
+	now = now.Add(time.Second)
+	change = tb.ApplyLimitAnswer(instance("u4"), none, now, now)
+	is.True(change.Report && change.ReportRemote)
+	is.True(!tb.states["u4"].notices.isBrittle())
+	started.MergeLimit(change.Update, true, now)
+	is.True(!started.states["u4"].notices.isBrittle())
+
+	for range 2 { // each VM hears of it from the other
+		now = now.Add(brittleServiceTTL * 3 / 4)
+		tb.CompareUpstreams("d", now)
+		for _, k := range tb.Limits(10, now) {
+			started.LearnService(k, now)
+		}
+		for _, k := range started.Limits(10, now) {
+			tb.LearnService(k, now)
+		}
+		started.CompareUpstreams("d", now)
+	}
+	list(started, "u5")
+	is.True(!started.states["u5"].notices.isBrittle())
+}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -67,6 +67,10 @@
 	// Version orders the limits of an instance, regardless of the order in which messages
 	// arrive: a VM that learns a new limit from an answer assigns the next version.
 	Version uint64 `cbor:"3,keyasint"`
+	// Service is the service of the instance if its upstreams are brittle, and StatedAgo the time since
+	// one of them last stated it to any VM.
+	Service   contract.ServiceID `cbor:"4,keyasint,omitempty"`
+	StatedAgo time.Duration      `cbor:"5,keyasint,omitempty"`
 }
 
 // limitState is the known rate limit of an instance. The zero value means no limit.
--- a/upstream/limit_replay_test.go
+++ b/upstream/limit_replay_test.go
@@ -109,10 +109,10 @@
 		}
 	}
 	if v.table.LimitsDigest() != other.table.LimitsDigest() {
-		for _, k := range other.table.Limits(100) {
+		for _, k := range other.table.Limits(100, f.now) {
 			v.table.MergeLimit(k, false, f.now)
 		}
-		for _, k := range v.table.Limits(100) {
+		for _, k := range v.table.Limits(100, f.now) {
 			other.table.MergeLimit(k, false, f.now)
 		}
 	}
@@ -344,7 +344,7 @@
 		}
 	})
 	b.Run("merge", func(b *testing.B) {
-		k := LimitUpdate{entries[0].Instance(), statedLimit(8), 1}
+		k := LimitUpdate{Instance: entries[0].Instance(), Limit: statedLimit(8), Version: 1}
 		for b.Loop() {
 			tb.MergeLimit(k, true, now)
 		}
--- a/upstream/limit_table.go
+++ b/upstream/limit_table.go
@@ -15,12 +15,18 @@
 // for that answer was sent at sentAt.
 func (t *Table) ApplyLimitAnswer(instance contract.UpstreamInstance, answered RateLimit, sentAt, now time.Time) LimitChange {
 	a := t.notices[instance]
-	if !answered.statesAny() && (a == nil || a.limit.version == 0) {
+	if !answered.statesAny() && (a == nil || a.limit.version == 0 && !a.isBrittle()) {
 		return LimitChange{}
 	}
 	a = t.ensureNotices(instance, now)
 	change := a.limit.applyAnswer(answered, sentAt, now)
 	change.Update = a.limit.toUpdate(instance)
+	if s := t.states[instance.Upstream]; s != nil && s.notices == a {
+		if answered.Brittle == LimitStated {
+			t.recordServiceBrittle(s.service, answered.Rejections, now, now)
+		}
+		change.Update = t.describe(change.Update, s.service, now)
+	}
 	if change.Changed {
 		t.refreshLimited()
 	}
@@ -34,6 +40,9 @@
 	a := t.ensureNotices(update.Instance, now)
 	before = a.limit.RateLimit
 	if changed = a.limit.merge(update, fresh, now); changed {
+		if s := t.states[update.Instance.Upstream]; s != nil && s.notices == a {
+			t.inheritBrittleness(s, now)
+		}
 		t.refreshLimited()
 	}
 	return before, changed
@@ -41,7 +50,7 @@
 
 // toUpdate returns the limit of an instance in the form in which VMs exchange it.
 func (l *limitState) toUpdate(instance contract.UpstreamInstance) LimitUpdate {
-	return LimitUpdate{instance, l.RateLimit, l.version}
+	return LimitUpdate{Instance: instance, Limit: l.RateLimit, Version: l.version}
 }
 
 // hasLimit reports whether the instance stated a rate limit that is in force. A nil receiver
@@ -75,17 +84,21 @@
 
 // Limits returns what is known about the rate limits of listed upstreams, at most maxCount of them.
 // Limits in force come first. Lifted limits follow, for VMs that do not know yet that these limits
-// were lifted.
-func (t *Table) Limits(maxCount int) []LimitUpdate {
+// were lifted, and brittle services of which no listed upstream is brittle.
+func (t *Table) Limits(maxCount int, now time.Time) []LimitUpdate {
 	var limited, lifted []LimitUpdate
 	for _, s := range t.sortedStates {
 		switch {
 		case s.notices.hasBound():
-			limited = append(limited, s.notices.limit.toUpdate(t.Instance(s.upstream.ID)))
+			limited = append(limited, t.describe(s.notices.limit.toUpdate(t.Instance(s.upstream.ID)), s.service, now))
 		case s.notices != nil && s.notices.limit.version > 0:
 			lifted = append(lifted, s.notices.limit.toUpdate(t.Instance(s.upstream.ID)))
 		}
 	}
+	for _, service := range t.unlistedBrittleServices() {
+		stated := RateLimit{Brittle: LimitStated, Rejections: t.brittleServices[service].rejections}
+		limited = append(limited, t.describe(LimitUpdate{Limit: stated}, service, now))
+	}
 	limited = append(limited, lifted...)
 	return limited[:min(maxCount, len(limited))]
 }
@@ -104,6 +117,9 @@
 		}
 		sum += xxhash.Sum64(b)
 	}
+	for _, service := range t.unlistedBrittleServices() {
+		sum += xxhash.Sum64String(string(service))
+	}
 	return sum
 }
 
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -82,7 +82,7 @@
 			if rapid.Bool().Draw(r, "stated") {
 				limit = statedLimit(float64(rapid.IntRange(0, 3).Draw(r, "per second")))
 			}
-			return LimitUpdate{contract.UpstreamInstance{Upstream: "u1", Incarnation: 1}, limit, uint64(rapid.IntRange(1, 4).Draw(r, "version"))}
+			return LimitUpdate{Instance: contract.UpstreamInstance{Upstream: "u1", Incarnation: 1}, Limit: limit, Version: uint64(rapid.IntRange(1, 4).Draw(r, "version"))}
 		}), 1, 8).Draw(r, "updates")
 		var known []LimitUpdate
 		for range 3 {
@@ -199,7 +199,7 @@
 	tb.SetOwners("d", Owners{Self: "vm", VMs: []contract.VMID{"vm"}})
 	instance := contract.UpstreamInstance{Upstream: "u1", Incarnation: 1}
 	tb.ApplyLimitAnswer(instance, statedLimit(0), now, now)
-	known := tb.Limits(1)[0]
+	known := tb.Limits(1, now)[0]
 	now = now.Add(probeInterval)
 	tb.MergeLimit(known, true, now)
 	is.True(tb.dueForProbe(engineQuery, now) == nil) // another VM has just received an answer
--- a/upstream/listed.go
+++ b/upstream/listed.go
@@ -105,8 +105,9 @@
 func (t *Table) applyEntry(s *state, e Entry, l List, isNew bool) {
 	s.prefixCache.SetCapacity(e.CacheTokens)
 	s.eventTokens = e.EventTokens
-	s.incarnation, s.slots = e.Incarnation, e.Slots
+	s.incarnation, s.slots, s.service = e.Incarnation, e.Slots, e.Service
 	s.notices = t.notices[e.Instance()]
+	t.inheritBrittleness(s, l.Now)
 	if isNew {
 		s.listedAt = l.Now
 	}
@@ -321,6 +322,7 @@
 	t.updateMeanWait(dc, now)
 	t.updateMeanPaces()
 	t.dropStaleNotices(now)
+	t.expireBrittleServices(now)
 	for _, states := range t.pools {
 		total, n := time.Duration(0), 0
 		for _, s := range states {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -98,6 +98,8 @@
 	limited []*state
 	// bounded holds the listed upstreams with a rate limit or brittleness in force, sorted by ID.
 	bounded []*state
+	// brittleServices holds the services whose upstreams have lately stated that they are brittle.
+	brittleServices map[contract.ServiceID]serviceBrittleness
 	// vms is the number of VMs that send requests to the upstreams.
 	vms int
 }
@@ -106,7 +108,8 @@
 type state struct {
 	upstream config.Upstream
 	pool     *config.Pool
-	idHash   uint64 // hash of the upstream ID, for rendezvous hashing
+	service  contract.ServiceID // of a listed upstream
+	idHash   uint64             // hash of the upstream ID, for rendezvous hashing
 
 	// reportedIncarnation and load come from the last load report.
 	// reportedIncarnation and load are zero without a load report.
@@ -162,7 +165,7 @@
 	o := opts.withDefaults()
 	return &Table{
 		opts: o, unreachableUntil: make(map[contract.DataCentreID]time.Time), suspectedCentres: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state), byDataCentre: make(map[contract.DataCentreID][]*state),
-		prefillRates: prefill.NewRates(nil), meanPaces: make(map[contract.PoolID]float64), notices: make(map[contract.UpstreamInstance]*instanceNotices),
+		prefillRates: prefill.NewRates(nil), meanPaces: make(map[contract.PoolID]float64), notices: make(map[contract.UpstreamInstance]*instanceNotices), brittleServices: make(map[contract.ServiceID]serviceBrittleness),
 	}
 }
 
