upstream, relay: a request that nobody waits for any more uses a slot of its brittle upstream

What callers saw: refusals by upstreams that had no room, while each VM had less in flight than its share. Cause: a VM took a slot for free as soon as it ended an attempt. An upstream that goes on working after its caller has left still uses the slot. Change: such a request counts for twice the mean time of work of its service since it was sent, and until its deadline at most. Evidence: upstream-full lines with in_flight=0 share=1 slots=6 load=6,0. TestOrphansUseRoom fails without the rule.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -65,6 +65,7 @@
 	{"a lost helper does not end a request as its caller's leaving", "forward/client.go", "if p.End != nil && p.End.RequestEnd == relay.CallerGone {", "if false {", "./forward", "TestForwardOutcomes"},
 	{"the room of a brittle upstream is divided", "upstream/listed.go", " && t.withinRoom(s, now)", "", "./upstream", "TestRejectionsOfBrittleUpstreamStayWithinBound"},
 	{"a new instance has the bound of its brittle service", "upstream/listed.go", "\tt.inheritBrittleness(s, l.Now)\n", "", "./upstream", "TestNewInstanceOfBrittleService"},
+	{"an orphan uses a slot of a brittle upstream", "upstream/brittle.go", "return s.slotsInUse(now) < share", "return s.inFlight < share", "./upstream", "TestOrphansUseRoom"},
 	{"a share of a rate limit is paced", "upstream/limit_table.go", "return probeDelay == 0 && s.notices.limit.limiter.wait(share, now) == 0", "return probeDelay == 0 && s.notices.limit.limiter.wait(share, now) >= 0", "./upstream", "TestLimitedCapacityIsUsed"},
 	{"a limit is exceeded only when other upstreams are busy", "upstream/cost.go", "	cost += t.limitCost(s, now)\n", "", "./upstream", "TestOverLimitOnlyWhenOthersAreBusy"},
 	{"escalating while callers wait has a cost", "relay/models.go", "if r.table.CountLimited() > 0 && r.retrySchedule(j.service).Pending(now) {", "if false {", "./relay", "TestNoEscalationWhileRefusedCallersWait"},
--- a/relay/log.go
+++ b/relay/log.go
@@ -147,7 +147,7 @@
 	}
 	r.log.Info("upstream-full", zap.String("upstream", string(e.ID)), zap.Int64("born", e.Incarnation), zap.String("request", string(j.ID)),
 		zap.Int64("listed_ms", j.room.ListedFor.Milliseconds()), zap.Bool("known_brittle", j.room.Brittle),
-		zap.Int("in_flight", j.room.InFlight), zap.Int("share", j.room.Share), zap.Int("slots", e.Slots), zap.Int("senders", j.room.Senders),
+		zap.Int("in_flight", j.room.InFlight), zap.Int("orphans", j.room.Orphans), zap.Int("share", j.room.Share), zap.Int("slots", e.Slots), zap.Int("senders", j.room.Senders),
 		zap.Int("vms", j.room.VMs), zap.Int("near", j.room.LocalVMs), zap.Bool("near_incomplete", j.room.Incomplete),
 		zap.String("load", load), zap.Int64("sent_ms", r.opts.Now().Sub(j.sentAt).Milliseconds()))
 }
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -160,6 +160,7 @@
 		r.endAttempt(j)
 		r.recordPromptDropped(j)
 		if r.isCurrent(e.ID, e.Incarnation) {
+			r.recordSlotUse(j, e, result, r.opts.Now())
 			r.table.RecordDone(e.ID, result, timeToFirst, r.opts.Now())
 			r.logColdUpstreams()
 		}
@@ -169,6 +170,17 @@
 	})
 }
 
+// recordSlotUse records how long an attempt used a slot of its upstream, or that it may still use it.
+// The caller holds mu.
+func (r *Relay) recordSlotUse(j *job, e upstream.Entry, result upstream.Result, now time.Time) {
+	switch result {
+	case upstream.Succeeded:
+		r.table.RecordWorkTime(e.ID, now.Sub(j.sentAt))
+	case upstream.Abandoned, upstream.Broken:
+		r.table.RecordOrphan(e.ID, j.sentAt, j.Deadline, now)
+	}
+}
+
 // upstreamQuery returns the query for an upstream in the candidate pools that fits the job.
 // The caller holds mu.
 func (r *Relay) upstreamQuery(j *job, c candidatePools, now time.Time) upstream.Query {
--- a/upstream/brittle.go
+++ b/upstream/brittle.go
@@ -68,9 +68,9 @@
 		return false
 	}
 	if share := t.roomShare(s); share > 0 {
-		return s.inFlight < share
+		return s.slotsInUse(now) < share
 	}
-	return s.inFlight == 0 && t.probeDelay(s, t.roomOf(s).localSenders, now) == 0
+	return s.slotsInUse(now) == 0 && t.probeDelay(s, t.roomOf(s).localSenders, now) == 0
 }
 
 // room is the division of a brittle upstream's slots among the VMs. The VMs of its own data centre
@@ -115,6 +115,8 @@
 	// then have in flight there.
 	Brittle         bool
 	Share, InFlight int
+	// Orphans is how many requests that this VM no longer waits for may use further slots.
+	Orphans int
 	// Senders is how many of the VMs may have a request in flight. LocalVMs is how many VMs this VM
 	// knows in its own data centre. Incomplete means that there may be more.
 	Senders, VMs, LocalVMs int
@@ -130,7 +132,7 @@
 		return RoomState{}
 	}
 	return RoomState{
-		Brittle: s.notices.isBrittle(), Share: t.roomShare(s), InFlight: s.inFlight,
+		Brittle: s.notices.isBrittle(), Share: t.roomShare(s), InFlight: s.inFlight, Orphans: len(s.liveOrphans(now)),
 		Senders: t.roomOf(s).senders, VMs: t.vms, LocalVMs: len(t.owners.VMs), Incomplete: t.owners.Incomplete, ListedFor: now.Sub(s.listedAt),
 	}
 }
--- a/upstream/brittle_test.go
+++ b/upstream/brittle_test.go
@@ -230,3 +230,36 @@
 	list(started, "u5")
 	is.True(!started.states["u5"].notices.isBrittle())
 }
+
+// TestOrphansUseRoom guards against a VM that takes the slot of a request whose caller has left for free,
+// while the upstream still works on the request.
+func TestOrphansUseRoom(t *testing.T) {
+	const work = 100 * time.Millisecond
+	now := time.Unix(100, 0)
+	left := now.Add(work / 2)
+	for name, c := range map[string]struct {
+		deadline, free time.Time
+	}{
+		"until it should have ended": {now.Add(time.Minute), now.Add(orphanFactor * work)},
+		"until its deadline":         {now.Add(work), now.Add(work)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb, _ := newListedTable(1)
+			tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
+			tb.ApplyLimitAnswer(contract.UpstreamInstance{Upstream: "d0"}, RateLimit{Brittle: LimitStated, Rejections: 2}, now, now)
+			tb.RecordWorkTime("d0", work)
+			s := tb.states["d0"]
+			for range s.slots {
+				is.True(tb.withinRoom(s, now))
+				tb.RecordSent("d0")
+			}
+			is.True(!tb.withinRoom(s, now))
+			tb.RecordOrphan("d0", now, c.deadline, left)
+			tb.RecordDone("d0", Abandoned, 0, left)
+			is.True(!tb.withinRoom(s, left))
+			is.True(!tb.withinRoom(s, c.free.Add(-time.Millisecond)))
+			is.True(tb.withinRoom(s, c.free))
+		})
+	}
+}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -100,6 +100,8 @@
 	bounded []*state
 	// brittleServices holds the services whose upstreams have lately stated that they are brittle.
 	brittleServices map[contract.ServiceID]serviceBrittleness
+	// workTimes holds the mean time that the upstreams of a service work on a request.
+	workTimes map[contract.ServiceID]time.Duration
 	// vms is the number of VMs that send requests to the upstreams.
 	vms int
 }
@@ -122,15 +124,17 @@
 	// A later incarnation is a new instance of the upstream, and a new instance is not leaving.
 	leavingIncarnation contract.Incarnation
 	inFlight           int
-	sentSinceReport    int     // requests sent since the last report was requested
-	doneSinceReport    int     // requests completed since the last report was requested
-	othersInFlight     float64 // expected number of requests from other VMs, estimated from reports
-	serviceTime        time.Duration
-	serviceTimeAt      time.Time // when serviceTime was last updated
-	failures           int
-	breakerOpenUntil   time.Time
-	probing            bool
-	health             health // only used for listed upstreams
+	// orphans holds when each request that this VM no longer waits for ceases to use a slot.
+	orphans          []time.Time
+	sentSinceReport  int     // requests sent since the last report was requested
+	doneSinceReport  int     // requests completed since the last report was requested
+	othersInFlight   float64 // expected number of requests from other VMs, estimated from reports
+	serviceTime      time.Duration
+	serviceTimeAt    time.Time // when serviceTime was last updated
+	failures         int
+	breakerOpenUntil time.Time
+	probing          bool
+	health           health // only used for listed upstreams
 	// queue and prefixCache are the estimated prefill queue and the estimated prompt cache
 	// of a listed upstream.
 	queue prefill.Queue
@@ -166,6 +170,7 @@
 	return &Table{
 		opts: o, unreachableUntil: make(map[contract.DataCentreID]time.Time), suspectedCentres: make(map[contract.DataCentreID]bool), states: make(map[contract.UpstreamID]*state), pools: make(map[contract.PoolID][]*state), byDataCentre: make(map[contract.DataCentreID][]*state),
 		prefillRates: prefill.NewRates(nil), meanPaces: make(map[contract.PoolID]float64), notices: make(map[contract.UpstreamInstance]*instanceNotices), brittleServices: make(map[contract.ServiceID]serviceBrittleness),
+		workTimes: make(map[contract.ServiceID]time.Duration),
 	}
 }
 
