upstream: a starting VM does not take the slots of a brittle upstream for its own

What callers would see: refusals and failures of brittle upstreams while VMs are started or replaced. Cause: the slots are divided by the VMs that a VM knows. One that has just started knows none, or itself alone, and took half or all of the slots; and when the number of VMs changes, one VM uses a slot that another has not given up yet. Change: a VM that knows no other has no share, one that may not know all others has one slot at most, and a share shrinks at once but grows only after 2 s.

--- a/upstream/brittle.go
+++ b/upstream/brittle.go
@@ -67,7 +67,7 @@
 	case now.Before(s.notices.limit.pauseUntil):
 		return false
 	}
-	if share := t.roomShare(s); share > 0 {
+	if share := t.roomShare(s, now); share > 0 {
 		return s.slotsInUse(now) < share
 	}
 	return s.slotsInUse(now) == 0 && t.probeDelay(s, t.roomOf(s).localSenders, now) == 0
@@ -131,14 +131,59 @@
 	if !ok {
 		return RoomState{}
 	}
-	return RoomState{
-		Brittle: s.notices.isBrittle(), Share: t.roomShare(s), InFlight: s.inFlight, Orphans: len(s.liveOrphans(now)),
-		Senders: t.roomOf(s).senders, VMs: t.vms, LocalVMs: len(t.owners.VMs), Incomplete: t.owners.Incomplete, ListedFor: now.Sub(s.listedAt),
+	state := RoomState{InFlight: s.inFlight, VMs: t.vms, LocalVMs: len(t.owners.VMs), Incomplete: t.owners.Incomplete, ListedFor: now.Sub(s.listedAt)}
+	if s.notices.isBrittle() {
+		state.Brittle, state.Share, state.Orphans, state.Senders = true, t.roomShare(s, now), len(s.liveOrphans(now)), t.roomOf(s).senders
+	}
+	return state
+}
+
+// shareGrowthDelay is how long a larger share is not used yet: the VMs that had the slots before may not
+// know that they have lost them, and still have requests there.
+const shareGrowthDelay = 2 * time.Second
+
+// grant is the share of a brittle upstream's slots that this VM uses. It shrinks at once, and grows only
+// after shareGrowthDelay.
+type grant struct {
+	set   bool
+	share int
+	// growsAt is when a larger share is used; zero if none is due.
+	growsAt time.Time
+}
+
+// update sets the share that this VM is entitled to, and returns the share that it may use.
+func (g *grant) update(entitled int, now time.Time) int {
+	switch {
+	case !g.set || entitled <= g.share:
+		*g = grant{set: true, share: entitled}
+	case g.growsAt.IsZero():
+		g.growsAt = now.Add(shareGrowthDelay)
+	case !now.Before(g.growsAt):
+		*g = grant{set: true, share: entitled}
 	}
+	return g.share
 }
 
 // roomShare returns how many requests this VM may have in flight at a brittle upstream.
-func (t *Table) roomShare(s *state) int {
+func (t *Table) roomShare(s *state, now time.Time) int {
+	return s.grant.update(t.entitledShare(s), now)
+}
+
+// entitledShare returns this VM's share of the slots of a brittle upstream. A VM that does not know the
+// other VMs of its data centre yet has none, and one that may not know all of them has one slot at most.
+func (t *Table) entitledShare(s *state) int {
+	if len(t.owners.VMs) == 0 {
+		return 0
+	}
+	share := t.dividedShare(s)
+	if t.owners.Incomplete {
+		share = min(share, 1)
+	}
+	return share
+}
+
+// dividedShare returns this VM's share of the slots of a brittle upstream if it knows all VMs.
+func (t *Table) dividedShare(s *state) int {
 	r := t.roomOf(s)
 	switch {
 	case s.pool.DataCentre != t.owners.dc:
--- a/upstream/brittle_test.go
+++ b/upstream/brittle_test.go
@@ -245,16 +245,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			tb, _ := newListedTable(1)
-			tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
-			tb.ApplyLimitAnswer(contract.UpstreamInstance{Upstream: "d0"}, RateLimit{Brittle: LimitStated, Rejections: 2}, now, now)
+			tb, s := brittleTable(now)
 			tb.RecordWorkTime("d0", work)
-			s := tb.states["d0"]
-			for range s.slots {
-				is.True(tb.withinRoom(s, now))
-				tb.RecordSent("d0")
-			}
-			is.True(!tb.withinRoom(s, now))
+			is.Equal(fill(tb, s, now), s.slots)
 			tb.RecordOrphan("d0", now, c.deadline, left)
 			tb.RecordDone("d0", Abandoned, 0, left)
 			is.True(!tb.withinRoom(s, left))
@@ -263,3 +256,61 @@
 		})
 	}
 }
+
+// brittleTable returns a table with one brittle upstream of the VM's own data centre, and its state.
+func brittleTable(now time.Time) (*Table, *state) {
+	tb, _ := newListedTable(1)
+	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
+	tb.ApplyLimitAnswer(contract.UpstreamInstance{Upstream: "d0"}, RateLimit{Brittle: LimitStated, Rejections: 2}, now, now)
+	return tb, tb.states["d0"]
+}
+
+// fill sends as many requests as there is room for and returns their number.
+func fill(tb *Table, s *state, now time.Time) (sent int) {
+	for tb.withinRoom(s, now) {
+		tb.RecordSent(s.upstream.ID)
+		sent++
+	}
+	return sent
+}
+
+// TestStartingVMLeavesRoom guards against a VM that has just started, knows no other VM yet and takes all
+// slots of a brittle upstream for its own.
+func TestStartingVMLeavesRoom(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, c := range map[string]struct {
+		owners Owners
+		most   int
+	}{
+		"no other VM known yet":      {Owners{Self: "vm1", Incomplete: true}, 0},
+		"there may be more VMs":      {Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}, Incomplete: true}, 1},
+		"there are no other VMs":     {Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}}, 4},
+		"the other VMs are known":    {Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}}, 1},
+		"some of the VMs are known":  {Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2"}, Incomplete: true}, 1},
+		"this VM knows nothing else": {Owners{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb, s := brittleTable(now)
+			tb.SetOwners("d", c.owners)
+			is.Equal(fill(tb, s, now), c.most)
+		})
+	}
+}
+
+// TestShareGrowsLate guards against two VMs that use the same slots of a brittle upstream, because one
+// knows earlier than the other that they have changed hands.
+func TestShareGrowsLate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	tb, s := brittleTable(now)
+	four := Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}}
+	tb.SetOwners("d", four)
+	is.Equal(fill(tb, s, now), 1)
+	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
+	is.Equal(fill(tb, s, now), 0)
+	is.Equal(fill(tb, s, now.Add(shareGrowthDelay-time.Millisecond)), 0)
+	is.Equal(fill(tb, s, now.Add(shareGrowthDelay)), 3)
+	tb.SetOwners("d", four)
+	is.True(!tb.withinRoom(s, now.Add(shareGrowthDelay)))
+}
--- a/upstream/limit_table.go
+++ b/upstream/limit_table.go
@@ -205,7 +205,7 @@
 
 // claimShare uses one request of this VM's share of a rate limit.
 func (t *Table) claimShare(s *state, now time.Time) {
-	if s.notices.isBrittle() && t.roomShare(s) == 0 {
+	if s.notices.isBrittle() && t.roomShare(s, now) == 0 {
 		s.notices.limit.confirmedAt = now // a probe
 	}
 	if !s.notices.hasLimit() {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -155,6 +155,8 @@
 	incarnation int64
 	slots       int
 	cold        coldState
+	// grant is this VM's share of the slots, if the upstream is brittle.
+	grant grant
 	// listedAt is when this VM first listed the instance.
 	listedAt time.Time
 	// notices is what the current instance stated about itself in answers.
