upstream, forward, relay: a few VMs hold the room of a brittle service, and the others pass requests to them

What callers saw: the bound on brittle upstreams was kept by refusing them. 3 of 10 at two thirds of the load, and 3 of 4 where most come to one VM. Cause: each slot belonged to one VM, chosen for each upstream. With 60 VMs and 36 slots most VMs had none and the others one here or there, idle at one VM while another refused; a VM without room asked three others at random, and passed over for a second each one that had none at that moment. Change: where the upstreams of a service in a data centre have fewer than three slots for each VM, a few VMs hold all of them, at least three of each upstream, and all other VMs know these holders by rendezvous hashing and pass their requests to them; those of other data centres are named in the answers to ReachQuery. A holder without room is passed over for 25 ms, doubling to 400, and other VMs are asked only if no holder is left, since an answer may take a connection to an upstream. A holder that has been silent for 5 s is replaced; the share of its successor grows late, as any share. No slot is left over by rounding. TestShareGrowsLate, TestStartingVM... use an upstream with 16 slots now, whose slots four VMs still divide.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -158,7 +158,7 @@
 		WorkspaceWeight: v.workspaceWeight,
 		EvacuationBound: s.Bounds.Evacuation, ColdOwners: v.peers.ColdOwners, ColdBounds: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
-	v.helper = forward.NewHelper(endpoint, v.relay, v.stopping.Load, v.log)
+	v.helper = forward.NewHelper(endpoint, v.relay, v.peers.ForwardCandidates, v.stopping.Load, v.log)
 	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.ConfigurationApply),
 		Upstreams: platform.Upstreams(store, s.Bounds.UpstreamDrain), Rollouts: platform.Rollouts(store), WriteRolloutStatus: store.WriteRolloutStatus, Relay: v.relay, Log: v.log, Now: time.Now,
--- a/forward/client.go
+++ b/forward/client.go
@@ -53,20 +53,31 @@
 
 // Forward passes a request to the nearest helper that accepts it.
 func (c *Client) Forward(ctx context.Context, f *relay.ForwardedRequest, allowed func(contract.DataCentreID) bool, to relay.AnswerReceiver) relay.ForwardResult {
-	c.helpers.refresh(ctx, f.Service)
+	c.helpers.suggest(f.Service, f.Holders)
+	if !f.Overflow {
+		c.helpers.refresh(ctx, f.Service)
+	}
 	for range maxOffers {
 		h, ok := c.helpers.pick(f.Service, f.Overflow, allowed)
+		if !ok && f.Overflow { // the answers to a question may need connections to upstreams that have no room
+			c.helpers.refresh(ctx, f.Service)
+			h, ok = c.helpers.pick(f.Service, f.Overflow, allowed)
+		}
 		if !ok || ctx.Err() != nil {
 			break
 		}
 		s, why := c.offer(ctx, h, f)
 		if s == nil {
-			c.helpers.drop(f.Service, h.VM)
-			c.log.Info("offer-declined", zap.String("request", string(f.ID)), zap.String("by", string(h.VM)), zap.String("why", why))
+			c.helpers.drop(f.Service, h.VM, why)
+			c.log.Info("offer-declined", zap.String("request", string(f.ID)), zap.String("by", string(h.VM)), zap.String("why", string(why)))
 			continue
 		}
 		result, helperFailed := c.exchange(s, f, to)
 		s.Cancel()
+		if f.Overflow && foundNoRoom(result) {
+			c.helpers.drop(f.Service, h.VM, Full)
+			continue
+		}
 		c.helpers.done(f.Service, h.VM, !helperFailed || ctx.Err() != nil)
 		result.VM = h.VM
 		return result
@@ -74,13 +85,20 @@
 	return relay.ForwardResult{End: relay.ForwardNotTaken}
 }
 
+// foundNoRoom reports whether a helper that had room when it accepted a request had none left when the
+// request arrived. The request has not run.
+func foundNoRoom(result relay.ForwardResult) bool {
+	return result.End == relay.ForwardEnded && result.RequestEnd == relay.Refused && result.Sends == 0 &&
+		result.Outcome == contract.OutcomeNotRun && result.Refusal != nil && result.Refusal.Kind == contract.RefusedNoUpstream
+}
+
 // offer offers a request to a helper. It returns the stream on which the request is sent
 // if the helper has accepted, or else the reason.
-func (c *Client) offer(ctx context.Context, h Candidate, f *relay.ForwardedRequest) (*link.Stream, string) {
+func (c *Client) offer(ctx context.Context, h Candidate, f *relay.ForwardedRequest) (*link.Stream, Reason) {
 	began := time.Now()
 	s, err := link.OpenStream(ctx, c.endpoint, h.Address, link.KindForward, admissionTimeout)
 	if err != nil {
-		return nil, err.Error()
+		return nil, Reason(err.Error())
 	}
 	var a Admission
 	if err = s.Send(Offer{Service: f.Service, Bytes: contract.Bytes(len(f.Body)), Overflow: f.Overflow}); err == nil {
@@ -89,11 +107,11 @@
 	if err != nil {
 		s.Cancel()
 		s.DropIfSilent(began)
-		return nil, err.Error()
+		return nil, Reason(err.Error())
 	}
 	if !a.Accepted {
 		s.Cancel()
-		return nil, string(a.Why)
+		return nil, a.Why
 	}
 	return s, ""
 }
--- a/forward/directory.go
+++ b/forward/directory.go
@@ -35,6 +35,10 @@
 	helperTTL = 5 * time.Second
 	// droppedFor is how long a VM that has declined a request or was lost is not offered another.
 	droppedFor = time.Second
+	// fullFor is how long a VM that had no room is not offered another: about the time until one of its
+	// requests has ended. It doubles up to maxFullFor with each further time in a row.
+	fullFor    = 25 * time.Millisecond
+	maxFullFor = 400 * time.Millisecond
 )
 
 // directory holds which VMs reach which services.
@@ -75,7 +79,9 @@
 	// and sent the number of requests of this VM that it runs.
 	running, sent int
 	// room is set if the VM has stated that it can send more requests to the service.
-	room         bool
+	room bool
+	// fullFor is how long the VM was last passed over because it had no room; zero once it had room.
+	fullFor      time.Duration
 	answeredAt   time.Time
 	droppedUntil time.Time
 }
@@ -179,6 +185,9 @@
 		i = len(h.helpers) - 1
 	}
 	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room, now
+	for _, holder := range a.Holders {
+		d.addHolder(s, Candidate{VM: holder.VM, Address: holder.Address, DataCentre: a.DataCentre, Distance: a.Distance})
+	}
 }
 
 // record ends a round. A VM that has answered that it has no path is no helper any more.
@@ -243,20 +252,64 @@
 	return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.running+a.sent, b.running+b.sent))
 }
 
-// drop records that a VM has not accepted a request.
-func (d *directory) drop(s contract.ServiceID, id contract.VMID) { d.done(s, id, false) }
+// drop records that a VM has not accepted a request, and why. It gets no other for a while.
+func (d *directory) drop(s contract.ServiceID, id contract.VMID, why Reason) {
+	d.ended(s, id, func(h *helper) {
+		pause := droppedFor
+		if why == Full {
+			h.fullFor = min(max(2*h.fullFor, fullFor), maxFullFor)
+			pause = h.fullFor
+		}
+		h.droppedUntil = d.opts.Now().Add(pause)
+	})
+}
 
 // done records that a request has ended at a VM. If the VM has failed it, it gets no other for a while.
 func (d *directory) done(s contract.ServiceID, id contract.VMID, ok bool) {
+	d.ended(s, id, func(h *helper) {
+		h.fullFor = 0
+		if ok {
+			h.answeredAt = d.opts.Now()
+		} else {
+			h.droppedUntil = d.opts.Now().Add(droppedFor)
+		}
+	})
+}
+
+// ended records that a request does not run at a VM any more, and applies its result.
+func (d *directory) ended(s contract.ServiceID, id contract.VMID, apply func(*helper)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := d.service(s)
-	i := h.index(id)
-	if i < 0 {
+	if i := h.index(id); i >= 0 {
+		h.helpers[i].sent--
+		apply(&h.helpers[i])
+	}
+}
+
+// suggest adds VMs that are known to hold room of a service, without asking them. VMs that have been
+// lost do not come into question.
+func (d *directory) suggest(s contract.ServiceID, holders []contract.VMID) {
+	if len(holders) == 0 {
 		return
 	}
-	h.helpers[i].sent--
-	if !ok {
-		h.helpers[i].droppedUntil = d.opts.Now().Add(droppedFor)
+	candidates := d.opts.Candidates()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range candidates {
+		if slices.Contains(holders, c.VM) {
+			d.addHolder(s, c)
+		}
+	}
+}
+
+// addHolder adds a VM that holds room of a service. The caller holds mu.
+func (d *directory) addHolder(s contract.ServiceID, c Candidate) {
+	h := d.service(s)
+	i := h.index(c.VM)
+	if i < 0 {
+		h.helpers = append(h.helpers, helper{})
+		i = len(h.helpers) - 1
 	}
+	h.helpers[i].Candidate, h.helpers[i].room, h.helpers[i].answeredAt = c, true, d.opts.Now()
 }
--- a/forward/directory_test.go
+++ b/forward/directory_test.go
@@ -99,8 +99,8 @@
 	is.Equal(first.Distance+second.Distance, 0)
 	elsewhere, _ := d.pick("s", false, func(dc contract.DataCentreID) bool { return dc == "f" })
 	is.Equal(elsewhere.VM, contract.VMID("far"))
-	d.drop("s", first.VM)
-	d.drop("s", second.VM)
+	d.drop("s", first.VM, NoPath)
+	d.drop("s", second.VM, NoPath)
 	third, _ := d.pick("s", false, anywhere)
 	is.Equal(third.VM, contract.VMID("region"))
 	now = now.Add(droppedFor)
@@ -129,3 +129,37 @@
 	_, ok = d.pick("s", false, anywhere)
 	is.True(ok) // a lost path is another matter
 }
+
+// TestHoldersOfRoomAreOffered checks that VMs which hold the room of a service get overflow without being
+// asked, also those that another VM has named, and that one which had no room is passed over for a moment
+// that grows, and not for as long as one that has failed.
+func TestHoldersOfRoomAreOffered(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := newTestDirectory(&now, testCandidates, map[contract.VMID]int{"near": 1, "region": 1, "far": 1})
+	d.suggest("s", []contract.VMID{"near", "unknown"})
+	pick := func() contract.VMID {
+		c, _ := d.pick("s", true, anywhere)
+		return c.VM
+	}
+	is.Equal(pick(), contract.VMID("near"))
+	for _, pause := range []time.Duration{fullFor, 2 * fullFor} {
+		d.drop("s", "near", Full)
+		is.Equal(pick(), contract.VMID(""))
+		now = now.Add(pause - time.Millisecond)
+		is.Equal(pick(), contract.VMID(""))
+		now = now.Add(time.Millisecond)
+		is.Equal(pick(), contract.VMID("near"))
+	}
+	d.done("s", "near", true)
+	d.drop("s", "near", Full)
+	now = now.Add(fullFor)
+	is.Equal(pick(), contract.VMID("near"))
+	d.drop("s", "near", NoPath)
+	now = now.Add(droppedFor - time.Millisecond)
+	is.Equal(pick(), contract.VMID(""))
+	d.add("s", answered{Candidate: testCandidates[1], ReachAnswer: ReachAnswer{Reaches: true, Holders: []Holder{{"beside", "9"}}}})
+	beside, ok := d.pick("s", true, anywhere)
+	is.True(ok)
+	is.Equal(beside, Candidate{VM: "beside", Address: "9", DataCentre: testCandidates[1].DataCentre, Distance: testCandidates[1].Distance})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,6 +38,15 @@
 	Running int `cbor:"2,keyasint,omitempty"`
 	// Room means that the VM has not used up its share of what the upstreams accept.
 	Room bool `cbor:"3,keyasint,omitempty"`
+	// Holders are the VMs that hold the room of the service in the data centre of the VM, if only a few
+	// of them do.
+	Holders []Holder `cbor:"4,keyasint,omitempty"`
+}
+
+// Holder is a VM that holds room of a service: it may send requests to the upstreams.
+type Holder struct {
+	VM      contract.VMID `cbor:"1,keyasint"`
+	Address string        `cbor:"2,keyasint"` // link address
 }
 
 // Offer announces a request before it is sent.
--- a/forward/helper.go
+++ b/forward/helper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	relay    *relay.Relay
 	stopping func() bool
 	log      *zap.Logger
+	// candidates returns the other VMs whose addresses this VM knows.
+	candidates func() []Candidate
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -35,9 +38,10 @@
 }
 
 // NewHelper returns a Helper and registers its handlers with an endpoint.
-// The function stopping reports whether this VM accepts no more requests.
-func NewHelper(e *link.Endpoint, r *relay.Relay, stopping func() bool, log *zap.Logger) *Helper {
-	h := &Helper{relay: r, stopping: stopping, log: log}
+// The function stopping reports whether this VM accepts no more requests, and candidates returns the
+// other VMs whose addresses this VM knows.
+func NewHelper(e *link.Endpoint, r *relay.Relay, candidates func() []Candidate, stopping func() bool, log *zap.Logger) *Helper {
+	h := &Helper{relay: r, candidates: candidates, stopping: stopping, log: log}
 	link.Handle(e, link.KindReach, h.answerReach)
 	link.HandleStream(e, link.KindForward, h.serve)
 	return h
@@ -69,7 +73,24 @@
 
 func (h *Helper) answerReach(ctx context.Context, _ string, q ReachQuery) (ReachAnswer, error) {
 	running, _ := h.Counts()
-	return ReachAnswer{Reaches: !h.stopping() && h.relay.Reaches(ctx, q.Service), Running: running, Room: h.relay.HasRoom(q.Service)}, nil
+	return ReachAnswer{
+		Reaches: !h.stopping() && h.relay.Reaches(ctx, q.Service), Running: running, Room: h.relay.HasRoom(q.Service), Holders: h.holders(q.Service),
+	}, nil
+}
+
+// holders returns the other VMs that hold room of a service, if only a few do.
+func (h *Helper) holders(s contract.ServiceID) []Holder {
+	ids := h.relay.RoomHolders(s)
+	if len(ids) == 0 {
+		return nil
+	}
+	var holders []Holder
+	for _, c := range h.candidates() {
+		if slices.Contains(ids, c.VM) {
+			holders = append(holders, Holder{c.VM, c.Address})
+		}
+	}
+	return holders
 }
 
 // admit reserves room for a request, or returns why it is not accepted.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -78,6 +78,9 @@
 	// Overflow means that the forwarding VM reaches the service, but has used up its share of what the
 	// upstreams accept.
 	Overflow bool `cbor:"25,keyasint,omitempty"`
+	// Holders are the VMs of the forwarding VM's data centre that hold the room of the service, if only
+	// a few of them do. They are not part of the message.
+	Holders []contract.VMID `cbor:"-"`
 }
 
 // Progress is how far a request has come before it is passed to another VM.
@@ -232,7 +235,11 @@
 	}
 	for range maxForwards {
 		began := r.opts.Now()
-		result := r.opts.Forwarder.Forward(ctx, j.forwardedRequest(began), allowed, to)
+		f := j.forwardedRequest(began)
+		if f.Overflow {
+			f.Holders = r.RoomHolders(j.service)
+		}
+		result := r.opts.Forwarder.Forward(ctx, f, allowed, to)
 		r.recordForward(j, result, r.opts.Now().Sub(began))
 		switch {
 		case result.End == ForwardEnded && !result.lostPath(j):
--- a/relay/path.go
+++ b/relay/path.go
@@ -195,6 +195,14 @@
 	return len(pools) > 0 && r.table.CanPick(r.poolQuery(candidatePools{pools: pools}, nil), now)
 }
 
+// RoomHolders returns the VMs of this data centre that hold the room of a service, if its upstreams are
+// brittle and only a few VMs do.
+func (r *Relay) RoomHolders(s contract.ServiceID) []contract.VMID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.RoomHolders(s)
+}
+
 // usableUpstreams returns the upstreams of a service that requests may be sent to,
 // apart from their health. The caller holds mu.
 func (r *Relay) usableUpstreams(s contract.ServiceID, now time.Time) []contract.UpstreamID {
--- a/site/view.go
+++ b/site/view.go
@@ -109,10 +109,18 @@
 		owners.Incomplete = true
 	}
 	owners.VMs = append(owners.VMs, self)
-	for _, m := range append(slices.Clone(v.localPeers), p.silentLocal(silentOwnerPeriod, now)...) {
+	silent := p.silentLocal(silentOwnerPeriod, now)
+	justSilent := p.silentLocal(roomTakeoverPeriod, now)
+	for _, m := range append(slices.Clone(v.localPeers), silent...) {
 		owners.VMs = append(owners.VMs, m.VM)
 	}
+	for _, m := range silent {
+		if !slices.ContainsFunc(justSilent, func(j vm.Member) bool { return j.VM == m.VM }) {
+			owners.Gone = append(owners.Gone, m.VM)
+		}
+	}
 	slices.Sort(owners.VMs)
+	slices.Sort(owners.Gone)
 	return owners
 }
 
@@ -122,6 +130,10 @@
 // If the silent VM is gone, its share of the cold upstreams is unused during this period.
 const silentOwnerPeriod = time.Minute
 
+// roomTakeoverPeriod is how long after a VM fell silent another VM holds its room at brittle upstreams:
+// a few VMs hold all of it, and callers are refused meanwhile.
+const roomTakeoverPeriod = 5 * time.Second
+
 // rankIn returns the rank of this VM among the VMs that may watch the store for its region.
 // The caller holds mu.
 func (p *Peers) rankIn(v *view) Rank {
--- a/upstream/brittle.go
+++ b/upstream/brittle.go
@@ -70,43 +70,7 @@
 	if share := t.roomShare(s, now); share > 0 {
 		return s.slotsInUse(now) < share
 	}
-	return s.slotsInUse(now) == 0 && t.probeDelay(s, t.roomOf(s).localSenders, now) == 0
-}
-
-// room is the division of a brittle upstream's slots among the VMs. The VMs of its own data centre
-// get at least half of the slots.
-type room struct {
-	// senders is the number of VMs that may have a request in flight.
-	senders int
-	// local is the share of a VM of the upstream's data centre, of which localSenders have one.
-	// remote is the share of any other VM.
-	local, localSenders, remote int
-}
-
-// divideRoom divides slots among the VMs of a data centre and those of other data centres.
-// VMs of other data centres get a share only if there is a slot for each VM.
-func divideRoom(slots, localVMs, remoteVMs int) room {
-	slots, localVMs = max(slots, 1), max(localVMs, 1)
-	var r room
-	if remoteVMs > 0 && localVMs+remoteVMs <= slots {
-		r.remote = max(slots/2/remoteVMs, 1)
-		r.senders = remoteVMs
-	}
-	left := slots - r.remote*remoteVMs
-	r.localSenders = min(localVMs, left)
-	r.local = left / r.localSenders
-	r.senders += r.localSenders
-	return r
-}
-
-// roomOf returns the division of an upstream's slots.
-func (t *Table) roomOf(s *state) room {
-	vms := max(t.vms, len(t.owners.VMs), 1)
-	if s.pool.DataCentre != t.owners.dc { // assume that the VMs are spread evenly
-		local := max(vms/max(len(t.byDataCentre), 1), 1)
-		return divideRoom(s.slots, local, vms-local)
-	}
-	return divideRoom(s.slots, len(t.owners.VMs), vms-len(t.owners.VMs))
+	return s.slotsInUse(now) == 0 && t.probeDelay(s, t.roomRank(s)-t.roomOf(s).localSenders, now) == 0
 }
 
 // RoomState is what this VM assumes about the room at an upstream.
@@ -181,15 +145,3 @@
 	}
 	return share
 }
-
-// dividedShare returns this VM's share of the slots of a brittle upstream if it knows all VMs.
-func (t *Table) dividedShare(s *state) int {
-	r := t.roomOf(s)
-	switch {
-	case s.pool.DataCentre != t.owners.dc:
-		return r.remote
-	case t.ownerRank(s) < r.localSenders:
-		return r.local
-	}
-	return 0
-}
--- a/upstream/brittle_replay_test.go
+++ b/upstream/brittle_replay_test.go
@@ -27,6 +27,7 @@
 // replayedBrittle is the current instance of an upstream; the ID is empty while it is gone.
 type replayedBrittle struct {
 	id         contract.UpstreamID
+	listedAs   contract.UpstreamID // its entry remains until the next instance starts
 	dataCentre contract.DataCentreID
 	running    int
 	rejected   []time.Time
@@ -76,8 +77,13 @@
 // start starts a new instance of an upstream, which all VMs list at once.
 func (r *brittleReplay) start(u *replayedBrittle) {
 	r.listed++
+	former := u.listedAs
 	u.id, u.running, u.rejected = contract.UpstreamID(fmt.Sprintf("u%d", r.listed)), 0, nil
-	r.list()
+	u.listedAs = u.id
+	changed := List{Entries: []Entry{r.entry(u)}, Connections: func(contract.ServiceID) int { return 100 }, Now: r.now}
+	for _, t := range r.tables {
+		t.ApplyListChanges(changed, []contract.UpstreamID{former})
+	}
 }
 
 // end ends the instance of an upstream. Its entry is gone once the next instance starts.
@@ -85,16 +91,8 @@
 	u.id, u.backAt = "", r.now.Add(replayedGone)
 }
 
-func (r *brittleReplay) list() {
-	var entries []Entry
-	for _, u := range r.upstreams {
-		if u.id != "" {
-			entries = append(entries, Entry{ID: u.id, Service: "s", Address: string(u.id), DataCentre: u.dataCentre, Release: "v1", Slots: replayedSlots, Incarnation: 1})
-		}
-	}
-	for _, t := range r.tables {
-		t.ApplyList(List{Entries: entries, Connections: func(contract.ServiceID) int { return 100 }, Now: r.now})
-	}
+func (r *brittleReplay) entry(u *replayedBrittle) Entry {
+	return Entry{ID: u.id, Service: "s", Address: string(u.id), DataCentre: u.dataCentre, Release: "v1", Slots: replayedSlots, Incarnation: 1}
 }
 
 // step advances the time by a millisecond.
--- a/upstream/brittle_test.go
+++ b/upstream/brittle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -155,7 +156,8 @@
 		for local := 1; local <= 61; local++ {
 			for _, remote := range []int{0, 1, 4, 20, 240} {
 				r := divideRoom(slots, local, remote)
-				is.True(r.local*r.localSenders+r.remote*remote <= slots)
+				is.True(r.local*r.localSenders+r.extra+r.remote*remote <= slots)
+				is.True(r.extra < r.localSenders)
 				is.True(r.local > 0 && r.localSenders > 0)
 			}
 		}
@@ -208,7 +210,12 @@
 	list(started, "u4")
 	is.True(started.states["u4"].notices.isBrittle())
 
-	list(tb, "u4")
+	tb.ApplyListChanges(List{
+		Entries:     []Entry{{ID: "u4", Service: "s", Address: "u4", DataCentre: "d", Release: "v1", Slots: 4, Incarnation: 1}},
+		Connections: func(contract.ServiceID) int { return 100 }, Now: now,
+	}, nil)
+	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
+	is.Equal(fill(tb, tb.states["u4"], now), 4)
 	now = now.Add(time.Second)
 	change = tb.ApplyLimitAnswer(instance("u4"), none, now, now)
 	is.True(change.Report && change.ReportRemote)
@@ -259,7 +266,11 @@
 
 // brittleTable returns a table with one brittle upstream of the VM's own data centre, and its state.
 func brittleTable(now time.Time) (*Table, *state) {
-	tb, _ := newListedTable(1)
+	tb := NewTable(Options{Listed: true})
+	tb.ApplyList(List{
+		Entries:     []Entry{{ID: "d0", Service: "s", Address: "d0", DataCentre: "d", Release: "v1", Slots: 16}},
+		Connections: func(contract.ServiceID) int { return 100 }, Now: now,
+	})
 	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
 	tb.ApplyLimitAnswer(contract.UpstreamInstance{Upstream: "d0"}, RateLimit{Brittle: LimitStated, Rejections: 2}, now, now)
 	return tb, tb.states["d0"]
@@ -284,8 +295,8 @@
 	}{
 		"no other VM known yet":      {Owners{Self: "vm1", Incomplete: true}, 0},
 		"there may be more VMs":      {Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}, Incomplete: true}, 1},
-		"there are no other VMs":     {Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}}, 4},
-		"the other VMs are known":    {Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}}, 1},
+		"there are no other VMs":     {Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}}, 16},
+		"the other VMs are known":    {Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}}, 4},
 		"some of the VMs are known":  {Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2"}, Incomplete: true}, 1},
 		"this VM knows nothing else": {Owners{}, 0},
 	} {
@@ -306,11 +317,57 @@
 	tb, s := brittleTable(now)
 	four := Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}}
 	tb.SetOwners("d", four)
-	is.Equal(fill(tb, s, now), 1)
+	is.Equal(fill(tb, s, now), 4)
 	tb.SetOwners("d", Owners{Self: "vm1", VMs: []contract.VMID{"vm1"}})
 	is.Equal(fill(tb, s, now), 0)
 	is.Equal(fill(tb, s, now.Add(shareGrowthDelay-time.Millisecond)), 0)
-	is.Equal(fill(tb, s, now.Add(shareGrowthDelay)), 3)
+	is.Equal(fill(tb, s, now.Add(shareGrowthDelay)), 12)
 	tb.SetOwners("d", four)
 	is.True(!tb.withinRoom(s, now.Add(shareGrowthDelay)))
 }
+
+// TestFewVMsHoldRoom checks that the VMs of a data centre agree on the few that hold the slots of a
+// service with less than a few slots for each of them, that all slots are held and none twice, and that
+// another VM takes over from one that is gone, late.
+func TestFewVMsHoldRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var names []contract.VMID
+	for n := range 20 {
+		names = append(names, contract.VMID(fmt.Sprintf("vm%d", n)))
+	}
+	// sendAll fills the upstream from all VMs but those that are gone, and returns who sent.
+	tables := make(map[contract.VMID]*Table)
+	sendAll := func(gone []contract.VMID, now time.Time) (senders []contract.VMID, sent int) {
+		for _, id := range names {
+			if slices.Contains(gone, id) {
+				continue
+			}
+			tables[id].SetOwners("d", Owners{Self: id, VMs: names, Gone: gone})
+			if n := fill(tables[id], tables[id].states["d0"], now); n > 0 {
+				senders, sent = append(senders, id), sent+n
+			}
+		}
+		return senders, sent
+	}
+	for _, id := range names {
+		tables[id], _ = brittleTable(now)
+	}
+	holders, sent := sendAll(nil, now)
+	slices.Sort(holders)
+	is.Equal(len(holders), 16/slotsPerHolder)
+	is.Equal(sent, 16)
+	for _, id := range names {
+		known := tables[id].RoomHolders("s")
+		if slices.Contains(holders, id) {
+			known = append(known, id)
+		}
+		slices.Sort(known)
+		is.Equal(known, holders)
+	}
+	gone := holders[:1]
+	_, sent = sendAll(gone, now)
+	is.Equal(sent, 0) // the others wait until its requests have ended
+	_, sent = sendAll(gone, now.Add(shareGrowthDelay))
+	is.True(sent >= 16/len(holders) && sent <= 16/len(holders)+1)
+}
--- a/upstream/limit_table.go
+++ b/upstream/limit_table.go
@@ -68,6 +68,9 @@
 			t.bounded = append(t.bounded, s)
 		}
 	}
+	if t.CountBrittle() > 0 {
+		t.groupRoom()
+	}
 }
 
 // hasBound reports whether the instance has stated a bound on the requests of all VMs that is in
@@ -149,16 +152,16 @@
 	if s.pool.DataCentre == t.owners.dc && t.ownerRank(s) < owners {
 		return share, 0
 	}
-	return probeShare(), t.probeDelay(s, owners, now)
+	return probeShare(), t.probeDelay(s, t.ownerRank(s)-owners, now)
 }
 
 // probeDelay returns the time until this VM, which is not among the owners of an upstream, may send
 // it a probe request because no answer has confirmed the upstream's statement for a while.
-func (t *Table) probeDelay(s *state, owners int, now time.Time) time.Duration {
-	rank := t.ownerRank(s)
-	delay := localProbeDelay + time.Duration(rank-owners)*probeStagger
+// The argument behind is this VM's rank behind the owners.
+func (t *Table) probeDelay(s *state, behind int, now time.Time) time.Duration {
+	delay := localProbeDelay + time.Duration(max(behind, 0))*probeStagger
 	if s.pool.DataCentre != t.owners.dc {
-		delay = remoteProbeDelay + time.Duration(rank*len(t.byDataCentre)+t.dataCentreRank())*probeStagger
+		delay = remoteProbeDelay + time.Duration(t.ownerRank(s)*len(t.byDataCentre)+t.dataCentreRank())*probeStagger
 	}
 	return max(s.notices.limit.confirmedAt.Add(delay).Sub(now), 0)
 }
--- a/upstream/owners.go
+++ b/upstream/owners.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,11 +28,14 @@
 	// Incomplete means that the data centre may have many more VMs:
 	// this VM then sends at most one request per second to each upstream that it owns.
 	Incomplete bool
+	// Gone are the VMs among these that have been silent for so long that they send nothing any more,
+	// unless they are only disconnected from this VM.
+	Gone []contract.VMID
 }
 
 // SetOwners sets the VMs that divide the bounds of the upstreams of a data centre.
 func (t *Table) SetOwners(dc contract.DataCentreID, o Owners) {
-	if t.owners.dc == dc && t.owners.Self == o.Self && t.owners.Incomplete == o.Incomplete && slices.Equal(t.owners.VMs, o.VMs) {
+	if t.owners.dc == dc && t.owners.Self == o.Self && t.owners.Incomplete == o.Incomplete && slices.Equal(t.owners.VMs, o.VMs) && slices.Equal(t.owners.Gone, o.Gone) {
 		return
 	}
 	t.owners = ownership{Owners: o, dc: dc, version: t.owners.version + 1}
@@ -70,3 +74,30 @@
 	}
 	return s.cachedRank
 }
+
+// order returns the VMs ranked by a hash, those that are gone last.
+func (o *ownership) order(hash uint64) []contract.VMID {
+	type ranked struct {
+		id   contract.VMID
+		gone bool
+		hash uint64
+	}
+	all := make([]ranked, 0, len(o.VMs))
+	for _, id := range o.VMs {
+		all = append(all, ranked{id, slices.Contains(o.Gone, id), rendezvousHash(hash, xxhash.Sum64String(string(id)))})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.gone != b.gone {
+			if a.gone {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.hash, a.hash)
+	})
+	ids := make([]contract.VMID, len(all))
+	for i, r := range all {
+		ids[i] = r.id
+	}
+	return ids
+}
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -130,10 +130,12 @@
 }
 
 // rendezvousHash ranks upstreams for a prefix (or VMs for an upstream).
-// The key and the state's hash are hashes already. Shifts and multiplications mix the bits of both
+func (s *state) rendezvousHash(key uint64) uint64 { return rendezvousHash(s.idHash, key) }
+
+// rendezvousHash combines two hashes. Shifts and multiplications mix the bits of both
 // (the finalizer of splitmix64).
-func (s *state) rendezvousHash(key uint64) uint64 {
-	x := s.idHash ^ key
+func rendezvousHash(a, b uint64) uint64 {
+	x := a ^ b
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -155,6 +155,8 @@
 	incarnation int64
 	slots       int
 	cold        coldState
+	// serviceRoom is the upstreams of the same service and data centre, this one among them.
+	serviceRoom *serviceRoom
 	// grant is this VM's share of the slots, if the upstream is brittle.
 	grant grant
 	// listedAt is when this VM first listed the instance.
