--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each needs Go alone.
-.PHONY: build run test check race fuzz examples mutants bench plots soak
+.PHONY: build run test check race fuzz examples mutants bench plots soak brittle
 
 build:
 	go build -o bin/ ./cmd/...
@@ -60,3 +60,7 @@
 VMS ?= 6
 soak: build
 	go run ./internal/soak --seed $(SEED) --for $(FOR) --vms $(VMS)
+
+# Real processes with upstreams that fail if they reject too much, and that end and come back.
+brittle: build
+	go run ./internal/soak --brittle-run --seed $(SEED) --vms 12 --brittle-per-second 250 --brittle-end-every 2s
