forward: a VM does not take itself for a holder that another VM of its data centre names

Found by reading: the answer to ReachQuery names the other holders of the answering VM's data centre, which may be the asking VM. Only those of other data centres are added; the own ones are known. TestHoldersOfRoomAreOffered has the case.

--- a/forward/directory.go
+++ b/forward/directory.go
@@ -185,6 +185,9 @@
 		i = len(h.helpers) - 1
 	}
 	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room, now
+	if a.Distance == 0 { // the holders of this data centre are suggested; this VM may be among those named
+		return
+	}
 	for _, holder := range a.Holders {
 		d.addHolder(s, Candidate{VM: holder.VM, Address: holder.Address, DataCentre: a.DataCentre, Distance: a.Distance})
 	}
--- a/forward/directory_test.go
+++ b/forward/directory_test.go
@@ -158,6 +158,8 @@
 	d.drop("s", "near", NoPath)
 	now = now.Add(droppedFor - time.Millisecond)
 	is.Equal(pick(), contract.VMID(""))
+	d.add("s", answered{Candidate: testCandidates[0], ReachAnswer: ReachAnswer{Reaches: true, Holders: []Holder{{"itself", "8"}}}})
+	is.Equal(pick(), contract.VMID("")) // a VM does not offer requests to itself
 	d.add("s", answered{Candidate: testCandidates[1], ReachAnswer: ReachAnswer{Reaches: true, Holders: []Holder{{"beside", "9"}}}})
 	beside, ok := d.pick("s", true, anywhere)
 	is.True(ok)
