forward: a holder that had no room when it was asked is offered requests all the same

Cause: a holder that was asked while it had no room counted as one without room until it was asked again, which happens only once no other is left. Change: a VM known to be a holder comes into question whatever it answered; one that declined is passed over for 50 ms; if all have, those that declined longest ago are offered the request before it is refused, two at most; those asked are of as many data centres as possible, since each VM names the holders of its own.

--- a/forward/client.go
+++ b/forward/client.go
@@ -51,18 +51,24 @@
 // maxOffers limits how many VMs are offered a request.
 const maxOffers = 4
 
+// maxFullOffers is how many VMs are offered a request even if all had no room a moment ago.
+const maxFullOffers = 2
+
 // Forward passes a request to the nearest helper that accepts it.
 func (c *Client) Forward(ctx context.Context, f *relay.ForwardedRequest, allowed func(contract.DataCentreID) bool, to relay.AnswerReceiver) relay.ForwardResult {
 	c.helpers.suggest(f.Service, f.Holders)
 	if !f.Overflow {
 		c.helpers.refresh(ctx, f.Service)
 	}
-	for range maxOffers {
+	for offers := range maxOffers {
 		h, ok := c.helpers.pick(f.Service, f.Overflow, allowed)
 		if !ok && f.Overflow { // the answers to a question may need connections to upstreams that have no room
 			c.helpers.refresh(ctx, f.Service)
 			h, ok = c.helpers.pick(f.Service, f.Overflow, allowed)
 		}
+		if !ok && f.Overflow && offers < maxFullOffers {
+			h, ok = c.helpers.pickFull(f.Service, allowed)
+		}
 		if !ok || ctx.Err() != nil {
 			break
 		}
--- a/forward/directory.go
+++ b/forward/directory.go
@@ -36,9 +36,8 @@
 	// droppedFor is how long a VM that has declined a request or was lost is not offered another.
 	droppedFor = time.Second
 	// fullFor is how long a VM that had no room is not offered another: about the time until one of its
-	// requests has ended. It doubles up to maxFullFor with each further time in a row.
-	fullFor    = 25 * time.Millisecond
-	maxFullFor = 400 * time.Millisecond
+	// requests has ended.
+	fullFor = 50 * time.Millisecond
 )
 
 // directory holds which VMs reach which services.
@@ -80,8 +79,10 @@
 	running, sent int
 	// room is set if the VM has stated that it can send more requests to the service.
 	room bool
-	// fullFor is how long the VM was last passed over because it had no room; zero once it had room.
-	fullFor      time.Duration
+	// holder is set if the VM holds room of the service: it may have room again at any moment.
+	holder bool
+	// fullAt is when the VM last had no room; zero once it had room again.
+	fullAt       time.Time
 	answeredAt   time.Time
 	droppedUntil time.Time
 }
@@ -160,17 +161,26 @@
 	d.record(s, all)
 }
 
-// someOfEach returns askedPerDistance random VMs of each distance.
+// someOfEach returns askedPerDistance random VMs of each distance, of as many data centres as possible:
+// each VM names the holders of its own data centre only.
 func someOfEach(candidates []Candidate) []Candidate {
-	var picked []Candidate
-	count := make(map[int]int)
-	for _, i := range rand.Perm(len(candidates)) {
-		c := candidates[i]
-		if count[c.Distance]++; count[c.Distance] <= askedPerDistance {
-			picked = append(picked, c)
+	shuffled := slices.Clone(candidates)
+	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	var first, others []Candidate // the first of each data centre, and the others
+	seen := make(map[contract.DataCentreID]bool)
+	for _, c := range shuffled {
+		if seen[c.DataCentre] {
+			others = append(others, c)
+		} else {
+			seen[c.DataCentre] = true
+			first = append(first, c)
 		}
 	}
-	return picked
+	count := make(map[int]int)
+	return slices.DeleteFunc(append(first, others...), func(c Candidate) bool {
+		count[c.Distance]++
+		return count[c.Distance] > askedPerDistance
+	})
 }
 
 // add records that a VM reaches a service.
@@ -184,7 +194,7 @@
 		h.helpers = append(h.helpers, helper{})
 		i = len(h.helpers) - 1
 	}
-	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room, now
+	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room || h.helpers[i].holder, now
 	if a.Distance == 0 { // the holders of this data centre are suggested; this VM may be among those named
 		return
 	}
@@ -250,6 +260,28 @@
 	return h.helpers[best].Candidate, true
 }
 
+// pickFull returns the helper that was found without room longest ago, and counts the request: of several
+// that had no room, it is the likeliest to have some again.
+func (d *directory) pickFull(s contract.ServiceID, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.service(s)
+	best := -1
+	for i, known := range h.helpers {
+		if known.fullAt.IsZero() || !known.room || !allowed(known.DataCentre) {
+			continue
+		}
+		if best < 0 || known.fullAt.Before(h.helpers[best].fullAt) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Candidate{}, false
+	}
+	h.helpers[best].sent++
+	return h.helpers[best].Candidate, true
+}
+
 // compareHelpers orders helpers by their distance, then by their load.
 func compareHelpers(a, b helper) int {
 	return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.running+a.sent, b.running+b.sent))
@@ -260,8 +292,7 @@
 	d.ended(s, id, func(h *helper) {
 		pause := droppedFor
 		if why == Full {
-			h.fullFor = min(max(2*h.fullFor, fullFor), maxFullFor)
-			pause = h.fullFor
+			pause, h.fullAt = fullFor, d.opts.Now()
 		}
 		h.droppedUntil = d.opts.Now().Add(pause)
 	})
@@ -270,7 +301,7 @@
 // done records that a request has ended at a VM. If the VM has failed it, it gets no other for a while.
 func (d *directory) done(s contract.ServiceID, id contract.VMID, ok bool) {
 	d.ended(s, id, func(h *helper) {
-		h.fullFor = 0
+		h.fullAt = time.Time{}
 		if ok {
 			h.answeredAt = d.opts.Now()
 		} else {
@@ -314,5 +345,5 @@
 		h.helpers = append(h.helpers, helper{})
 		i = len(h.helpers) - 1
 	}
-	h.helpers[i].Candidate, h.helpers[i].room, h.helpers[i].answeredAt = c, true, d.opts.Now()
+	h.helpers[i].Candidate, h.helpers[i].room, h.helpers[i].holder, h.helpers[i].answeredAt = c, true, true, d.opts.Now()
 }
