--- a/forward/directory.go
+++ b/forward/directory.go
@@ -189,12 +189,8 @@
 	defer d.mu.Unlock()
 	h, now := d.service(s), d.opts.Now()
 	h.reach, h.answeredAt = relay.ReachElsewhere, now
-	i := h.index(a.VM)
-	if i < 0 {
-		h.helpers = append(h.helpers, helper{})
-		i = len(h.helpers) - 1
-	}
-	h.helpers[i].Candidate, h.helpers[i].running, h.helpers[i].room, h.helpers[i].answeredAt = a.Candidate, a.Running, a.Room || h.helpers[i].holder, now
+	known := h.ensure(a.VM)
+	known.Candidate, known.running, known.room, known.answeredAt = a.Candidate, a.Running, a.Room || known.holder, now
 	if a.Distance == 0 { // the holders of this data centre are suggested; this VM may be among those named
 		return
 	}
@@ -238,6 +234,16 @@
 	return slices.IndexFunc(h.helpers, func(known helper) bool { return known.VM == id })
 }
 
+// ensure returns a helper, and adds it if it is not known. The pointer is valid until the next call.
+func (h *serviceHelpers) ensure(id contract.VMID) *helper {
+	i := h.index(id)
+	if i < 0 {
+		h.helpers = append(h.helpers, helper{})
+		i = len(h.helpers) - 1
+	}
+	return &h.helpers[i]
+}
+
 // pick returns the nearest helper for a request, of several the least loaded, and counts the request.
 // The argument overflow means that only helpers with room come into question.
 func (d *directory) pick(s contract.ServiceID, overflow bool, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
@@ -339,11 +345,6 @@
 
 // addHolder adds a VM that holds room of a service. The caller holds mu.
 func (d *directory) addHolder(s contract.ServiceID, c Candidate) {
-	h := d.service(s)
-	i := h.index(c.VM)
-	if i < 0 {
-		h.helpers = append(h.helpers, helper{})
-		i = len(h.helpers) - 1
-	}
-	h.helpers[i].Candidate, h.helpers[i].room, h.helpers[i].holder, h.helpers[i].answeredAt = c, true, true, d.opts.Now()
+	known := d.service(s).ensure(c.VM)
+	known.Candidate, known.room, known.holder, known.answeredAt = c, true, true, d.opts.Now()
 }
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -72,7 +72,7 @@
 	{"few VMs hold the room of few slots", "upstream/room.go", "if r.slots >= slotsPerVM*vms {", "if true {", "./upstream", "TestFewVMsHoldRoom"},
 	{"a VM that is gone holds no room", "upstream/owners.go", "all = append(all, ranked{id, slices.Contains(o.Gone, id),", "all = append(all, ranked{id, false,", "./upstream", "TestFewVMsHoldRoom"},
 	{"a VM without room is passed over for a moment only", "forward/directory.go", "if why == Full {", "if false {", "./forward", "TestHoldersOfRoomAreOffered"},
-	{"a holder may have room again", "forward/directory.go", "a.Room || h.helpers[i].holder", "a.Room", "./forward", "TestHoldersOfRoomAreOffered"},
+	{"a holder may have room again", "forward/directory.go", "a.Room || known.holder", "a.Room", "./forward", "TestHoldersOfRoomAreOffered"},
 	{"a share of a rate limit is paced", "upstream/limit_table.go", "return probeDelay == 0 && s.notices.limit.limiter.wait(share, now) == 0", "return probeDelay == 0 && s.notices.limit.limiter.wait(share, now) >= 0", "./upstream", "TestLimitedCapacityIsUsed"},
 	{"a limit is exceeded only when other upstreams are busy", "upstream/cost.go", "	cost += t.limitCost(s, now)\n", "", "./upstream", "TestOverLimitOnlyWhenOthersAreBusy"},
 	{"escalating while callers wait has a cost", "relay/models.go", "if r.table.CountLimited() > 0 && r.retrySchedule(j.service).Pending(now) {", "if false {", "./relay", "TestNoEscalationWhileRefusedCallersWait"},
