site: connections to upstreams are divided anew when the number of VMs changes

A VM divided the upstreams' MaxConnections by the number of VMs that it knew when the list of upstreams last changed.

The periodic task of a VM pushes the list each second; the relay applies the whole list only if a share has changed.

--- a/site/site.go
+++ b/site/site.go
@@ -329,8 +329,8 @@
 func (s *Site) tick(ctx context.Context) {
 	runPeriodically(ctx, s.wake, func() {
 		s.mu.Lock()
-		if s.upstreamList.Expire(s.opts.Now()) {
-			s.pushUpstreams()
+		if s.upstreamList.Expire(s.opts.Now()) || s.pushedTable != nil {
+			s.pushUpstreams() // also divides connections among a changed number of VMs
 		}
 		s.expireEvacuations()
 		s.mu.Unlock()
