site, relay: a VM that no seed has answered has no part of the retry slack

Traced: VMs that start together and are not in the store's list yet are rejected by the seeds ("peer's key is not pinned") for their first second; they know no other VM (vms=1 in the log) and each took the whole slack: vm5 resent 5 to 9 times. The seeds, which know three of six VMs, divide the whole slack among themselves at the same time. A restart that seeds answer at once was never affected.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -150,6 +150,7 @@
 		Protocol:  platform.UpstreamProtocol{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget:  retry.ResendWindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:     v.peers.EstimatedVMs,
+		Counted: v.peers.Counted,
 		ListAge: v.listAge,
 		Policy:  s.Policy, ValueCostRatio: s.ValueCostRatio, MaxEscalationPrice: s.MaxEscalationPrice, CanaryShare: s.Bounds.CanaryShare, MaxBackoff: s.Bounds.MaxBackoff, OnBadAnswer: func() { go v.peers.AnnounceUrgent() },
 		OnSuspect: func() { go v.peers.AnnounceUrgent() }, OnQuarantined: func() { v.site.WriteQuarantined() },
--- a/relay/log.go
+++ b/relay/log.go
@@ -112,7 +112,7 @@
 			fields = append(fields, zap.Strings("evacuated", centres))
 		}
 		fields = append(fields, zap.Int("upstreams", len(r.entries)), zap.Int("upstreams_cold", r.table.CountCold(r.opts.Now())), zap.Int("vms", r.opts.VMs()),
-			zap.Float64("budget_left", roundToHundredths(r.retryBudget(j.service).UnusedShare(r.opts.VMs(), r.opts.Now()))))
+			zap.Float64("budget_left", roundToHundredths(r.retryBudget(j.service).UnusedShare(r.slackVMs(), r.opts.Now()))))
 	})
 	return fields
 }
--- a/relay/models.go
+++ b/relay/models.go
@@ -111,7 +111,7 @@
 	if r.table.CountLimited() > 0 && r.retrySchedule(j.service).Pending(now) {
 		return 1 / j.relativeValue
 	}
-	return cascade.EscalationPrice(r.retryBudget(j.service).UsedShare(retry.ForEscalation, r.opts.VMs(), now), r.opts.MaxEscalationPrice)
+	return cascade.EscalationPrice(r.retryBudget(j.service).UsedShare(retry.ForEscalation, r.slackVMs(), now), r.opts.MaxEscalationPrice)
 }
 
 // mayDiscardAnswer reports whether an answer to the request may be discarded in favor of another.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,6 +35,9 @@
 	Budget retry.ResendWindowOptions
 	// VMs returns how many VMs share the retry budget and the upstreams' connection limits.
 	VMs func() int
+	// Counted reports whether the other VMs count this VM among those that share the retry budget.
+	// A nil Counted means that they do.
+	Counted func() bool
 	// Policy holds the decision mechanisms that are disabled.
 	Policy upstream.Policy
 	// CanaryShare is the largest fraction of a service's requests that a bad release may receive
@@ -271,11 +274,20 @@
 	defer r.mu.Unlock()
 	left := 1.0
 	for _, w := range r.retryBudgets {
-		left = min(left, w.UnusedShare(r.opts.VMs(), r.opts.Now()))
+		left = min(left, w.UnusedShare(r.slackVMs(), r.opts.Now()))
 	}
 	return left
 }
 
+// slackVMs returns how many VMs divide the slack of the retry budgets, or zero while the other VMs
+// do not count this VM: their parts are the whole slack.
+func (r *Relay) slackVMs() int {
+	if r.opts.Counted != nil && !r.opts.Counted() {
+		return 0
+	}
+	return max(r.opts.VMs(), 1)
+}
+
 // CountUpstreams returns how many upstreams are known.
 func (r *Relay) CountUpstreams() int {
 	r.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -166,3 +166,14 @@
 	r.Refresh()
 	is.Equal(r.sendingVMs(), 57)
 }
+
+// TestUncountedVMHasNoBudgetOfItsOwn guards against a VM that the others do not count yet taking the
+// whole slack of the retry budgets, because it knows no other VM.
+func TestUncountedVMHasNoBudgetOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	for _, counted := range []bool{false, true} {
+		r := New(&Options{Log: zap.NewNop(), Now: time.Now, VMs: func() int { return 1 }, Counted: func() bool { return counted }, Budget: retry.ResendWindowOptions{Slack: 10}, Seed: 1})
+		r.retryBudget("s")
+		is.Equal(r.BudgetLeft() > 0, counted)
+	}
+}
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -58,7 +58,7 @@
 // reserveForward reserves an attempt by another VM. The caller holds mu.
 func (r *Relay) reserveForward(next *job, now time.Time) (*reservation, retry.Reason) {
 	resend := next.sends > 0
-	if resend && !next.spareResend && !r.retryBudget(next.service).Take(retry.ForRetry, r.opts.VMs(), now) {
+	if resend && !next.spareResend && !r.retryBudget(next.service).Take(retry.ForRetry, r.slackVMs(), now) {
 		return nil, retry.BudgetExhausted
 	}
 	return &reservation{forward: true, resend: resend}, ""
@@ -78,7 +78,7 @@
 // The budget is not used if no upstream can be selected, and no upstream is selected without it.
 // The caller holds mu.
 func (r *Relay) reserve(next *job, p retry.Purpose, resend bool, now time.Time) (*reservation, retry.Reason) {
-	budget, vms := r.retryBudget(next.service), r.opts.VMs()
+	budget, vms := r.retryBudget(next.service), r.slackVMs()
 	take := resend && !next.spareResend
 	if take && !budget.CanTake(p, vms, now) {
 		return nil, retry.BudgetExhausted
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -291,7 +291,7 @@
 // takeResend returns false if the budget is exhausted.
 // The caller holds mu.
 func (r *Relay) takeResend(j *job, now time.Time) bool {
-	j.resendTaken = j.resendTaken || r.retryBudget(j.service).Take(retry.ForRetry, r.opts.VMs(), now)
+	j.resendTaken = j.resendTaken || r.retryBudget(j.service).Take(retry.ForRetry, r.slackVMs(), now)
 	return j.resendTaken
 }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -91,6 +91,7 @@
 
 // Take spends one resend from the allowance of this VM.
 // The parameter vms is the number of VMs that share the slack equally.
+// If vms is zero, this VM has no part of the slack.
 // Take returns false if the allowance is used up.
 func (w *ResendWindow) Take(p Purpose, vms int, now time.Time) bool {
 	if !w.CanTake(p, vms, now) {
@@ -140,7 +141,11 @@
 	for number := w.newest; number > w.newest-windowSlots; number-- { // slots that lie completely inside the window
 		requests += w.slot(number).requests
 	}
-	return (1 - w.opts.Margin) * (w.opts.Ratio*requests + w.opts.Slack/float64(max(vms, 1)))
+	slack := 0.0
+	if vms > 0 {
+		slack = w.opts.Slack / float64(vms)
+	}
+	return (1 - w.opts.Margin) * (w.opts.Ratio*requests + slack)
 }
 
 // used returns how many resends this VM made in the sliding window.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -98,3 +98,21 @@
 	is.True(w.Take(ForRetry, 1, at(10_600)))
 	is.True(NewResendWindow(ResendWindowOptions{Slack: 10}).Take(ForRetry, 1, time.Unix(0, 0))) // works at Unix time zero
 }
+
+// TestUncountedVMHasNoSlack guards against a VM that the others do not count resending more than its own
+// requests allow: the others divide the whole slack among themselves.
+func TestUncountedVMHasNoSlack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := NewResendWindow(ResendWindowOptions{Ratio: 0.5, Slack: 100})
+	is.True(!w.Take(ForRetry, 0, now))
+	for range 10 {
+		w.RecordRequest(now)
+	}
+	resends := 0
+	for w.Take(ForRetry, 0, now) {
+		resends++
+	}
+	is.Equal(resends, 4) // half of the requests minus the margin
+	is.True(w.Take(ForRetry, 2, now))
+}
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -152,7 +152,11 @@
 	msg := p.gossipFor(audienceRemote)
 	msg.Joining = true
 	go func() {
-		if p.exchangeGossip(ctx, p.pickSeed(), remoteTimeout, msg) && !p.RankKnown() {
+		if !p.exchangeGossip(ctx, p.pickSeed(), remoteTimeout, msg) {
+			return
+		}
+		p.seedReplied.Store(true)
+		if !p.RankKnown() {
 			notify(p.discoverNow) // the hub of this VM is now known
 		}
 	}()
--- a/site/peers.go
+++ b/site/peers.go
@@ -99,6 +99,8 @@
 	// isSeed is set if this VM is a seed.
 	seeds  []string
 	isSeed bool
+	// seedReplied is set once a seed has replied to this VM.
+	seedReplied atomic.Bool
 	// firstStart is set if all VMs start for the very first time, so that no client is waiting.
 	firstStart bool
 	// lease and usage belong to the lease whose holder makes the calls to the platform for all VMs.
@@ -321,6 +323,13 @@
 // EstimatedVMs returns an upper estimate of the number of VMs in the deployment.
 func (p *Peers) EstimatedVMs() int { return p.currentView().total }
 
+// Counted reports whether the other VMs count this VM among those that share what is limited for all.
+// The seeds do not know a VM that is not yet in the store's list of VMs, and reject it.
+// A VM that no seed has answered within seedPeriod is taken to be cut off, and counts itself.
+func (p *Peers) Counted() bool {
+	return !p.HasSeeds() || p.seedReplied.Load() || p.now().Sub(p.started) >= seedPeriod
+}
+
 // GossipScope returns the group of VMs whose requests to upstreams are reported to this VM.
 func (p *Peers) GossipScope() upstream.GossipScope { return p.currentView().scope }
 
--- a/site/peers_test.go
+++ b/site/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,38 @@
 	return out
 }
 
+// TestRejectedVMIsNotCounted guards against a VM that the seeds reject, because the store does not list
+// it yet, using a part of the slack of the retry budgets that the other VMs have divided without it.
+func TestRejectedVMIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	var listed atomic.Bool
+	identity, err := keys.NewAddressIdentity("seed", func(string) bool { return listed.Load() })
+	is.NoErr(err)
+	endpoint, err := link.Listen("127.0.0.1:0", identity)
+	is.NoErr(err)
+	start := func(name contract.VMID, e *link.Endpoint, seeds ...string) *Peers {
+		p := NewPeers(&PeersOptions{Endpoint: e, Self: vm.Member{VM: name, DataCentre: "d", ControlAddress: e.Address(), Incarnation: 1}, Seeds: seeds, Log: zap.NewNop(), Now: time.Now})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { p.Run(ctx); close(ended) }()
+		t.Cleanup(func() { cancel(); <-ended })
+		return p
+	}
+	t.Cleanup(func() { is.NoErr(endpoint.Close()) })
+	is.True(start("seed", endpoint).Counted())
+	p := start("new", listenOnLoopback(t, "new"), endpoint.Address())
+	time.Sleep(2 * joinInterval)
+	is.True(!p.Counted())
+	listed.Store(true)
+	for end := time.Now().Add(seedPeriod / 2); !p.Counted() && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+	is.True(p.Counted())
+	cutOff, now := idlePeers(t, vm.Member{VM: "cut-off", DataCentre: "d", ControlAddress: "10.0.0.1:1"}, "10.0.0.2:1")
+	is.True(!cutOff.Counted())
+	cutOff.now = func() time.Time { return now.Add(seedPeriod) }
+	is.True(cutOff.Counted())
+}
+
 // TestDiscoveryContactsFewVMs checks that a hub contacts only a few of the VMs from which
 // it receives nothing, however many the store lists or have fallen silent, and that a
 // leaf contacts none. Each new link costs both ends a handshake.
