site: a VM that others reject checks its registration in the store

The log shows two fleets for 11 s and more: vm3 and vm5 on one side, the four others on the other, each with its own version of the limit and its own division of it. That others reject a VM was logged and used for nothing.

A VM that is rejected for 2 s now reads the list, and registers again if it is not there. Rejections that end sooner are those by VMs that have restarted and read the list themselves; a start of all VMs costs no further calls.

TestRejectedVMRegistersAgain: failed before (not registered after 12 s), registers after about 6 s now. Mutant checked. go test ./site ./link passed.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -72,6 +72,7 @@
 	{"a VM that the others do not count has no slack", "relay/relay.go", "if r.opts.Counted != nil && !r.opts.Counted() {", "if false {", "./relay", "TestUncountedVMHasNoBudgetOfItsOwn"},
 	{"a VM that the seeds reject is not counted", "site/peers.go", "return !p.HasSeeds() || p.seedReplied.Load()", "return !p.HasSeeds() || true", "./site", "TestRejectedVMIsNotCounted"},
 	{"connections are divided anew when VMs start", "site/site.go", "s.upstreamList.Expire(s.opts.Now()) || s.pushedTable != nil", "s.upstreamList.Expire(s.opts.Now())", "./platform", "TestConnectionsAreDividedAnew"},
+	{"a VM that others reject checks its registration", "site/hubs.go", "if link.Rejected(err) {", "if link.Rejected(err) && false {", "./site", "TestRejectedVMRegistersAgain"},
 	{"few VMs hold the room of few slots", "upstream/room.go", "if r.slots >= slotsPerVM*vms {", "if true {", "./upstream", "TestFewVMsHoldRoom"},
 	{"a VM that is gone holds no room", "upstream/owners.go", "all = append(all, ranked{id, slices.Contains(o.Gone, id),", "all = append(all, ranked{id, false,", "./upstream", "TestFewVMsHoldRoom"},
 	{"a VM without room is passed over for a moment only", "forward/directory.go", "if why == Full {", "if false {", "./forward", "TestHoldersOfRoomAreOffered"},
--- a/link/client.go
+++ b/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -37,6 +38,12 @@
 	return resp, contract.WrapStep(contract.StepLink, address, err)
 }
 
+// Rejected reports whether a call failed because the peer does not know this endpoint.
+func Rejected(err error) bool {
+	var closed *quic.ApplicationError
+	return errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeRefused
+}
+
 // roundTrip sends a request to the peer at address, over an existing connection
 // if there is one, and reads the response.
 func (e *Endpoint) roundTrip(ctx context.Context, address string, req requestFrame) (responseFrame, error) {
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/link"
 	"woaddoor/logs"
 	"woaddoor/vm"
 )
@@ -90,6 +91,9 @@
 		p.unresponsiveUntil[address] = now.Add(unresponsivePeriod)
 	}
 	p.mu.Unlock()
+	if link.Rejected(err) {
+		notify(p.rejected)
+	}
 	switch {
 	case err != nil && !wasUnresponsive:
 		p.viewStale.Store(true)
--- a/site/peers.go
+++ b/site/peers.go
@@ -90,7 +90,8 @@
 	// discoverNow triggers an immediate message to VMs that the store lists.
 	// unknownPeer signals contact from a VM
 	// that this VM has not yet seen in the store's list of VMs.
-	discoverNow, unknownPeer chan struct{}
+	// rejected signals that a VM does not know this VM.
+	discoverNow, unknownPeer, rejected chan struct{}
 	// packedLists caches full lists of objects in the form in which they are sent.
 	packedLists packedCache
 	// reports queues the reports about upstreams to other VMs.
@@ -179,7 +180,7 @@
 	p := &Peers{
 		lease: opts.Lease, usage: opts.Usage,
 		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, log: opts.Log, now: opts.Now, started: opts.Now(),
-		discoverNow: make(chan struct{}, 1), unknownPeer: make(chan struct{}, 1),
+		discoverNow: make(chan struct{}, 1), unknownPeer: make(chan struct{}, 1), rejected: make(chan struct{}, 1),
 		kinds: make(map[string]replicatedKind), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlAddress }),
 		table: vm.NewTable(opts.Self), listedAddresses: make(map[string]bool), memberIPs: make(map[string]bool),
 		leaves: make(map[contract.VMID]leaf), unresponsiveUntil: make(map[string]time.Time), counts: make(map[contract.DataCentreID]dataCentreCount),
@@ -277,6 +278,9 @@
 // UnknownPeer returns a channel that signals contact from an unknown VM.
 func (p *Peers) UnknownPeer() <-chan struct{} { return p.unknownPeer }
 
+// Rejected returns a channel that signals that a VM does not know this VM.
+func (p *Peers) Rejected() <-chan struct{} { return p.rejected }
+
 // notify sends a signal on c unless one is already pending.
 func notify(c chan<- struct{}) {
 	select {
--- a/site/registration.go
+++ b/site/registration.go
@@ -29,6 +29,12 @@
 	// Many VMs may start at once.
 	relistDelay       = 300 * time.Millisecond
 	relistMinInterval = time.Second
+	// rejectionPatience is how long other VMs reject this VM before it checks its registration:
+	// VMs that have restarted reject all others until they have read the VM list.
+	// rejectionGap is the time without a rejection after which the others know this VM:
+	// a VM that has rejected this one is skipped for unresponsivePeriod.
+	rejectionPatience = 2 * time.Second
+	rejectionGap      = unresponsivePeriod + 3*time.Second
 )
 
 // maintainRegistration keeps this VM registered in the store
@@ -47,9 +53,14 @@
 	}
 	regularly := time.NewTicker(relistInterval)
 	defer regularly.Stop()
+	var rejected rejections
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-s.opts.Peers.Rejected():
+			if rejected.persist(s.opts.Now()) {
+				s.retryUntilSuccess(ctx, s.listVMs)
+			}
 		case <-regularly.C:
 			if s.opts.Peers.IsDelegate() || s.opts.Peers.Alone() {
 				s.retryUntilSuccess(ctx, s.listVMs)
@@ -62,6 +73,23 @@
 	}
 }
 
+// rejections is a row of rejections of this VM by others. The zero value holds none.
+type rejections struct{ since, last time.Time }
+
+// persist records a rejection and reports whether the row has lasted for rejectionPatience.
+// If so, a new row begins.
+func (r *rejections) persist(now time.Time) bool {
+	if now.Sub(r.last) > rejectionGap {
+		r.since = now
+	}
+	r.last = now
+	if now.Sub(r.since) < rejectionPatience {
+		return false
+	}
+	r.since = now
+	return true
+}
+
 // awaitJoin reports whether another VM has replied to this VM within timeout.
 func (s *Site) awaitJoin(ctx context.Context, timeout time.Duration) bool {
 	if !s.opts.Peers.HasSeeds() {
