soak: a request counts for the VM that has sent it to the upstream

The checks of back-offs, rate limits and draining took the sender of a request from the header in which its caller names the VM that it has chosen. Since VMs pass requests to each other, another VM may have sent it.

The soak now finds the process at the other end of each connection by /proc/net/tcp and its open files, so that the check counts every request, for its sender. Bounds unchanged: a VM that has been told may send two more. TestSenderOfForwardedRequest.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -196,6 +196,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	f.upstreams.notices.senders.setProcess(v.name, command.Process.Pid)
 	f.upstreams.notices.startIncarnation(v.name)
 	f.upstreams.notices.registerVM(v)
 	exited := make(chan struct{})
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -32,12 +32,15 @@
 // the requests that arrive afterwards.
 type noticeTracker struct {
 	recorder *recorder
+	senders  *senders
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// vmIncarnations is the current incarnation of each VM by name.
 	// Each pause of a VM starts a new incarnation too.
-	vmIncarnations map[string]int
+	// incarnationSince is when that incarnation began.
+	vmIncarnations   map[string]int
+	incarnationSince map[string]time.Time
 	// sentAt is when callers sent their requests, by request id.
 	sentAt map[string]time.Time
 	// leavingSince is when a VM first relayed an answer in
@@ -65,7 +68,7 @@
 
 func newNoticeTracker(rec *recorder) *noticeTracker {
 	return &noticeTracker{
-		recorder: rec, vmIncarnations: make(map[string]int), sentAt: make(map[string]time.Time), leavingSince: make(map[incarnationPair]time.Time),
+		recorder: rec, senders: newSenders(), vmIncarnations: make(map[string]int), incarnationSince: make(map[string]time.Time), sentAt: make(map[string]time.Time), leavingSince: make(map[incarnationPair]time.Time),
 		backoffs: make(map[incarnationPair][]*backoff), undisturbed: make(map[string]func() bool),
 	}
 }
@@ -83,6 +86,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vmIncarnations[vm]++
+	s.incarnationSince[vm] = time.Now()
+}
+
+// senderOf returns the incarnation of the VM that has sent a request over an upstream's connection. If
+// that is not the VM that the caller has chosen, and it has been restarted or paused since the caller
+// sent the request, the result is no current incarnation.
+func (s *noticeTracker) senderOf(c *replica.Conn, r *replica.Request) string {
+	chosen, sender := r.Header.Get(headerVMIncarnation), s.senders.vmOf(c)
+	if name, _, _ := strings.Cut(chosen, " "); sender == "" || sender == name {
+		return chosen
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.incarnationSince[sender].After(s.sentAt[r.ID()]) {
+		return sender + " 0"
+	}
+	return s.currentIncarnation(sender)
 }
 
 // recordSend records that a caller sends a request,
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,6 +13,8 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	// connected is called with both ends of each connection before anything is forwarded.
+	connected func(caller, target net.Conn)
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -32,11 +34,16 @@
 // newProxy opens a link to the address target. It listens on listenAddress;
 // "127.0.0.1:0" picks a free port.
 func newProxy(listenAddress, target string) (*proxy, error) {
+	return newProxyWith(listenAddress, target, func(net.Conn, net.Conn) {})
+}
+
+// newProxyWith is newProxy with a function that is called with both ends of each connection.
+func newProxyWith(listenAddress, target string, connected func(caller, target net.Conn)) (*proxy, error) {
 	l, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[*proxyConn]bool)}
+	p := &proxy{listener: l, target: target, connected: connected, conns: make(map[*proxyConn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -61,6 +68,7 @@
 		reset(caller)
 		return
 	}
+	p.connected(caller, target)
 	c := &proxyConn{caller: caller, target: target}
 	p.mu.Lock()
 	p.conns[c] = true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,11 +3,15 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"woaddoor/internal/standin/replica"
 )
 
 // TestPlanIsReproducible checks that a seed always draws the same faults at the same times, that
@@ -82,3 +86,39 @@
 	_, err = net.Dial("tcp", link.address())
 	is.True(err != nil)
 }
+
+// TestSenderOfForwardedRequest guards against a request that one VM has forwarded to another being
+// counted against the first, which has not sent it to the upstream.
+func TestSenderOfForwardedRequest(t *testing.T) {
+	is := is.New(t)
+	notices := newNoticeTracker(newRecorder())
+	for _, vm := range []string{"vm0", "vm1"} {
+		notices.startIncarnation(vm)
+	}
+	attributed := make(chan string, 1)
+	r, err := replica.Start("u", func(c *replica.Conn, r *replica.Request) bool {
+		attributed <- notices.senderOf(c, r)
+		c.Respond(http.StatusOK, r.ID(), "")
+		return false
+	})
+	is.NoErr(err)
+	defer r.Close()
+	link, err := newProxyWith("127.0.0.1:0", r.Address(), notices.senders.recordProxied)
+	is.NoErr(err)
+	defer link.close()
+	call := func() string {
+		req, err := replica.NewCall(t.Context(), link.address(), "a.example", "/safe/x", "id", "key", "b")
+		is.NoErr(err)
+		req.Header.Set(headerVMIncarnation, notices.recordSend("id", "vm0"))
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		return <-attributed
+	}
+	is.Equal(call(), "vm0 1") // the sender is not known
+	notices.senders.setProcess("vm1", os.Getpid())
+	is.Equal(call(), "vm1 1")
+	notices.senders.setProcess("vm1", 0)
+	notices.senders.setProcess("vm0", os.Getpid())
+	is.Equal(call(), "vm0 1")
+}
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := newProxy("127.0.0.1:0", r.Address())
+	link, err := newProxyWith("127.0.0.1:0", r.Address(), u.notices.senders.recordProxied)
 	if err != nil {
 		r.Close()
 		return err
@@ -140,6 +140,7 @@
 
 // serve handles one request and returns whether the connection stays open.
 func (u *upstreams) serve(position *upstreamPosition, c *replica.Conn, r *replica.Request) bool {
+	r.Header.Set(headerVMIncarnation, u.notices.senderOf(c, r))
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, newArrival(r))
 	incarnation, link := position.incarnation, position.link
