soak: the sender of a request is found by the kernel's socket diagnosis

One exact lookup takes the place of the table, and the open files of the VM that the caller has chosen are looked at first.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -93,8 +93,10 @@
 // that is not the VM that the caller has chosen, and it has been restarted or paused since the caller
 // sent the request, the result is no current incarnation.
 func (s *noticeTracker) senderOf(c *replica.Conn, r *replica.Request) string {
-	chosen, sender := r.Header.Get(headerVMIncarnation), s.senders.vmOf(c)
-	if name, _, _ := strings.Cut(chosen, " "); sender == "" || sender == name {
+	chosen := r.Header.Get(headerVMIncarnation)
+	chosenVM, _, _ := strings.Cut(chosen, " ")
+	sender := s.senders.vmOf(c, chosenVM)
+	if sender == "" || sender == chosenVM {
 		return chosen
 	}
 	s.mu.Lock()
--- a/internal/soak/senders.go
+++ b/internal/soak/senders.go
@@ -1,29 +1,34 @@
 package main
 
 import (
-	"bufio"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
-	"strings"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 // senders tells which VM has opened a connection to an upstream. The header of a request names the VM
 // that its caller has chosen, and that VM may have another VM make the attempt.
 type senders struct {
 	mu sync.Mutex
-	// processes holds the process of each VM by its name, and sockets the name of the VM
-	// that has opened a socket, by the socket's inode.
+	// processes holds the process of each VM by its name.
 	processes map[string]int
-	sockets   map[string]string
-	// connections holds the name of the VM by the address from which a proxy connects to the upstream.
-	connections map[string]string
+	// connections holds, by the address from which a proxy connects to the upstream,
+	// the connection that it forwards.
+	connections map[string]*proxiedConn
+}
+
+// proxiedConn is the socket at the VM's end of a connection to an upstream.
+type proxiedConn struct {
+	inode uint32 // 0 if it is not known
+	vm    string // "" until it is known
 }
 
 func newSenders() *senders {
-	return &senders{processes: make(map[string]int), sockets: make(map[string]string), connections: make(map[string]string)}
+	return &senders{processes: make(map[string]int), connections: make(map[string]*proxiedConn)}
 }
 
 // setProcess records the current process of a VM.
@@ -35,68 +40,93 @@
 
 // recordProxied records that a proxy has connected the caller to the target.
 func (s *senders) recordProxied(caller, target net.Conn) {
-	inode := socketInode(caller)
+	c := &proxiedConn{inode: socketInode(caller)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.sockets[inode]; !known {
-		s.findSockets()
-	}
-	s.connections[target.LocalAddr().String()] = s.sockets[inode]
+	s.connections[target.LocalAddr().String()] = c
 }
 
 // vmOf returns the name of the VM that sends over an upstream's connection, or "" if it is not known.
-func (s *senders) vmOf(c net.Conn) string {
+// The expected VM is looked at first.
+func (s *senders) vmOf(upstreamEnd net.Conn, expected string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.connections[c.RemoteAddr().String()]
+	c := s.connections[upstreamEnd.RemoteAddr().String()]
+	if c == nil || c.inode == 0 {
+		return ""
+	}
+	if c.vm == "" && hasSocket(s.processes[expected], c.inode) {
+		c.vm = expected
+	}
+	for vm, pid := range s.processes {
+		if c.vm == "" && hasSocket(pid, c.inode) {
+			c.vm = vm
+		}
+	}
+	return c.vm
 }
 
-// findSockets finds the sockets of all VMs. The caller holds mu.
-func (s *senders) findSockets() {
-	clear(s.sockets)
-	for vm, pid := range s.processes {
-		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		for _, file := range files {
-			target, _ := os.Readlink(file) // fails if the file has been closed
-			if inode, ok := strings.CutPrefix(target, "socket:["); ok {
-				s.sockets[strings.TrimSuffix(inode, "]")] = vm
-			}
+// hasSocket reports whether a process has a socket with the given inode open.
+func hasSocket(pid int, inode uint32) bool {
+	folder, err := os.Open(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return false
+	}
+	defer folder.Close()
+	files, _ := folder.Readdirnames(-1)
+	wanted := fmt.Sprintf("socket:[%d]", inode)
+	for _, file := range files {
+		if target, _ := os.Readlink(folder.Name() + "/" + file); target == wanted { // fails if it has been closed
+			return true
 		}
 	}
+	return false
 }
 
-// Fields of a line of /proc/net/tcp.
+// Messages of the kernel's socket diagnosis (sock_diag(7)), in the byte order of the machine unless noted.
 const (
-	fieldLocal  = 1
-	fieldRemote = 2
-	fieldInode  = 9
+	diagHeaderSize    = 16
+	diagRequestSize   = diagHeaderSize + 56
+	diagByFamily      = 20
+	diagAnswerInodeAt = diagHeaderSize + 68
+	diagAnswerSize    = diagAnswerInodeAt + 4
+	anyDiagCookie     = ^uint64(0)
 )
 
-// socketInode returns the inode of the socket at the other end of an accepted loopback connection,
-// or "" if there is none.
-func socketInode(accepted net.Conn) string {
-	table, err := os.Open("/proc/net/tcp")
+// socketInode returns the inode of the socket at the other end of an accepted IPv4 connection on this
+// machine, or 0 if it is not known.
+func socketInode(accepted net.Conn) uint32 {
+	local, ok := accepted.RemoteAddr().(*net.TCPAddr)
+	remote, ok2 := accepted.LocalAddr().(*net.TCPAddr)
+	if !ok || !ok2 || local.IP.To4() == nil || remote.IP.To4() == nil {
+		return 0
+	}
+	socket, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return ""
+		return 0
 	}
-	defer table.Close()
-	local, remote := hexAddress(accepted.RemoteAddr()), hexAddress(accepted.LocalAddr())
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		f := strings.Fields(lines.Text())
-		if len(f) > fieldInode && f[fieldLocal] == local && f[fieldRemote] == remote {
-			return f[fieldInode]
-		}
+	defer unix.Close(socket)
+	request := make([]byte, 0, diagRequestSize)
+	request = binary.NativeEndian.AppendUint32(request, diagRequestSize)
+	request = binary.NativeEndian.AppendUint16(request, diagByFamily)
+	request = binary.NativeEndian.AppendUint16(request, unix.NLM_F_REQUEST)
+	request = append(request, make([]byte, 8)...) // sequence number and port: none
+	request = append(request, unix.AF_INET, unix.IPPROTO_TCP, 0, 0)
+	request = binary.NativeEndian.AppendUint32(request, ^uint32(0)) // any state
+	request = binary.BigEndian.AppendUint16(request, uint16(local.Port))
+	request = binary.BigEndian.AppendUint16(request, uint16(remote.Port))
+	for _, a := range []*net.TCPAddr{local, remote} {
+		request = append(append(request, a.IP.To4()...), make([]byte, 12)...) // room for IPv6
 	}
-	return ""
-}
-
-// hexAddress returns an IPv4 address in the form of /proc/net/tcp, which has the bytes of the IP address
-// in reverse.
-func hexAddress(a net.Addr) string {
-	tcp, ok := a.(*net.TCPAddr)
-	if !ok || tcp.IP.To4() == nil {
-		return ""
+	request = binary.NativeEndian.AppendUint32(request, 0) // any interface
+	request = binary.NativeEndian.AppendUint64(request, anyDiagCookie)
+	if err := unix.Sendto(socket, request, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0
+	}
+	answer := make([]byte, 512)
+	n, _, err := unix.Recvfrom(socket, answer, 0)
+	if err != nil || n < diagAnswerSize || binary.NativeEndian.Uint16(answer[4:]) != diagByFamily {
+		return 0
 	}
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+	return binary.NativeEndian.Uint32(answer[diagAnswerInodeAt:])
 }
