upstream: the share of a started VM grows while it is not yet sure of the others

Traced with a log of each VM: nearly all refusals were in the first 3.5 s after the service became brittle and reached into the counted time. The test's VMs have just started: for 4 s each may not know all others and uses one slot of each upstream, which is wanted; then its share waited another 2 s to grow, as if the slots had changed hands at that moment. Callers of VMs that restart together were refused for 2 s with two thirds of the slots idle.

The delay of a larger share now runs while the limit of one slot is in force.

TestStartedVMUsesItsShare failed before (0 of 3 slots).

--- a/upstream/brittle.go
+++ b/upstream/brittle.go
@@ -128,18 +128,13 @@
 	return g.share
 }
 
-// roomShare returns how many requests this VM may have in flight at a brittle upstream.
+// roomShare returns how many requests this VM may have in flight at a brittle upstream. A VM that does not
+// know the other VMs of its data centre yet may have none, and one that may not know all of them one.
 func (t *Table) roomShare(s *state, now time.Time) int {
-	return s.grant.update(t.entitledShare(s), now)
-}
-
-// entitledShare returns this VM's share of the slots of a brittle upstream. A VM that does not know the
-// other VMs of its data centre yet has none, and one that may not know all of them has one slot at most.
-func (t *Table) entitledShare(s *state) int {
 	if len(t.owners.VMs) == 0 {
-		return 0
+		return s.grant.update(0, now)
 	}
-	share := t.dividedShare(s)
+	share := s.grant.update(t.dividedShare(s), now)
 	if t.owners.Incomplete {
 		share = min(share, 1)
 	}
--- a/upstream/brittle_test.go
+++ b/upstream/brittle_test.go
@@ -326,6 +326,20 @@
 	is.True(!tb.withinRoom(s, now.Add(shareGrowthDelay)))
 }
 
+// TestStartedVMUsesItsShare guards against refusing callers for whom there are slots: a VM that has known
+// all others since soon after its start waited again for its share to grow once it was sure of that.
+func TestStartedVMUsesItsShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	tb, s := brittleTable(now)
+	all := Owners{Self: "vm1", VMs: []contract.VMID{"vm1", "vm2", "vm3", "vm4"}, Incomplete: true}
+	tb.SetOwners("d", all)
+	is.Equal(fill(tb, s, now), 1)
+	all.Incomplete = false
+	tb.SetOwners("d", all)
+	is.Equal(fill(tb, s, now), 3) // four in all
+}
+
 // TestFewVMsHoldRoom checks that the VMs of a data centre agree on the few that hold the slots of a
 // service with less than a few slots for each of them, that all slots are held and none twice, and that
 // another VM takes over from one that is gone, late.
