--- a/forward/directory.go
+++ b/forward/directory.go
@@ -247,37 +247,29 @@
 // pick returns the nearest helper for a request, of several the least loaded, and counts the request.
 // The argument overflow means that only helpers with room come into question.
 func (d *directory) pick(s contract.ServiceID, overflow bool, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	h, now := d.service(s), d.opts.Now()
-	best := -1
-	for i, known := range h.helpers {
-		if now.Before(known.droppedUntil) || overflow && !known.room || !allowed(known.DataCentre) {
-			continue
-		}
-		if best < 0 || compareHelpers(known, h.helpers[best]) < 0 {
-			best = i
-		}
-	}
-	if best < 0 {
-		return Candidate{}, false
-	}
-	h.helpers[best].sent++
-	return h.helpers[best].Candidate, true
+	now := d.opts.Now()
+	return d.pickBest(s, compareHelpers, func(h helper) bool {
+		return !now.Before(h.droppedUntil) && (!overflow || h.room) && allowed(h.DataCentre)
+	})
 }
 
 // pickFull returns the helper that was found without room longest ago, and counts the request: of several
 // that had no room, it is the likeliest to have some again.
 func (d *directory) pickFull(s contract.ServiceID, allowed func(contract.DataCentreID) bool) (Candidate, bool) {
+	longestFull := func(a, b helper) int { return a.fullAt.Compare(b.fullAt) }
+	return d.pickBest(s, longestFull, func(h helper) bool {
+		return !h.fullAt.IsZero() && h.room && allowed(h.DataCentre)
+	})
+}
+
+// pickBest returns the first eligible helper of a service in the given order, and counts the request.
+func (d *directory) pickBest(s contract.ServiceID, order func(a, b helper) int, eligible func(helper) bool) (Candidate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := d.service(s)
 	best := -1
 	for i, known := range h.helpers {
-		if known.fullAt.IsZero() || !known.room || !allowed(known.DataCentre) {
-			continue
-		}
-		if best < 0 || known.fullAt.Before(h.helpers[best].fullAt) {
+		if eligible(known) && (best < 0 || order(known, h.helpers[best]) < 0) {
 			best = i
 		}
 	}
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -126,7 +126,7 @@
 	{"an empty set of pools does not mean all pools", "relay/evacuation.go", "return len(c.pools) == 0", "return false", "./platform", "TestServiceWithoutUpstreamsRefuses"},
 	{"a quarantined content is not sent", "relay/quarantine.go", "c := r.quarantineCases.BlockedBy(j.fingerprints(), now)", "c := r.quarantineCases.BlockedBy(nil, now)", "./platform", "TestCrashingRequestIsQuarantined"},
 	{"a VM that has used up its share passes requests on", "relay/forward.go", "upstream.PathOpen && !j.sharesUsed", "upstream.PathOpen", "./platform", "TestUnevenConnectionsAreServed"},
-	{"requests beyond a share go to VMs with room", "forward/directory.go", "overflow && !known.room", "false", "./forward", "TestOverflowGoesToVMWithRoom"},
+	{"requests beyond a share go to VMs with room", "forward/directory.go", "(!overflow || h.room)", "true", "./forward", "TestOverflowGoesToVMWithRoom"},
 	{"an end that is not marked clears only what has survived", "relay/survival.go", "if !a.answer.Delimited {", "if false {", "./platform", "TestCrashingPartIsQuarantined"},
 	{"a stream without events and without a marked end is broken", "relay/streaming.go", "s.events.HasPartial() || s.endedBeforeFirstEvent(a)", "s.events.HasPartial()", "./platform", "TestAnswersWithoutLengthOrChunks"},
 	{"a part that crashes upstreams is not sent", "relay/fingerprints.go", "			j.cachedFingerprints = append(j.cachedFingerprints, p.Fingerprint)\n", "			_ = p\n", "./platform", "TestCrashingPartIsQuarantined"},
--- a/internal/standin/brittle/brittle.go
+++ b/internal/standin/brittle/brittle.go
@@ -61,10 +61,9 @@
 
 // Rejection is a request that was rejected for want of room while rejections count.
 type Rejection struct {
-	At         time.Time
-	Instance   string
-	Age        time.Duration
-	Connection string // the caller's address
+	At       time.Time
+	Instance string
+	Age      time.Duration
 }
 
 // instance is one run of an upstream.
@@ -287,16 +286,16 @@
 		}
 	}
 	defer s.mu.Unlock()
-	s.reject(u, c, now)
+	s.reject(u, now)
 	return false
 }
 
 // reject counts a rejection, and ends the instance after too many. The caller holds mu.
-func (s *Service) reject(u *instance, c *replica.Conn, now time.Time) {
+func (s *Service) reject(u *instance, now time.Time) {
 	if !s.enforced(now) || u.over {
 		return
 	}
-	s.rejections = append(s.rejections, Rejection{now, u.id, now.Sub(u.startedAt), c.RemoteAddr().String()})
+	s.rejections = append(s.rejections, Rejection{now, u.id, now.Sub(u.startedAt)})
 	for len(u.rejected) > 0 && now.Sub(u.rejected[0]) >= time.Second {
 		u.rejected = u.rejected[1:]
 	}
--- a/upstream/room.go
+++ b/upstream/room.go
@@ -112,17 +112,11 @@
 		return t.ownerRank(s)
 	}
 	if r.cachedRankVersion != t.owners.version {
-		r.cachedRank, r.cachedRankVersion = slices.Index(t.holderOrder(r), t.owners.Self), t.owners.version
+		r.cachedRank, r.cachedRankVersion = slices.Index(t.owners.order(r.serviceHash), t.owners.Self), t.owners.version
 	}
 	return r.cachedRank
 }
 
-// holderOrder returns the VMs of this data centre in the order in which they hold the slots of a service.
-// VMs that have long been silent come last.
-func (t *Table) holderOrder(r *serviceRoom) []contract.VMID {
-	return t.owners.order(r.serviceHash)
-}
-
 // dividedShare returns this VM's share of the slots of a brittle upstream if it knows all VMs.
 func (t *Table) dividedShare(s *state) int {
 	r := t.roomOf(s)
@@ -148,6 +142,6 @@
 		return nil
 	}
 	r := t.bounded[i].serviceRoom
-	holders := t.holderOrder(r)[:r.holders(len(t.owners.VMs))]
+	holders := t.owners.order(r.serviceHash)[:r.holders(len(t.owners.VMs))]
 	return slices.DeleteFunc(holders, func(id contract.VMID) bool { return id == t.owners.Self })
 }
