--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -32,10 +32,15 @@
 	Ends      []time.Duration `help:"When an upstream ends by itself, after the beginning of the notice."`
 	EndEvery  time.Duration   `help:"How often an upstream ends by itself once rejections count; 0 means never."`
 	KillEvery time.Duration   `help:"How often a VM is killed and started anew; 0 means never."`
-	Leave     time.Duration   `help:"How soon callers leave; 0 means never."`
-	OneVM     float64         `help:"Share of the callers that come to one VM." name:"one-vm"`
-	Handshake time.Duration   `help:"How long a new connection occupies a slot." default:"1ms"`
-	Keeps     float64         `help:"Share of requests on which an upstream goes on working after the caller has left." default:"0.2"`
+	// A suspended VM goes on with what it held when it was stopped, and knows nothing of the time between.
+	SuspendEvery time.Duration `help:"How often a VM is suspended for 2 s; 0 means never."`
+	ListLag      time.Duration `help:"How late the list tells that an upstream has started or ended."`
+	// SoundEvery is about VMs that learn at different times that the notice has ended or begun again.
+	SoundEvery time.Duration `help:"How often the upstreams become sound for a second; 0 means never."`
+	Leave      time.Duration `help:"How soon callers leave; 0 means never."`
+	OneVM      float64       `help:"Share of the callers that come to one VM." name:"one-vm"`
+	Handshake  time.Duration `help:"How long a new connection occupies a slot." default:"1ms"`
+	Keeps      float64       `help:"Share of requests on which an upstream goes on working after the caller has left." default:"0.2"`
 }
 
 // Timing of a trial with brittle upstreams.
@@ -44,6 +49,8 @@
 	brittleNotice   = settleTime      // from then until rejections count
 	brittleEnforced = 13 * time.Second
 	brittleRestart  = 3 * time.Second
+	brittleSuspend  = 2 * time.Second // of a suspended VM
+	brittleSound    = time.Second     // between two notices
 )
 
 // allowedFalls returns how often a number of upstreams may fail in one time of brittleness.
@@ -69,9 +76,11 @@
 		Slots: b.Slots, Queue: b.Queue, Bears: b.Bears, Handshake: b.Handshake, RestartAfter: brittleRestart, Keeps: b.Keeps,
 		Work: func() time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(b.Work)) },
 		OnStart: func(place int, id, address string) {
-			f.store.PutUpstream(objects.Upstream{ID: id, Address: address, DataCentre: dataCentre(place), Slots: b.Slots, Incarnation: 1})
+			time.AfterFunc(b.ListLag, func() {
+				f.store.PutUpstream(objects.Upstream{ID: id, Address: address, DataCentre: dataCentre(place), Slots: b.Slots, Incarnation: 1})
+			})
 		},
-		OnEnd: func(_ int, id string) { f.store.DeleteUpstream(id) },
+		OnEnd: func(_ int, id string) { time.AfterFunc(b.ListLag, func() { f.store.DeleteUpstream(id) }) },
 	})
 	defer service.Close()
 	defer f.stop()
@@ -117,7 +126,8 @@
 	return f.waitReady()
 }
 
-// endBrittle ends upstreams and kills VMs as the trial demands, until a moment.
+// endBrittle ends upstreams, kills and suspends VMs and interrupts the notice as the trial demands, until
+// a moment.
 func (f *fleet) endBrittle(ctx context.Context, until time.Time, b brittleTrial, service *brittle.Service, random *rand.Rand) {
 	every := func(d time.Duration, do func()) {
 		for d > 0 && ctx.Err() == nil && time.Now().Add(d).Before(until) {
@@ -140,6 +150,22 @@
 			_ = f.startVM(v) // its callers are refused otherwise, which the trial shows
 		})
 	})
+	faults.Go(func() {
+		n := 0
+		every(b.SuspendEvery, func() {
+			v := f.vms[n%len(f.vms)]
+			n++
+			v.signal(syscall.SIGSTOP)
+			time.AfterFunc(brittleSuspend, func() { v.signal(syscall.SIGCONT) })
+		})
+	})
+	faults.Go(func() {
+		every(b.SoundEvery, func() {
+			service.SetBrittle(false, 0)
+			sleepUntil(ctx, time.Now().Add(brittleSound))
+			service.SetBrittle(true, brittleNotice)
+		})
+	})
 	faults.Wait()
 	sleepUntil(ctx, until)
 }
