--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -120,7 +120,7 @@
 			return err
 		}
 	}
-	if err := f.startVMs(args.VMs, true); err != nil {
+	if err := f.startVMs(args.VMs); err != nil {
 		return err
 	}
 	return f.waitReady()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -91,7 +91,7 @@
 			return nil, err
 		}
 	}
-	return f, f.startVMs(args.VMs, args.LinkHosts)
+	return f, f.startVMs(args.VMs)
 }
 
 // startStore serves the store behind a proxy.
@@ -141,31 +141,28 @@
 	return nil, errNoPorts
 }
 
-// linkHosts replaces the hosts of link addresses so that each VM has one of its own, and the ports by that
-// of the first. VMs take a seed to have their own port: with one host and different ports none has a
-// seed, and VMs find each other by the store's list alone.
-func linkHosts(links []string) []string {
-	_, port, _ := net.SplitHostPort(links[0])
+// linkAddresses returns link addresses of n VMs with hosts of their own and one port. VMs take a seed to
+// have their own port: with one host and different ports none has a seed, and VMs find each other by the
+// store's list alone.
+func linkAddresses(n int, port string) []string {
 	var addresses []string
-	for i := range links {
+	for i := range n {
 		addresses = append(addresses, net.JoinHostPort(fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200), port))
 	}
 	return addresses
 }
 
-func (f *fleet) startVMs(n int, separateHosts bool) error {
-	const portsPerVM = 4 // callers, ready, metrics; the last n are for links
-	addresses, err := freeAddresses(portsPerVM * n)
+func (f *fleet) startVMs(n int) error {
+	const portsPerVM = 3 // callers, ready, metrics; the last port is for all links
+	addresses, err := freeAddresses(portsPerVM*n + 1)
 	if err != nil {
 		return err
 	}
-	links := addresses[len(addresses)-n:]
-	if separateHosts {
-		links = linkHosts(links)
-	}
+	_, linkPort, _ := net.SplitHostPort(addresses[portsPerVM*n])
+	links := linkAddresses(n, linkPort)
 	seeds := links[:min(n, 3)]
 	for i := range n {
-		vmAddresses := addresses[(portsPerVM-1)*i : (portsPerVM-1)*(i+1)]
+		vmAddresses := addresses[portsPerVM*i : portsPerVM*(i+1)]
 		_, metricsPort, _ := net.SplitHostPort(vmAddresses[2])
 		v := &vm{name: fmt.Sprintf("vm%d", i), settingsPath: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", i)), readyAddress: vmAddresses[1], metricsAddress: "127.0.0.1:" + metricsPort}
 		ini := fmt.Sprintf("[vm]\nname = %s\ndata-centre = %s\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\nseeds = %s\nmetrics-port = %s\n\n"+
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -35,10 +35,8 @@
 	VMs  int           `help:"How many VMs." name:"vms" default:"6"`
 	// Callers is independent of VMs, so that a run can start
 	// and fail many VMs under the load of few callers.
-	Callers int `help:"How many callers in all; 0 means three for each VM." default:"0"`
-	// LinkHosts is always set in a trial with brittle upstreams.
-	LinkHosts bool   `help:"Gives each VM an address of its own for links, so that seeds are known."`
-	Folder    string `help:"Where logs go." default:"bench-out/soak"`
+	Callers int    `help:"How many callers in all; 0 means three for each VM." default:"0"`
+	Folder  string `help:"Where logs go." default:"bench-out/soak"`
 
 	Brittle brittleTrial `embed:"" prefix:"brittle-" group:"A trial with brittle upstreams"`
 }
