--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -238,7 +238,7 @@
 	{"a rolled-back release outlasts a return of the store", "rollout/canary.go", "c.order.State = ended", "_ = ended", "./relay", "TestRolledBackOutlastsStoreReturn"},
 	{"one of two watchers yields", "site/election.go", "(e.failing || watcher.precedes(e.self))", "false", "./site", "TestWatcherYields"},
 	{"a watcher whose calls fail yields", "site/election.go", "(e.failing || watcher.precedes(e.self))", "watcher.precedes(e.self)", "./site", "TestWatcherYields"},
-	{"all VMs share the slack of the resend allowance", "retry/window.go", "w.opts.Slack/float64(max(vms, 1))", "w.opts.Slack", "./retry", "TestFleetStaysWithinRetryBudget"},
+	{"all VMs share the slack of the resend allowance", "retry/window.go", "slack = w.opts.Slack / float64(vms)", "slack = w.opts.Slack", "./retry", "TestFleetStaysWithinRetryBudget"},
 	{"a dead link is dropped", "link/client.go", "pc.conn.Context().Err() == nil && !unresponsive", "pc.conn.Context().Err() == nil && (unresponsive || !unresponsive)", "./link", "TestTimedOutCallDropsConnection"},
 	{"log space is reserved for failures", "logs/queue.go", "if level < zapcore.WarnLevel && len(q.lines) >= maxQueuedLines-reservedForWarnings {", "if false {", "./logs", "TestBlockedOutputDropsLines"},
 	{"a request that may have been executed is not retried", "retry/retry.go", "case !a.Repeatable && a.Outcome != contract.OutcomeNotRun:", "case false:", "./retry", "TestRetryLimits"},
