--- a/internal/soak/senders.go
+++ b/internal/soak/senders.go
@@ -16,11 +16,14 @@
 	mu sync.Mutex
 	// processes holds the process of each VM by its name.
 	processes map[string]int
-	// connections holds, by the address from which a proxy connects to the upstream,
-	// the connection that it forwards.
-	connections map[string]*proxiedConn
+	// connections holds, by both ends of a proxy's connection to an upstream, the connection that it
+	// forwards. Connections to different upstreams may have the same port at the proxy's end.
+	connections map[connectionEnds]*proxiedConn
 }
 
+// connectionEnds are the addresses of the proxy and of the upstream.
+type connectionEnds struct{ proxy, upstream string }
+
 // proxiedConn is the socket at the VM's end of a connection to an upstream.
 type proxiedConn struct {
 	inode uint32 // 0 if it is not known
@@ -28,7 +31,7 @@
 }
 
 func newSenders() *senders {
-	return &senders{processes: make(map[string]int), connections: make(map[string]*proxiedConn)}
+	return &senders{processes: make(map[string]int), connections: make(map[connectionEnds]*proxiedConn)}
 }
 
 // setProcess records the current process of a VM.
@@ -43,7 +46,7 @@
 	c := &proxiedConn{inode: socketInode(caller)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.connections[target.LocalAddr().String()] = c
+	s.connections[connectionEnds{target.LocalAddr().String(), target.RemoteAddr().String()}] = c
 }
 
 // vmOf returns the name of the VM that sends over an upstream's connection, or "" if it is not known.
@@ -51,7 +54,7 @@
 func (s *senders) vmOf(upstreamEnd net.Conn, expected string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.connections[upstreamEnd.RemoteAddr().String()]
+	c := s.connections[connectionEnds{upstreamEnd.RemoteAddr().String(), upstreamEnd.LocalAddr().String()}]
 	if c == nil || c.inode == 0 {
 		return ""
 	}
