quarantine: while a part settles, each VM sends one request with it

Traced on a scratch copy: a VM that is cut off from all others and from the store sees four of the first five crashes. The connected VMs know of one, reach four crashes of their own 2.8 s after the fifth, and then go on sending for the 0.7 s in which the part settles.

Change: from the fourth crash until the quarantine, a VM sends one request with the part; an answer to it releases the part as before. A part whose service answers nothing else, which is not going to be quarantined, is sent as before.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -132,6 +132,8 @@
 	{"a part that crashes upstreams is not sent", "relay/fingerprints.go", "			j.cachedFingerprints = append(j.cachedFingerprints, p.Fingerprint)\n", "			_ = p\n", "./platform", "TestCrashingPartIsQuarantined"},
 	{"an answer clears a part", "relay/survival.go", "r.clearParts(id, e, fingerprints[1:])", "_ = success", "./platform", "TestCommonPartIsNotQuarantined"},
 	{"a part is held only after the time for an answer", "quarantine/parts.go", "now.Sub(c.limitReachedAt) >= settleDelay", "true", "./quarantine", "TestPartWithoutAnswerIsQuarantined"},
+	{"a settling part is sent once", "quarantine/parts.go", "if c.sentWhileSettling && blocked == nil {", "if false {", "./quarantine", "TestSettlingPartIsSentOnce"},
+	{"a part of a broken service does not settle", "quarantine/parts.go", "c.othersAnswered && now.Sub(c.limitReachedAt) < settleDelay", "now.Sub(c.limitReachedAt) < settleDelay", "./quarantine", "TestPartOfBrokenServiceIsSentWhileSettling"},
 	{"crashes of one content count against a part a few times", "quarantine/parts.go", "same < maxCrashesPerContent", "true", "./quarantine", "TestPartWithoutAnswerIsQuarantined"},
 	{"an answer contradicts the quarantine of another VM", "quarantine/parts.go", "if !other.IsPart() || !t.answeredRecently(other.Fingerprint, now) {", "if true {", "./quarantine", "TestAnsweredPartIsReleasedElsewhere"},
 	{"a part is not blamed for a service that answers nothing", "quarantine/parts.go", "if !c.othersAnswered {", "if false {", "./quarantine", "TestPartOfBrokenServiceIsNotQuarantined"},
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -19,7 +19,7 @@
 //   - One request may crash several upstreams for another reason, so crashes of one content count
 //     only maxCrashesPerContent times.
 //   - Answers are known to the VM that received them first, so a part is quarantined only settleDelay
-//     after its last crash that counts.
+//     after its last crash that counts. Until then, each VM sends one request with the part.
 //   - If a service answers nothing, the service is at fault and not the part, which all requests may
 //     share. A part is quarantined only if requests without it were answered between its crashes.
 
@@ -148,7 +148,7 @@
 		return
 	}
 	if _, settling := t.settling[c.Fingerprint]; !settling {
-		c.limitReachedAt = now
+		c.limitReachedAt, c.sentWhileSettling = now, false
 		t.settling[c.Fingerprint] = c
 	}
 }
@@ -275,13 +275,20 @@
 // BlockedBy returns the record because of which a request must not be sent to any upstream now, or
 // nil. The fingerprints are those of the request's content and of its parts. If all of them that are
 // quarantined have a granted trial, the call uses up the trials. A trial that is due is requested.
+// If parts of the request are settling, the call uses up their one send.
 func (t *Table) BlockedBy(fingerprints []Fingerprint, now time.Time) *Record {
-	var granted []*Record
+	var granted, settling []*Record
 	var blocked *Record
 	for _, p := range fingerprints {
 		c := t.records[p]
 		switch {
-		case c == nil || !c.Quarantined:
+		case c == nil:
+		case t.isSettling(c, now):
+			settling = append(settling, c)
+			if c.sentWhileSettling && blocked == nil {
+				blocked = c
+			}
+		case !c.Quarantined:
 		case now.Before(c.trials.grantedUntil):
 			granted = append(granted, c)
 		default:
@@ -295,10 +302,18 @@
 		for _, c := range granted {
 			c.trials.grantedUntil = time.Time{}
 		}
+		for _, c := range settling {
+			c.sentWhileSettling = true
+		}
 	}
 	return blocked
 }
 
+// isSettling reports whether a part is about to be quarantined unless an answer to it becomes known.
+func (t *Table) isSettling(c *Record, now time.Time) bool {
+	return t.settling[c.Fingerprint] != nil && c.othersAnswered && now.Sub(c.limitReachedAt) < settleDelay
+}
+
 // isAmbiguous reports whether a quarantined part may be harmless because another quarantined part,
 // which the request does not have, was on each upstream that crashed under it. One trial decides.
 func (t *Table) isAmbiguous(c *Record, fingerprints []Fingerprint) bool {
@@ -324,9 +339,11 @@
 	return true
 }
 
-// TrialPending reports whether the first trial of the record has been requested, whose outcome is
-// known within seconds.
-func (c *Record) TrialPending() bool { return c.trials.requested && c.trials.count == 0 }
+// DecidedSoon reports whether it is known within seconds if requests with a record that blocks them
+// are sent again: the part is settling, or the first trial has been requested.
+func (c *Record) DecidedSoon() bool {
+	return !c.Quarantined || c.trials.requested && c.trials.count == 0
+}
 
 // CountQuarantinedParts returns the number of quarantined parts.
 func (t *Table) CountQuarantinedParts() int { return len(t.quarantinedParts) }
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -78,6 +78,41 @@
 	}
 }
 
+// TestSettlingPartIsSentOnce guards against requests with a part crashing one upstream after another
+// while its quarantine waits for answers that other VMs may have received: one of them is sent, whose
+// answer releases the part.
+func TestSettlingPartIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	recordPart(table, testPart, 0, 200, 400, 600)
+	is.True(!table.Blocks(testPart.Fingerprint, at(610)))
+	is.True(table.Blocks(testPart.Fingerprint, at(620)))
+	table.RecordPartAnswer(testPart.Fingerprint, at(700))
+	is.True(!table.Blocks(testPart.Fingerprint, at(710)))
+	is.True(!table.Blocks(testPart.Fingerprint, at(720)))
+
+	recordPart(table, testPart, 1000, 1200, 1400, 1600) // settles anew
+	is.True(!table.Blocks(testPart.Fingerprint, at(1610)))
+	is.True(table.Blocks(testPart.Fingerprint, at(1620)))
+
+	other := NewPart("other") // a request that the settling part blocks does not use up another's send
+	recordPart(table, other, 1010, 1210, 1410, 1610)
+	is.True(table.BlockedBy([]Fingerprint{testPart.Fingerprint, other.Fingerprint}, at(1630)) != nil)
+	is.True(!table.Blocks(other.Fingerprint, at(1640)))
+}
+
+// TestPartOfBrokenServiceIsSentWhileSettling guards against the part that all requests share being
+// refused while its service answers nothing: the part is not going to be quarantined.
+func TestPartOfBrokenServiceIsSentWhileSettling(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for n := range 4 {
+		table.RecordCrash(testPart.Fingerprint, partSource, partCrash(n, uint64(n), 200*n), at(200*n))
+	}
+	is.True(!table.Blocks(testPart.Fingerprint, at(610)))
+	is.True(!table.Blocks(testPart.Fingerprint, at(620)))
+}
+
 // manyAttempts returns the crashes of three attempts each of n requests, which begin at a time.
 func manyAttempts(n, from int) (out []Crash) {
 	for i := range 3 * n {
@@ -226,7 +261,7 @@
 	is.True(table.BlockedBy([]Fingerprint{{1}, testPart.Fingerprint, companion.Fingerprint}, now) != nil)
 	is.Equal(len(table.TrialRequests()), 0) // together they crash
 	held := table.BlockedBy([]Fingerprint{{2}, companion.Fingerprint}, now)
-	is.True(held != nil && held.TrialPending())
+	is.True(held != nil && held.DecidedSoon())
 	is.Equal(len(table.TrialRequests()), 1)
 	table.TrialDecided(companion.Fingerprint, true, now)
 	is.True(table.BlockedBy([]Fingerprint{{2}, companion.Fingerprint}, now) == nil)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -88,6 +88,8 @@
 	trials        trials
 	// limitReachedAt is when a part in Table.settling has reached its limit of crashes.
 	limitReachedAt time.Time
+	// sentWhileSettling reports whether this VM has sent a request with the part since then.
+	sentWhileSettling bool
 	// othersAnswered is set once the service of a part has answered other requests between two crashes.
 	othersAnswered bool
 	// clearedUrgent is set while the newest change is a release that other VMs should know at once.
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -25,12 +25,12 @@
 	if c.IsPart() {
 		what, crashes = "this part of their prompts", max(len(c.Crashes), quarantine.PartCrashLimit)
 	}
-	if c.TrialPending() {
+	if c.DecidedSoon() {
 		retryAfter = retryAfterRestart
 	}
 	f := &contract.Refusal{
 		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
-		Detail: fmt.Sprintf("requests with %s (%s) have crashed %d upstreams one after another and are no longer sent", what, c.Fingerprint, crashes),
+		Detail: fmt.Sprintf("requests with %s (%s) have crashed %d upstreams one after another and are not sent now", what, c.Fingerprint, crashes),
 	}
 	return f.WithRetryAfter(retryAfter)
 }
