soak: the last rate limit is one under which requests arrive

Of the limits that seed 2 draws, those of 0 and 0.4 a second let none arrive by then, and the upstreams of the others end or leave.

Change: the last fixed limit is the highest one, at an upstream that is in use: not leaving, not hanging, not under evacuation. The drawn limits and the other fixed ones stay as they are, and so do check and bound.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -82,15 +82,11 @@
 				f.backOff([]*upstreamPosition{position}, n, 2*d)
 			}
 		}},
-		"upstream-limited": {limitGroup, func(n int, d time.Duration) {
-			if position := f.upstreams.pick(n); position != nil {
-				f.upstreams.advertiseLimit(position, limitValues[n%len(limitValues)], settleTime+limitWindow+2*d)
-			}
-		}},
-		"upstreams-rest": {noticeGroup, func(n int, d time.Duration) { f.backOff(f.upstreams.positions, n, d/2) }},
-		"configurations": {operatorGroup, func(n int, d time.Duration) { f.writeConfigurations(2+n%10, d) }},
-		"evacuated":      {operatorGroup, func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) }},
-		"store-returns":  {returnGroup, func(n int, _ time.Duration) { f.returnStore(n) }},
+		"upstream-limited": {limitGroup, func(n int, d time.Duration) { f.limitUpstream(f.upstreams.pick(n), limitValues[n%len(limitValues)], d) }},
+		"upstreams-rest":   {noticeGroup, func(n int, d time.Duration) { f.backOff(f.upstreams.positions, n, d/2) }},
+		"configurations":   {operatorGroup, func(n int, d time.Duration) { f.writeConfigurations(2+n%10, d) }},
+		"evacuated":        {operatorGroup, func(n int, d time.Duration) { f.evacuate(dataCentre(n), d) }},
+		"store-returns":    {returnGroup, func(n int, _ time.Duration) { f.returnStore(n) }},
 		"upstream-drains": {returnGroup, func(n int, _ time.Duration) {
 			if position := f.upstreams.pick(n); position != nil {
 				f.upstreams.drainByEntry(position)
@@ -152,12 +148,17 @@
 		n := int(seed%1000) + 7*i
 		faults = append(faults, fault{returned + time.Duration(i)*200*time.Millisecond, fmt.Sprintf("%s n=%d for 1s", name, n), func() { kinds[name].inject(n, time.Second) }})
 	}
-	// The last fixed fault comes after all other faults, so that no other fault ends its upstream.
-	for i, after := range []time.Duration{length / 16, length * 3 / 16, length * 5 / 16, length} {
+	for i, after := range []time.Duration{length / 16, length * 3 / 16, length * 5 / 16} {
 		const name = "upstream-limited"
 		n := int(seed%1000) + 3*i
 		faults = append(faults, fault{after, fmt.Sprintf("%s n=%d for 2s", name, n), func() { kinds[name].inject(n, 2*time.Second) }})
 	}
+	// The last fixed fault comes after all other faults, so that no other fault ends its upstream. The
+	// limit is checked when a request arrives, so the upstream is one in use and its limit a high one.
+	n := int(seed%1000) + 9
+	faults = append(faults, fault{length, fmt.Sprintf("upstream-limited n=%d to %g per second for 2s", n, highestLimit), func() {
+		f.limitUpstream(f.upstreams.pickInUse(n), highestLimit, 2*time.Second)
+	}})
 	return faults
 }
 
@@ -198,6 +199,14 @@
 	time.AfterFunc(d, func() { f.upstreams.setBackoff(positions, 0) })
 }
 
+// limitUpstream makes the upstream at a position, if there is one, advertise a rate limit in requests
+// per second. The limit outlasts by 2 d the time after which it is checked.
+func (f *fleet) limitUpstream(position *upstreamPosition, perSecond float64, d time.Duration) {
+	if position != nil {
+		f.upstreams.advertiseLimit(position, perSecond, settleTime+limitWindow+2*d)
+	}
+}
+
 // writeConfigurations writes n versions of the configuration spread over the duration d. They
 // differ only in their version number.
 func (f *fleet) writeConfigurations(n int, d time.Duration) {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -24,7 +24,10 @@
 )
 
 // limitValues are the limits that upstreams advertise, in requests per second.
-var limitValues = []float64{2, 0, 8, 0.4}
+var limitValues = []float64{2, 0, highestLimit, 0.4}
+
+// highestLimit is the highest limit that an upstream advertises, in requests per second.
+const highestLimit = 8.0
 
 // limitTracker records the rate limits that upstreams advertise
 // and checks the requests that arrive afterwards.
--- a/internal/soak/upstreams.go
+++ b/internal/soak/upstreams.go
@@ -266,10 +266,23 @@
 // pick returns the first position with a running upstream whose entry does not say
 // that it drains, searching from index n, or nil if there is none.
 func (u *upstreams) pick(n int) *upstreamPosition {
+	return u.pickWhere(n, func(*upstreamPosition) bool { return true })
+}
+
+// pickInUse is pick for the upstreams that are expected to receive requests.
+func (u *upstreams) pickInUse(n int) *upstreamPosition {
+	return u.pickWhere(n, func(p *upstreamPosition) bool {
+		_, evacuated := u.evacuatedAt[p.dataCentre]
+		return !p.leaving && !p.hanging && !evacuated
+	})
+}
+
+// pickWhere is pick for the positions that satisfy a condition, which is called with mu held.
+func (u *upstreams) pickWhere(n int, satisfied func(*upstreamPosition) bool) *upstreamPosition {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for k := range u.positions {
-		if p := u.positions[(n+k)%len(u.positions)]; p.replica != nil && p.drainingSince.IsZero() {
+		if p := u.positions[(n+k)%len(u.positions)]; p.replica != nil && p.drainingSince.IsZero() && satisfied(p) {
 			return p
 		}
 	}
