link: calls to a peer share one handshake, which outlives their deadlines

Cause: each call that found no connection to its peer opened one of its own and gave it up at its own deadline. While a service is brittle, a VM forwards each request that it has no slot for, up to 200 a second to one peer; on busy machines these handshakes delay each other until all time out, and none is kept for the next call. Found on the way: a call that had to wait for a slow handshake dropped the connection it had just made.

Change: a handshake belongs to the peer, goes on for up to 2 s whatever the calls' deadlines, and serves all that wait. It counts as a response of the peer.

Race tests of link, site, forward, relay and entry pass.

--- a/link/client.go
+++ b/link/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -47,11 +46,11 @@
 // roundTrip sends a request to the peer at address, over an existing connection
 // if there is one, and reads the response.
 func (e *Endpoint) roundTrip(ctx context.Context, address string, req requestFrame) (responseFrame, error) {
+	start := time.Now()
 	pc, err := e.connect(ctx, address)
 	if err != nil {
 		return responseFrame{}, err
 	}
-	start := time.Now()
 	resp, err := e.roundTripOnStream(ctx, pc.conn, req)
 	if err != nil {
 		e.dropIfBroken(ctx, address, pc, start)
@@ -89,66 +88,6 @@
 	return resp, err
 }
 
-// connect returns the open connection to the peer at address, or dials a new one.
-func (e *Endpoint) connect(ctx context.Context, address string) (*peerConn, error) {
-	e.mu.Lock()
-	existing, ok := e.conns[address]
-	closed := e.closed
-	e.mu.Unlock()
-	if closed {
-		return nil, net.ErrClosed
-	}
-	if ok && existing.conn.Context().Err() == nil {
-		return existing, nil
-	}
-	udpAddr, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, err
-	}
-	dialed, err := e.transport.Dial(ctx, udpAddr, e.identity.TLSConfig(alpnProtocol), e.quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	e.traffic.dials.Add(1)
-	return e.storeDialed(address, dialed), nil
-}
-
-// storeDialed registers a connection that this endpoint has dialed.
-// If another call has registered a connection in the meantime, the result depends on the mode.
-// Without shared connections, the registered connection is kept and the new connection is closed.
-// With shared connections, the new connection replaces the registered connection.
-// The replaced connection is left open until its idle timeout, because the peer may have begun to
-// use it.
-func (e *Endpoint) storeDialed(address string, dialed *quic.Conn) *peerConn {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if pc, ok := e.conns[address]; ok && pc.conn.Context().Err() == nil && !e.sharedConns {
-		_ = dialed.CloseWithError(codeNormal, "twice")
-		return pc
-	}
-	pc := &peerConn{conn: dialed}
-	e.conns[address] = pc
-	if peer, err := e.peer(dialed); err == nil && e.sharedConns {
-		go e.serveStreams(dialed.Context(), peer, dialed)
-	}
-	return pc
-}
-
-// storeAccepted registers a connection that a peer has opened,
-// so that calls to the peer use this connection.
-// The new connection replaces an older connection, which a peer that has restarted no longer knows.
-// storeAccepted does nothing unless connections are shared.
-func (e *Endpoint) storeAccepted(conn *quic.Conn) {
-	if !e.sharedConns {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	pc := &peerConn{conn: conn}
-	pc.lastResponse.Store(time.Now().UnixNano())
-	e.conns[conn.RemoteAddr().String()] = pc
-}
-
 // dropIfBroken removes a broken connection after a failed call, so that the next call dials a new
 // connection. A connection is broken if it is closed.
 // A connection also counts as broken if the call reached its deadline and no response has arrived
--- a/link/server.go
+++ b/link/server.go
@@ -85,18 +85,18 @@
 	sharedConns       bool
 	traffic           traffic
 
-	// mu guards conns and closed.
-	mu     sync.Mutex
-	conns  map[string]*peerConn
-	closed bool
+	// mu guards the fields below. dialing holds the handshakes in progress, by the peer's address.
+	mu      sync.Mutex
+	conns   map[string]*peerConn
+	dialing map[string]*dialing
+	closed  bool
 }
 
 // peerConn is a connection to a peer. Either end may have opened it.
 type peerConn struct {
 	conn *quic.Conn
 	// lastResponse is the time of the last response on conn, in nanoseconds since 1970.
-	// For a connection that the peer opened, lastResponse starts at the time when the connection
-	// was accepted.
+	// It starts at the time of the handshake.
 	lastResponse atomic.Int64
 }
 
@@ -117,7 +117,7 @@
 	}
 	e := &Endpoint{
 		identity: identity, transport: &quic.Transport{Conn: socket},
-		handlers: make(map[Kind]handler), streamHandlers: make(map[Kind]StreamHandler), conns: make(map[string]*peerConn),
+		handlers: make(map[Kind]handler), streamHandlers: make(map[Kind]StreamHandler), conns: make(map[string]*peerConn), dialing: make(map[string]*dialing),
 	}
 	for _, apply := range options {
 		apply(e)
