site: a VM that is suspended after its start is not taken to be cut off

All processes of the machine stood still for 10 s, 3 s after the VMs had started. Three VMs that seeds had rejected until then went on 13 s after their start; a VM that no seed has answered for 4 s since its start is taken to be cut off, so each used the whole slack (8 repeats).

Change: the 4 s leave out the time of a suspension, which shows in a late heartbeat (site/awake.go). The share of slots and of cold upstreams, and the time in which a VM asks seeds, follow the same clock.

Measured: TestSuspendedVMIsNotCounted fails without the change and passes; race tests of site, relay, link and upstream pass.

--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -243,6 +243,7 @@
 	{"all VMs share the slack of the resend allowance", "retry/window.go", "slack = w.opts.Slack / float64(vms)", "slack = w.opts.Slack", "./retry", "TestFleetStaysWithinRetryBudget"},
 	{"calls share a handshake", "link/dial.go", "if d == nil {\n		d = &dialing", "if true {\n		d = &dialing", "./link", "TestCallsShareHandshake"},
 	{"a new link is not dropped for a slow first call", "link/dial.go", "	pc.lastResponse.Store(time.Now().UnixNano())\n	e.conns[address] = pc\n	if peer", "	e.conns[address] = pc\n	if peer", "./link", "TestSlowHandshakeServesLaterCalls"},
+	{"a suspended VM is not taken to be cut off", "site/awake.go", "gap = min(gap, maxAwakeGap)", "gap = max(gap, 0)", "./site", "TestSuspendedVMIsNotCounted"},
 	{"a dead link is dropped", "link/client.go", "pc.conn.Context().Err() == nil && !unresponsive", "pc.conn.Context().Err() == nil && (unresponsive || !unresponsive)", "./link", "TestTimedOutCallDropsConnection"},
 	{"log space is reserved for failures", "logs/queue.go", "if level < zapcore.WarnLevel && len(q.lines) >= maxQueuedLines-reservedForWarnings {", "if false {", "./logs", "TestBlockedOutputDropsLines"},
 	{"a request that may have been executed is not retried", "retry/retry.go", "case !a.Repeatable && a.Outcome != contract.OutcomeNotRun:", "case false:", "./retry", "TestRetryLimits"},
--- a/site/heartbeat.go
+++ b/site/heartbeat.go
@@ -16,6 +16,7 @@
 		p.logLiveCount()
 		p.heartbeat(ctx, tick)
 		now := p.now()
+		p.awake.heartbeat(now)
 		if p.joining(now) && now.Sub(lastJoin) >= joinInterval {
 			lastJoin = now
 			p.askSeed(ctx)
--- a/site/hubs.go
+++ b/site/hubs.go
@@ -148,7 +148,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.rankKnown || now.Sub(p.started) < seedPeriod
+	return !p.rankKnown || p.awake.until(now) < seedPeriod
 }
 
 // askSeed asks a random seed for the VMs that it knows.
--- a/site/peers.go
+++ b/site/peers.go
@@ -69,7 +69,8 @@
 	// maxDiscoveryTargets is the number of VMs, besides a seed,
 	// that a hub contacts per discoveryInterval because the hub receives nothing from these VMs.
 	maxDiscoveryTargets = 2
-	// seedPeriod is how long after its start a VM keeps contacting the seeds.
+	// seedPeriod is how long after its start a VM keeps contacting the seeds, without the times for
+	// which it was suspended.
 	// Earlier, the seeds may know only a few other VMs.
 	seedPeriod = 4 * time.Second
 )
@@ -82,6 +83,7 @@
 	dc       contract.DataCentreID
 	regions  map[contract.DataCentreID]string
 	started  time.Time
+	awake    awakeTime
 	// changeRounds and confirmationRounds limit the rate of the rounds of messages
 	// that announce changes and the absence of changes.
 	// urgentRounds limits the rate of the rounds of messages that announce harmful events:
@@ -180,6 +182,7 @@
 	p := &Peers{
 		lease: opts.Lease, usage: opts.Usage,
 		endpoint: opts.Endpoint, dc: opts.Self.DataCentre, regions: opts.Regions, log: opts.Log, now: opts.Now, started: opts.Now(),
+		awake:       awakeTime{last: opts.Now()},
 		discoverNow: make(chan struct{}, 1), unknownPeer: make(chan struct{}, 1), rejected: make(chan struct{}, 1),
 		kinds: make(map[string]replicatedKind), seeds: slices.DeleteFunc(slices.Clone(opts.Seeds), func(s string) bool { return s == opts.Self.ControlAddress }),
 		table: vm.NewTable(opts.Self), listedAddresses: make(map[string]bool), memberIPs: make(map[string]bool),
@@ -329,9 +332,10 @@
 
 // Counted reports whether the other VMs count this VM among those that share what is limited for all.
 // The seeds do not know a VM that is not yet in the store's list of VMs, and reject it.
-// A VM that no seed has answered within seedPeriod is taken to be cut off, and counts itself.
+// A VM that no seed has answered within seedPeriod, in which it was running, is taken to be cut off,
+// and counts itself.
 func (p *Peers) Counted() bool {
-	return !p.HasSeeds() || p.seedReplied.Load() || p.now().Sub(p.started) >= seedPeriod
+	return !p.HasSeeds() || p.seedReplied.Load() || p.awake.until(p.now()) >= seedPeriod
 }
 
 // GossipScope returns the group of VMs whose requests to upstreams are reported to this VM.
--- a/site/peers_test.go
+++ b/site/peers_test.go
@@ -83,6 +83,30 @@
 	is.True(cutOff.Counted())
 }
 
+// TestSuspendedVMIsNotCounted guards against a VM that is suspended right after its start being taken to
+// be cut off when it goes on: it would use the whole slack of the retry budgets, and all of the slots and
+// cold upstreams, before a seed could answer.
+func TestSuspendedVMIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	p, now := idlePeers(t, vm.Member{VM: "a", DataCentre: "d", ControlAddress: "10.0.0.1:1"}, "10.0.0.2:1")
+	p.now = func() time.Time { return now }
+	p.awake.heartbeat(now)
+	now = now.Add(joinInterval)
+	p.awake.heartbeat(now)
+	now = now.Add(10 * time.Second) // suspended
+	is.True(!p.Counted())
+	is.Equal(len(p.ColdOwners().VMs), 0)
+	is.True(p.joining(now))
+	p.awake.heartbeat(now)
+	is.True(!p.Counted())
+	for range seedPeriod/joinInterval - 1 {
+		now = now.Add(joinInterval)
+		p.awake.heartbeat(now)
+	}
+	is.True(p.Counted())
+	is.Equal(len(p.ColdOwners().VMs), 1)
+}
+
 // TestDiscoveryContactsFewVMs checks that a hub contacts only a few of the VMs from which
 // it receives nothing, however many the store lists or have fallen silent, and that a
 // leaf contacts none. Each new link costs both ends a handshake.
--- a/site/view.go
+++ b/site/view.go
@@ -101,7 +101,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	self := p.table.Self().VM
-	owners := upstream.Owners{Self: self, Incomplete: p.HasSeeds() && now.Sub(p.started) < seedPeriod}
+	owners := upstream.Owners{Self: self, Incomplete: p.HasSeeds() && p.awake.until(now) < seedPeriod}
 	if p.HasSeeds() && !p.rankKnown {
 		if owners.Incomplete {
 			return owners
