soak: trials with a rollout, in real processes

A release that is good, fails, is slow, slow under load, on one route or late, or closes connections without an answer; callers may leave, VMs may be killed or suspended.

--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -4,6 +4,7 @@
 //
 //	go run ./internal/soak --seed 7 --for 30s
 //	go run ./internal/soak --brittle-run --vms 30 --brittle-per-second 400
+//	go run ./internal/soak --release-run --release-kind slow --vms 30
 //
 // The store and the upstreams are the stand-ins of internal/standin and run in this process. Each
 // TCP link goes through a proxy that can inject faults. Links between VMs use UDP and have no
@@ -39,6 +40,7 @@
 	Folder  string `help:"Where logs go." default:"bench-out/soak"`
 
 	Brittle brittleTrial `embed:"" prefix:"brittle-" group:"A trial with brittle upstreams"`
+	Release releaseTrial `embed:"" prefix:"release-" group:"A trial with a rollout"`
 }
 
 func main() {
@@ -71,8 +73,11 @@
 	if err := os.MkdirAll(args.Folder, 0o700); err != nil {
 		return false, err
 	}
-	if args.Brittle.Run {
+	switch {
+	case args.Brittle.Run:
 		return runBrittle(args)
+	case args.Release.Run:
+		return runRelease(args)
 	}
 	rec := newRecorder()
 	f, err := newFleet(args, rec)
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
+	"time"
 )
 
 // SampleDeployment describes a deployment with one route, one service and one upstream.
@@ -87,12 +89,17 @@
 	ID, Address, DataCentre string
 	// Slots is how many requests the upstream works on at a time; zero means defaultSlots.
 	Slots int
+	// Release is the release that the upstream runs; empty means FirstRelease.
+	Release string
 	// Incarnation differs between successive processes with the same ID.
 	Incarnation int
 	// Leaving is true if the upstream has announced that it will end soon.
 	Leaving bool
 }
 
+// FirstRelease is the release of an upstream that does not state one.
+const FirstRelease = "v1"
+
 // defaultSlots is the number of slots of an upstream that does not state it.
 const defaultSlots = 8
 
@@ -103,7 +110,7 @@
 		state = "draining"
 	}
 	s.Put(kindUpstreams, u.ID, map[string]any{
-		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": "v1", "Slots": cmp.Or(u.Slots, defaultSlots), "State": state, "born": u.Incarnation,
+		"Service": "s", "Address": u.Address, "Zone": u.DataCentre, "Version": cmp.Or(u.Release, FirstRelease), "Slots": cmp.Or(u.Slots, defaultSlots), "State": state, "born": u.Incarnation,
 	})
 }
 
@@ -126,3 +133,26 @@
 const kindEvacuations = "evacuations"
 
 const kindUpstreams = "servers"
+
+const kindRollouts = "rollouts"
+
+// StartRollout orders a rollout of the service of a Deployment, as the operator would.
+func (s *Store) StartRollout(release string, duration time.Duration) {
+	s.Put(kindRollouts, "s", map[string]any{"Service": "s", "TargetVersion": release, "DurationS": duration.Seconds()})
+}
+
+// Final states of a rollout.
+const (
+	RolloutCompleted  = "completed"
+	RolloutRolledBack = "rolled_back"
+)
+
+// RolloutState returns the state that the VMs have recorded for the rollout; empty if none.
+func (s *Store) RolloutState() string {
+	object, _ := s.Get(kindRollouts, "s")
+	var status struct{ State string }
+	if json.Unmarshal(object.Status, &status) != nil {
+		return ""
+	}
+	return status.State
+}
