rollout, relay, site: the lines of a verdict tell what the VM knew and what it did not count

release-bad and order-noted now hold the counts of all VMs as far as this VM knows, from how many sources, how many of its own answers could be compared, and how its attempts at the release ended.

--- a/relay/log.go
+++ b/relay/log.go
@@ -202,9 +202,20 @@
 
 // logBadRelease logs that this VM found a release to be bad.
 func (r *Relay) logBadRelease(c *rollout.Canary) {
-	trial, others := c.LocalCounts()
 	o := c.Order()
-	r.log.Warn("release-bad", zap.String("service", string(o.Service)), zap.String("release", o.Release),
-		zap.Int64("trial_bad", trial.Bad), zap.Int64("trial_good", trial.Good),
-		zap.Int64("others_bad", others.Bad), zap.Int64("others_good", others.Good))
+	r.log.Warn("release-bad", append([]zap.Field{zap.String("service", string(o.Service)), zap.String("release", o.Release)}, GroundsFields(c.Grounds())...)...)
+}
+
+// GroundsFields returns log fields with what a VM knew about a release on trial when it decided.
+func GroundsFields(g rollout.Grounds) []zap.Field {
+	var ends []string
+	for _, how := range slices.Sorted(maps.Keys(g.Ends)) {
+		ends = append(ends, fmt.Sprintf("%s=%d", how, g.Ends[how]))
+	}
+	return []zap.Field{
+		zap.Int64("trial_good", g.Trial.Good), zap.Int64("trial_bad", g.Trial.Bad), zap.Int64("trial_compared", g.Compared),
+		zap.Int64("others_good", g.Others.Good), zap.Int64("others_bad", g.Others.Bad), zap.Strings("trial_ends", ends),
+		zap.Int64("fleet_trial_good", g.FleetTrial.Good), zap.Int64("fleet_trial_bad", g.FleetTrial.Bad),
+		zap.Int64("fleet_others_good", g.FleetOthers.Good), zap.Int64("fleet_others_bad", g.FleetOthers.Bad), zap.Int("sources", g.Sources),
+	}
 }
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -71,9 +71,8 @@
 type Verdict struct {
 	Order rollout.ReleaseOrder
 	State rollout.OrderState
-	// Canary counts the answers of the canary release that this VM has seen,
-	// Others the answers of the other releases.
-	Canary, Others rollout.Counts
+	// Grounds is what this VM knows about the canary release.
+	Grounds rollout.Grounds
 }
 
 // Verdicts returns the rollout orders that should end now, based on what this VM knows.
@@ -83,8 +82,7 @@
 	var out []Verdict
 	for _, c := range r.canaries {
 		if state, due := c.NextState(r.opts.Now()); due {
-			trial, others := c.LocalCounts()
-			out = append(out, Verdict{c.Order(), state, trial, others})
+			out = append(out, Verdict{c.Order(), state, c.Grounds()})
 		}
 	}
 	return out
@@ -155,6 +153,19 @@
 	return worse
 }
 
+// recordTrialEnd counts how an attempt at a canary release ended. The caller holds mu.
+func (r *Relay) recordTrialEnd(j *job, e upstream.Entry, result upstream.Result) {
+	c := r.canaries[e.Service]
+	if c == nil || c.Order().Release != e.Release {
+		return
+	}
+	if j.endedForSuccessor() && result != upstream.Abandoned {
+		c.RecordEnd(endSilent)
+		return
+	}
+	c.RecordEnd(result.String())
+}
+
 // wakeVerdicts triggers an evaluation of the verdicts on rollout orders. The caller holds mu.
 func (r *Relay) wakeVerdicts() {
 	if r.opts.OnBadRelease != nil {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -158,6 +158,7 @@
 	j.logAttemptEnd(e, result)
 	r.withLock(func() {
 		r.endAttempt(j)
+		r.recordTrialEnd(j, e, result)
 		r.recordPromptDropped(j)
 		if r.isCurrent(e.ID, e.Incarnation) {
 			r.recordSlotUse(j, e, result, r.opts.Now())
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,7 +34,11 @@
 	// and gives the service's usual failure rate.
 	trialCounts, baselineCounts Counts
 	// received holds the counts of other VMs.
-	received   Evidence
+	received Evidence
+	// ends counts how this VM's attempts at the release on trial ended. compared is the number of this
+	// VM's trial responses that were compared with responses of other releases.
+	ends       map[string]int64
+	compared   int64
 	dataCentre contract.DataCentreID // data centre of this VM; empty until the first evidence is received
 	bad        bool                  // whether the release counts as bad
 	// rewrite is set if the store has lost the final state of the order,
@@ -62,6 +67,7 @@
 	c.testParams = config.Rollout{GoodRate: goodRateMargin, BadRate: goodRateMargin + badRateMargin, FalseAlarmProbability: falseAlarmRate, MissProbability: missRate}
 	c.alarm = NewCUSUMAlarm(&c.testParams, 1)
 	c.slowness = NewSlownessDetector()
+	c.ends = make(map[string]int64)
 	return c
 }
 
@@ -159,6 +165,9 @@
 // responses of the other releases. Observe returns true if this response makes
 // the release count as bad.
 func (c *Canary) Observe(a Response, now time.Time) bool {
+	if a.OnTrial && c.slowness.canCompare(a.Times, now) {
+		c.compared++
+	}
 	slow := c.slowness.Observe(a.OnTrial, a.Times, now)
 	tally := &c.baselineCounts
 	if a.OnTrial {
@@ -178,6 +187,35 @@
 	return c.bad
 }
 
+// RecordEnd counts how an attempt at the release on trial ended, whether or not its response is observed.
+func (c *Canary) RecordEnd(how string) { c.ends[how]++ }
+
+// Grounds is what a VM knows about a release on trial when it decides.
+type Grounds struct {
+	// Trial and Others count the responses that this VM has observed, FleetTrial and FleetOthers
+	// those that all VMs have, as far as this VM knows.
+	Trial, Others, FleetTrial, FleetOthers Counts
+	// Compared is the number of this VM's trial responses that could be compared with others.
+	Compared int64
+	// Ends counts how this VM's attempts at the release ended.
+	Ends map[string]int64
+	// Sources is the number of VMs and data centres whose counts this VM has received.
+	Sources int
+}
+
+// Grounds returns what this VM knows about the release on trial.
+func (c *Canary) Grounds() Grounds {
+	sources := make(map[Observer]bool)
+	for _, count := range c.received {
+		sources[count.Observer] = true
+	}
+	return Grounds{
+		Trial: c.trialCounts, Others: c.baselineCounts,
+		FleetTrial: c.totalCounts(trialStep, c.trialCounts), FleetOthers: c.totalCounts(baselineStep, c.baselineCounts),
+		Compared: c.compared, Ends: maps.Clone(c.ends), Sources: len(sources),
+	}
+}
+
 // Age returns the time since the operator requested the rollout, and whether it was
 // measured on a VM's running clock.
 func (c *Canary) Age(now time.Time) (time.Duration, bool) {
--- a/rollout/slowness.go
+++ b/rollout/slowness.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -62,6 +63,14 @@
 	return slow
 }
 
+// canCompare reports whether any of the durations can be compared with the baseline.
+func (s *SlownessDetector) canCompare(times []Latency, now time.Time) bool {
+	return now.Sub(s.lastBaseline) < maxBaselineAge && slices.ContainsFunc(times, func(t Latency) bool {
+		stats, ok := s.statsByKind[t.Kind]
+		return ok && stats.n >= minBaselineSamples
+	})
+}
+
 // observeTime compares one duration of a response with the baseline
 // (durations of the other releases).
 // If the response is not of the release on trial, observeTime adds the duration to the baseline.
--- a/site/orders.go
+++ b/site/orders.go
@@ -107,9 +107,9 @@
 	err := s.opts.WriteRolloutStatus(ctx, o, v.State)
 	fields := []zap.Field{
 		zap.String("service", string(o.Service)), zap.String("release", o.Release), zap.String("state", string(v.State)),
-		zap.Stringer("revision", o.Revision), zap.Int64("trial_good", v.Canary.Good), zap.Int64("trial_bad", v.Canary.Bad),
-		zap.Int64("others_good", v.Others.Good), zap.Int64("others_bad", v.Others.Bad),
+		zap.Stringer("revision", o.Revision),
 	}
+	fields = append(fields, relay.GroundsFields(v.Grounds)...)
 	if err != nil {
 		s.log.Warn("order-note-failed", append(fields, logs.ErrorFields(err)...)...)
 		return
