--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -166,8 +166,8 @@
 		_, metricsPort, _ := net.SplitHostPort(vmAddresses[2])
 		v := &vm{name: fmt.Sprintf("vm%d", i), settingsPath: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", i)), readyAddress: vmAddresses[1], metricsAddress: "127.0.0.1:" + metricsPort}
 		ini := fmt.Sprintf("[vm]\nname = %s\ndata-centre = %s\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\nseeds = %s\nmetrics-port = %s\n\n"+
-			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = %v\nevacuation = %v\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\n",
-			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], links[i], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow)
+			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = %v\nevacuation = %v\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\ncanary-share = %v\n",
+			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], links[i], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow, exposureShare)
 		if err := os.WriteFile(v.settingsPath, []byte(ini), 0o600); err != nil {
 			return err
 		}
