rollout, relay: every attempt counts, and durations are ranked among those of the other releases

What callers saw: a release of which half of the answers were slow, or half of the connections closed without an answer, was completed and kept. Cause: what was not observed counted as good. An attempt counted only if its answer was whole or a 5xx; one that was given up for a larger model counted as good, whatever its times; an answer was slow only beyond three times and two deviations of 20 answers of its route and model at the same VM, which few VMs had; and a release was completed at a time, with no need of evidence. Change: a Canary follows each attempt from its send to its end, and slow ones count while they are under way. The time to the first answer (of a prompt: over what was expected of it) and the time between events are ranked among the latest of the other releases at the same VM. A rank needs no parameter of the distribution, so the VMs add up theirs, by stage of the rollout and by group of routes, and one likelihood ratio test (Berk and Jones) judges the sum, each later part of it and each group of routes. A release whose attempts mostly stay without an answer is not completed.

--- a/internal/soak/release.go
+++ b/internal/soak/release.go
@@ -61,11 +61,10 @@
 	orderedAt time.Time
 
 	// mu guards the fields below.
-	mu        sync.Mutex
-	replicas  map[string][]*replica.Replica // by release
-	arrivals  map[string][]time.Time        // by release
-	badAt     []time.Time
-	completed bool
+	mu       sync.Mutex
+	replicas map[string][]*replica.Replica // by release
+	arrivals map[string][]time.Time        // by release
+	badAt    []time.Time
 }
 
 // releaseLoad counts the requests sent after the deadline of the rollout.
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -116,13 +116,11 @@
 	case h.Status < http.StatusMultipleChoices && !h.Signed:
 		err = errUnsigned
 	case h.Status >= http.StatusInternalServerError:
-		r.observeRelease(j, a, true)
 		r.recordAttemptEnd(j, a.entry, upstream.Failed, took)
 		j.recordFailure(contract.OutcomeRan, true)
 		return nil
 	default:
-		a.addTime(j, timeToFirstAnswer, took)
-		r.observeRelease(j, a, false)
+		r.observeFirstAnswer(j)
 		r.observeLatency(j, took)
 		j.firstAnswerAt = r.opts.Now()
 		j.sends++
--- a/relay/latency.go
+++ b/relay/latency.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"time"
-
-	"woaddoor/rollout"
-)
+import "time"
 
 // latencyStats is a running estimate of the time to the first answer,
 // for one route and model or for all prompts.
@@ -80,35 +76,3 @@
 func (r *Relay) observeLatency(j *job, latency time.Duration) {
 	r.withLock(func() { r.latencyOf(j).observe(max(latency-j.pending.estimate.TimeToFirstToken(), 0)) })
 }
-
-// observeRelease passes an answer to the comparison between a canary release
-// and the other releases of the service.
-func (r *Relay) observeRelease(j *job, a *attempt, failed bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.canaries[a.entry.Service]
-	if c == nil {
-		return
-	}
-	answer := rollout.Response{OnTrial: a.entry.Release == c.Order().Release, Failed: failed, Times: a.times}
-	before, _ := c.LocalCounts()
-	if c.Observe(answer, r.opts.Now()) {
-		r.logBadRelease(c)
-		r.wakeVerdicts()
-	}
-	if after, _ := c.LocalCounts(); after.Bad > before.Bad && r.opts.OnBadAnswer != nil {
-		r.opts.OnBadAnswer()
-	}
-}
-
-// Kinds of times that are compared between a canary release and the other releases.
-const (
-	timeToFirstAnswer = "|first"
-	timePerEvent      = "|event"
-)
-
-// addTime adds a measured time of an attempt
-// to the comparison between a canary release and the other releases.
-func (a *attempt) addTime(j *job, kind string, d time.Duration) {
-	a.times = append(a.times, rollout.Latency{Kind: j.Route.Name + "|" + string(j.model) + kind, Seconds: d.Seconds()})
-}
--- a/relay/log.go
+++ b/relay/log.go
@@ -73,11 +73,8 @@
 // logAttemptEnd keeps the end of an attempt without a complete answer for the line
 // with which the request ends.
 func (j *job) logAttemptEnd(e upstream.Entry, result upstream.Result) {
-	switch {
-	case j.endedForSuccessor() && result != upstream.Abandoned: // an abandoned attempt was escalated
-		j.attempts = append(j.attempts, endedAttempt{e.ID, endSilent})
-	case result != upstream.Succeeded:
-		j.attempts = append(j.attempts, endedAttempt{e.ID, result.String()})
+	if result != upstream.Succeeded {
+		j.attempts = append(j.attempts, endedAttempt{e.ID, j.endText(result)})
 	}
 }
 
@@ -212,10 +209,12 @@
 	for _, how := range slices.Sorted(maps.Keys(g.Ends)) {
 		ends = append(ends, fmt.Sprintf("%s=%d", how, g.Ends[how]))
 	}
-	return []zap.Field{
-		zap.Int64("trial_good", g.Trial.Good), zap.Int64("trial_bad", g.Trial.Bad), zap.Int64("trial_compared", g.Compared),
-		zap.Int64("others_good", g.Others.Good), zap.Int64("others_bad", g.Others.Bad), zap.Strings("trial_ends", ends),
-		zap.Int64("fleet_trial_good", g.FleetTrial.Good), zap.Int64("fleet_trial_bad", g.FleetTrial.Bad),
-		zap.Int64("fleet_others_good", g.FleetOthers.Good), zap.Int64("fleet_others_bad", g.FleetOthers.Bad), zap.Int("sources", g.Sources),
+	fields := []zap.Field{zap.Strings("trial_ends", ends), zap.Int("trial_open", g.Open), zap.Int("sources", g.Sources)}
+	for prefix, counts := range map[string]rollout.GroundCounts{"": g.Own, "fleet_": g.Fleet} {
+		fields = append(fields,
+			zap.Int64(prefix+"trial_sent", counts.Sent), zap.Int64(prefix+"trial_good", counts.Trial.Good), zap.Int64(prefix+"trial_bad", counts.Trial.Bad),
+			zap.Int64(prefix+"others_good", counts.Others.Good), zap.Int64(prefix+"others_bad", counts.Others.Bad),
+			zap.Uint32s(prefix+"first_ranks", counts.Ranks[rollout.PhaseFirst][:]), zap.Uint32s(prefix+"event_ranks", counts.Ranks[rollout.PhaseEvent][:]))
 	}
+	return fields
 }
--- a/relay/models.go
+++ b/relay/models.go
@@ -279,8 +279,8 @@
 // recordEscalation switches the job to a larger model.
 func (r *Relay) recordEscalation(j *job, a *attempt, larger contract.ModelID) {
 	r.Metrics.escalations.Inc(1)
+	r.observeFirstAnswer(j)
 	r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
-	r.observeRelease(j, a, false)
 	j.sends++
 	j.outcome = contract.OutcomeRan
 	j.model, j.modelReason = larger, reasonEscalation
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -81,6 +81,7 @@
 	defer r.mu.Unlock()
 	var out []Verdict
 	for _, c := range r.canaries {
+		r.updateCanary(c, c.ObserveOpen)
 		if state, due := c.NextState(r.opts.Now()); due {
 			out = append(out, Verdict{c.Order(), state, c.Grounds()})
 		}
@@ -88,12 +89,11 @@
 	return out
 }
 
-// Evidence returns the evidence about canary releases (counts of good and bad answers)
-// that this VM reports to another VM.
-func (r *Relay) Evidence(to rollout.Recipient) rollout.Evidence {
+// Evidence returns the evidence about canary releases that this VM reports to another VM.
+func (r *Relay) Evidence(to rollout.Recipient) rollout.TrialEvidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var e rollout.Evidence
+	var e rollout.TrialEvidence
 	for _, c := range r.canaries {
 		e = append(e, c.Evidence(to, r.opts.Self, r.opts.DataCentre)...)
 	}
@@ -133,39 +133,25 @@
 	}
 }
 
-// MergeEvidence merges the evidence
-// of other VMs (counts of good and bad answers of canary releases).
-// MergeEvidence reports whether the number of known bad answers of canary releases has risen.
-func (r *Relay) MergeEvidence(e rollout.Evidence) (worse bool) {
+// MergeEvidence merges the evidence of other VMs about canary releases.
+// MergeEvidence reports whether more is known that speaks against a canary release.
+func (r *Relay) MergeEvidence(e rollout.TrialEvidence) (worse bool) {
 	if len(e) == 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.canaries {
-		before := c.TotalTrialCounts()
+		before := c.Harm()
 		if c.MergeEvidence(e, r.opts.Self, r.opts.DataCentre) {
 			r.logBadRelease(c)
 			r.wakeVerdicts()
 		}
-		worse = worse || c.TotalTrialCounts().Bad > before.Bad
+		worse = worse || c.Harm() > before
 	}
 	return worse
 }
 
-// recordTrialEnd counts how an attempt at a canary release ended. The caller holds mu.
-func (r *Relay) recordTrialEnd(j *job, e upstream.Entry, result upstream.Result) {
-	c := r.canaries[e.Service]
-	if c == nil || c.Order().Release != e.Release {
-		return
-	}
-	if j.endedForSuccessor() && result != upstream.Abandoned {
-		c.RecordEnd(endSilent)
-		return
-	}
-	c.RecordEnd(result.String())
-}
-
 // wakeVerdicts triggers an evaluation of the verdicts on rollout orders. The caller holds mu.
 func (r *Relay) wakeVerdicts() {
 	if r.opts.OnBadRelease != nil {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -67,6 +67,7 @@
 			j.release = r.entries[id].Release
 		}
 		j.lastUpstream, j.sentAt, j.upstreamSeen, j.answerBeganAt = r.entries[id], now, false, time.Time{}
+		r.beginTrialAttempt(j, now)
 		return j.lastUpstream, nil
 	}
 	return upstream.Entry{}, r.refuseNoUpstream(j, now)
@@ -158,7 +159,7 @@
 	j.logAttemptEnd(e, result)
 	r.withLock(func() {
 		r.endAttempt(j)
-		r.recordTrialEnd(j, e, result)
+		r.endTrialAttempt(j, e, result)
 		r.recordPromptDropped(j)
 		if r.isCurrent(e.ID, e.Incarnation) {
 			r.recordSlotUse(j, e, result, r.opts.Now())
--- a/relay/send.go
+++ b/relay/send.go
@@ -118,6 +118,8 @@
 	room upstream.RoomState
 	// running is set while the attempt is counted in Relay.running.
 	running bool
+	// trial follows the attempt if the service has a release rollout; nil otherwise.
+	trial *rollout.Attempt
 }
 
 // pendingPrompt is a prompt that was sent and whose answer has not begun.
@@ -137,7 +139,6 @@
 	answer    *exchange.Response
 	head      *ResponseHead
 	startedAt time.Time
-	times     []rollout.Latency
 	cancel    context.CancelFunc
 }
 
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -198,10 +198,6 @@
 	case err == nil:
 		r.recordAttemptEnd(j, a.entry, upstream.Succeeded, timeToFirst)
 		r.withLock(func() { r.table.RecordDecodeTime(r.opts.Now().Sub(j.firstAnswerAt)) })
-		if s.eventsForwarded >= minComparedEvents && j.failures == 0 {
-			a.addTime(j, timePerEvent, r.opts.Now().Sub(j.firstAnswerAt)/time.Duration(s.eventsForwarded))
-		}
-		r.observeRelease(j, a, false)
 		r.recordSurvival(j, a)
 		j.sends++
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
@@ -215,10 +211,6 @@
 	return err
 }
 
-// minComparedEvents is the smallest number of events of a stream
-// whose time per event is compared between releases.
-const minComparedEvents = 6
-
 // Bounds of the longest tolerated pause between two events of a stream,
 // as multiples of the route's target gap between events.
 // After a pause of that length the stream is late in any case.
@@ -299,8 +291,8 @@
 	if s.eventsForwarded == 0 {
 		s.job.firstAnswerAt = now
 		s.relay.observeLatency(s.job, now.Sub(a.startedAt))
-		a.addTime(s.job, timeToFirstAnswer, now.Sub(a.startedAt))
 	}
+	s.relay.observeEvents(s.job, n, now)
 	s.job.timing.recordEvents(a.entry.ID, s.eventsForwarded, now)
 	s.eventsForwarded += n
 	if s.sendHead(a.head) != nil || s.caller.SendEvents(events) != nil {
--- /dev/null
+++ b/relay/trials.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"time"
+
+	"woaddoor/rollout"
+	"woaddoor/upstream"
+)
+
+// beginTrialAttempt lets the canary of the job's service, if any, follow an attempt. The caller holds mu.
+func (r *Relay) beginTrialAttempt(j *job, now time.Time) {
+	j.trial = nil
+	c := r.canaries[j.lastUpstream.Service]
+	if c == nil || c.Order().State != rollout.OrderOpen {
+		return
+	}
+	start := rollout.AttemptStart{Release: j.lastUpstream.Release, Route: j.Route.Name, Incomparable: r.table.IsCold(j.lastUpstream.ID, now)}
+	if j.PromptTokens > 0 {
+		start.Model, start.Expected = string(j.model), j.pending.estimate.Nominal
+	}
+	j.trial = c.Begin(start, now)
+}
+
+// observeFirstAnswer records that the answer to the current attempt began, or that it is complete
+// if it is not a stream.
+func (r *Relay) observeFirstAnswer(j *job) {
+	r.observeTrial(j, func(a *rollout.Attempt, now time.Time) { a.First(now) })
+}
+
+// observeEvents records that events of a stream have arrived.
+func (r *Relay) observeEvents(j *job, events int, now time.Time) {
+	r.observeTrial(j, func(a *rollout.Attempt, _ time.Time) { a.Events(events, now) })
+}
+
+// observeTrial passes news of the current attempt to the canary that follows it.
+func (r *Relay) observeTrial(j *job, record func(*rollout.Attempt, time.Time)) {
+	if j.trial == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updateCanary(r.canaries[j.lastUpstream.Service], func(now time.Time) { record(j.trial, now) })
+}
+
+// endTrialAttempt tells the canary that follows an attempt how the attempt ended. The caller holds mu.
+func (r *Relay) endTrialAttempt(j *job, e upstream.Entry, result upstream.Result) {
+	c := r.canaries[e.Service]
+	if j.trial == nil || c == nil {
+		return
+	}
+	if c.Order().Release == e.Release {
+		c.RecordEnd(j.endText(result))
+	}
+	r.updateCanary(c, func(now time.Time) { j.trial.End(j.trialEnd(result), now) })
+}
+
+// endText returns how an attempt ended, for the log.
+func (j *job) endText(result upstream.Result) string {
+	if j.endedForSuccessor() && result != upstream.Abandoned { // an abandoned attempt was escalated
+		return endSilent
+	}
+	return result.String()
+}
+
+// trialEnd returns what the end of an attempt shows of its upstream's release.
+func (j *job) trialEnd(result upstream.Result) rollout.End {
+	switch {
+	case result == upstream.Succeeded:
+		return rollout.EndWhole
+	case j.endedForSuccessor(), result == upstream.Abandoned:
+		return rollout.EndCut
+	case result == upstream.Failed, result == upstream.Broken && j.upstreamSeen:
+		return rollout.EndFailed
+	case result == upstream.Broken:
+		return rollout.EndCut // upstreams close idle connections at any time
+	}
+	return rollout.EndNotRun
+}
+
+// updateCanary records news in a canary. If it speaks against the release, other VMs are told at once.
+// The caller holds mu.
+func (r *Relay) updateCanary(c *rollout.Canary, record func(now time.Time)) {
+	if c == nil {
+		return
+	}
+	before := c.OwnHarm()
+	record(r.opts.Now())
+	if c.OwnHarm() == before {
+		return
+	}
+	if c.Evaluate() {
+		r.logBadRelease(c)
+		r.wakeVerdicts()
+	}
+	if r.opts.OnBadAnswer != nil {
+		r.opts.OnBadAnswer()
+	}
+}
--- /dev/null
+++ b/rollout/assessment.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"math"
+
+	"woaddoor/config"
+)
+
+// Assessment is what the counters of all VMs show of a release on trial.
+type Assessment uint8
+
+// Assessments of a release on trial, from worst to best.
+const (
+	// AssessedBad means that the release must be rolled back now.
+	AssessedBad Assessment = iota
+	// AssessedSuspect means that the release is probably bad: it must not be completed.
+	AssessedSuspect
+	// AssessedUnknown means that the counters show too little.
+	AssessedUnknown
+	// AssessedGood means that the release is good, within the error bounds of the tests.
+	AssessedGood
+)
+
+// Parameters of the test of failures. A release is bad if its failure rate exceeds the acceptable
+// failure rate by badRateMargin. The acceptable failure rate is goodRateMargin above the
+// failure rate of the other releases. falseAlarmRate applies to the whole rollout.
+const (
+	badRateMargin  = 0.25
+	goodRateMargin = 0.03
+	falseAlarmRate = 0.001
+	missRate       = 0.001
+	maxGoodRate    = 0.6
+	// baselinePriorGood is the number of good responses that are assumed of the other releases.
+	baselinePriorGood = 20
+)
+
+// Parameters of the test of ranks: the likelihood ratio test of Berk and Jones (1979), with the bounds of the
+// rank buckets. A release that is not slower than tolerated has a share of at most x of its ranks below x. The
+// statistic is the largest log-likelihood ratio over the bounds, and the chance that it exceeds z is at
+// most the number of bounds times exp(-z).
+const (
+	goodRankStatistic = 2.0
+	// minRankExcess is the smallest excess over the share for which a release counts as slow, however many
+	// ranks there are.
+	minRankExcess = 0.15
+	// rankVariance is how much the variance of a share of ranks grows since ranks have reference durations
+	// in common.
+	rankVariance = 1 + ranksPerReference
+)
+
+// Bounds of the test of ranks. The false-alarm rate of the rollout is shared with the test of failures
+// and by the phases.
+var (
+	badRankStatistic     = math.Log(checkKinds * float64(phaseCount) * float64(rankBuckets-1) / falseAlarmRate)
+	suspectRankStatistic = 0.6 * badRankStatistic
+)
+
+// Numbers of answers that are needed to find a release good.
+const (
+	// minJudged is the number of responses of a release on trial that is enough to
+	// tell a good release from a release of which a third of the responses fail.
+	minJudged = 12
+	// minAnsweredPart is the part of the attempts that must have been answered or have failed.
+	minAnsweredPart = 0.5
+)
+
+// assess judges the counters of all VMs: the whole rollout, and each later part of it, since a release may turn
+// bad or fail only under load; all routes together, and each group of routes.
+func (c cells) assess() Assessment {
+	worst := c.sum(0, allGroups).assess(0)
+	for stage := uint8(0); stage < stageCount; stage++ {
+		for group := range uint8(allGroups + 1) {
+			if stage == 0 && group == allGroups {
+				continue // assessed above
+			}
+			part := c.sum(stage, group).assess(math.Log(stageCount * (routeGroups + 1)))
+			if part < AssessedUnknown { // a part with few answers shows nothing
+				worst = min(worst, part)
+			}
+		}
+	}
+	return worst
+}
+
+// allGroups stands for all groups of routes.
+const allGroups = routeGroups
+
+// sum adds up the counters from a stage on, of one group of routes or of all.
+func (c cells) sum(from, group uint8) partCounts {
+	var sum partCounts
+	for key, counts := range c {
+		if key.stage < from || group != allGroups && key.group != group {
+			continue
+		}
+		for i, n := range counts {
+			sum[i] += n
+		}
+	}
+	return sum
+}
+
+// partCounts are the counters of a part of a rollout.
+type partCounts [cellCounters]uint32
+
+// trial returns the responses of the release on trial, others those of the other releases.
+func (p partCounts) trial() Counts {
+	return Counts{Good: int64(p[countGood]), Bad: int64(p[countBad])}
+}
+
+func (p partCounts) others() Counts {
+	return Counts{Good: int64(p[countOthersGood]), Bad: int64(p[countOthersBad])}
+}
+
+// unanswered returns the share of the attempts at the release whose answer has not begun and that have not failed.
+func (p partCounts) unanswered() float64 {
+	ran := float64(p[countSent]) - float64(p[countNotRun])
+	if ran < minJudged {
+		return 0
+	}
+	return 1 - float64(p[countAnswered])/ran
+}
+
+// assess judges the counters of a part. The parameter margin raises the bounds of the tests,
+// for parts of which there are many.
+func (p partCounts) assess(margin float64) Assessment {
+	return min(p.assessFailures(margin), p.assessRanks(PhaseFirst, margin), p.assessRanks(PhaseEvent, margin))
+}
+
+// assessFailures tests the failure rate of the release.
+func (p partCounts) assessFailures(margin float64) Assessment {
+	others := p.others()
+	rate := float64(others.Bad) / float64(others.Bad+others.Good+baselinePriorGood)
+	good := min(rate+goodRateMargin, maxGoodRate)
+	test := NewSequentialTest(&config.Rollout{
+		GoodRate: good, BadRate: min(good+badRateMargin, 0.95), FalseAlarmProbability: falseAlarmRate, MissProbability: missRate,
+	})
+	ratio := test.logLikelihoodRatio(p.trial())
+	switch {
+	case ratio >= test.haltBound+margin:
+		return AssessedBad
+	case ratio >= suspectFraction*test.haltBound+margin:
+		return AssessedSuspect
+	case ratio <= test.passBound:
+		return AssessedGood
+	}
+	return AssessedUnknown
+}
+
+// assessRanks tests whether the release is slow in a phase. Too few ranks show nothing.
+func (p partCounts) assessRanks(phase Phase, margin float64) Assessment {
+	n, statistic := p.rankStatistic(phase)
+	switch {
+	case statistic >= badRankStatistic+margin:
+		return AssessedBad
+	case statistic >= suspectRankStatistic+margin:
+		return AssessedSuspect
+	case phase == PhaseFirst && n < minJudged, statistic >= goodRankStatistic:
+		return AssessedUnknown
+	}
+	return AssessedGood
+}
+
+// rankStatistic returns the number of ranks in a phase, and the largest log-likelihood ratio of the shares of
+// ranks below the bounds.
+func (p partCounts) rankStatistic(phase Phase) (n, statistic float64) {
+	first := countRank(phase, 0)
+	for i := range rankBuckets {
+		n += float64(p[first+i])
+	}
+	below := 0.0
+	for i, bound := range rankBounds[:rankBuckets-1] {
+		below += float64(p[first+i])
+		if share := below / max(n, 1); share >= bound+minRankExcess {
+			statistic = max(statistic, n/rankVariance*divergence(share, bound))
+		}
+	}
+	return n, statistic
+}
+
+// divergence returns the Kullback-Leibler divergence of a share of p from a share of q, in nats.
+func divergence(p, q float64) float64 {
+	d := p * math.Log(p/q)
+	if p < 1 {
+		d += (1 - p) * math.Log((1-p)/(1-q))
+	}
+	return d
+}
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"woaddoor/config"
 	"woaddoor/contract"
 )
 
@@ -16,58 +15,40 @@
 // the rollout and the session key, so all VMs send a session to the same release without
 // coordination. A Canary does no I/O and is not safe for concurrent use.
 type Canary struct {
-	order      ReleaseOrder
-	testParams config.Rollout
-	alarm      *CUSUMAlarm
-	slowness   *SlownessDetector
-	// stages and completeAt are the schedule of the rollout.
-	stages     []stage
-	completeAt float64
+	order ReleaseOrder
+	plan  plan
 	// ageKnown is true if the rollout's age was measured on a VM's running clock: this VM saw
 	// the rollout before the rollout's start was stored, or received the age from such a VM.
 	ageKnown bool
 	// joinedLate is true if this VM first saw the rollout after the trial had started.
 	// ageReceived is true once a VM that knows the rollout's age has sent it.
 	joinedLate, ageReceived bool
-	// trialCounts counts the responses that this VM has seen from the release on trial.
-	// baselineCounts counts the responses that this VM has seen from the other releases,
-	// and gives the service's usual failure rate.
-	trialCounts, baselineCounts Counts
-	// received holds the counts of other VMs.
-	received Evidence
-	// ends counts how this VM's attempts at the release on trial ended. compared is the number of this
-	// VM's trial responses that were compared with responses of other releases.
-	ends       map[string]int64
-	compared   int64
-	dataCentre contract.DataCentreID // data centre of this VM; empty until the first evidence is received
-	bad        bool                  // whether the release counts as bad
+	// reference holds durations of the other releases that this VM has measured.
+	reference *reference
+	// open holds the attempts at the release on trial that are under way.
+	open map[*Attempt]bool
+	// own holds what this VM has counted, and received what other VMs have.
+	own      cells
+	received map[Observer]cells
+	// dataCentre is the data centre of this VM; empty until the first evidence is received.
+	dataCentre contract.DataCentreID
+	bad        bool // whether the release counts as bad
 	// rewrite is set if the store has lost the final state of the order,
 	// so that the state must be written again.
 	rewrite bool
+	// ends counts how this VM's attempts at the release on trial ended.
+	ends map[string]int64
 }
 
-// Parameters of the statistical test. A release is bad if its failure rate exceeds the acceptable
-// failure rate by badRateMargin. The acceptable failure rate is goodRateMargin above the
-// failure rate of the other releases. falseAlarmRate applies to the whole rollout.
-const (
-	badRateMargin  = 0.25
-	goodRateMargin = 0.03
-	falseAlarmRate = 0.001
-	missRate       = 0.001
-	maxGoodRate    = 0.6
-)
-
 // NewCanary returns the canary of a release rollout that this VM sees for the first time at now.
 // The parameter share is the largest fraction of the service's requests that a bad release
 // may get over the whole rollout.
 func NewCanary(order ReleaseOrder, share float64, now time.Time) *Canary {
-	c := &Canary{order: order, ageKnown: order.StartedAt.IsZero()}
-	c.stages, c.completeAt = planStages(share)
+	c := &Canary{
+		order: order, plan: newPlan(share), ageKnown: order.StartedAt.IsZero(), reference: newReference(),
+		open: make(map[*Attempt]bool), own: make(cells), received: make(map[Observer]cells), ends: make(map[string]int64),
+	}
 	c.joinedLate = c.elapsedFraction(now) > trialStart
-	c.testParams = config.Rollout{GoodRate: goodRateMargin, BadRate: goodRateMargin + badRateMargin, FalseAlarmProbability: falseAlarmRate, MissProbability: missRate}
-	c.alarm = NewCUSUMAlarm(&c.testParams, 1)
-	c.slowness = NewSlownessDetector()
-	c.ends = make(map[string]int64)
 	return c
 }
 
@@ -106,21 +87,15 @@
 	case c.order.State == OrderRolledBack || c.bad:
 		return 0
 	}
-	share := 0.0
-	for _, s := range c.stages {
-		if c.elapsedFraction(now) >= s.start {
-			share = s.share
-		}
-	}
-	if c.lacksTrialResults() {
-		return min(share, c.stages[0].share)
+	share := c.plan.shareAt(c.elapsedFraction(now))
+	if c.lacksTrialResults() || c.isUndecided(now) {
+		return min(share, c.plan.trialShare())
 	}
 	return share
 }
 
-// minTrialResponses is the number of responses of a release on trial that is enough to
-// tell a good release from a release of which a third of the responses fail.
-const minTrialResponses = 12
+// stage returns the stage of the rollout at now, by which evidence is counted.
+func (c *Canary) stage(now time.Time) uint8 { return c.plan.stageAt(c.elapsedFraction(now)) }
 
 // lacksTrialResults reports whether this VM joined late and has not yet learned how the trial went.
 func (c *Canary) lacksTrialResults() bool {
@@ -128,7 +103,7 @@
 		return false
 	}
 	totals := c.trialTotals()
-	return totals.Good+totals.Bad < minTrialResponses
+	return totals.Good+totals.Bad < minJudged
 }
 
 // UsesRelease reports whether a request of a session goes to the release on trial.
@@ -152,38 +127,13 @@
 	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
-// Response is the outcome of a response of a service that has an open release rollout.
-type Response struct {
-	// OnTrial is true for a response of the release on trial.
-	OnTrial bool
-	// Failed is true if the upstream itself failed the request.
-	Failed bool
-	Times  []Latency
-}
-
-// Observe records a response. A response counts as bad if it failed or took much longer than the
-// responses of the other releases. Observe returns true if this response makes
-// the release count as bad.
-func (c *Canary) Observe(a Response, now time.Time) bool {
-	if a.OnTrial && c.slowness.canCompare(a.Times, now) {
-		c.compared++
-	}
-	slow := c.slowness.Observe(a.OnTrial, a.Times, now)
-	tally := &c.baselineCounts
-	if a.OnTrial {
-		tally = &c.trialCounts
-	}
-	if a.Failed || slow {
-		tally.Bad++
-	} else {
-		tally.Good++
-	}
-	if !a.OnTrial || c.bad || c.order.State != OrderOpen {
+// Evaluate judges the release by what is known of it, and reports whether the release counts as bad
+// from now on.
+func (c *Canary) Evaluate() bool {
+	if c.bad || c.order.State != OrderOpen {
 		return false
 	}
-	totalsBad := c.totalsAreBad()
-	c.alarm.test = NewSequentialTest(&c.testParams)
-	c.bad = c.alarm.Observe(a.Failed || slow) || totalsBad
+	c.bad = c.totals().assess() == AssessedBad
 	return c.bad
 }
 
@@ -192,30 +142,47 @@
 
 // Grounds is what a VM knows about a release on trial when it decides.
 type Grounds struct {
-	// Trial and Others count the responses that this VM has observed, FleetTrial and FleetOthers
-	// those that all VMs have, as far as this VM knows.
-	Trial, Others, FleetTrial, FleetOthers Counts
-	// Compared is the number of this VM's trial responses that could be compared with others.
-	Compared int64
+	// Own is what this VM has counted, Fleet what all VMs have, as far as this VM knows.
+	Own, Fleet GroundCounts
 	// Ends counts how this VM's attempts at the release ended.
 	Ends map[string]int64
+	// Open is the number of this VM's attempts at the release that are under way.
+	Open int
 	// Sources is the number of VMs and data centres whose counts this VM has received.
 	Sources int
 }
 
+// GroundCounts are counts of attempts and of ranks.
+type GroundCounts struct {
+	// Sent counts attempts at the release on trial, Trial and Others answers of the release and of others.
+	Sent          int64
+	Trial, Others Counts
+	// Ranks counts the release's durations by phase and rank among those of the other releases, the slowest first.
+	Ranks [phaseCount][rankBuckets]uint32
+}
+
+// groundCounts returns the counts of a part of a rollout.
+func (p partCounts) groundCounts() GroundCounts {
+	g := GroundCounts{Sent: int64(p[countSent]), Trial: p.trial(), Others: p.others()}
+	for phase := range phaseCount {
+		copy(g.Ranks[phase][:], p[countRank(phase, 0):])
+	}
+	return g
+}
+
 // Grounds returns what this VM knows about the release on trial.
 func (c *Canary) Grounds() Grounds {
-	sources := make(map[Observer]bool)
-	for _, count := range c.received {
-		sources[count.Observer] = true
-	}
 	return Grounds{
-		Trial: c.trialCounts, Others: c.baselineCounts,
-		FleetTrial: c.totalCounts(trialStep, c.trialCounts), FleetOthers: c.totalCounts(baselineStep, c.baselineCounts),
-		Compared: c.compared, Ends: maps.Clone(c.ends), Sources: len(sources),
+		Own: c.own.sum(0, allGroups).groundCounts(), Fleet: c.totals().sum(0, allGroups).groundCounts(),
+		Ends: maps.Clone(c.ends), Open: len(c.open), Sources: len(c.received),
 	}
 }
 
+// Harm returns how much of what is known speaks against the release. It never falls.
+// OwnHarm is the part of it that this VM has counted.
+func (c *Canary) Harm() uint32    { return c.totals().harm() }
+func (c *Canary) OwnHarm() uint32 { return c.own.harm() }
+
 // Age returns the time since the operator requested the rollout, and whether it was
 // measured on a VM's running clock.
 func (c *Canary) Age(now time.Time) (time.Duration, bool) {
@@ -233,31 +200,35 @@
 	}
 }
 
-// totalsAreBad reports whether the counts of all VMs together fail the sequential test.
-func (c *Canary) totalsAreBad() bool {
-	return NewSequentialTest(&c.testParams).Evaluate(c.trialTotals()) == Bad
-}
-
 // IsSuspect reports whether the release is probably bad. A request that failed at a
 // suspect release should be retried at another release.
 func (c *Canary) IsSuspect() bool {
-	return c.order.State == OrderOpen && (c.bad || NewSequentialTest(&c.testParams).Suspects(c.trialTotals()))
+	return c.order.State == OrderOpen && (c.bad || c.totals().assess() <= AssessedSuspect)
 }
 
-// baselinePriorGood is the number of good responses that are assumed at the start
-// for the other releases, when their failure rate is computed.
-const baselinePriorGood = 20
+// trialTotals returns the answers of the release on trial that all VMs have counted.
+func (c *Canary) trialTotals() Counts { return c.totals().sum(0, allGroups).trial() }
 
-// updateGoodRate sets the acceptable failure rate from the failure rate of the other releases.
-func (c *Canary) updateGoodRate(baseline Counts) {
-	rate := float64(baseline.Bad) / float64(baseline.Bad+baseline.Good+baselinePriorGood)
-	c.testParams.GoodRate = min(rate+goodRateMargin, maxGoodRate)
-	c.testParams.BadRate = min(c.testParams.GoodRate+badRateMargin, 0.95)
+// isUndecided reports whether the time for the decision has passed although most attempts at the release
+// have neither an answer nor a failure. Such a release must not be completed.
+func (c *Canary) isUndecided(now time.Time) bool {
+	return c.elapsedFraction(now) >= c.plan.decideBy && c.totals().sum(0, allGroups).unanswered() > 1-minAnsweredPart
+}
+
+// hasTraffic reports whether the release has been sent enough requests that waiting for answers can tell more.
+func (c *Canary) hasTraffic() bool { return c.totals().sum(0, allGroups)[countSent] >= minJudged }
+
+// isProven reports whether the release has been found good, also while it got all requests.
+func (c *Canary) isProven() bool {
+	totals := c.totals()
+	full := totals.sum(fullStage, allGroups).trial()
+	return full.Good+full.Bad >= minJudged && totals.assess() == AssessedGood
 }
 
 // NextState returns the state to store for the rollout, and whether that state has to be stored
 // now. The state is OrderOpen when the rollout has just started, or the rollout's final state.
 func (c *Canary) NextState(now time.Time) (OrderState, bool) {
+	elapsed := c.elapsedFraction(now)
 	switch {
 	case c.order.State != OrderOpen:
 		return c.order.State, c.rewrite
@@ -265,12 +236,16 @@
 		return OrderRolledBack, true
 	case c.lacksTrialResults():
 		return OrderOpen, false
-	case c.elapsedFraction(now) >= c.completeAt && c.IsSuspect():
+	case elapsed < c.plan.completeAt:
+		return OrderOpen, c.order.StartedAt.IsZero()
+	case c.IsSuspect():
 		// A service with few requests gives too few responses to reject the release before its
 		// completion. After the completion there is no other release to go back to.
 		return OrderRolledBack, true
-	case c.elapsedFraction(now) >= c.completeAt:
+	case c.isProven(), !c.hasTraffic():
+		return OrderCompleted, true
+	case elapsed >= c.plan.decideBy && !c.isUndecided(now):
 		return OrderCompleted, true
 	}
-	return OrderOpen, c.order.StartedAt.IsZero()
+	return OrderOpen, false
 }
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -12,6 +12,38 @@
 	"woaddoor/contract"
 )
 
+// Response is an answer of the service with a rollout.
+type Response struct {
+	OnTrial bool
+	// Failed is true if the upstream itself failed the request.
+	Failed bool
+	// Times holds the time until the answer, if it is to be compared.
+	Times []time.Duration
+}
+
+// observe records an answer and returns whether it makes the release count as bad.
+func observe(c *Canary, r Response, now time.Time) bool {
+	start := AttemptStart{Release: "v1", Route: "r", Incomparable: len(r.Times) == 0}
+	if r.OnTrial {
+		start.Release = c.order.Release
+	}
+	sentAt, end := now, EndWhole
+	if len(r.Times) > 0 {
+		sentAt = now.Add(-r.Times[0])
+	}
+	if r.Failed {
+		end = EndFailed
+	}
+	a := c.Begin(start, sentAt)
+	if !r.Failed {
+		a.First(now)
+	}
+	a.End(end, now)
+	return c.Evaluate()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // testOrder returns a release rollout of 24 seconds.
 func testOrder() ReleaseOrder {
 	return ReleaseOrder{Service: "s", Release: "v2", IssuedAt: time.Unix(1000, 0), Duration: 24 * time.Second}
@@ -96,7 +128,7 @@
 		c := canaries[r.IntN(vms)]
 		onTrial := c.UsesRelease(r.Uint64(), now)
 		failed := onTrial && r.Float64() < failureRate(c.elapsedFraction(now), c.Share(now))
-		c.Observe(Response{OnTrial: onTrial, Failed: failed}, now)
+		observe(c, Response{OnTrial: onTrial, Failed: failed}, now)
 		if onTrial {
 			sent++
 		}
@@ -117,7 +149,7 @@
 	for range runs {
 		c := NewCanary(testOrder(), 0.15, testOrder().IssuedAt)
 		for i := range 1200 {
-			if c.Observe(Response{OnTrial: i%10 == 0 || i > 900, Failed: r.Float64() < 0.14}, time.Unix(0, 0)) {
+			if observe(c, Response{OnTrial: i%10 == 0 || i > 900, Failed: r.Float64() < 0.14}, time.Unix(0, 0)) {
 				halted++
 			}
 		}
@@ -134,8 +166,8 @@
 	rejectedAt := func(factor, share, logStdDev float64) (at int) {
 		c := NewCanary(testOrder(), 0.15, testOrder().IssuedAt)
 		now := time.Unix(0, 0)
-		latencies := func(factor float64) []Latency {
-			return []Latency{{"first", 0.08 * factor * math.Exp(logStdDev*r.NormFloat64())}}
+		latencies := func(factor float64) []time.Duration {
+			return []time.Duration{seconds(0.08 * factor * math.Exp(logStdDev*r.NormFloat64()))}
 		}
 		for i := range 900 {
 			now = now.Add(20 * time.Millisecond)
@@ -144,8 +176,8 @@
 				responseFactor = factor
 			}
 			if i%3 > 0 {
-				c.Observe(Response{Times: latencies(1)}, now)
-			} else if c.Observe(Response{OnTrial: true, Times: latencies(responseFactor)}, now) {
+				observe(c, Response{Times: latencies(1)}, now)
+			} else if observe(c, Response{OnTrial: true, Times: latencies(responseFactor)}, now) {
 				return i / 3
 			}
 		}
@@ -223,11 +255,11 @@
 		for range vms {
 			canaries = append(canaries, NewCanary(testOrder(), 0.15, testOrder().IssuedAt))
 		}
-		var late Evidence
+		var late TrialEvidence
 		for n := 1; ; n++ {
 			sender := n % vms
 			self := Observer{VM: contract.VMID(rune('a' + sender))}
-			if canaries[sender].Observe(Response{OnTrial: true, Failed: r.Float64() < 0.34}, time.Unix(0, 0)) {
+			if observe(canaries[sender], Response{OnTrial: true, Failed: r.Float64() < 0.34}, time.Unix(0, 0)) {
 				return n
 			}
 			if share {
@@ -265,7 +297,7 @@
 	}
 	for _, m := range vms {
 		for range 5 {
-			m.canary.Observe(Response{OnTrial: true}, time.Unix(0, 0))
+			observe(m.canary, Response{OnTrial: true}, time.Unix(0, 0))
 		}
 	}
 	mostEntries := 0
@@ -302,7 +334,7 @@
 		for i := range n {
 			m := member{NewCanary(testOrder(), 0.15, testOrder().IssuedAt), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc}
 			for range 5 {
-				m.canary.Observe(Response{OnTrial: true}, time.Unix(0, 0))
+				observe(m.canary, Response{OnTrial: true}, time.Unix(0, 0))
 			}
 			out = append(out, m)
 		}
@@ -338,10 +370,10 @@
 		o := testOrder()
 		c := NewCanary(o, 0.15, testOrder().IssuedAt)
 		for i := range 60 {
-			c.Observe(Response{Failed: i%14 == 0}, o.IssuedAt)
+			observe(c, Response{Failed: i%14 == 0}, o.IssuedAt)
 		}
 		for i := range 13 {
-			c.Observe(Response{OnTrial: true, Failed: i%13 < bad && i%2 == 0}, o.IssuedAt)
+			observe(c, Response{OnTrial: true, Failed: i%13 < bad && i%2 == 0}, o.IssuedAt)
 		}
 		is.True(!c.bad)
 		state, due := c.NextState(o.IssuedAt.Add(o.Duration))
@@ -373,7 +405,7 @@
 	self := Observer{VM: "self", Incarnation: 1}
 	observer := NewCanary(o, 0.15, o.IssuedAt)
 	for range 6 {
-		observer.Observe(Response{OnTrial: true, Failed: true}, now)
+		observe(observer, Response{OnTrial: true, Failed: true}, now)
 	}
 	c.MergeEvidence(observer.Evidence(RecipientLocal, other, "d"), self, "d")
 	state, due := c.NextState(now)
@@ -387,8 +419,8 @@
 	is.Equal(state, OrderCompleted)
 
 	c = lateCanary()
-	for range minTrialResponses {
-		c.Observe(Response{OnTrial: true}, now)
+	for range minJudged {
+		observe(c, Response{OnTrial: true}, now)
 	}
 	state, due = c.NextState(now)
 	is.True(due)
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -48,31 +48,72 @@
 	// plannedFraction is the fraction of the allowed share of requests that the stages use.
 	// The rest covers VMs that see the rollout at different times, and rising traffic.
 	plannedFraction = 0.93
-	// Fractions of the planned share of requests for the trial, the two steps and the final stage.
-	trialFraction, stepsFraction, finalFraction = 0.2, 0.1, 0.7
+	// Fractions of the planned share of requests for the trial, the two steps, the final stage until the
+	// rollout may be completed, and the time after that, which leaves time to store the outcome.
+	trialFraction, firstStepFraction, secondStepFraction, fullFraction, storeFraction = 0.16, 0.1, 0.13, 0.17, 0.44
 	// maxTrialShare limits the fraction of sessions in the trial.
 	maxTrialShare = 0.10
 	// firstStepShare and secondStepShare are the fractions of sessions that use the release
 	// in the two steps between the trial and the final stage.
 	firstStepShare, secondStepShare = 0.25, 0.5
-	// completionFraction is the fraction of the final stage after which the rollout is marked
-	// completed. Requests at the other releases end before that moment.
-	// The rest of the final stage leaves time to store the outcome.
-	completionFraction = 0.2
+	// decideFraction is the fraction of the time after the rollout may be completed in which the VMs wait for
+	// evidence that the release is good.
+	decideFraction = 0.5
 )
 
 // stage is a part of a release rollout. The stage begins at start, a fraction of the rollout's
 // duration. From the start on, share is the fraction of the sessions that use the release.
 type stage struct{ start, share float64 }
 
-// planStages returns the stages of a release rollout, and the fraction of the rollout's duration
-// at which the rollout is completed. The parameter share is the largest fraction of the service's
-// requests that the release may get.
-func planStages(share float64) (stages []stage, completion float64) {
-	finalLength := finalFraction * plannedFraction * share
-	stepLength := stepsFraction * plannedFraction * share / (firstStepShare + secondStepShare)
-	finalStart := 1 - finalLength
-	firstStepStart := finalStart - 2*stepLength
-	trialShare := min(trialFraction*plannedFraction*share/(firstStepStart-trialStart), maxTrialShare)
-	return []stage{{trialStart, trialShare}, {firstStepStart, firstStepShare}, {finalStart - stepLength, secondStepShare}, {finalStart, 1}}, finalStart + completionFraction*finalLength
+// plan is the schedule of a release rollout, in fractions of its duration.
+type plan struct {
+	stages [stageCount]stage
+	// completeAt is when the rollout is completed if the release has been found good.
+	// decideBy is when it is completed if nothing speaks against the release.
+	completeAt, decideBy float64
 }
+
+// stageCount is the number of stages: the parts of the trial, two steps and the final stage.
+const (
+	trialStages = 3
+	fullStage   = trialStages + 2
+	stageCount  = fullStage + 1
+)
+
+// newPlan returns the schedule of a release rollout. The parameter share is the largest fraction of the
+// service's requests that the release may get.
+func newPlan(share float64) plan {
+	planned := plannedFraction * share
+	p := plan{completeAt: 1 - storeFraction*planned}
+	p.decideBy = p.completeAt + decideFraction*(1-p.completeAt)
+	fullStart := p.completeAt - fullFraction*planned
+	secondStart := fullStart - secondStepFraction*planned/secondStepShare
+	firstStart := secondStart - firstStepFraction*planned/firstStepShare
+	trialShare := min(trialFraction*planned/(firstStart-trialStart), maxTrialShare)
+	for i := range trialStages {
+		p.stages[i] = stage{trialStart + float64(i)*(firstStart-trialStart)/trialStages, trialShare}
+	}
+	copy(p.stages[trialStages:], []stage{{firstStart, firstStepShare}, {secondStart, secondStepShare}, {fullStart, 1}})
+	return p
+}
+
+// shareAt returns the fraction of the sessions that use the release.
+func (p plan) shareAt(elapsed float64) float64 {
+	if elapsed < p.stages[0].start {
+		return 0
+	}
+	return p.stages[p.stageAt(elapsed)].share
+}
+
+// stageAt returns the stage that has begun last, or the first.
+func (p plan) stageAt(elapsed float64) (index uint8) {
+	for i, s := range p.stages {
+		if elapsed >= s.start {
+			index = uint8(i)
+		}
+	}
+	return index
+}
+
+// trialShare returns the fraction of the sessions that use the release in the trial.
+func (p plan) trialShare() float64 { return p.stages[0].share }
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -26,8 +26,9 @@
 	// Members are other live VMs. gossipFor selects these VMs for the recipient.
 	Members []vm.Member  `cbor:"2,keyasint,omitempty"`
 	Kinds   []KindStatus `cbor:"3,keyasint"`
-	// Evidence holds the sender's counts of good and bad responses of the releases on trial.
-	Evidence rollout.Evidence `cbor:"4,keyasint,omitempty"`
+	// Evidence holds what the sender knows of the releases on trial. VMs of an earlier release of woaddoor
+	// sent other counts under key 4.
+	Evidence rollout.TrialEvidence `cbor:"21,keyasint,omitempty"`
 	// OrderAges are the ages of the rollout orders by the sender's clock.
 	OrderAges []relay.OrderAge `cbor:"5,keyasint,omitempty"`
 	// FromLeaf means that the sender uses the recipient as its hub
--- a/site/peers.go
+++ b/site/peers.go
@@ -210,8 +210,8 @@
 // counts of good and bad responses of releases on trial,
 // request contents that crash upstreams, and observations of upstreams.
 type relayExchange interface {
-	Evidence(to rollout.Recipient) rollout.Evidence
-	MergeEvidence(e rollout.Evidence) (worse bool)
+	Evidence(to rollout.Recipient) rollout.TrialEvidence
+	MergeEvidence(e rollout.TrialEvidence) (worse bool)
 	OrderAges() []relay.OrderAge
 	MergeOrderAges(ages []relay.OrderAge)
 	Suspects() []quarantine.Update
--- a/site/reports_test.go
+++ b/site/reports_test.go
@@ -49,12 +49,12 @@
 	}
 }
 
-func (*recordingRelay) Evidence(rollout.Recipient) rollout.Evidence { return nil }
-func (*recordingRelay) MergeEvidence(rollout.Evidence) bool         { return false }
-func (*recordingRelay) OrderAges() []relay.OrderAge                 { return nil }
-func (*recordingRelay) MergeOrderAges([]relay.OrderAge)             {}
-func (*recordingRelay) Suspects() []quarantine.Update               { return nil }
-func (r *recordingRelay) MergeSent(sent []relay.SentPrompt)         { sendNonEmpty(r.sent, sent) }
+func (*recordingRelay) Evidence(rollout.Recipient) rollout.TrialEvidence { return nil }
+func (*recordingRelay) MergeEvidence(rollout.TrialEvidence) bool         { return false }
+func (*recordingRelay) OrderAges() []relay.OrderAge                      { return nil }
+func (*recordingRelay) MergeOrderAges([]relay.OrderAge)                  {}
+func (*recordingRelay) Suspects() []quarantine.Update                    { return nil }
+func (r *recordingRelay) MergeSent(sent []relay.SentPrompt)              { sendNonEmpty(r.sent, sent) }
 func (r *recordingRelay) MergeConfidence(reports []relay.ConfidenceReport) {
 	sendNonEmpty(r.confidence, reports)
 }
--- a/upstream/cold.go
+++ b/upstream/cold.go
@@ -235,6 +235,12 @@
 	c.sentAt = append(c.sentAt[:c.recentSends(now)], now)
 }
 
+// IsCold reports whether an upstream is assumed to be cold.
+func (t *Table) IsCold(id contract.UpstreamID, now time.Time) bool {
+	s, ok := t.states[id]
+	return ok && now.Before(s.cold.until)
+}
+
 // CountCold returns how many upstreams are assumed to be cold.
 func (t *Table) CountCold(now time.Time) int {
 	n := 0
--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -68,6 +68,8 @@
 	// Wait is the time until the prefill of the prompt starts.
 	// Prefill is the duration of the prefill.
 	Wait, Prefill time.Duration
+	// Nominal is the time to the first token at an upstream of ordinary pace and health.
+	Nominal time.Duration
 	// CachedTokens is the number of prompt tokens that are cached and need no prefill.
 	CachedTokens int
 	// Tokens is the size of the prefill: the tokens that are not cached or, if the upstream states
@@ -108,6 +110,7 @@
 		e.Tokens = prefill.EquivalentTokens(e.Tokens, cached)
 	}
 	e.Prefill = t.prefillRates.PrefillTime(w.Prompt.Model, e.Tokens)
+	e.Nominal = e.Wait + e.Prefill + prefill.BaseLatency
 	e.Wait = time.Duration(slowness * float64(e.Wait+t.slotWait(s)))
 	e.Prefill = time.Duration(slowness * pace * float64(e.Prefill))
 	e.PauseCost = t.pauseCost(s, w, e)
