--- a/rollout/assessment.go
+++ b/rollout/assessment.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"woaddoor/config"
 )
@@ -40,18 +41,16 @@
 // most the number of bounds times exp(-z).
 const (
 	goodRankStatistic = 2.0
+	// slownessFalseAlarmRate is the chance, over the whole rollout, that a release that is not slow counts as slow.
+	slownessFalseAlarmRate = 0.002
 	// minRankExcess is the smallest excess over the share for which a release counts as slow, however many
 	// ranks there are.
 	minRankExcess = 0.15
-	// rankVariance is how much the variance of a share of ranks grows since ranks have reference durations
-	// in common.
-	rankVariance = 1 + ranksPerReference
 )
 
-// Bounds of the test of ranks. The false-alarm rate of the rollout is shared with the test of failures
-// and by the phases.
+// Bounds of the test of ranks. The phases share slownessFalseAlarmRate.
 var (
-	badRankStatistic     = math.Log(checkKinds * float64(phaseCount) * float64(rankBuckets-1) / falseAlarmRate)
+	badRankStatistic     = math.Log(float64(phaseCount) * float64(rankBuckets-1) / slownessFalseAlarmRate)
 	suspectRankStatistic = 0.6 * badRankStatistic
 )
 
@@ -68,13 +67,17 @@
 // bad or fail only under load; all routes together, and each group of routes.
 func (c cells) assess() Assessment {
 	worst := c.sum(0, allGroups).assess(0)
-	for stage := uint8(0); stage < stageCount; stage++ {
-		for group := range uint8(allGroups + 1) {
-			if stage == 0 && group == allGroups {
-				continue // assessed above
+	stages, groups := c.trialParts()
+	for i, stage := range stages {
+		for _, group := range append(groups, allGroups) {
+			margin := 0.0
+			if i > 0 {
+				margin += math.Log(float64(len(stages)))
 			}
-			part := c.sum(stage, group).assess(math.Log(stageCount * (routeGroups + 1)))
-			if part < AssessedUnknown { // a part with few answers shows nothing
+			if group != allGroups {
+				margin += math.Log(float64(len(groups)))
+			}
+			if part := c.sum(stage, group).assess(margin); part < AssessedUnknown { // a part with few answers shows nothing
 				worst = min(worst, part)
 			}
 		}
@@ -82,6 +85,24 @@
 	return worst
 }
 
+// trialParts returns the stages and the groups of routes in which attempts at the release were sent.
+func (c cells) trialParts() (stages, groups []uint8) {
+	for key, counts := range c {
+		if counts[countSent] == 0 {
+			continue
+		}
+		if !slices.Contains(stages, key.stage) {
+			stages = append(stages, key.stage)
+		}
+		if !slices.Contains(groups, key.group) {
+			groups = append(groups, key.group)
+		}
+	}
+	slices.Sort(stages)
+	slices.Sort(groups)
+	return stages, groups
+}
+
 // allGroups stands for all groups of routes.
 const allGroups = routeGroups
 
@@ -167,16 +188,23 @@
 	for i := range rankBuckets {
 		n += float64(p[first+i])
 	}
-	below := 0.0
+	below, variance := 0.0, p.rankVariance(n)
 	for i, bound := range rankBounds[:rankBuckets-1] {
 		below += float64(p[first+i])
 		if share := below / max(n, 1); share >= bound+minRankExcess {
-			statistic = max(statistic, n/rankVariance*divergence(share, bound))
+			statistic = max(statistic, n/variance*divergence(share, bound))
 		}
 	}
 	return n, statistic
 }
 
+// rankVariance returns how much the variance of the share of n ranks is larger than if they had no reference
+// durations in common.
+func (p partCounts) rankVariance(n float64) float64 {
+	others := p.others()
+	return 1 + min(ranksPerReference, n/max(float64(others.Good+others.Bad), 1))
+}
+
 // divergence returns the Kullback-Leibler divergence of a share of p from a share of q, in nats.
 func divergence(p, q float64) float64 {
 	d := p * math.Log(p/q)
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -68,17 +68,14 @@
 	return Kind{p, "model " + a.start.Model}
 }
 
-// ratio returns a duration relative to what was expected in a phase, or in seconds if nothing was.
-func (a *Attempt) ratio(p Phase, d time.Duration) float64 {
-	if p == PhaseFirst && a.start.Model != "" {
-		return d.Seconds() / max(a.start.Expected, minExpected).Seconds()
+// expected returns the expected duration of a phase, or zero if none is known.
+func (a *Attempt) expected(p Phase) time.Duration {
+	if p == PhaseFirst {
+		return a.start.Expected
 	}
-	return d.Seconds()
+	return 0
 }
 
-// minExpected is the smallest expected time to the first token to which a duration is related.
-const minExpected = 5 * time.Millisecond
-
 // First records that the answer begins, or that an answer that is not a stream is complete.
 func (a *Attempt) First(now time.Time) {
 	if a.ended || !a.firstAt.IsZero() {
@@ -152,13 +149,12 @@
 	if a.measured[p] || a.ended || a.start.Incomparable {
 		return
 	}
-	ratio := a.ratio(p, d)
 	if !a.onTrial {
 		a.measured[p] = true
-		c.reference.add(k, referenceSample{ratio, lowerBound, now})
+		c.reference.add(k, referenceSample{d, a.expected(p), lowerBound, now})
 		return
 	}
-	rank, known := c.reference.rank(k, ratio, now)
+	rank, known := c.reference.rank(k, d, a.expected(p), now)
 	if !known || c.order.State != OrderOpen || !c.reference.use(k) {
 		return
 	}
@@ -173,7 +169,7 @@
 	if !a.firstAt.IsZero() {
 		p, d = PhaseEvent, now.Sub(a.firstAt)/comparedEvents
 	}
-	rank, known := a.canary.reference.rank(a.kind(p), a.ratio(p, d), now)
+	rank, known := a.canary.reference.rank(a.kind(p), d, a.expected(p), now)
 	return known && !a.measured[p] && rankBucket(rank) == rankBucket(0)
 }
 
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -47,10 +47,10 @@
 	trialStart = 0.52
 	// plannedFraction is the fraction of the allowed share of requests that the stages use.
 	// The rest covers VMs that see the rollout at different times, and rising traffic.
-	plannedFraction = 0.93
+	plannedFraction = 0.84
 	// Fractions of the planned share of requests for the trial, the two steps, the final stage until the
 	// rollout may be completed, and the time after that, which leaves time to store the outcome.
-	trialFraction, firstStepFraction, secondStepFraction, fullFraction, storeFraction = 0.16, 0.1, 0.13, 0.17, 0.44
+	trialFraction, firstStepFraction, secondStepFraction, fullFraction, storeFraction = 0.18, 0.08, 0.11, 0.14, 0.49
 	// maxTrialShare limits the fraction of sessions in the trial.
 	maxTrialShare = 0.10
 	// firstStepShare and secondStepShare are the fractions of sessions that use the release
--- a/rollout/reference.go
+++ b/rollout/reference.go
@@ -40,17 +40,23 @@
 	unused float64
 }
 
-// referenceSample is one duration, relative to what was expected of the attempt.
-// It is a lower bound if the attempt ended earlier for another reason.
+// referenceSample is one duration, and what was expected of it; expected is zero if nothing was.
+// The duration is a lower bound if the attempt ended earlier for another reason.
 type referenceSample struct {
-	ratio      float64
-	lowerBound bool
-	at         time.Time
+	duration, expected time.Duration
+	lowerBound         bool
+	at                 time.Time
+}
+
+// matches reports whether a duration may be compared with the sample, by what was expected of it.
+func (s referenceSample) matches(expected time.Duration) bool {
+	a, b := max(s.expected, minExpected), max(expected, minExpected)
+	return a <= matchingFactor*b && b <= matchingFactor*a
 }
 
 const (
 	// maxReference is the number of durations kept of a kind.
-	maxReference = 64
+	maxReference = 128
 	// minReference is the number of durations of a kind with which others are compared.
 	minReference = 5
 	// freshReferenceAge bounds the age of durations that are used, because load changes. Where there are
@@ -60,6 +66,11 @@
 	wantedReference   = 16
 	// ranksPerReference is the number of ranks for which one duration of the reference serves.
 	ranksPerReference = 0.5
+	// matchingFactor is the largest factor between the expected durations of attempts that are compared. An
+	// expectation may be wrong by a factor that depends on its size.
+	matchingFactor = 2
+	// minExpected is the expected duration below which differences of expectations mean nothing.
+	minExpected = 20 * time.Millisecond
 	// toleratedSlowdown is the factor by which a good release may be slower, for example while its
 	// prompt caches are empty.
 	toleratedSlowdown = 1.5
@@ -83,24 +94,27 @@
 	kind.next = (kind.next + 1) % maxReference
 }
 
-// rank returns the share of the reference that is at least as slow as ratio is beyond
+// rank returns the share of the matching reference that is at least as slow as the duration is beyond
 // toleratedSlowdown, and whether there is a reference to compare with. For a release that is not slower
 // than that, the chance of a rank of at most x is at most x, whatever the distribution: the duration
-// counts among the reference. A lower bound counts as slower than any ratio.
-func (r *reference) rank(k Kind, ratio float64, now time.Time) (rank float64, known bool) {
+// counts among the reference. A lower bound counts as slower than any duration.
+func (r *reference) rank(k Kind, duration, expected time.Duration, now time.Time) (rank float64, known bool) {
 	kind, ok := r.byKind[k]
 	if !ok {
 		return 0, false
 	}
-	tolerated := ratio / toleratedSlowdown
+	tolerated := time.Duration(float64(duration) / toleratedSlowdown)
 	slower, used := 1, 1
 	for i := range kind.samples {
 		s := kind.latest(i)
-		if age := now.Sub(s.at); age >= maxReferenceAge || age >= freshReferenceAge && i >= wantedReference {
+		if age := now.Sub(s.at); age >= maxReferenceAge || age >= freshReferenceAge && used > wantedReference {
 			break
 		}
+		if !s.matches(expected) {
+			continue
+		}
 		used++
-		if s.lowerBound || s.ratio >= tolerated {
+		if s.lowerBound || s.duration >= tolerated {
 			slower++
 		}
 	}
