--- a/relay/selection.go
+++ b/relay/selection.go
@@ -108,6 +108,8 @@
 type candidatePools struct {
 	release string
 	pools   []contract.PoolID
+	// fraction restricts the choice to that fraction of each pool; zero means all of it.
+	fraction float64
 }
 
 // eligiblePools returns the pools that may receive the request,
@@ -135,7 +137,10 @@
 	case j.headSent && j.release == target: // a stream stays on its release
 		order = append([]candidatePools{canaryPools}, others...)
 	case !j.headSent && canary.UsesRelease(j.Session, now):
-		order = append([]candidatePools{canaryPools}, others...)
+		// A release that is bad only under load shows it only under the load of production.
+		few := canaryPools
+		few.fraction = canary.Share(now)
+		order = append([]candidatePools{few, canaryPools}, others...)
 	case canary.PastTrial(now):
 		order = append(others, canaryPools)
 	}
@@ -187,7 +192,7 @@
 // The caller holds mu.
 func (r *Relay) upstreamQuery(j *job, c candidatePools, now time.Time) upstream.Query {
 	q := r.poolQuery(c, j.exclude)
-	q.Prefix, q.Work = j.SharedPromptKey, r.promptWork(j, now)
+	q.Prefix, q.Work, q.Fraction = j.SharedPromptKey, r.promptWork(j, now), c.fraction
 	return q
 }
 
--- a/upstream/cost.go
+++ b/upstream/cost.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"woaddoor/cascade"
@@ -152,13 +153,13 @@
 	if local {
 		states = t.byDataCentre[q.DataCentre]
 	}
-	usable := make([]*state, 0, len(states))
+	allowed := make([]*state, 0, len(states))
 	for _, s := range states {
-		if local == (s.pool.DataCentre == q.DataCentre) && t.usable(s, q.Version, now) && q.allows(s) {
-			usable = append(usable, s)
+		if local == (s.pool.DataCentre == q.DataCentre) && q.allows(s) {
+			allowed = append(allowed, s)
 		}
 	}
-	return usable
+	return slices.DeleteFunc(q.restrict(allowed), func(s *state) bool { return !t.usable(s, q.Version, now) })
 }
 
 // cheapestOf returns the upstream with the lowest cost for the request, and that cost.
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"woaddoor/config"
 	"woaddoor/contract"
 )
@@ -27,6 +29,29 @@
 	Work Work
 	// Exclude holds the upstreams that have already failed this request.
 	Exclude []contract.UpstreamID
+	// Fraction restricts the selection to that fraction of each pool's upstreams, at least one, which all VMs
+	// compute alike. Zero means all. A fraction contains the smaller ones.
+	Fraction float64
+}
+
+// restrict returns the upstreams of a sorted list that the query's fraction of their pools contains.
+func (q Query) restrict(states []*state) []*state {
+	if q.Fraction <= 0 || q.Fraction >= 1 {
+		return states
+	}
+	byPool := make(map[contract.PoolID][]*state)
+	for _, s := range states {
+		byPool[s.pool.ID] = append(byPool[s.pool.ID], s)
+	}
+	var kept []*state
+	for _, members := range byPool {
+		slices.SortFunc(members, func(a, b *state) int {
+			return cmp.Compare(xxhash.Sum64String(string(a.upstream.ID)), xxhash.Sum64String(string(b.upstream.ID)))
+		})
+		kept = append(kept, members[:max(1, int(math.Round(q.Fraction*float64(len(members)))))]...)
+	}
+	slices.SortFunc(kept, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	return kept
 }
 
 // Pick returns the upstream for a request, or ErrNone.
