exchange, relay: answers without end are given up

What was seen on the code before: an upstream that sends a header field, header fields or a line without end was read until the request's deadline, all of it kept in memory; on a route for streams, 8 MiB of a failure's endless body were delivered as the whole body. Change: the head of a response is bounded at 64 KiB; an answer that is not a stream and exceeds 8 MiB fails on both kinds of routes; all answers that are buffered at a time share 32 MiB beyond their first 64 KiB. TestAnswersWithoutEndAreGivenUp: nine cases; four fail on the code before, none now.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -82,7 +82,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), connState: connState{idleSince: time.Now()}}
+	limited := &headReader{Reader: c}
+	return &conn{Conn: c, head: limited, reader: bufio.NewReaderSize(limited, readBuffer), connState: connState{idleSince: time.Now()}}
 }
 
 // write writes a request. The headers and a small body fit into one packet.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -148,7 +148,9 @@
 	c.writeResult = make(chan error, 1)
 	go func() { c.writeResult <- c.write(r) }()
 	for range maxMismatched + 1 {
+		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.head.end()
 		if err != nil {
 			return nil, c.cause(err)
 		}
@@ -218,6 +220,7 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *bufio.Reader // reads from head
+	head   *headReader
 	connState
 }
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -81,6 +81,38 @@
 // errUnsigned means that a successful answer lacks the upstream's signature.
 var errUnsigned = errors.New("answer lacks the upstream's signature")
 
+// maxBufferedTotal bounds the parts beyond freeBufferedAnswer of all answers that are buffered at a time, in bytes.
+// Answers without end would otherwise take maxBufferedAnswer each.
+const (
+	maxBufferedTotal   = 32 << 20
+	freeBufferedAnswer = 64 << 10
+)
+
+// readAnswer reads an answer to its end. It returns errAnswerTooLong for one that exceeds
+// maxBufferedAnswer, or for which there is no room beside the other answers.
+func (r *Relay) readAnswer(a *attempt) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.answer, freeBufferedAnswer))
+	if err != nil || len(body) < freeBufferedAnswer {
+		return body, err
+	}
+	buf, reserved := make([]byte, freeBufferedAnswer), int64(0)
+	defer func() { r.bufferedBytes.Add(-reserved) }()
+	for {
+		n, err := a.answer.Read(buf)
+		reserved += int64(n)
+		if r.bufferedBytes.Add(int64(n)) > maxBufferedTotal || len(body)+n > maxBufferedAnswer {
+			return nil, errAnswerTooLong
+		}
+		body = append(body, buf[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // errNotRun means that the upstream rejected the request without executing it.
 var errNotRun = errors.New("upstream did not run the request")
 
@@ -93,10 +125,7 @@
 		return nil, nil, err
 	}
 	defer a.close()
-	body, err := io.ReadAll(io.LimitReader(a.answer, maxBufferedAnswer+1))
-	if err == nil && len(body) > maxBufferedAnswer {
-		err = errAnswerTooLong
-	}
+	body, err := r.readAnswer(a)
 	return a.head, body, r.recordAnswer(j, a, err)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -139,6 +140,8 @@
 	// because all upstreams of the service were at their rate limits.
 	retrySchedules map[contract.ServiceID]*retry.RetryScheduler
 	canaries       map[contract.ServiceID]*rollout.Canary
+	// bufferedBytes is the size of the parts of buffered answers that maxBufferedTotal bounds.
+	bufferedBytes atomic.Int64
 	// pastOrders holds, for each rollout order that another one has replaced,
 	// the number of its last change in the store.
 	pastOrders map[orderKey]uint64
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -173,7 +173,7 @@
 		j.recordFailure(contract.OutcomeUnknown, true)
 		return errNoStream
 	}
-	body, err := io.ReadAll(io.LimitReader(a.answer, maxBufferedAnswer))
+	body, err := r.readAnswer(a)
 	if err = r.recordAnswer(j, a, err); err != nil {
 		return err
 	}
