--- a/relay/models.go
+++ b/relay/models.go
@@ -280,6 +280,7 @@
 func (r *Relay) recordEscalation(j *job, a *attempt, larger contract.ModelID) {
 	r.Metrics.escalations.Inc(1)
 	r.observeFirstAnswer(j)
+	r.discardTrialAttempt(j)
 	r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
 	j.sends++
 	j.outcome = contract.OutcomeRan
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -110,5 +110,6 @@
 	unused := *j
 	unused.selection = next.selection
 	r.releaseLimitClaim(&unused)
+	r.discardTrialAttempt(&unused)
 	r.recordAttemptEnd(&unused, unused.lastUpstream, upstream.Abandoned, 0)
 }
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -238,6 +238,7 @@
 	}
 	if !s.sent.Load() {
 		r.releaseLimitClaim(&s.job)
+		r.discardTrialAttempt(&s.job)
 	}
 	r.recordAttemptEnd(&s.job, s.job.lastUpstream, upstream.Abandoned, 0)
 }
--- a/relay/trials.go
+++ b/relay/trials.go
@@ -32,6 +32,12 @@
 	r.observeTrial(j, func(a *rollout.Attempt, _ time.Time) { a.Events(events, now) })
 }
 
+// discardTrialAttempt records that this VM ends an attempt for a reason that has nothing to do with its duration,
+// or that it does not send the attempt.
+func (r *Relay) discardTrialAttempt(j *job) {
+	r.observeTrial(j, func(a *rollout.Attempt, now time.Time) { a.End(rollout.EndDiscarded, now) })
+}
+
 // observeTrial passes news of the current attempt to the canary that follows it.
 func (r *Relay) observeTrial(j *job, record func(*rollout.Attempt, time.Time)) {
 	if j.trial == nil {
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -31,6 +31,9 @@
 	EndCut
 	// EndNotRun means that the upstream did not run the request: nothing is known of the release.
 	EndNotRun
+	// EndDiscarded means that the VM ended the attempt for a reason that has nothing to do with how long it
+	// took, such as an answer of too low confidence.
+	EndDiscarded
 )
 
 // Attempt is an attempt that a Canary follows from its send to its end, so that each attempt counts once,
@@ -106,7 +109,7 @@
 	switch {
 	case end == EndCut:
 		a.measureBound(now)
-	case end != EndNotRun && a.firstAt.IsZero():
+	case (end == EndWhole || end == EndFailed) && a.firstAt.IsZero():
 		a.countAnswered(now)
 	}
 	a.ended = true
@@ -114,7 +117,8 @@
 	delete(c.open, a)
 	switch {
 	case c.order.State != OrderOpen || end == EndCut:
-	case end == EndNotRun && a.onTrial:
+	case end == EndDiscarded && !a.firstAt.IsZero():
+	case (end == EndNotRun || end == EndDiscarded) && a.onTrial:
 		c.count(a.group, now, countNotRun)
 	case end == EndFailed && a.onTrial:
 		c.count(a.group, now, countBad)
