rollout: what a few answers show against a release delays its completion

Attempts under way were never counted as slow with fewer than 19 durations to compare with; an answer whose caller left counted as slower than any other in the reference; a request that fails everywhere counted once for each upstream; and one of many parts that looked suspect rolled a good release back. Change: an attempt under way counts once nothing in the reference is as slow; a lower bound below the compared duration is left out; retries of failed requests do not count as outcomes; what speaks against a release, but too little to roll it back, delays the decision beyond the deadline if it must, while answers come at full share; a suspect part only raises doubt.

--- a/relay/trials.go
+++ b/relay/trials.go
@@ -14,7 +14,7 @@
 	if c == nil || c.Order().State != rollout.OrderOpen {
 		return
 	}
-	start := rollout.AttemptStart{Release: j.lastUpstream.Release, Route: j.Route.Name, Incomparable: r.table.IsCold(j.lastUpstream.ID, now)}
+	start := rollout.AttemptStart{Release: j.lastUpstream.Release, Route: j.Route.Name, Retry: j.failures > 0, Incomparable: r.table.IsCold(j.lastUpstream.ID, now)}
 	if j.PromptTokens > 0 {
 		start.Model, start.Expected = string(j.model), j.pending.estimate.Nominal
 	}
--- a/rollout/assessment.go
+++ b/rollout/assessment.go
@@ -16,7 +16,9 @@
 	AssessedBad Assessment = iota
 	// AssessedSuspect means that the release is probably bad: it must not be completed.
 	AssessedSuspect
-	// AssessedUnknown means that the counters show too little.
+	// AssessedDoubtful means that the counters speak against the release, but too little to roll it back.
+	AssessedDoubtful
+	// AssessedUnknown means that the counters show too little, and nothing against the release.
 	AssessedUnknown
 	// AssessedGood means that the release is good, within the error bounds of the tests.
 	AssessedGood
@@ -40,12 +42,12 @@
 // statistic is the largest log-likelihood ratio over the bounds, and the chance that it exceeds z is at
 // most the number of bounds times exp(-z).
 const (
-	goodRankStatistic = 2.0
+	doubtfulRankStatistic = 2.0
 	// slownessFalseAlarmRate is the chance, over the whole rollout, that a release that is not slow counts as slow.
 	slownessFalseAlarmRate = 0.002
 	// minRankExcess is the smallest excess over the share for which a release counts as slow, however many
 	// ranks there are.
-	minRankExcess = 0.15
+	minRankExcess = 0.1
 )
 
 // Bounds of the test of ranks. The phases share slownessFalseAlarmRate.
@@ -77,8 +79,12 @@
 			if group != allGroups {
 				margin += math.Log(float64(len(groups)))
 			}
-			if part := c.sum(stage, group).assess(margin); part < AssessedUnknown { // a part with few answers shows nothing
-				worst = min(worst, part)
+			// There are many parts, so one that is only suspect raises doubt about the release.
+			switch c.sum(stage, group).assess(margin) {
+			case AssessedBad:
+				return AssessedBad
+			case AssessedSuspect:
+				worst = min(worst, AssessedDoubtful)
 			}
 		}
 	}
@@ -161,6 +167,8 @@
 		return AssessedBad
 	case ratio >= suspectFraction*test.haltBound+margin:
 		return AssessedSuspect
+	case ratio > 0:
+		return AssessedDoubtful
 	case ratio <= test.passBound:
 		return AssessedGood
 	}
@@ -175,7 +183,9 @@
 		return AssessedBad
 	case statistic >= suspectRankStatistic+margin:
 		return AssessedSuspect
-	case phase == PhaseFirst && n < minJudged, statistic >= goodRankStatistic:
+	case statistic >= doubtfulRankStatistic:
+		return AssessedDoubtful
+	case phase == PhaseFirst && n < minJudged:
 		return AssessedUnknown
 	}
 	return AssessedGood
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -13,6 +13,9 @@
 	Model string
 	// Expected is the expected time to the first token of a prompt at an upstream of ordinary pace.
 	Expected time.Duration
+	// Retry is set for an attempt at a request of which an attempt has failed. Its outcome does not count, since
+	// a request may fail everywhere.
+	Retry bool
 	// Incomparable is set if the attempt's durations show nothing about the release,
 	// as at an upstream that is still cold.
 	Incomparable bool
@@ -50,6 +53,9 @@
 	ended    bool
 }
 
+// maxBoundRank is the largest rank of a lower bound that counts. The end of the phase would have had a smaller one.
+const maxBoundRank = 0.5
+
 // comparedEvents is the number of events after the first over which the time between events is measured.
 const comparedEvents = 5
 
@@ -117,6 +123,7 @@
 	delete(c.open, a)
 	switch {
 	case c.order.State != OrderOpen || end == EndCut:
+	case a.start.Retry && (end == EndWhole || end == EndFailed):
 	case end == EndDiscarded && !a.firstAt.IsZero():
 	case (end == EndNotRun || end == EndDiscarded) && a.onTrial:
 		c.count(a.group, now, countNotRun)
@@ -159,11 +166,14 @@
 		return
 	}
 	rank, known := c.reference.rank(k, d, a.expected(p), now)
+	if lowerBound && rank.share > maxBoundRank {
+		return // the attempt ended too early to tell
+	}
 	if !known || c.order.State != OrderOpen || !c.reference.use(k) {
 		return
 	}
 	a.measured[p] = true
-	c.count(a.group, now, countRank(p, rank))
+	c.count(a.group, now, countRank(p, rank.share))
 }
 
 // isSlow reports whether the time so far already has the smallest rank, so that the end of the phase
@@ -174,7 +184,7 @@
 		p, d = PhaseEvent, now.Sub(a.firstAt)/comparedEvents
 	}
 	rank, known := a.canary.reference.rank(a.kind(p), d, a.expected(p), now)
-	return known && !a.measured[p] && rankBucket(rank) == rankBucket(0)
+	return known && !a.measured[p] && rank.slowest
 }
 
 // ObserveOpen counts attempts that are under way and are slow already: a slow answer counts before it ends.
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -209,8 +209,8 @@
 // trialTotals returns the answers of the release on trial that all VMs have counted.
 func (c *Canary) trialTotals() Counts { return c.totals().sum(0, allGroups).trial() }
 
-// isUndecided reports whether the time for the decision has passed although most attempts at the release
-// have neither an answer nor a failure. Such a release must not be completed.
+// isUndecided reports whether the time for the decision has passed although the answers of most attempts at the
+// release have not begun. Such a release must not be completed.
 func (c *Canary) isUndecided(now time.Time) bool {
 	return c.elapsedFraction(now) >= c.plan.decideBy && c.totals().sum(0, allGroups).unanswered() > 1-minAnsweredPart
 }
@@ -244,7 +244,9 @@
 		return OrderRolledBack, true
 	case c.isProven(), !c.hasTraffic():
 		return OrderCompleted, true
-	case elapsed >= c.plan.decideBy && !c.isUndecided(now):
+	case elapsed >= c.plan.decideBy && !c.isUndecided(now) && c.totals().assess() > AssessedDoubtful:
+		// Otherwise the decision waits for more answers, beyond the rollout's duration if it must:
+		// a late decision costs less than a bad release that is completed.
 		return OrderCompleted, true
 	}
 	return OrderOpen, false
--- a/rollout/reference.go
+++ b/rollout/reference.go
@@ -94,14 +94,22 @@
 	kind.next = (kind.next + 1) % maxReference
 }
 
-// rank returns the share of the matching reference that is at least as slow as the duration is beyond
-// toleratedSlowdown, and whether there is a reference to compare with. For a release that is not slower
+// ranking is the rank of a duration among a reference.
+type ranking struct {
+	// share is the share of the reference that is at least as slow.
+	share float64
+	// slowest is set if none of the reference is, so that a longer duration has the same rank.
+	slowest bool
+}
+
+// rank returns the rank of a duration among the matching reference that is at least as slow as the duration is
+// beyond toleratedSlowdown, and whether there is a reference to compare with. For a release that is not slower
 // than that, the chance of a rank of at most x is at most x, whatever the distribution: the duration
-// counts among the reference. A lower bound counts as slower than any duration.
-func (r *reference) rank(k Kind, duration, expected time.Duration, now time.Time) (rank float64, known bool) {
+// counts among the reference.
+func (r *reference) rank(k Kind, duration, expected time.Duration, now time.Time) (rank ranking, known bool) {
 	kind, ok := r.byKind[k]
 	if !ok {
-		return 0, false
+		return ranking{}, false
 	}
 	tolerated := time.Duration(float64(duration) / toleratedSlowdown)
 	slower, used := 1, 1
@@ -110,15 +118,15 @@
 		if age := now.Sub(s.at); age >= maxReferenceAge || age >= freshReferenceAge && used > wantedReference {
 			break
 		}
-		if !s.matches(expected) {
-			continue
+		if !s.matches(expected) || s.lowerBound && s.duration < tolerated {
+			continue // how it compares is not known
 		}
 		used++
-		if s.lowerBound || s.duration >= tolerated {
+		if s.duration >= tolerated {
 			slower++
 		}
 	}
-	return float64(slower) / float64(used), used > minReference
+	return ranking{float64(slower) / float64(used), slower == 1}, used > minReference
 }
 
 // latest returns the duration that was recorded i durations before the last.
