--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each needs Go alone.
-.PHONY: build run test check race fuzz examples mutants bench plots soak brittle
+.PHONY: build run test check race fuzz examples mutants bench plots soak brittle release
 
 build:
 	go build -o bin/ ./cmd/...
@@ -64,3 +64,7 @@
 # Real processes with upstreams that fail if they reject too much, and that end and come back.
 brittle: build
 	go run ./internal/soak --brittle-run --seed $(SEED) --vms 12 --brittle-per-second 250 --brittle-end-every 2s
+
+# Real processes and a rollout of a release of which half of the answers are slow.
+release: build
+	go run ./internal/soak --release-run --seed $(SEED) --vms $(VMS) --release-kind slow
