--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"woaddoor/config"
 	"woaddoor/contract"
 )
@@ -45,9 +43,7 @@
 	}
 	var kept []*state
 	for _, members := range byPool {
-		slices.SortFunc(members, func(a, b *state) int {
-			return cmp.Compare(xxhash.Sum64String(string(a.upstream.ID)), xxhash.Sum64String(string(b.upstream.ID)))
-		})
+		slices.SortFunc(members, func(a, b *state) int { return cmp.Compare(a.idHash, b.idHash) })
 		kept = append(kept, members[:max(1, int(math.Round(q.Fraction*float64(len(members)))))]...)
 	}
 	slices.SortFunc(kept, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
