rollout, relay, soak: what reading the change again leaves to tidy

A phase's lower bound is computed in one place; a decision assesses the counters once instead of up to three times; a rank's counter needs no slice; the fields of a verdict keep one order; both trials of the soak read answers with one function. No behaviour changes.

--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -200,11 +200,7 @@
 		return
 	}
 	replica.SetDeadline(req, callerTimeout)
-	resp, err := client.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-	}
+	status, err := readWhole(client, req)
 	if !counted {
 		return
 	}
@@ -214,9 +210,9 @@
 		l.gone.Add(1)
 	case err != nil:
 		l.failed.Add(1)
-	case resp.StatusCode == http.StatusOK:
+	case status == http.StatusOK:
 		l.served.Add(1)
-	case resp.StatusCode == http.StatusServiceUnavailable:
+	case status == http.StatusServiceUnavailable:
 		l.refused.Add(1)
 		if inUse, slots := service.Occupancy(); float64(inUse) < roomShare*float64(slots) {
 			l.refusedWithRoom.Add(1)
@@ -226,6 +222,17 @@
 	}
 }
 
+// readWhole sends a request, reads the answer to its end and returns its status.
+func readWhole(client *http.Client, req *http.Request) (status int, err error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
 // reportBrittle prints the results of a trial and returns whether more upstreams failed than may.
 func reportBrittle(args arguments, service *brittle.Service, l *brittleLoad, noticeAt time.Time) (failed bool) {
 	falls, rejections := service.Falls(), service.Rejections()
--- a/internal/soak/release.go
+++ b/internal/soak/release.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -298,11 +297,7 @@
 	}
 	replica.SetDeadline(req, callerTimeout)
 	replica.SetPrompt(req, fmt.Sprintf("a%x", rand.IntN(sessionsOfTrial)), fmt.Sprintf("b%x", id))
-	resp, err := client.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-	}
+	status, err := readWhole(client, req)
 	if !counted {
 		return
 	}
@@ -310,7 +305,7 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded) && ctx.Err() != nil:
 		l.gone.Add(1)
-	case err == nil && resp.StatusCode == http.StatusOK:
+	case err == nil && status == http.StatusOK:
 		l.served.Add(1)
 	}
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -210,7 +210,8 @@
 		ends = append(ends, fmt.Sprintf("%s=%d", how, g.Ends[how]))
 	}
 	fields := []zap.Field{zap.Strings("trial_ends", ends), zap.Int("trial_open", g.Open), zap.Int("sources", g.Sources)}
-	for prefix, counts := range map[string]rollout.GroundCounts{"": g.Own, "fleet_": g.Fleet} {
+	for i, prefix := range []string{"", "fleet_"} {
+		counts := []rollout.GroundCounts{g.Own, g.Fleet}[i]
 		fields = append(fields,
 			zap.Int64(prefix+"trial_sent", counts.Sent), zap.Int64(prefix+"trial_good", counts.Trial.Good), zap.Int64(prefix+"trial_bad", counts.Trial.Bad),
 			zap.Int64(prefix+"others_good", counts.Others.Good), zap.Int64(prefix+"others_bad", counts.Others.Bad),
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -145,13 +145,18 @@
 	}
 }
 
-// measureBound records what the time so far shows of the phase in which the attempt is.
-func (a *Attempt) measureBound(now time.Time) {
+// bound returns the phase in which the attempt is, and a lower bound of the phase's duration.
+func (a *Attempt) bound(now time.Time) (Phase, time.Duration) {
 	if a.firstAt.IsZero() {
-		a.measure(PhaseFirst, now.Sub(a.sentAt), true, now)
-		return
+		return PhaseFirst, now.Sub(a.sentAt)
 	}
-	a.measure(PhaseEvent, now.Sub(a.firstAt)/comparedEvents, true, now)
+	return PhaseEvent, now.Sub(a.firstAt) / comparedEvents
+}
+
+// measureBound records what the time so far shows of the phase in which the attempt is.
+func (a *Attempt) measureBound(now time.Time) {
+	p, d := a.bound(now)
+	a.measure(p, d, true, now)
 }
 
 // measure compares a duration with the reference, or adds it to the reference.
@@ -179,10 +184,7 @@
 // isSlow reports whether the time so far already has the smallest rank, so that the end of the phase
 // cannot change it.
 func (a *Attempt) isSlow(now time.Time) bool {
-	p, d := PhaseFirst, now.Sub(a.sentAt)
-	if !a.firstAt.IsZero() {
-		p, d = PhaseEvent, now.Sub(a.firstAt)/comparedEvents
-	}
+	p, d := a.bound(now)
 	rank, known := a.canary.reference.rank(a.kind(p), d, a.expected(p), now)
 	return known && !a.measured[p] && rank.slowest
 }
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -179,8 +179,9 @@
 }
 
 // Harm returns how much of what is known speaks against the release. It never falls.
-// OwnHarm is the part of it that this VM has counted.
-func (c *Canary) Harm() uint32    { return c.totals().harm() }
+func (c *Canary) Harm() uint32 { return c.totals().harm() }
+
+// OwnHarm returns the part of Harm that this VM has counted.
 func (c *Canary) OwnHarm() uint32 { return c.own.harm() }
 
 // Age returns the time since the operator requested the rollout, and whether it was
@@ -216,19 +217,17 @@
 }
 
 // hasTraffic reports whether the release has been sent enough requests that waiting for answers can tell more.
-func (c *Canary) hasTraffic() bool { return c.totals().sum(0, allGroups)[countSent] >= minJudged }
+func (c cells) hasTraffic() bool { return c.sum(0, allGroups)[countSent] >= minJudged }
 
-// isProven reports whether the release has been found good, also while it got all requests.
-func (c *Canary) isProven() bool {
-	totals := c.totals()
-	full := totals.sum(fullStage, allGroups).trial()
-	return full.Good+full.Bad >= minJudged && totals.assess() == AssessedGood
+// judgedAtFullShare reports whether enough answers of the release came while it got all requests.
+func (c cells) judgedAtFullShare() bool {
+	full := c.sum(fullStage, allGroups).trial()
+	return full.Good+full.Bad >= minJudged
 }
 
 // NextState returns the state to store for the rollout, and whether that state has to be stored
 // now. The state is OrderOpen when the rollout has just started, or the rollout's final state.
 func (c *Canary) NextState(now time.Time) (OrderState, bool) {
-	elapsed := c.elapsedFraction(now)
 	switch {
 	case c.order.State != OrderOpen:
 		return c.order.State, c.rewrite
@@ -236,15 +235,24 @@
 		return OrderRolledBack, true
 	case c.lacksTrialResults():
 		return OrderOpen, false
-	case elapsed < c.plan.completeAt:
+	case c.elapsedFraction(now) < c.plan.completeAt:
 		return OrderOpen, c.order.StartedAt.IsZero()
-	case c.IsSuspect():
+	}
+	return c.decide(now)
+}
+
+// decide returns the state to store for an open rollout that may be completed, and whether it has to be stored now.
+func (c *Canary) decide(now time.Time) (OrderState, bool) {
+	totals := c.totals()
+	assessment := totals.assess()
+	switch {
+	case assessment <= AssessedSuspect:
 		// A service with few requests gives too few responses to reject the release before its
 		// completion. After the completion there is no other release to go back to.
 		return OrderRolledBack, true
-	case c.isProven(), !c.hasTraffic():
+	case assessment == AssessedGood && totals.judgedAtFullShare(), !totals.hasTraffic():
 		return OrderCompleted, true
-	case elapsed >= c.plan.decideBy && !c.isUndecided(now) && c.totals().assess() > AssessedDoubtful:
+	case c.elapsedFraction(now) >= c.plan.decideBy && !c.isUndecided(now) && assessment > AssessedDoubtful:
 		// Otherwise the decision waits for more answers, beyond the rollout's duration if it must:
 		// a late decision costs less than a bad release that is completed.
 		return OrderCompleted, true
--- a/rollout/trial_evidence.go
+++ b/rollout/trial_evidence.go
@@ -42,7 +42,7 @@
 
 // countRank returns the counter of a rank in a phase.
 func countRank(p Phase, rank float64) int {
-	return []int{PhaseFirst: countFirstRank, PhaseEvent: countEventRank}[p] + rankBucket(rank)
+	return countFirstRank + int(p)*rankBuckets + rankBucket(rank)
 }
 
 // routeGroups is the number of groups of routes that are judged by themselves, since a release may be bad on
