upstream: the trial of a release uses two upstreams of a large pool where its part is about one

Its trial used one upstream of 20 in each data centre, at about the load of production; VMs spread the other releases' requests over 20, passing over busy ones, so the single upstream had the longer queues and the release looked slow.

Change: a part of about one upstream of a pool of eight or more contains two. Smaller pools are unchanged.

--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -44,12 +44,29 @@
 	var kept []*state
 	for _, members := range byPool {
 		slices.SortFunc(members, func(a, b *state) int { return cmp.Compare(a.idHash, b.idHash) })
-		kept = append(kept, members[:max(1, int(math.Round(q.Fraction*float64(len(members)))))]...)
+		kept = append(kept, members[:countOf(q.Fraction, len(members))]...)
 	}
 	slices.SortFunc(kept, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	return kept
 }
 
+const (
+	// minChoice is the number of upstreams of a fraction that is about one upstream of a large pool: a single one
+	// queues requests while VMs pass over the busy ones of the rest of the pool, which makes it look slow.
+	minChoice = 2
+	// largePool is the number of upstreams from which a pool is large.
+	largePool = 8
+)
+
+// countOf returns how many of n upstreams a fraction contains.
+func countOf(fraction float64, n int) int {
+	count := int(math.Round(fraction * float64(n)))
+	if count == 1 && n >= largePool {
+		count = minChoice
+	}
+	return min(max(count, 1), n)
+}
+
 // Pick returns the upstream for a request, or ErrNone.
 //
 // Each prompt prefix has two upstreams as its homes, which all VMs compute without communication
