rollout: the tests of evidence make their VMs in one place

Cause: two tests declared the same type and the same constructor. Change: member and newMember stand once; the tests' assertions and figures are as they were. Measured: go test ./rollout passes.

--- a/rollout/trial_evidence_test.go
+++ b/rollout/trial_evidence_test.go
@@ -49,19 +49,26 @@
 	is.True(together*2 < alone)
 }
 
+// member is a VM of a data centre with its canary.
+type member struct {
+	canary *Canary
+	self   Observer
+	dc     contract.DataCentreID
+}
+
+// newMember returns the VM with index i of a data centre.
+func newMember(dc contract.DataCentreID, i int) member {
+	return member{NewCanary(testOrder(), 0.15, testOrder().IssuedAt), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc}
+}
+
 // TestEvidenceSizeDoesNotGrowWithVMs checks that the evidence that a VM sends does not grow with
 // the number of VMs, and that every VM knows the exact counts of all VMs.
 func TestEvidenceSizeDoesNotGrowWithVMs(t *testing.T) {
 	is := is.New(t)
-	type member struct {
-		canary *Canary
-		self   Observer
-		dc     contract.DataCentreID
-	}
 	var vms []member
 	for _, dc := range []contract.DataCentreID{"d", "e", "f"} {
 		for i := range 12 {
-			vms = append(vms, member{NewCanary(testOrder(), 0.15, testOrder().IssuedAt), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc})
+			vms = append(vms, newMember(dc, i))
 		}
 	}
 	for _, m := range vms {
@@ -93,15 +100,10 @@
 // hubs sent each other only totals, each would take the larger of two partial sums for the whole.
 func TestHubsForwardAllEvidence(t *testing.T) {
 	is := is.New(t)
-	type member struct {
-		canary *Canary
-		self   Observer
-		dc     contract.DataCentreID
-	}
 	newMembers := func(dc contract.DataCentreID, n int) []member {
 		var out []member
 		for i := range n {
-			m := member{NewCanary(testOrder(), 0.15, testOrder().IssuedAt), Observer{VM: contract.VMID(string(dc) + string(rune('a'+i))), Incarnation: 1}, dc}
+			m := newMember(dc, i)
 			for range 5 {
 				observe(m.canary, Response{OnTrial: true}, time.Unix(0, 0))
 			}
