--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -47,6 +47,8 @@
 	vms       []*vm
 	recorder  *recorder
 	backups   backups
+	// machineOf returns what the machine of a VM has; nil means that VMs are not limited.
+	machineOf func(n int) machine
 	versions  versionTracker
 
 	// mu guards the fields below: the newest configuration, when the store last returned
@@ -60,7 +62,9 @@
 // vm is a woaddoor-vm process, which is restarted on the same addresses after each stop.
 type vm struct {
 	name, settingsPath           string
+	dataCentre                   string
 	callerLink                   *proxy // the link that callers connect through
+	callerAddress                string // the VM's own address behind callerLink
 	readyAddress, metricsAddress string
 
 	// mu guards the fields below.
@@ -164,10 +168,13 @@
 	for i := range n {
 		vmAddresses := addresses[portsPerVM*i : portsPerVM*(i+1)]
 		_, metricsPort, _ := net.SplitHostPort(vmAddresses[2])
-		v := &vm{name: fmt.Sprintf("vm%d", i), settingsPath: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", i)), readyAddress: vmAddresses[1], metricsAddress: "127.0.0.1:" + metricsPort}
+		v := &vm{name: fmt.Sprintf("vm%d", i), settingsPath: filepath.Join(f.folder, fmt.Sprintf("vm%d.ini", i)), dataCentre: dataCentre(i), callerAddress: vmAddresses[0], readyAddress: vmAddresses[1], metricsAddress: "127.0.0.1:" + metricsPort}
 		ini := fmt.Sprintf("[vm]\nname = %s\ndata-centre = %s\n\n[listen]\ncallers = %s\nready = %s\nlinks = %s\nseeds = %s\nmetrics-port = %s\n\n"+
 			"[store]\naddress = %s\n\n[bounds]\ngrace = %v\napply = %v\ndrain = %v\nevacuation = %v\nretry-ratio = %v\nretry-slack = %v\nretry-window = %v\ncanary-share = %v\n",
 			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], links[i], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow, exposureShare)
+		if f.machineOf != nil {
+			ini += f.machineOf(i).settings()
+		}
 		if err := os.WriteFile(v.settingsPath, []byte(ini), 0o600); err != nil {
 			return err
 		}
@@ -190,6 +197,9 @@
 	}
 	command := exec.Command(filepath.Join("bin", "woaddoor-vm"), "run", "--settings", v.settingsPath)
 	command.Stdout, command.Stderr = log, log
+	if f.machineOf != nil {
+		command.Env = append(os.Environ(), "GOMAXPROCS=1") // a machine of the users has one core
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -5,6 +5,7 @@
 //	go run ./internal/soak --seed 7 --for 30s
 //	go run ./internal/soak --brittle-run --vms 30 --brittle-per-second 400
 //	go run ./internal/soak --release-run --release-kind slow --vms 30
+//	go run ./internal/soak --entry-run --entry-scope region --vms 60
 //
 // The store and the upstreams are the stand-ins of internal/standin and run in this process. Each
 // TCP link goes through a proxy that can inject faults. Links between VMs use UDP and have no
@@ -41,6 +42,7 @@
 
 	Brittle brittleTrial `embed:"" prefix:"brittle-" group:"A trial with brittle upstreams"`
 	Release releaseTrial `embed:"" prefix:"release-" group:"A trial with a rollout"`
+	Entry   entryTrial   `embed:"" prefix:"entry-" group:"A trial with most new connections at a few VMs"`
 }
 
 func main() {
@@ -78,6 +80,8 @@
 		return runBrittle(args)
 	case args.Release.Run:
 		return runRelease(args)
+	case args.Entry.Run:
+		return runEntry(args)
 	}
 	rec := newRecorder()
 	f, err := newFleet(args, rec)
--- a/internal/soak/senders.go
+++ b/internal/soak/senders.go
@@ -88,25 +88,46 @@
 
 // Messages of the kernel's socket diagnosis (sock_diag(7)), in the byte order of the machine unless noted.
 const (
-	diagHeaderSize    = 16
-	diagRequestSize   = diagHeaderSize + 56
-	diagByFamily      = 20
-	diagAnswerInodeAt = diagHeaderSize + 68
-	diagAnswerSize    = diagAnswerInodeAt + 4
-	anyDiagCookie     = ^uint64(0)
+	diagHeaderSize     = 16
+	diagRequestSize    = diagHeaderSize + 56
+	diagByFamily       = 20
+	diagAnswerUnreadAt = diagHeaderSize + 56
+	diagAnswerInodeAt  = diagHeaderSize + 68
+	diagAnswerSize     = diagAnswerInodeAt + 4
+	anyDiagCookie      = ^uint64(0)
 )
 
-// socketInode returns the inode of the socket at the other end of an accepted IPv4 connection on this
+// socketInode returns the inode of the socket at the other end of an IPv4 connection on this
 // machine, or 0 if it is not known.
-func socketInode(accepted net.Conn) uint32 {
-	local, ok := accepted.RemoteAddr().(*net.TCPAddr)
-	remote, ok2 := accepted.LocalAddr().(*net.TCPAddr)
-	if !ok || !ok2 || local.IP.To4() == nil || remote.IP.To4() == nil {
+func socketInode(c net.Conn) uint32 {
+	answer := diagnosePeer(c)
+	if answer == nil {
 		return 0
 	}
+	return binary.NativeEndian.Uint32(answer[diagAnswerInodeAt:])
+}
+
+// unreadByPeer returns how many bytes the process at the other end of an IPv4 connection on this machine
+// has not read yet, or 0 if it is not known.
+func unreadByPeer(c net.Conn) int {
+	answer := diagnosePeer(c)
+	if answer == nil {
+		return 0
+	}
+	return int(binary.NativeEndian.Uint32(answer[diagAnswerUnreadAt:]))
+}
+
+// diagnosePeer returns the kernel's answer about the socket at the other end of an IPv4 connection on this
+// machine, or nil if there is none.
+func diagnosePeer(c net.Conn) []byte {
+	local, ok := c.RemoteAddr().(*net.TCPAddr)
+	remote, ok2 := c.LocalAddr().(*net.TCPAddr)
+	if !ok || !ok2 || local.IP.To4() == nil || remote.IP.To4() == nil {
+		return nil
+	}
 	socket, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return 0
+		return nil
 	}
 	defer unix.Close(socket)
 	request := make([]byte, 0, diagRequestSize)
@@ -124,12 +145,12 @@
 	request = binary.NativeEndian.AppendUint32(request, 0) // any interface
 	request = binary.NativeEndian.AppendUint64(request, anyDiagCookie)
 	if err := unix.Sendto(socket, request, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
-		return 0
+		return nil
 	}
 	answer := make([]byte, 512)
 	n, _, err := unix.Recvfrom(socket, answer, 0)
 	if err != nil || n < diagAnswerSize || binary.NativeEndian.Uint16(answer[4:]) != diagByFamily {
-		return 0
+		return nil
 	}
-	return binary.NativeEndian.Uint32(answer[diagAnswerInodeAt:])
+	return answer[:n]
 }
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -54,8 +54,13 @@
 	Keys []string
 	// MaxAttempts is how many upstreams one request may be sent to, one after another.
 	MaxAttempts int
+	// MaxConnections is how many connections each upstream accepts; zero means defaultMaxConnections.
+	MaxConnections int
 }
 
+// defaultMaxConnections is the number of connections of each upstream of a Deployment that does not state it.
+const defaultMaxConnections = 200
+
 // VersionPath returns the path prefix of the route that a version added. It is kept for VersionsKept
 // further versions.
 func VersionPath(version int) string { return fmt.Sprintf("/version-%d/", version) }
@@ -79,7 +84,7 @@
 	}
 	s.Put("config", "main", map[string]any{
 		"Version": d.Version, "Routes": routes,
-		"Services": []map[string]any{{"Name": "s", "MaxConnections": 200}},
+		"Services": []map[string]any{{"Name": "s", "MaxConnections": cmp.Or(d.MaxConnections, defaultMaxConnections)}},
 		"Tenants":  []map[string]any{{"Name": d.Workspace, "ApiKeys": d.Keys}},
 	})
 }
