overload, daemon, drain: a VM tells what it is short of, and what it has taken on

Change: every 100 ms a VM reads its processor time, the bytes of its callers and how late its timer fires; the lines short and short-ends, and metrics, tell the resource. No request is treated differently. The trial's network link drops what its sender has given up.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -81,6 +81,8 @@
 	helper *forward.Helper
 	// callers is the listener for callers, which tracks their connections.
 	callers *drain.Listener
+	// resources follows what the process uses of its machine.
+	resources *resourceWatch
 }
 
 // gcPercent makes the garbage collector run more often than by default. The process uses
@@ -116,6 +118,7 @@
 	}
 	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store))
 	go v.site.Run(ctx)
+	go v.watchResources(ctx)
 	go v.relay.ProbeDataCentres(ctx)
 	v.waitForSignals()
 	return exitOK
@@ -125,6 +128,10 @@
 func (v *vmProcess) build() error {
 	s := v.settings
 	v.registry = metrics.NewRegistry()
+	v.resources = newResourceWatch(s.Machine)
+	if err := v.registry.Register("first_read_milliseconds", v.resources.firstRead); err != nil {
+		return contract.WrapStep(contract.StepSettings, "first_read_milliseconds", err)
+	}
 	identity, err := keys.NewAddressIdentity(string(s.Name), func(ip string) bool { return v.peers.KnownIP(ip) })
 	if err != nil {
 		return contract.WrapStep(contract.StepLink, s.Listen.Links, err)
@@ -224,6 +231,7 @@
 		}
 		if l.handler == front {
 			v.callers = drain.NewListener(listener, v.settings.Machine.MaxCallerConnections())
+			v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
 			listener, server.ConnState = v.callers, v.callers.ConnState
 		}
 		go func() {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -33,8 +33,14 @@
 	net.Listener
 	maxConns int
 	draining atomic.Bool
-	// RejectedConns counts the connections that were rejected because of the limit.
-	RejectedConns atomic.Int64
+	// AcceptedConns counts the connections that were accepted, and RejectedConns those that were rejected
+	// because of the limit. Bytes counts the bytes read from and written to all connections.
+	AcceptedConns, RejectedConns, Bytes atomic.Int64
+	// busy is the number of open connections on which a request runs or is about to arrive.
+	busy atomic.Int64
+	// OnFirstRead, if it is not nil, is called when the first bytes of a connection are read,
+	// with the time since it was accepted.
+	OnFirstRead func(time.Duration)
 	// mu guards conns, the set of open connections.
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -52,6 +58,9 @@
 	serverIdle atomic.Bool  // whether http.Server reported the connection as new or idle
 	lastRead   atomic.Int64 // time at which a byte was last read, in Unix nanoseconds
 	listener   *Listener
+	acceptedAt time.Time
+	firstRead  sync.Once
+	busy       atomic.Bool // whether the connection counts among the listener's busy ones
 }
 
 // OpenConns returns the number of open connections.
@@ -61,6 +70,9 @@
 	return len(l.conns)
 }
 
+// BusyConns returns the number of open connections on which a request runs, or no request has arrived yet.
+func (l *Listener) BusyConns() int { return int(l.busy.Load()) }
+
 // Accept waits for the next connection. At the connection limit it closes the
 // connection that has been idle longest to make room. If no connection is idle, Accept
 // closes the new connection before anything is read from it,
@@ -74,10 +86,13 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: accepted, listener: l}
+		now := time.Now()
+		c := &conn{Conn: accepted, listener: l, acceptedAt: now}
 		c.serverIdle.Store(true)
-		c.lastRead.Store(time.Now().UnixNano())
-		if l.admit(c, time.Now()) {
+		c.lastRead.Store(now.UnixNano())
+		if l.admit(c, now) {
+			l.AcceptedConns.Add(1)
+			c.setBusy(true)
 			return c, nil
 		}
 		l.RejectedConns.Add(1)
@@ -113,16 +128,43 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		now := time.Now()
+		c.lastRead.Store(now.UnixNano())
+		c.listener.Bytes.Add(int64(n))
+		c.firstRead.Do(func() {
+			if c.listener.OnFirstRead != nil {
+				c.listener.OnFirstRead(now.Sub(c.acceptedAt))
+			}
+		})
 	}
 	return n, err
 }
 
+// Write writes to the connection and counts the bytes.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.listener.Bytes.Add(int64(n))
+	return n, err
+}
+
+// setBusy sets whether the connection counts among the busy ones of its listener.
+func (c *conn) setBusy(busy bool) {
+	if c.busy.Swap(busy) == busy {
+		return
+	}
+	if busy {
+		c.listener.busy.Add(1)
+	} else {
+		c.listener.busy.Add(-1)
+	}
+}
+
 // Close removes the connection from its listener and closes it.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.setBusy(false)
 	return c.Conn.Close()
 }
 
@@ -135,6 +177,12 @@
 		return
 	}
 	c.serverIdle.Store(s == http.StateNew || s == http.StateIdle)
+	switch s {
+	case http.StateActive:
+		c.setBusy(true)
+	case http.StateIdle, http.StateClosed, http.StateHijacked:
+		c.setBusy(false)
+	}
 	if s == http.StateIdle && l.draining.Load() && !c.hasUnread() {
 		_ = c.Close() // the client notices the close
 	}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -15,7 +15,7 @@
 // purePackages are the packages that make decisions from typed events and a given time, without
 // side effects. They behave the same in a property test, in a measurement and in production.
 var purePackages = []string{
-	"bill", "cascade", "contract", "datacentre", "document", "lease", "permit", "prefill",
+	"bill", "cascade", "contract", "datacentre", "document", "lease", "overload", "permit", "prefill",
 	"quarantine", "retry", "rollout", "scaling", "session", "stream", "ticket", "upstream", "usage", "vm", "workspace",
 }
 
--- a/internal/soak/entrycallers.go
+++ b/internal/soak/entrycallers.go
@@ -85,18 +85,21 @@
 // entryConn is a connection of a caller to a VM, whose bytes pass the VM's network link.
 type entryConn struct {
 	net.Conn
-	vm     *limitedVM
-	reader *bufio.Reader
-	reused bool
-	closed bool // the VM closes it after its answer
-	sent   int // bytes of the request
-	got    int // bytes of the answer
+	vm       *limitedVM
+	reader   *bufio.Reader
+	reused   bool
+	closed   bool      // the VM closes it after its answer
+	sent     int       // bytes of the request
+	deadline time.Time // of the request
+	got      int       // bytes of the answer
 }
 
 func (c *entryConn) Write(p []byte) (n int, err error) {
 	for len(p) > 0 {
 		part := p[:min(len(p), entryChunk)]
-		c.vm.link.pass(len(part))
+		if err := c.vm.link.pass(len(part), c.deadline); err != nil {
+			return n, err
+		}
 		k, err := c.Conn.Write(part)
 		n += k
 		if err != nil {
@@ -110,7 +113,9 @@
 func (c *entryConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p[:min(len(p), entryChunk)])
 	c.got += n
-	c.vm.link.pass(n)
+	if late := c.vm.link.pass(n, c.deadline); err == nil {
+		err = late
+	}
 	return n, err
 }
 
@@ -255,6 +260,7 @@
 		return 0, 0, err
 	}
 	conn.sent = text.Len()
+	conn.deadline = deadline
 	_ = conn.SetDeadline(deadline)
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return 0, 0, err
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -147,21 +147,30 @@
 
 func newNetworkLink(mbps float64) *networkLink { return &networkLink{bytesPerSecond: mbps * 1e6 / 8} }
 
-// pass waits until n more bytes have passed the link.
-func (l *networkLink) pass(n int) {
+// pass waits until n more bytes have passed the link. If that is later than the deadline, the bytes are
+// not sent.
+func (l *networkLink) pass(n int, deadline time.Time) error {
 	l.mu.Lock()
-	l.bytes += n
 	if l.bytesPerSecond == 0 {
+		l.bytes += n
 		l.mu.Unlock()
-		return
+		return nil
+	}
+	passed := time.Now()
+	if l.freeAt.After(passed) {
+		passed = l.freeAt
 	}
-	if now := time.Now(); l.freeAt.Before(now) {
-		l.freeAt = now
+	passed = passed.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	if passed.After(deadline) {
+		l.mu.Unlock()
+		time.Sleep(time.Until(deadline))
+		return os.ErrDeadlineExceeded
 	}
-	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
-	until := l.freeAt
+	l.freeAt = passed
+	l.bytes += n
 	l.mu.Unlock()
-	time.Sleep(time.Until(until))
+	time.Sleep(time.Until(passed))
+	return nil
 }
 
 // takeBytes returns and resets the number of bytes that have passed.
