--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each needs Go alone.
-.PHONY: build run test check race fuzz examples mutants bench plots soak brittle release
+.PHONY: build run test check race fuzz examples mutants bench plots soak brittle release entry
 
 build:
 	go build -o bin/ ./cmd/...
@@ -68,3 +68,7 @@
 # Real processes and a rollout of a release of which half of the answers are slow.
 release: build
 	go run ./internal/soak --release-run --seed $(SEED) --vms $(VMS) --release-kind slow
+
+# Real processes with little processor time and thin links, and most new connections at one of them.
+entry: build
+	go run ./internal/soak --entry-run --entry-scope region --seed $(SEED) --vms $(VMS)
