drain, overload, daemon: a VM that is short refuses new connections while others have room

Cause: a VM took every connection, whatever its processor and link carry. All that it had taken became slower together, until nothing met its deadline. Change: the use per running request gives the number that a VM can carry. Answers ask callers to close their connections meanwhile, and no requests of other VMs are accepted. If the others are short too, there is no limit. Why it works: a refused connection is no try that was read, and the next one reaches another VM.

--- a/daemon/overload.go
+++ b/daemon/overload.go
@@ -23,12 +23,16 @@
 type resourceWatch struct {
 	meter    *overload.Meter
 	shortage overload.Shortage
+	limiter  overload.Limiter
+	shuts    int // how often the limit had been reached at the last reading
 	// firstRead holds how long, in milliseconds, connections waited until something was read from them.
 	firstRead metrics.Histogram
 
-	// mu guards use, the latest, and total, the time for which the VM has been short of a resource.
+	// mu guards use, the latest, limit, the number of requests that may run, or 0, and total, the time for which
+	// the VM has been short of a resource.
 	mu    sync.Mutex
 	use   overload.Use
+	limit int
 	total time.Duration
 }
 
@@ -60,7 +64,7 @@
 	}
 }
 
-// recordResources takes a reading, and logs when a shortage begins or ends.
+// recordResources takes a reading, limits the requests of callers, and logs when a shortage begins or ends.
 func (v *vmProcess) recordResources(now time.Time, late time.Duration) {
 	used, err := processorTime()
 	if err != nil {
@@ -69,9 +73,16 @@
 	}
 	w := v.resources
 	use := w.meter.Add(overload.Reading{At: now, Processor: used, LinkBytes: v.callers.Bytes.Load(), Running: v.callers.BusyConns(), Late: late})
-	event := w.shortage.Add(use, now)
+	shuts, _ := v.callers.ShutTotals()
+	turnsAway := shuts != w.shuts || v.callers.Limited()
+	limit := w.limiter.Limit(use, v.peers.OthersUse(), turnsAway, now)
+	w.shuts = shuts
+	v.callers.SetLimit(limit)
+	most, _ := use.Most()
+	v.peers.SetUse(percent(most))
+	event := w.shortage.Add(use, turnsAway, now)
 	w.mu.Lock()
-	w.use = use
+	w.use, w.limit = use, limit
 	if event == overload.Ends {
 		w.total += now.Sub(w.shortage.Began)
 	}
@@ -86,13 +97,24 @@
 
 // resourceFields returns the log fields that tell what the VM is short of and what it has taken on.
 func (v *vmProcess) resourceFields(u overload.Use) []zap.Field {
+	shuts, shut := v.callers.ShutTotals()
+	others := v.peers.OthersUse()
 	return []zap.Field{
 		zap.Stringer("of", v.resources.shortage.Resource), zap.Int("processor_percent", percent(u.Processor)), zap.Int("link_percent", percent(u.Link)),
 		zap.Int64("late_ms", u.Late.Milliseconds()), zap.Int("running", v.callers.BusyConns()), zap.Int("connections", v.callers.OpenConns()),
 		zap.Int64("accepted", v.callers.AcceptedConns.Load()), zap.Int64("turned_away", v.callers.RejectedConns.Load()),
+		zap.Int("limit", v.resources.currentLimit()), zap.Int("shuts", shuts), zap.Int64("shut_ms", shut.Milliseconds()),
+		zap.Int("others", others.VMs), zap.Int("others_percent", percent(others.Use)), zap.Bool("others_known", others.Known),
 	}
 }
 
+// currentLimit returns how many requests of callers may run, or 0 if there is no limit.
+func (w *resourceWatch) currentLimit() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limit
+}
+
 // percent returns a share in whole percent.
 func percent(share float64) int { return int(math.Round(100 * share)) }
 
@@ -108,9 +130,13 @@
 // resourceMetrics returns the metrics of what the process uses of its machine.
 func (v *vmProcess) resourceMetrics() []string {
 	w := v.resources
+	shuts, shut := v.callers.ShutTotals()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return []string{
+		fmt.Sprintf("requests_limit %d", w.limit),
+		fmt.Sprintf("caller_entry_shuts_total %d", shuts),
+		fmt.Sprintf("caller_entry_shut_milliseconds_total %d", shut.Milliseconds()),
 		fmt.Sprintf("processor_use_percent %d", percent(w.use.Processor)),
 		fmt.Sprintf("link_use_percent %d", percent(w.use.Link)),
 		fmt.Sprintf("processor_delay_milliseconds %d", w.use.Late.Milliseconds()),
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -167,6 +167,7 @@
 		EvacuationBound: s.Bounds.Evacuation, ColdOwners: v.peers.ColdOwners, ColdBounds: relay.ColdBounds{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	})
 	v.helper = forward.NewHelper(endpoint, v.relay, v.peers.ForwardCandidates, v.stopping.Load, v.log)
+	v.helper.Short = func() bool { return v.resources.currentLimit() > 0 }
 	options := &site.Options{
 		VM: s.Name, FirstStart: s.FirstStart, Configurations: platform.Configurations(store, s.Bounds.ConfigurationApply),
 		Upstreams: platform.Upstreams(store, s.Bounds.UpstreamDrain), Rollouts: platform.Rollouts(store), WriteRolloutStatus: store.WriteRolloutStatus, Relay: v.relay, Log: v.log, Now: time.Now,
@@ -202,8 +203,9 @@
 // that is in use names its settings key.
 func (v *vmProcess) listen() error {
 	front := &platform.Handler{
-		Relay: v.relay, Table: v.site.Table, WaitReady: v.site.AwaitReady, Now: time.Now, CloseConnections: v.stopping.Load,
-		Stopping: func() bool { return v.callers.Draining() },
+		Relay: v.relay, Table: v.site.Table, WaitReady: v.site.AwaitReady, Now: time.Now,
+		CloseConnections: func() bool { return v.stopping.Load() || v.callers.Limited() },
+		Stopping:         func() bool { return v.callers.Draining() },
 		OnRefused: func(id contract.RequestID, status int, why string) {
 			v.log.Info("turned-away", zap.String("request", string(id)), zap.Int("status", status), zap.String("why", why))
 		},
@@ -221,7 +223,7 @@
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := listenOn(l.address, l.handler == front)
 		if err != nil {
 			return contract.WrapStep(contract.StepSettings, v.settingsPath+": [listen] "+l.name, err)
 		}
@@ -231,6 +233,7 @@
 		}
 		if l.handler == front {
 			v.callers = drain.NewListener(listener, v.settings.Machine.MaxCallerConnections())
+			v.callers.OnOpenFailed = func(err error) { v.log.Error("listen-again-failed", logs.ErrorFields(err)...) }
 			v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
 			listener, server.ConnState = v.callers, v.callers.ConnState
 		}
@@ -243,6 +246,15 @@
 	return nil
 }
 
+// listenOn listens on a TCP address. The listener for callers can refuse connections while the VM is short of what
+// its machine gives it.
+func listenOn(address string, callers bool) (net.Listener, error) {
+	if callers {
+		return drain.NewGate(address)
+	}
+	return net.Listen("tcp", address)
+}
+
 // serveReadiness answers the readiness check of the load balancer, which sends new
 // connections only to VMs that are ready. A VM is not ready while it stops, before it
 // knows a configuration and the upstreams,
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -41,15 +41,21 @@
 	// OnFirstRead, if it is not nil, is called when the first bytes of a connection are read,
 	// with the time since it was accepted.
 	OnFirstRead func(time.Duration)
+	// gate refuses connections while the limit of busy connections is reached; nil if the listener has none.
+	gate  *Gate
+	limit atomic.Int64 // of busy connections; 0 means none
+	// OnOpenFailed, if it is not nil, is called when the gate cannot listen again.
+	OnOpenFailed func(error)
 	// mu guards conns, the set of open connections.
 	mu    sync.Mutex
 	conns map[*conn]bool
 }
 
 // NewListener wraps l in a Listener that keeps at most maxConns connections open.
-// Zero means no limit.
+// Zero means no limit. If l is a Gate, the number of busy connections can be limited as well.
 func NewListener(l net.Listener, maxConns int) *Listener {
-	return &Listener{Listener: l, maxConns: maxConns, conns: make(map[*conn]bool)}
+	gate, _ := l.(*Gate)
+	return &Listener{Listener: l, gate: gate, maxConns: maxConns, conns: make(map[*conn]bool)}
 }
 
 // conn is one client connection.
@@ -93,6 +99,7 @@
 		if l.admit(c, now) {
 			l.AcceptedConns.Add(1)
 			c.setBusy(true)
+			l.shutIfFull()
 			return c, nil
 		}
 		l.RejectedConns.Add(1)
@@ -156,6 +163,7 @@
 		c.listener.busy.Add(1)
 	} else {
 		c.listener.busy.Add(-1)
+		c.listener.openIfRoom()
 	}
 }
 
--- a/forward/helper.go
+++ b/forward/helper.go
@@ -29,6 +29,9 @@
 	log      *zap.Logger
 	// candidates returns the other VMs whose addresses this VM knows.
 	candidates func() []Candidate
+	// Short, if it is not nil, reports whether this VM is short of what its machine gives it. It then accepts
+	// no request of other VMs. Short must be set before the endpoint serves.
+	Short func() bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -100,7 +103,7 @@
 		return Stopping
 	case !h.relay.Reaches(ctx, o.Service):
 		return NoPath
-	case o.Overflow && !h.relay.HasRoom(o.Service):
+	case h.Short != nil && h.Short(), o.Overflow && !h.relay.HasRoom(o.Service):
 		return Full
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/overload/limiter.go
@@ -0,0 +1,100 @@
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds of the limit.
+const (
+	// targetUse is the use of the scarcest resource that the limit aims at.
+	targetUse = 0.8
+	// fleetMargin is how much more than the other VMs this VM may use: turning connections away helps their
+	// callers only if the others have more room.
+	fleetMargin = 0.2
+	// fullUse is the target from which there is no limit: the whole fleet is short.
+	fullUse = 0.95
+	// limitBegins is the use from which the limit is in force. Below it a count of requests tells nothing:
+	// they may be many because upstreams are slow.
+	limitBegins = 0.65
+	// limitHolds is how long the limit stays in force after the use was last above limitBegins, or
+	// connections were last turned away.
+	limitHolds = 2 * time.Second
+	// minRunning is the least limit: some new connections are always accepted.
+	minRunning = 4
+	// costTime is the time constant of the lasting average of the use per request.
+	costTime = 5 * time.Second
+	// costMinRunning and costMaxUse bound the readings that enter that average: with less running, the use
+	// is for other work than requests, and with more use, requests need more than they get.
+	costMinRunning, costMaxUse = 1, 0.9
+)
+
+// Others is what a VM knows of the other VMs of its data centre.
+type Others struct {
+	// VMs is their number, and Use the mean of their use; Known is whether it is known.
+	VMs   int
+	Use   float64
+	Known bool
+}
+
+// target returns the use that the limit aims at, or false if there is no limit.
+func (o Others) target() (float64, bool) {
+	if o.VMs == 0 {
+		return 0, false
+	}
+	target := targetUse
+	if o.Known {
+		target = max(target, o.Use+fleetMargin)
+	}
+	return target, target < fullUse
+}
+
+// Limiter limits the number of requests that run at a VM while it is short of a resource and other VMs are
+// not. It computes the limit from the use per running request: requests add to the use for as long as they run, so
+// their number shows what has been taken on before it is used. A Limiter is not safe for concurrent use.
+type Limiter struct {
+	// cost is the lasting average of the use per running request; zero while it is not known.
+	cost  float64
+	last  time.Time
+	until time.Time // end of the time in which the limit is in force
+}
+
+// Limit returns how many requests may run, or 0 if there is no limit. The argument turnedAway tells whether
+// connections have been turned away since the last call.
+func (l *Limiter) Limit(u Use, o Others, turnedAway bool, now time.Time) int {
+	most, _ := u.Most()
+	l.recordCost(u, most, now)
+	target, limited := o.target()
+	if !limited {
+		l.until = time.Time{}
+		return 0
+	}
+	if most >= limitBegins || turnedAway && now.Before(l.until) {
+		l.until = now.Add(limitHolds)
+	}
+	if !now.Before(l.until) {
+		return 0
+	}
+	cost := l.cost
+	if u.Running >= costMinRunning {
+		cost = max(cost, most/u.Running)
+	}
+	if cost == 0 {
+		return minRunning
+	}
+	return max(int(math.Floor(target/cost)), minRunning)
+}
+
+// recordCost records the use per running request.
+func (l *Limiter) recordCost(u Use, most float64, now time.Time) {
+	elapsed := now.Sub(l.last)
+	l.last = now
+	if u.Running < costMinRunning || most > costMaxUse {
+		return
+	}
+	if l.cost == 0 {
+		l.cost = most / u.Running
+		return
+	}
+	l.cost += (1 - math.Exp(-float64(elapsed)/float64(costTime))) * (most/u.Running - l.cost)
+}
--- a/overload/shortage.go
+++ b/overload/shortage.go
@@ -10,7 +10,7 @@
 	shortageHolds = time.Second
 )
 
-// Shortage follows the times in which a VM is short of a resource.
+// Shortage follows the times in which a VM is short of a resource, or turns connections away so as not to be.
 type Shortage struct {
 	// Resource is the one that was scarcest at the beginning, Began when it began, and Peak the highest
 	// use of any resource since.
@@ -32,18 +32,18 @@
 	Ends
 )
 
-// Add adds the use at a moment.
-func (s *Shortage) Add(u Use, now time.Time) Event {
+// Add adds the use at a moment, and whether connections are turned away.
+func (s *Shortage) Add(u Use, turnsAway bool, now time.Time) Event {
 	most, resource := u.Most()
 	if !s.short {
-		if most < shortageBegins {
+		if most < shortageBegins && !turnsAway {
 			return NoEvent
 		}
 		*s = Shortage{Resource: resource, Began: now, Peak: most, short: true, lowFrom: now}
 		return Begins
 	}
 	s.Peak = max(s.Peak, most)
-	if most >= shortageEnds {
+	if most >= shortageEnds || turnsAway {
 		s.lowFrom = now
 	}
 	if now.Sub(s.lowFrom) < shortageHolds {
