overload, site: no limit while more than a quarter of the other VMs are short

What callers would have seen: with all VMs equally loaded beyond what they carry (12 VMs with 0.08 cores and 4 Mbit/s, no crowd, 600 requests a second, then 1,200), a limit on many VMs at once refused callers at several VMs in a row. Cause: the mean use of the others alone tells late that a fleet is short, and a limit that works keeps the mean low. Change: VMs state whether they are short (use above 0.65, or refusing connections); with more than a quarter of the others short there is no limit. Nor is there one before anything is known of the others, as when a fleet starts; what was known is kept, since a starved VM hears nothing.

--- a/daemon/overload.go
+++ b/daemon/overload.go
@@ -79,7 +79,7 @@
 	w.shuts = shuts
 	v.callers.SetLimit(limit)
 	most, _ := use.Most()
-	v.peers.SetUse(percent(most))
+	v.peers.SetUse(percent(most), use.IsShort() || turnsAway)
 	event := w.shortage.Add(use, turnsAway, now)
 	w.mu.Lock()
 	w.use, w.limit = use, limit
@@ -104,7 +104,7 @@
 		zap.Int64("late_ms", u.Late.Milliseconds()), zap.Int("running", v.callers.BusyConns()), zap.Int("connections", v.callers.OpenConns()),
 		zap.Int64("accepted", v.callers.AcceptedConns.Load()), zap.Int64("turned_away", v.callers.RejectedConns.Load()),
 		zap.Int("limit", v.resources.currentLimit()), zap.Int("shuts", shuts), zap.Int64("shut_ms", shut.Milliseconds()),
-		zap.Int("others", others.VMs), zap.Int("others_percent", percent(others.Use)), zap.Bool("others_known", others.Known),
+		zap.Int("others", others.VMs), zap.Int("others_percent", percent(others.Use)), zap.Int("others_short", others.Short),
 	}
 }
 
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -14,6 +14,8 @@
 	fleetMargin = 0.2
 	// fullUse is the target from which there is no limit: the whole fleet is short.
 	fullUse = 0.95
+	// maxShort is the part of the other VMs that may be short. A caller whom one VM has turned away tries few others.
+	maxShort = 0.25
 	// limitBegins is the use from which the limit is in force. Below it a count of requests tells nothing:
 	// they may be many because upstreams are slow.
 	limitBegins = 0.65
@@ -31,24 +33,28 @@
 
 // Others is what a VM knows of the other VMs of its data centre.
 type Others struct {
-	// VMs is their number, and Use the mean of their use; Known is whether it is known.
-	VMs   int
+	// Live is the number of those that live, and VMs the number of those whose use is known: none at the start.
+	Live, VMs int
+	// Use is the mean of their use, and Short the number of those that are short.
 	Use   float64
-	Known bool
+	Short int
 }
 
 // target returns the use that the limit aims at, or false if there is no limit.
 func (o Others) target() (float64, bool) {
-	if o.VMs == 0 {
+	if o.Live == 0 || o.VMs == 0 || float64(o.Short) > maxShort*float64(o.VMs) {
 		return 0, false
 	}
-	target := targetUse
-	if o.Known {
-		target = max(target, o.Use+fleetMargin)
-	}
+	target := max(targetUse, o.Use+fleetMargin)
 	return target, target < fullUse
 }
 
+// IsShort reports whether a VM with this use is short of a resource.
+func (u Use) IsShort() bool {
+	most, _ := u.Most()
+	return most >= limitBegins
+}
+
 // Limiter limits the number of requests that run at a VM while it is short of a resource and other VMs are
 // not. It computes the limit from the use per running request: requests add to the use for as long as they run, so
 // their number shows what has been taken on before it is used. A Limiter is not safe for concurrent use.
@@ -69,7 +75,7 @@
 		l.until = time.Time{}
 		return 0
 	}
-	if most >= limitBegins || turnedAway && now.Before(l.until) {
+	if u.IsShort() || turnedAway && now.Before(l.until) {
 		l.until = now.Add(limitHolds)
 	}
 	if !now.Before(l.until) {
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -222,7 +222,9 @@
 	p.updateRankKnown(reply)
 	p.recordLease(reply.Lease)
 	p.recordDemand(reply)
-	p.recordUse(reply.Use)
+	if reply.Use != nil {
+		p.recordUse(*reply.Use)
+	}
 	p.reconcileLimits(reply)
 	p.applyGossip(context.WithoutCancel(ctx), reply)
 	return true
--- a/site/peers.go
+++ b/site/peers.go
@@ -134,8 +134,8 @@
 	// unresponsiveUntil holds the link addresses that did not reply,
 	// and the time until which each address is skipped.
 	unresponsiveUntil map[string]time.Time
-	// othersUse is the use of the other VMs of this data centre as a hub has stated it.
-	othersUse timedUse
+	// othersUse is the use of the other VMs of this data centre as last known.
+	othersUse CentreUse
 	// counts holds the number of VMs per data centre.
 	counts map[contract.DataCentreID]dataCentreCount
 	// rankKnown is set once this VM knows its rank
--- a/site/use.go
+++ b/site/use.go
@@ -8,62 +8,47 @@
 	"woaddoor/vm"
 )
 
-// CentreUse is the mean use of the machines of the VMs of a data centre, without the recipient.
+// CentreUse is what the VMs of a data centre use of their machines, without the recipient.
 type CentreUse struct {
-	VMs     int `cbor:"1,keyasint"`
+	VMs int `cbor:"1,keyasint"`
+	// Percent is the mean use of the scarcest resource, and Short the number of VMs that are short.
 	Percent int `cbor:"2,keyasint,omitempty"`
+	Short   int `cbor:"3,keyasint,omitempty"`
 }
 
 // useExpiry is how long the use that a VM has stated counts.
 const useExpiry = 3 * time.Second
 
-// timedUse is the use of the other VMs as a hub has stated it, and the time of that.
-type timedUse struct {
-	CentreUse
-	at time.Time
-}
-
-// SetUse sets how much this VM uses of the scarcest resource of its machine, in percent. At least 1 is stated: 0 means
-// that a VM states nothing.
-func (p *Peers) SetUse(percent int) {
+// SetUse sets how much this VM uses of the scarcest resource of its machine, in percent, and whether it is short of it.
+// At least 1 is stated: 0 means that a VM states nothing.
+func (p *Peers) SetUse(percent int, short bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetUse(max(percent, 1))
+	p.table.SetUse(max(percent, 1), short)
 }
 
 // OthersUse returns what this VM knows of the use of the other VMs of its data centre. A hub knows it from their
-// messages, and a leaf from the replies of its hub.
+// messages, and a leaf from the replies of its hub. A VM that has no news keeps what it knew: it may be too short of
+// its processor to hear any.
 func (p *Peers) OthersUse() overload.Others {
 	v := p.currentView()
-	others := overload.Others{VMs: len(v.localPeers)}
-	use := p.useExcept(p.AsWatcher().VM)
-	if !v.isHub {
-		use = p.statedUse()
-	}
-	if use.VMs > 0 {
-		others.Known, others.Use = true, float64(use.Percent)/100
+	if v.isHub {
+		p.recordUse(p.useExcept(p.AsWatcher().VM))
 	}
-	return others
-}
-
-// statedUse returns the use of the other VMs as this VM's hub has stated it.
-func (p *Peers) statedUse() CentreUse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.now().Sub(p.othersUse.at) > useExpiry {
-		return CentreUse{}
-	}
-	return p.othersUse.CentreUse
+	use := p.othersUse
+	return overload.Others{Live: len(v.localPeers), VMs: use.VMs, Use: float64(use.Percent) / 100, Short: use.Short}
 }
 
-// recordUse records the use of the other VMs that a hub has stated in a reply.
-func (p *Peers) recordUse(stated *CentreUse) {
-	if stated == nil {
+// recordUse records the use of the other VMs, unless none has stated any.
+func (p *Peers) recordUse(stated CentreUse) {
+	if stated.VMs == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.othersUse = timedUse{*stated, p.now()}
+	p.othersUse = stated
 }
 
 // useExcept returns the use of the VMs of this data centre except one, as far as they have stated it recently.
@@ -74,9 +59,13 @@
 	p.mu.Unlock()
 	var use CentreUse
 	add := func(m vm.Member) {
-		if m.VM != recipient && m.Use > 0 && m.Age <= useExpiry {
-			use.VMs++
-			use.Percent += m.Use
+		if m.VM == recipient || m.Use == 0 || m.Age > useExpiry {
+			return
+		}
+		use.VMs++
+		use.Percent += m.Use
+		if m.Short {
+			use.Short++
 		}
 	}
 	add(self)
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -40,6 +40,8 @@
 	// Use is how much the VM uses of the scarcest resource of its machine, in percent.
 	// Zero means that it is not known.
 	Use int `cbor:"12,keyasint,omitempty"`
+	// Short is set if the VM is short of that resource.
+	Short bool `cbor:"13,keyasint,omitempty"`
 }
 
 // How long a VM may be silent before it is considered dead.
@@ -78,8 +80,8 @@
 	t.self = self
 }
 
-// SetUse sets the use of this VM's machine, in percent.
-func (t *Table) SetUse(percent int) { t.self.Use = percent }
+// SetUse sets the use of this VM's machine, in percent, and whether the VM is short of it.
+func (t *Table) SetUse(percent int, short bool) { t.self.Use, t.self.Short = percent, short }
 
 // Self returns the description of this VM.
 func (t *Table) Self() Member { return t.self }
