--- a/explain/explain.go
+++ b/explain/explain.go
@@ -171,6 +171,8 @@
 	{"request-held", "print", []string{"print", "ended", "first_seen_by", "by", "workspace", "route"}},
 	{"store-lost", "", []string{"kind", "error"}},
 	{"store-regained", "", []string{"kind"}},
+	{"short", "", []string{"of", "processor_percent", "link_percent", "running", "limit", "others_percent", "others_short"}},
+	{"short-ends", "", []string{"of", "lasted_ms", "shut_ms"}},
 	{"signal", "", []string{"signal"}},
 	{"start", "", nil},
 }
@@ -219,12 +221,14 @@
 
 // auditEvents are the events that Changes prints: changes of the configuration,
 // upstreams, orders and evacuations, the states that upstreams report of themselves,
-// quarantined request contents, the start and stop of VMs, and their connection to the store.
+// quarantined request contents, the start and stop of VMs, their connection to the store, and when they are short of
+// what their machines give them.
 var auditEvents = map[string]bool{
 	"configuration": true, "upstream": true, "order": true, "order-noted": true, "release-bad": true, "enlisted": true,
 	"request-held": true, "request-released": true, "evacuation": true,
 	"upstream-leaves": true, "upstream-rests": true, "upstream-rest-ends": true, "upstream-limit": true, "upstreams-short": true,
 	"start": true, "stop": true, "signal": true, "reload": true, "store-lost": true, "store-regained": true, "vms": true,
+	"short": true, "short-ends": true,
 }
 
 // Changes prints the changes in the order of the lines. Each change is printed once,
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -305,11 +306,12 @@
 	}
 }
 
-// pick returns the VM for a new connection of a caller. A retry reaches any VM of the data centre.
-func (b *balancer) pick(caller string, retry bool) *limitedVM {
+// pick returns the VM for a new connection of a caller. A retry reaches a VM of the data centre that the caller has not
+// tried, if there is one.
+func (b *balancer) pick(caller string, tried []entryTry) *limitedVM {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !retry && rand.Float64() < b.trial.Share {
+	if len(tried) == 0 && rand.Float64() < b.trial.Share {
 		if v := b.crowded(caller); v != nil {
 			return v
 		}
@@ -327,6 +329,12 @@
 	if 2*len(in) < len(all) {
 		in = all
 	}
+	untried := slices.DeleteFunc(slices.Clone(in), func(v *limitedVM) bool {
+		return slices.ContainsFunc(tried, func(t entryTry) bool { return t.vm == v.name })
+	})
+	if len(untried) > 0 {
+		in = untried
+	}
 	return in[rand.IntN(len(in))]
 }
 
--- a/internal/soak/entrycallers.go
+++ b/internal/soak/entrycallers.go
@@ -89,9 +89,9 @@
 	reader   *bufio.Reader
 	reused   bool
 	closed   bool      // the VM closes it after its answer
-	sent     int       // bytes of the request
 	deadline time.Time // of the request
-	got      int       // bytes of the answer
+	// sent and got are the bytes of the request and of the answer.
+	sent, got atomic.Int64
 }
 
 func (c *entryConn) Write(p []byte) (n int, err error) {
@@ -112,7 +112,7 @@
 
 func (c *entryConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p[:min(len(p), entryChunk)])
-	c.got += n
+	c.got.Add(int64(n))
 	if late := c.vm.link.pass(n, c.deadline); err == nil {
 		err = late
 	}
@@ -152,8 +152,7 @@
 	began := time.Now()
 	result := entryResult{at: began}
 	for len(result.tries) < c.fleet.trial.Tries && time.Since(began) < entryDeadline {
-		retry := len(result.tries) > 0
-		try, wait := c.try(caller, kind, retry, began.Add(entryDeadline))
+		try, wait := c.try(caller, kind, result.tries, began.Add(entryDeadline))
 		result.tries = append(result.tries, try)
 		unsafeRun := try.end == tryFailed && kind.path == "/once/x"
 		if try.end == tryServed || unsafeRun {
@@ -168,8 +167,8 @@
 }
 
 // try makes one try, and returns how long the answer asks to wait before the next.
-func (c *entryCallers) try(caller string, kind entryKind, retry bool, deadline time.Time) (entryTry, time.Duration) {
-	conn, err := c.connect(caller, retry)
+func (c *entryCallers) try(caller string, kind entryKind, tried []entryTry, deadline time.Time) (entryTry, time.Duration) {
+	conn, err := c.connect(caller, tried)
 	if conn == nil {
 		return entryTry{tryRefused, "-"}, 0
 	}
@@ -178,14 +177,16 @@
 		t.end = tryRefused
 		return t, 0
 	}
-	watched := time.AfterFunc(min(readTimeout, time.Until(deadline)/3), func() {
-		if conn.got == 0 && kind.path != "/once/x" && unreadByPeer(conn.Conn) >= conn.sent {
+	var givenUp atomic.Bool
+	watch := time.AfterFunc(min(readTimeout, time.Until(deadline)/3), func() {
+		if conn.sent.Load() > 0 && conn.got.Load() == 0 && kind.path != "/once/x" && unreadByPeer(conn.Conn) >= int(conn.sent.Load()) {
+			givenUp.Store(true)
 			conn.Close()
-			t.vm += " (unread)"
 		}
 	})
+	defer watch.Stop()
 	status, wait, err := c.exchange(conn, kind, deadline)
-	if !watched.Stop() && strings.HasSuffix(t.vm, " (unread)") {
+	if givenUp.Load() {
 		t.end = tryLeftUnread
 		return t, 0
 	}
@@ -196,7 +197,7 @@
 		return t, 0
 	case err == nil && status == http.StatusServiceUnavailable:
 		t.end = tryRejected
-	case conn.got == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || conn.reused && errors.Is(err, io.ErrUnexpectedEOF)):
+	case conn.got.Load() == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || conn.reused && errors.Is(err, io.ErrUnexpectedEOF)):
 		t.end = tryNotRead
 	default:
 		t.end = tryFailed
@@ -207,22 +208,24 @@
 
 // connect returns a connection for a try: one that is kept, or a new one. With an error, the connection
 // only names the VM.
-func (c *entryCallers) connect(caller string, retry bool) (*entryConn, error) {
+func (c *entryCallers) connect(caller string, tried []entryTry) (*entryConn, error) {
 	share := c.fleet.trial.New
 	if c.surge.Load() {
 		share = c.fleet.trial.NewCrowd
 	}
 	c.mu.Lock()
-	if kept := c.idle[caller]; !retry && len(kept) > 0 && rand.Float64() >= share {
+	if kept := c.idle[caller]; len(tried) == 0 && len(kept) > 0 && rand.Float64() >= share {
 		n := rand.IntN(len(kept))
 		conn := kept[n]
 		c.idle[caller] = slices.Delete(kept, n, n+1)
 		c.mu.Unlock()
-		conn.reused, conn.sent, conn.got = true, 0, 0
+		conn.reused = true
+		conn.sent.Store(0)
+		conn.got.Store(0)
 		return conn, nil
 	}
 	c.mu.Unlock()
-	conn := &entryConn{vm: c.fleet.balancer.pick(caller, retry)}
+	conn := &entryConn{vm: c.fleet.balancer.pick(caller, tried)}
 	var err error
 	conn.Conn, err = net.DialTimeout("tcp", conn.vm.callerAddress, connectTimeout)
 	conn.reader = bufio.NewReaderSize(conn, entryChunk)
@@ -259,7 +262,7 @@
 	if err := req.Write(&text); err != nil {
 		return 0, 0, err
 	}
-	conn.sent = text.Len()
+	conn.sent.Store(int64(text.Len()))
 	conn.deadline = deadline
 	_ = conn.SetDeadline(deadline)
 	if _, err := conn.Write(text.Bytes()); err != nil {
