drain, overload: after a suspension a VM takes in no more than it can carry

Cause: the limit came from readings only, and the backlog of a VM that stood still is accepted before the first of them. Change: while no reading is recent, what the remembered use per request allows is the limit. Measured: TestStaleLimitHoldsAfterSuspension fails without it.

--- a/daemon/overload.go
+++ b/daemon/overload.go
@@ -75,14 +75,14 @@
 	use := w.meter.Add(overload.Reading{At: now, Processor: used, LinkBytes: v.callers.Bytes.Load(), Running: v.callers.BusyConns(), Late: late})
 	shuts, _ := v.callers.ShutTotals()
 	turnsAway := shuts != w.shuts || v.callers.Limited()
-	limit := w.limiter.Limit(use, v.peers.OthersUse(), turnsAway, now)
+	limits := w.limiter.Limit(use, v.peers.OthersUse(), turnsAway, now)
 	w.shuts = shuts
-	v.callers.SetLimit(limit)
+	v.callers.SetLimit(limits.Now, limits.Unread)
 	most, _ := use.Most()
 	v.peers.SetUse(percent(most), use.IsShort() || turnsAway)
 	event := w.shortage.Add(use, turnsAway, now)
 	w.mu.Lock()
-	w.use, w.limit = use, limit
+	w.use, w.limit = use, limits.Now
 	if event == overload.Ends {
 		w.total += now.Sub(w.shortage.Began)
 	}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -42,8 +42,10 @@
 	// with the time since it was accepted.
 	OnFirstRead func(time.Duration)
 	// gate refuses connections while the limit of busy connections is reached; nil if the listener has none.
-	gate  *Gate
-	limit atomic.Int64 // of busy connections; 0 means none
+	gate *Gate
+	// limit is the limit of busy connections, and staleLimit the one after limitSetAt, in Unix nanoseconds, has become
+	// too old; 0 means none.
+	limit, staleLimit, limitSetAt atomic.Int64
 	// OnOpenFailed, if it is not nil, is called when the gate cannot listen again.
 	OnOpenFailed func(error)
 	// mu guards conns, the set of open connections.
--- a/drain/gate_test.go
+++ b/drain/gate_test.go
@@ -76,7 +76,7 @@
 	is := is.New(t)
 	l := newGatedListener(t)
 	is.True(!l.Limited())
-	l.SetLimit(2)
+	l.SetLimit(2, 0)
 	first, _ := dialListener(t, l)
 	is.True(!l.Limited())
 	second, _ := dialListener(t, l)
@@ -92,7 +92,7 @@
 	is.NoErr(second.Close())
 	is.NoErr(third.Close())
 	is.True(!isRefused(l))
-	l.SetLimit(0)
+	l.SetLimit(0, 0)
 	is.Equal(l.BusyConns(), 0)
 }
 
@@ -101,21 +101,37 @@
 func TestFullListenerAcceptsSomeConnections(t *testing.T) {
 	is := is.New(t)
 	l := newGatedListener(t)
-	l.SetLimit(1)
+	l.SetLimit(1, 0)
 	dialListener(t, l)
 	is.True(isRefused(l))
 	time.Sleep(maxShut)
-	l.SetLimit(1)
+	l.SetLimit(1, 0)
 	dialListener(t, l)
 	is.Equal(l.BusyConns(), 2)
 	is.True(isRefused(l))
 }
 
+// TestStaleLimitHoldsAfterSuspension guards against a VM that takes in, after a suspension, all connections that have
+// arrived meanwhile: until a limit is set anew, the one for that time holds.
+func TestStaleLimitHoldsAfterSuspension(t *testing.T) {
+	is := is.New(t)
+	l := newGatedListener(t)
+	l.SetLimit(0, 2)
+	dialListener(t, l)
+	dialListener(t, l)
+	is.True(!l.Limited())
+	time.Sleep(maxLimitAge + 10*time.Millisecond)
+	dialListener(t, l)
+	is.True(isRefused(l))
+	l.SetLimit(0, 2)
+	is.True(!isRefused(l))
+}
+
 // TestListenerWithoutGateIsNotLimited checks that a limit does nothing without a gate.
 func TestListenerWithoutGateIsNotLimited(t *testing.T) {
 	is := is.New(t)
 	l, _, _ := newConnPair(t)
-	l.SetLimit(1)
+	l.SetLimit(1, 0)
 	dialListener(t, l)
 	is.True(!l.Limited())
 }
--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -78,6 +78,7 @@
 	{"a VM without room is passed over for a moment only", "forward/directory.go", "if why == Full {", "if false {", "./forward", "TestHoldersOfRoomAreOffered"},
 	{"a holder may have room again", "forward/directory.go", "a.Room || known.holder", "a.Room", "./forward", "TestHoldersOfRoomAreOffered"},
 	{"a VM at its limit refuses new connections", "drain/limit.go", "limit > 0 && l.busy.Load() >= limit", "false && limit > 0", "./drain", "TestBusyConnectionsAreLimited"},
+	{"after a suspension the limit for that time holds", "drain/limit.go", "return l.staleLimit.Load()", "return 0", "./drain", "TestStaleLimitHoldsAfterSuspension"},
 	{"a VM at its limit accepts some connections", "drain/limit.go", "time.Since(since) >= maxShut", "false", "./drain", "TestFullListenerAcceptsSomeConnections"},
 	{"there is no limit while many VMs are short", "overload/limiter.go", " || float64(o.Short) > maxShort*float64(o.VMs)", "", "./overload", "TestLimit"},
 	{"there is no limit while requests use little", "overload/limiter.go", "if u.IsShort() || turnedAway", "if true || turnedAway", "./overload", "TestLimit"},
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -40,6 +40,7 @@
 
 	KillEvery    time.Duration `help:"How often a VM is killed and started anew; 0 means never."`
 	SuspendEvery time.Duration `help:"How often a VM is suspended for 2 s; 0 means never."`
+	CrowdEvery   time.Duration `help:"How often the VM that gets the crowd is suspended for 2 s, and the next time killed; 0 means never."`
 	EndEvery     time.Duration `help:"How often an upstream ends; another starts in its place; 0 means never."`
 	Wanted       float64       `help:"Share of the requests served at the first try that was read, of the share before, below which the trial has failed." default:"0.97"`
 }
@@ -233,11 +234,23 @@
 			}
 		})
 	}
-	each(f.trial.KillEvery, func(int) {
-		v := f.limited[rand.IntN(len(f.limited))]
+	kill := func(v *limitedVM) {
 		v.signal(syscall.SIGKILL)
 		v.waitExit()
 		time.AfterFunc(entryRestart, func() { _ = f.startVM(v.vm) }) // its callers are refused otherwise, which the trial shows
+	}
+	each(f.trial.KillEvery, func(int) { kill(f.limited[rand.IntN(len(f.limited))]) })
+	each(f.trial.CrowdEvery, func(n int) {
+		f.balancer.mu.Lock()
+		v := f.balancer.crowded(dataCentre(0))
+		f.balancer.mu.Unlock()
+		switch {
+		case v == nil:
+		case n%2 == 0:
+			v.suspend(brittleSuspend)
+		default:
+			kill(v)
+		}
 	})
 	each(f.trial.SuspendEvery, func(int) { f.limited[rand.IntN(len(f.limited))].suspend(brittleSuspend) })
 	each(f.trial.EndEvery, func(n int) {
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -65,28 +65,42 @@
 	until time.Time // end of the time in which the limit is in force
 }
 
-// Limit returns how many requests may run, or 0 if there is no limit. The argument turnedAway tells whether
-// connections have been turned away since the last call.
-func (l *Limiter) Limit(u Use, o Others, turnedAway bool, now time.Time) int {
+// Limits are how many requests may run; 0 means that there is no limit.
+type Limits struct {
+	// Now is the limit in force. Unread is in force while there is no recent reading: after a suspension many
+	// connections have arrived, and nothing shows yet what they use.
+	Now, Unread int
+}
+
+// Limit returns how many requests may run. The argument turnedAway tells whether connections have been turned away
+// since the last call.
+func (l *Limiter) Limit(u Use, o Others, turnedAway bool, now time.Time) Limits {
 	most, _ := u.Most()
 	l.recordCost(u, most, now)
 	target, limited := o.target()
 	if !limited {
 		l.until = time.Time{}
-		return 0
+		return Limits{}
 	}
 	if u.IsShort() || turnedAway && now.Before(l.until) {
 		l.until = now.Add(limitHolds)
 	}
+	limits := Limits{Unread: running(target, l.cost)}
 	if !now.Before(l.until) {
-		return 0
+		return limits
 	}
 	cost := l.cost
 	if u.Running >= costMinRunning {
 		cost = max(cost, most/u.Running)
 	}
+	limits.Now = max(running(target, cost), minRunning)
+	return limits
+}
+
+// running returns how many requests may run for a use, or 0 if the use per running request is not known.
+func running(target, cost float64) int {
 	if cost == 0 {
-		return minRunning
+		return 0
 	}
 	return max(int(math.Floor(target/cost)), minRunning)
 }
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -32,7 +32,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var l Limiter
-			is.New(t).Equal(l.Limit(test.use, test.others, false, time.Unix(1, 0)), test.want)
+			is.New(t).Equal(l.Limit(test.use, test.others, false, time.Unix(1, 0)).Now, test.want)
 		})
 	}
 }
@@ -43,14 +43,14 @@
 	is := is.New(t)
 	var l Limiter
 	now := time.Unix(1, 0)
-	is.True(l.Limit(Use{Processor: 1, Running: 20}, quiet, false, now) > 0)
+	is.True(l.Limit(Use{Processor: 1, Running: 20}, quiet, false, now).Now > 0)
 	low := Use{Processor: 0.5, Running: 10}
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
-		is.True(l.Limit(low, quiet, true, now) > 0)
+		is.True(l.Limit(low, quiet, true, now).Now > 0)
 	}
-	is.True(l.Limit(low, quiet, false, now.Add(limitHolds-time.Millisecond)) > 0)
-	is.Equal(l.Limit(low, quiet, false, now.Add(limitHolds)), 0)
+	is.True(l.Limit(low, quiet, false, now.Add(limitHolds-time.Millisecond)).Now > 0)
+	is.Equal(l.Limit(low, quiet, false, now.Add(limitHolds)).Now, 0)
 }
 
 // TestCostIsRemembered guards against a limit that is too high at the beginning of a shortage, when use is cut off
@@ -63,7 +63,9 @@
 		now = now.Add(100 * time.Millisecond)
 		l.Limit(Use{Processor: 0.2, Running: 5}, quiet, false, now)
 	}
-	is.Equal(l.Limit(Use{Processor: 1, Running: 200}, quiet, false, now.Add(100*time.Millisecond)), 20)
+	is.Equal(l.Limit(Use{Processor: 0.2, Running: 5}, quiet, false, now), Limits{Unread: 20})
+	is.Equal(l.Limit(Use{Processor: 0.2, Running: 5}, Others{Live: 19, VMs: 19, Use: 0.9}, false, now), Limits{})
+	is.Equal(l.Limit(Use{Processor: 1, Running: 200}, quiet, false, now.Add(100*time.Millisecond)).Now, 20)
 }
 
 // TestMeter checks the use that readings result in: of the share of the processor, of the link, and the delay, for
