--- a/daemon/overload.go
+++ b/daemon/overload.go
@@ -77,7 +77,7 @@
 	turnsAway := shuts != w.shuts || v.callers.Limited()
 	limits := w.limiter.Limit(use, v.peers.OthersUse(), turnsAway, now)
 	w.shuts = shuts
-	v.callers.SetLimit(limits.Now, limits.Unread)
+	v.callers.SetLimit(limits.Now, limits.Stale)
 	most, _ := use.Most()
 	v.peers.SetUse(percent(most), use.IsShort() || turnsAway)
 	event := w.shortage.Add(use, turnsAway, now)
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -69,9 +69,7 @@
 
 // limitProcessor accounts for the time since the last tick, and stops or continues the process.
 func (v *limitedVM) limitProcessor(now time.Time, elapsed time.Duration) {
-	v.vm.mu.Lock()
-	pid := v.command.Process.Pid
-	v.vm.mu.Unlock()
+	pid := v.process()
 	used, err := processorTime(pid)
 	if err != nil {
 		return // the process has ended
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -67,9 +67,9 @@
 
 // Limits are how many requests may run; 0 means that there is no limit.
 type Limits struct {
-	// Now is the limit in force. Unread is in force while there is no recent reading: after a suspension many
+	// Now is the limit in force. Stale is in force while there is no recent reading: after a suspension many
 	// connections have arrived, and nothing shows yet what they use.
-	Now, Unread int
+	Now, Stale int
 }
 
 // Limit returns how many requests may run. The argument turnedAway tells whether connections have been turned away
@@ -85,7 +85,7 @@
 	if u.IsShort() || turnedAway && now.Before(l.until) {
 		l.until = now.Add(limitHolds)
 	}
-	limits := Limits{Unread: running(target, l.cost)}
+	limits := Limits{Stale: running(target, l.cost)}
 	if !now.Before(l.until) {
 		return limits
 	}
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -63,7 +63,7 @@
 		now = now.Add(100 * time.Millisecond)
 		l.Limit(Use{Processor: 0.2, Running: 5}, quiet, false, now)
 	}
-	is.Equal(l.Limit(Use{Processor: 0.2, Running: 5}, quiet, false, now), Limits{Unread: 20})
+	is.Equal(l.Limit(Use{Processor: 0.2, Running: 5}, quiet, false, now), Limits{Stale: 20})
 	is.Equal(l.Limit(Use{Processor: 0.2, Running: 5}, Others{Live: 19, VMs: 19, Use: 0.9}, false, now), Limits{})
 	is.Equal(l.Limit(Use{Processor: 1, Running: 200}, quiet, false, now.Add(100*time.Millisecond)).Now, 20)
 }
