soak, standin, overload: one load header and one writer of the configuration for all trials; an unused method is gone

Cause: the new trial wrote the upstreams' load header and the configuration again beside their twins, and named a header of the platform; overload.Meter.Use had no caller. Change: replica.LoadHeader serves both stand-ins and the trial; the trial sets fleet.maxConnections and calls writeConfiguration. No behaviour changes, no assertion is touched.

--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -136,12 +136,8 @@
 
 // startEntry starts the store, the upstreams and the VMs.
 func (f *entryFleet) startEntry(args arguments) error {
-	f.fleet.mu.Lock()
-	f.configVersion++
-	deployment := newDeployment(f.configVersion, f.workspaceKeys...)
-	f.fleet.mu.Unlock()
-	deployment.MaxConnections = 20 * args.VMs // the connections are not what is short
-	f.store.PutDeployment(deployment)
+	f.maxConnections = 20 * args.VMs // the connections are not what is short
+	f.writeConfiguration()
 	if err := f.startStore(); err != nil {
 		return err
 	}
@@ -185,7 +181,7 @@
 		return true
 	}
 	defer func() { <-slots }()
-	load := fmt.Sprintf("X-Instance-Load: %d,0,%d", len(slots), cap(slots))
+	load := replica.LoadHeader(len(slots), 0, cap(slots))
 	for _, k := range entryKinds {
 		if k.path != req.URL.Path || k.events == 0 {
 			continue
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -220,7 +220,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configVersion++
-	f.store.PutDeployment(newDeployment(f.configVersion, f.workspaceKeys...))
+	deployment := newDeployment(f.configVersion, f.workspaceKeys...)
+	deployment.MaxConnections = f.maxConnections
+	f.store.PutDeployment(deployment)
 	f.versions.accepted(f.configVersion)
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -49,7 +49,9 @@
 	backups   backups
 	// machineOf returns what the machine of a VM has; nil means that VMs are not limited.
 	machineOf func(n int) machine
-	versions  versionTracker
+	// maxConnections is how many connections each upstream accepts; zero means the default of the deployment.
+	maxConnections int
+	versions       versionTracker
 
 	// mu guards the fields below: the newest configuration, when the store last returned
 	// from an older copy, and when all VMs were last killed.
--- a/internal/standin/brittle/brittle.go
+++ b/internal/standin/brittle/brittle.go
@@ -187,7 +187,7 @@
 
 // headers returns the headers of an answer. The caller holds mu.
 func (s *Service) headers(u *instance) []string {
-	h := []string{fmt.Sprintf("X-Instance-Load: %d,%d,%d", u.running, len(u.waiting), s.opts.Slots)}
+	h := []string{replica.LoadHeader(u.running, len(u.waiting), s.opts.Slots)}
 	if !s.statedFrom.IsZero() {
 		h = append(h, replica.BrittleHeader(float64(s.opts.Bears)))
 	}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -147,7 +147,7 @@
 func (c *Conn) Respond(status int, id, body string, headers ...string) {
 	fmt.Fprintf(c, "HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", status, id, c.Signature())
 	if !slices.ContainsFunc(headers, func(h string) bool { return strings.HasPrefix(h, loadHeader) }) {
-		fmt.Fprintf(c, "%s: 1,0,4\r\n", loadHeader)
+		fmt.Fprintf(c, "%s\r\n", LoadHeader(1, 0, 4))
 	}
 	for _, h := range headers {
 		fmt.Fprintf(c, "%s\r\n", h)
@@ -167,6 +167,11 @@
 // loadHeader is the name of the header with the requests running and waiting, and the slots.
 const loadHeader = "X-Instance-Load"
 
+// LoadHeader returns the header line that states how many requests run and wait at an upstream, and its slots.
+func LoadHeader(running, waiting, slots int) string {
+	return fmt.Sprintf("%s: %d,%d,%d", loadHeader, running, waiting, slots)
+}
+
 // LeavingHeader is the header line by which an upstream announces that it will end soon.
 const LeavingHeader = "Server-Leaving: 1"
 
--- a/overload/use.go
+++ b/overload/use.go
@@ -90,9 +90,6 @@
 // NewMeter returns the meter of a machine.
 func NewMeter(m Machine) *Meter { return &Meter{machine: m} }
 
-// Use returns the use as of the last reading.
-func (m *Meter) Use() Use { return m.use }
-
 // Add adds a reading and returns the use.
 func (m *Meter) Add(r Reading) Use {
 	last, first := m.last, m.n == 0
