memory, platform: one account of what bodies make a VM hold

Callers saw: the process of the VM that they used ended, and with it every request on it, when some 30 others sent bodies of up to 4 MiB at once and stopped short of their ends, or upstreams were slow. Cause: the bound of a body is per request. Nothing bounded the sum, so 1,950 connections were promised 4 MiB each on a machine of 88 MB, and growing by copies made it 5.7 MB a body. Change: package memory. A holder for each connection takes from one account (a fifth of the machine's memory) as its body grows, and gives back when the request has ended. When the account is used up, whoever has made no progress for a second gives way, longest first, then the youngest; never an older request of the same workspace that makes progress, never a workspace that holds less, never a request that may have run. Bodies within 8 KiB take nothing from the account, so small requests never wait for large ones. What gives way, or finds no room, is refused with 503 and has not run. Why it works: every byte of a body is taken before its buffer is allocated, in one place, so the sum is at most the total; collected garbage is bounded by the collector's limit, which lies above the total.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -25,6 +25,7 @@
 	"woaddoor/leader"
 	"woaddoor/link"
 	"woaddoor/logs"
+	"woaddoor/memory"
 	"woaddoor/platform"
 	"woaddoor/relay"
 	"woaddoor/retry"
@@ -83,6 +84,8 @@
 	callers *drain.Listener
 	// resources follows what the process uses of its machine.
 	resources *resourceWatch
+	// memory is what callers, and requests of other VMs, make the process hold.
+	memory *memory.Account
 }
 
 // gcPercent makes the garbage collector run more often than by default. The process uses
@@ -129,6 +132,9 @@
 	s := v.settings
 	v.registry = metrics.NewRegistry()
 	v.resources = newResourceWatch(s.Machine)
+	v.memory = memory.NewAccount(memory.Options{
+		Total: s.Callers.Memory, Allowance: settings.AllowancePerConnection, StallAfter: s.Callers.StallAfter, WorkspaceShare: s.Callers.WorkspaceShare,
+	})
 	if err := v.registry.Register("first_read_milliseconds", v.resources.firstRead); err != nil {
 		return contract.WrapStep(contract.StepSettings, "first_read_milliseconds", err)
 	}
@@ -191,8 +197,8 @@
 	return 0
 }
 
-// Limits of callers' connections. These limits are fixed, because the limits in the configuration
-// are not known yet when the HTTP servers are created. Clients stay within the fixed limits.
+// Limits of the heads of requests and of idle connections. These limits are fixed, because the limits in the
+// configuration are not known yet when the HTTP servers are created. Clients stay within the fixed limits.
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 3 * time.Minute
@@ -202,6 +208,27 @@
 // listen opens the listeners of the VM. The error about an address
 // that is in use names its settings key.
 func (v *vmProcess) listen() error {
+	ready := http.NewServeMux()
+	ready.HandleFunc(platform.PathReady, v.serveReadiness)
+	if err := v.listenForCallers(); err != nil {
+		return v.listenError("callers", err)
+	}
+	if err := v.listenForOperators(v.settings.Listen.Ready, ready); err != nil {
+		return v.listenError("ready", err)
+	}
+	if err := v.listenForOperators(v.settings.Listen.Metrics, v.metricsHandler()); err != nil {
+		return v.listenError("metrics-port", err)
+	}
+	return nil
+}
+
+func (v *vmProcess) listenError(key string, err error) error {
+	return contract.WrapStep(contract.StepSettings, v.settingsPath+": [listen] "+key, err)
+}
+
+// listenForCallers serves the requests of callers. The listener can refuse connections while the VM is short of what
+// its machine gives it.
+func (v *vmProcess) listenForCallers() error {
 	front := &platform.Handler{
 		Relay: v.relay, Table: v.site.Table, WaitReady: v.site.AwaitReady, Now: time.Now,
 		CloseConnections: func() bool { return v.stopping.Load() || v.callers.Limited() },
@@ -210,49 +237,43 @@
 			v.log.Info("turned-away", zap.String("request", string(id)), zap.Int("status", status), zap.String("why", why))
 		},
 	}
-	ready := http.NewServeMux()
-	ready.HandleFunc(platform.PathReady, v.serveReadiness)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"callers", v.settings.Listen.Callers, front},
-		{"ready", v.settings.Listen.Ready, ready},
-		{"metrics-port", v.settings.Listen.Metrics, v.metricsHandler()},
-	} {
-		if l.address == "" {
-			continue
-		}
-		listener, err := listenOn(l.address, l.handler == front)
-		if err != nil {
-			return contract.WrapStep(contract.StepSettings, v.settingsPath+": [listen] "+l.name, err)
-		}
-		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: zap.NewStdLog(v.log.With(zap.String("listener", l.name))),
-		}
-		if l.handler == front {
-			v.callers = drain.NewListener(listener, v.settings.Machine.MaxCallerConnections())
-			v.callers.OnOpenFailed = func(err error) { v.log.Error("listen-again-failed", logs.ErrorFields(err)...) }
-			v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
-			listener, server.ConnState = v.callers, v.callers.ConnState
-		}
-		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				v.log.Error("listener-failed", logs.ErrorFields(err)...)
-			}
-		}()
+	c := v.settings.Callers
+	gate, err := drain.NewGate(v.settings.Listen.Callers)
+	if err != nil {
+		return err
 	}
+	v.callers = drain.NewListener(gate, c.MaxConnections)
+	v.callers.Limits = drain.Limits{Memory: v.memory}
+	v.callers.OnOpenFailed = func(err error) { v.log.Error("listen-again-failed", logs.ErrorFields(err)...) }
+	v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
+	v.serve("callers", v.callers, front)
 	return nil
 }
 
-// listenOn listens on a TCP address. The listener for callers can refuse connections while the VM is short of what
-// its machine gives it.
-func listenOn(address string, callers bool) (net.Listener, error) {
-	if callers {
-		return drain.NewGate(address)
+// listenForOperators serves a page for operators or the load balancer, unless address is empty.
+func (v *vmProcess) listenForOperators(address string, h http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
 	}
-	return net.Listen("tcp", address)
+	v.serve(address, drain.NewListener(listener, 0), h)
+	return nil
+}
+
+// serve serves a listener until the process ends.
+func (v *vmProcess) serve(name string, l *drain.Listener, h http.Handler) {
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(v.log.With(zap.String("listener", name))), ConnState: l.ConnState, ConnContext: l.ConnContext,
+	}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error("listener-failed", logs.ErrorFields(err)...)
+		}
+	}()
 }
 
 // serveReadiness answers the readiness check of the load balancer, which sends new
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"woaddoor/memory"
 	"woaddoor/peek"
 )
 
@@ -48,6 +49,9 @@
 	limit, staleLimit, limitSetAt atomic.Int64
 	// OnOpenFailed, if it is not nil, is called when the gate cannot listen again.
 	OnOpenFailed func(error)
+	// Limits are what callers may make the process hold, beside the number of connections. They must be set before
+	// the first connection is accepted.
+	Limits Limits
 	// mu guards conns, the set of open connections.
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -69,6 +73,10 @@
 	acceptedAt time.Time
 	firstRead  sync.Once
 	busy       atomic.Bool // whether the connection counts among the listener's busy ones
+	// holder accounts for the memory that the connection makes the process hold; nil without an account.
+	holder *memory.Holder
+	// inHead tells whether a part of a head, or a request, has arrived since the last request ended.
+	inHead atomic.Bool
 }
 
 // OpenConns returns the number of open connections.
@@ -98,6 +106,9 @@
 		c := &conn{Conn: accepted, listener: l, acceptedAt: now}
 		c.serverIdle.Store(true)
 		c.lastRead.Store(now.UnixNano())
+		if l.Limits.Memory != nil {
+			c.holder = l.Limits.Memory.Open(c.giveWay, now)
+		}
 		if l.admit(c, now) {
 			l.AcceptedConns.Add(1)
 			c.setBusy(true)
@@ -105,6 +116,7 @@
 			return c, nil
 		}
 		l.RejectedConns.Add(1)
+		c.holder.Close()
 		_ = accepted.Close() // the client notices the close
 	}
 }
@@ -145,6 +157,9 @@
 				c.listener.OnFirstRead(now.Sub(c.acceptedAt))
 			}
 		})
+		if c.serverIdle.Load() {
+			c.beginRequest(now)
+		}
 	}
 	return n, err
 }
@@ -175,6 +190,7 @@
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
 	c.setBusy(false)
+	c.holder.Close()
 	return c.Conn.Close()
 }
 
@@ -190,7 +206,10 @@
 	switch s {
 	case http.StateActive:
 		c.setBusy(true)
-	case http.StateIdle, http.StateClosed, http.StateHijacked:
+	case http.StateIdle:
+		c.endRequest(time.Now())
+		c.setBusy(false)
+	case http.StateClosed, http.StateHijacked:
 		c.setBusy(false)
 	}
 	if s == http.StateIdle && l.draining.Load() && !c.hasUnread() {
--- /dev/null
+++ b/drain/memory.go
@@ -0,0 +1,55 @@
+package drain
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"woaddoor/memory"
+)
+
+// Limits are what callers may make the process hold, beside the number of connections. The zero value means no limits.
+type Limits struct {
+	// Memory is the account from which heads, bodies and answers are taken.
+	Memory *memory.Account
+}
+
+// ConnContext adds the holder of a connection to the context of its requests. The server must use it as
+// http.Server.ConnContext.
+func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok && c.holder != nil {
+		return memory.NewContext(ctx, c.holder)
+	}
+	return ctx
+}
+
+// beginRequest records that the first bytes of a request have arrived.
+func (c *conn) beginRequest(now time.Time) {
+	if !c.inHead.Swap(true) {
+		c.holder.Progress(now)
+	}
+}
+
+// endRequest gives back what the connection holds for a request that has ended.
+func (c *conn) endRequest(now time.Time) {
+	c.inHead.Store(false)
+	c.holder.End(now)
+}
+
+// giveWay ends what the connection makes the process hold. A request whose body arrives is refused by its handler,
+// whose read fails; anything else ends with the connection.
+func (c *conn) giveWay(in memory.Phase) {
+	if in == memory.Reading && !c.serverIdle.Load() {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed already
+		return
+	}
+	c.reset()
+}
+
+// reset closes the connection and discards what its caller has not received.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = c.Close() // the client notices the close
+}
--- a/internal/crowd/harness_test.go
+++ b/internal/crowd/harness_test.go
@@ -5,7 +5,6 @@
 package crowd
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -361,10 +360,3 @@
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond) // what was sent last arrives
 }
-
-// readHead reads the head of an answer and returns its status line.
-func readHead(c net.Conn, bound time.Duration) (string, error) {
-	_ = c.SetReadDeadline(time.Now().Add(bound))
-	line, err := bufio.NewReader(c).ReadString('\n')
-	return strings.TrimSpace(line), err
-}
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"woaddoor/contract"
+	"woaddoor/memory"
 	"woaddoor/prefill"
 	"woaddoor/route"
 	"woaddoor/upstream"
@@ -37,6 +38,8 @@
 	// Header holds the header fields that are forwarded to upstreams.
 	Header http.Header
 	Body   []byte
+	// Memory accounts for what the request makes the process hold. Nil means that nothing is accounted for.
+	Memory *memory.Holder
 
 	Arrived time.Time
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -28,6 +28,8 @@
 	// Store is the TCP address of the platform's object store.
 	Store   string
 	Machine Machine
+	// Callers limits what callers may make the process hold.
+	Callers Callers
 	Bounds  Bounds
 	// Duties configures the calls to the platform that one VM makes on behalf of all VMs.
 	Duties Duties
@@ -88,15 +90,6 @@
 	LinkMbps float64
 }
 
-// Division of the file descriptors among their uses.
-const (
-	// reservedDescriptors is the number of descriptors that the platform keeps for files.
-	reservedDescriptors = 200
-	// callerDescriptorShare is the fraction of the remaining descriptors that callers'
-	// connections may use. The rest is for connections to upstreams and links.
-	callerDescriptorShare = 0.5
-)
-
 // Resources of one capacity unit. The smallest known machines have these resources.
 const (
 	coresPerCapacityUnit    = 0.1  // cores
@@ -110,15 +103,6 @@
 	return int(min(m.CPUCores/coresPerCapacityUnit, m.LinkMbps/linkMbpsPerCapacityUnit))
 }
 
-// MaxCallerConnections returns the maximum number of open connections from
-// callers. 0 means no limit.
-func (m Machine) MaxCallerConnections() int {
-	if m.FileDescriptors == 0 {
-		return 0
-	}
-	return max(int(callerDescriptorShare*float64(m.FileDescriptors-reservedDescriptors)), 1)
-}
-
 // Listen holds the addresses on which a VM listens, and the addresses of other VMs to contact.
 type Listen struct {
 	// Callers is the TCP address for requests, and Ready the TCP address for the load
@@ -212,6 +196,7 @@
 		CPUCores:        m.Number("cpu-share", 0, 0, math.MaxInt32) * m.Number("cores", 1, 0, math.MaxInt32),
 		LinkMbps:        m.Number("link-mbps", 0, 0, math.MaxInt32),
 	}
+	readCallers(v, section("callers"))
 	readBounds(v, section("bounds"))
 	readPolicy(v, section("policy"))
 	readDuties(v, section("duties"))
