drain: heads of requests are held in the account, as they arrive and until their requests end

Callers saw: the process of the VM ended when some hundred others sent heads of many short lines and left them, or their requests, unfinished. Cause: a line of a head takes some 160 bytes once it is parsed, so 64 KiB of short lines become a megabyte; heads were bounded in bytes only, each by itself. Change: the connection counts the lines of a head as its bytes arrive, and takes what they will cost before they are parsed. A head within 8 KiB takes nothing. Without room the connection is closed; its request has not been read. Why it works: nothing of a head is parsed before its cost has been taken from the account that bounds the sum.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"woaddoor/contract"
 	"woaddoor/memory"
 	"woaddoor/peek"
 )
@@ -77,6 +78,9 @@
 	holder *memory.Holder
 	// inHead tells whether a part of a head, or a request, has arrived since the last request ended.
 	inHead atomic.Bool
+	// headCost is what the head that arrives will take once it is parsed, and headTaken what is taken for it. They
+	// are used by one goroutine of the server at a time.
+	headCost, headTaken contract.Bytes
 }
 
 // OpenConns returns the number of open connections.
@@ -159,6 +163,9 @@
 		})
 		if c.serverIdle.Load() {
 			c.beginRequest(now)
+			if !c.holdHead(p[:n], now) {
+				return 0, errHeadDenied
+			}
 		}
 	}
 	return n, err
--- a/drain/memory.go
+++ b/drain/memory.go
@@ -32,6 +32,7 @@
 
 // endRequest gives back what the connection holds for a request that has ended.
 func (c *conn) endRequest(now time.Time) {
+	c.headCost, c.headTaken = 0, 0
 	c.inHead.Store(false)
 	c.holder.End(now)
 }
