drain, settings: bounded socket buffers, and as many connections as memory allows

Callers saw: the process of the VM ended when some 30 others asked for streams and read nothing, or some 800 sent more bytes behind requests that waited. Cause: bytes that lie in a socket count for the machine. The kernel lets the buffers of a connection grow to megabytes (118 MiB for 32 unread streams); and the bound of connections came from the descriptors alone, 1,950 on a machine of 88 MB. Change: connections of callers have buffers of 16 KiB to receive and 64 KiB to send (keys receive-buffer-kb and send-buffer-kb of [callers]); the listening socket has them, so they cost nothing for a connection. The number of connections is bounded by 0.3 of the machine's memory at 64 KiB each as well as by the descriptors (max-connections). Why it works: not reading is back-pressure; what the kernel may hold for a connection is part of the connection's price.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -238,7 +238,7 @@
 		},
 	}
 	c := v.settings.Callers
-	gate, err := drain.NewGate(v.settings.Listen.Callers)
+	gate, err := drain.NewGate(v.settings.Listen.Callers, drain.Buffers{Receive: c.ReceiveBuffer, Send: c.SendBuffer})
 	if err != nil {
 		return err
 	}
--- a/drain/gate.go
+++ b/drain/gate.go
@@ -11,6 +11,7 @@
 // that have arrived and have not been accepted are reset: nothing was read from them.
 type Gate struct {
 	address net.Addr
+	buffers Buffers
 
 	// mu guards the fields below, and changed signals their changes.
 	mu      sync.Mutex
@@ -25,12 +26,12 @@
 }
 
 // NewGate listens on a TCP address. The gate is open.
-func NewGate(address string) (*Gate, error) {
-	l, err := net.Listen("tcp", address)
+func NewGate(address string, b Buffers) (*Gate, error) {
+	l, err := Listen(address, b)
 	if err != nil {
 		return nil, err
 	}
-	g := &Gate{address: l.Addr(), inner: l}
+	g := &Gate{address: l.Addr(), buffers: b, inner: l}
 	g.changed = sync.NewCond(&g.mu)
 	return g, nil
 }
@@ -91,7 +92,7 @@
 	if g.inner != nil || g.closed {
 		return nil
 	}
-	l, err := net.Listen("tcp", g.address.String())
+	l, err := Listen(g.address.String(), g.buffers)
 	if err != nil {
 		return err
 	}
--- a/drain/gate_test.go
+++ b/drain/gate_test.go
@@ -14,7 +14,7 @@
 // newGatedListener returns a listener with a gate.
 func newGatedListener(t *testing.T) *Listener {
 	t.Helper()
-	gate, err := NewGate("127.0.0.1:0")
+	gate, err := NewGate("127.0.0.1:0", Buffers{})
 	is.New(t).NoErr(err)
 	l := NewListener(gate, 0)
 	t.Cleanup(func() { _ = l.Close() })
--- a/settings/callers.go
+++ b/settings/callers.go
@@ -17,6 +17,8 @@
 	Memory contract.Bytes
 	// WorkspaceShare is the part of Memory, and of the connections, that the requests of one workspace may take.
 	WorkspaceShare float64
+	// ReceiveBuffer and SendBuffer are the sizes of the socket buffers of a connection.
+	ReceiveBuffer, SendBuffer contract.Bytes
 	// StallAfter is the time without progress after which a caller gives way to others who need its memory.
 	StallAfter time.Duration
 }
@@ -32,11 +34,15 @@
 
 // Division of the machine's memory. The rest is for the process itself and for garbage that has not been collected.
 const (
+	// connectionMemoryShare is the fraction for callers' connections, at connectionMemory each.
+	connectionMemoryShare = 0.3
+	// connectionMemory is what a connection takes: 40 KiB of it in the sockets, the rest in the process.
+	connectionMemory = 64 * contract.KiB
 	// callerMemoryShare is the fraction for heads, bodies and answers.
 	callerMemoryShare = 0.2
 )
 
-// AllowancePerConnection is for the head, body and answer of a small request.
+// AllowancePerConnection is the part of connectionMemory that is for the head, body and answer of a small request.
 const AllowancePerConnection = 8 * contract.KiB
 
 // Defaults of omitted keys of the [callers] section, and the limits of all its keys.
@@ -44,6 +50,9 @@
 	defaultWorkspaceShare = 0.75
 	minWorkspaceShare     = 0.01
 
+	defaultReceiveBufferKiB, defaultSendBufferKiB = 16, 64
+	minBufferKiB, maxBufferKiB                    = 4, 4096
+
 	defaultCallerStall = time.Second
 )
 
@@ -54,16 +63,25 @@
 		MaxConnections: r.Int("max-connections", m.maxCallerConnections(), 0, maxIntSetting),
 		Memory:         contract.Bytes(r.Int("memory-mb", 0, 0, maxIntSetting)) * contract.MiB,
 		WorkspaceShare: r.Number("workspace-share", defaultWorkspaceShare, minWorkspaceShare, 1),
+		ReceiveBuffer:  contract.Bytes(r.Int("receive-buffer-kb", defaultReceiveBufferKiB, minBufferKiB, maxBufferKiB)) * contract.KiB,
+		SendBuffer:     contract.Bytes(r.Int("send-buffer-kb", defaultSendBufferKiB, minBufferKiB, maxBufferKiB)) * contract.KiB,
 		StallAfter:     cmp.Or(r.Duration("stall-after", 0), defaultCallerStall),
 	}
 	v.Callers.Memory = cmp.Or(v.Callers.Memory, contract.Bytes(callerMemoryShare*float64(m.Memory)))
 }
 
-// maxCallerConnections returns how many connections from callers the machine's descriptors allow, or 0 if they are not
-// known.
+// maxCallerConnections returns how many connections from callers the machine's descriptors and memory allow, or 0 if
+// neither is known.
 func (m Machine) maxCallerConnections() int {
-	if m.FileDescriptors == 0 {
-		return 0
+	byDescriptors, byMemory := 0, 0
+	if m.FileDescriptors > 0 {
+		byDescriptors = max(int(callerDescriptorShare*float64(m.FileDescriptors-reservedDescriptors)), 1)
+	}
+	if m.Memory > 0 {
+		byMemory = max(int(connectionMemoryShare*float64(m.Memory)/float64(connectionMemory)), 1)
+	}
+	if byDescriptors == 0 || byMemory == 0 {
+		return max(byDescriptors, byMemory)
 	}
-	return max(int(callerDescriptorShare*float64(m.FileDescriptors-reservedDescriptors)), 1)
+	return min(byDescriptors, byMemory)
 }
