relay, drain: answers are held in the account until their callers have them

Callers saw: the process of the VM ended when some 30 others asked for answers of 4 MiB and did not read them. Cause: an answer counted while it was read from the upstream, against a bound of its own of 32 MiB whatever the machine has, and no more while it was written. A write had no deadline, so a caller who did not read kept the answer, a goroutine and a connection for as long as it liked. Change: an answer takes from the request's holder as it grows and stays held until the request ends. What may lie in the send buffer afterwards stays held until the next request. Why it works: the memory of an answer is in the same account as that of bodies, and it is given back when nobody needs it.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -159,8 +159,8 @@
 	})
 	forwarder := forward.NewClient(&forward.ClientOptions{Endpoint: endpoint, Candidates: v.peers.ForwardCandidates, Log: v.log, Now: time.Now})
 	v.relay = relay.New(&relay.Options{
-		Forwarder: forwarder,
-		Protocol:  platform.UpstreamProtocol{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
+		Forwarder: forwarder, Memory: v.memory,
+		Protocol: platform.UpstreamProtocol{}, DataCentre: s.DataCentre, Regions: s.Regions, Self: rollout.Observer{VM: s.Name, Incarnation: self.Incarnation}, Log: v.log, Now: time.Now,
 		Budget:  retry.ResendWindowOptions{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Length: s.Bounds.RetryWindow},
 		VMs:     v.peers.EstimatedVMs,
 		Counted: v.peers.Counted,
@@ -243,7 +243,7 @@
 		return err
 	}
 	v.callers = drain.NewListener(gate, c.MaxConnections)
-	v.callers.Limits = drain.Limits{Memory: v.memory}
+	v.callers.Limits = drain.Limits{Memory: v.memory, SendBuffer: c.SendBuffer, WriteTimeout: c.WriteTimeout}
 	v.callers.OnOpenFailed = func(err error) { v.log.Error("listen-again-failed", logs.ErrorFields(err)...) }
 	v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
 	v.serve("callers", v.callers, front)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -79,8 +79,12 @@
 	// inHead tells whether a part of a head, or a request, has arrived since the last request ended.
 	inHead atomic.Bool
 	// headCost is what the head that arrives will take once it is parsed, and headTaken what is taken for it. They
-	// are used by one goroutine of the server at a time.
+	// and the fields below are used by one goroutine of the server at a time.
 	headCost, headTaken contract.Bytes
+	// written is how much has been written since the last request ended, and holdsUnsent whether memory is held for
+	// what its caller may not have received.
+	written     contract.Bytes
+	holdsUnsent bool
 }
 
 // OpenConns returns the number of open connections.
@@ -171,13 +175,6 @@
 	return n, err
 }
 
-// Write writes to the connection and counts the bytes.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.listener.Bytes.Add(int64(n))
-	return n, err
-}
-
 // setBusy sets whether the connection counts among the busy ones of its listener.
 func (c *conn) setBusy(busy bool) {
 	if c.busy.Swap(busy) == busy {
--- a/drain/memory.go
+++ b/drain/memory.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"woaddoor/contract"
 	"woaddoor/memory"
 )
 
@@ -12,6 +13,10 @@
 type Limits struct {
 	// Memory is the account from which heads, bodies and answers are taken.
 	Memory *memory.Account
+	// SendBuffer is the nominal size of the send buffer of a connection.
+	SendBuffer contract.Bytes
+	// WriteTimeout is how long a caller may take to receive writePiece bytes. Zero means without end.
+	WriteTimeout time.Duration
 }
 
 // ConnContext adds the holder of a connection to the context of its requests. The server must use it as
@@ -23,18 +28,25 @@
 	return ctx
 }
 
-// beginRequest records that the first bytes of a request have arrived.
+// beginRequest records that the first bytes of a request have arrived: its caller has received the last answer.
 func (c *conn) beginRequest(now time.Time) {
-	if !c.inHead.Swap(true) {
-		c.holder.Progress(now)
+	if c.inHead.Swap(true) {
+		return
+	}
+	if c.holdsUnsent {
+		c.holdsUnsent = false
+		c.holder.End(now)
 	}
+	c.holder.Progress(now)
 }
 
-// endRequest gives back what the connection holds for a request that has ended.
+// endRequest gives back what the connection holds for a request that has ended, but for what its caller may not have
+// received yet.
 func (c *conn) endRequest(now time.Time) {
 	c.headCost, c.headTaken = 0, 0
 	c.inHead.Store(false)
 	c.holder.End(now)
+	c.holdUnsent(now)
 }
 
 // giveWay ends what the connection makes the process hold. A request whose body arrives is refused by its handler,
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"woaddoor/contract"
+	"woaddoor/memory"
 	"woaddoor/upstream"
 )
 
@@ -32,6 +32,7 @@
 		}
 		head, body, err := r.attemptBuffered(ctx, j, e)
 		if err == nil && !head.NotRun {
+			j.giveAnswer(failureBody)
 			failure, failureBody = head, body
 		}
 		if err == nil && head.isFinal(j) {
@@ -81,36 +82,33 @@
 // errUnsigned means that a successful answer lacks the upstream's signature.
 var errUnsigned = errors.New("answer lacks the upstream's signature")
 
-// maxBufferedTotal bounds the parts beyond freeBufferedAnswer of all answers that are buffered at a time, in bytes.
-// Answers without end would otherwise take maxBufferedAnswer each.
+// Limits of the account of a relay that is given none, in bytes: all answers that are buffered at a time, and the part
+// of each that does not count.
 const (
 	maxBufferedTotal   = 32 << 20
 	freeBufferedAnswer = 64 << 10
 )
 
-// readAnswer reads an answer to its end. It returns errAnswerTooLong for one that exceeds
-// maxBufferedAnswer, or for which there is no room beside the other answers.
-func (r *Relay) readAnswer(a *attempt) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.answer, freeBufferedAnswer))
-	if err != nil || len(body) < freeBufferedAnswer {
-		return body, err
-	}
-	buf, reserved := make([]byte, freeBufferedAnswer), int64(0)
-	defer func() { r.bufferedBytes.Add(-reserved) }()
-	for {
-		n, err := a.answer.Read(buf)
-		reserved += int64(n)
-		if r.bufferedBytes.Add(int64(n)) > maxBufferedTotal || len(body)+n > maxBufferedAnswer {
-			return nil, errAnswerTooLong
-		}
-		body = append(body, buf[:n]...)
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
+// openHolder returns a holder for a request that came without one. Its request never has to give way.
+func (r *Relay) openHolder() *memory.Holder {
+	now := r.opts.Now()
+	h := r.opts.Memory.Open(func(memory.Phase) {}, now)
+	h.Enter(memory.Running, now)
+	return h
+}
+
+// giveAnswer gives back the memory of an answer that is not delivered.
+func (j *job) giveAnswer(body []byte) { j.Memory.Give(contract.Bytes(cap(body))) }
+
+// readAnswer reads an answer to its end, into memory that the request holds until it ends. It returns
+// errAnswerTooLong for an answer that exceeds maxBufferedAnswer, or for which there is no room beside what
+// other requests hold.
+func (r *Relay) readAnswer(a *attempt, held *memory.Holder) ([]byte, error) {
+	body, err := memory.ReadAll(a.answer, maxBufferedAnswer, memory.UnknownLength, held, r.opts.Now)
+	if errors.Is(err, memory.ErrTooLarge) || errors.Is(err, memory.ErrNoRoom) {
+		return nil, errAnswerTooLong
 	}
+	return body, err
 }
 
 // errNotRun means that the upstream rejected the request without executing it.
@@ -125,7 +123,7 @@
 		return nil, nil, err
 	}
 	defer a.close()
-	body, err := r.readAnswer(a)
+	body, err := r.readAnswer(a, j.Memory)
 	return a.head, body, r.recordAnswer(j, a, err)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +14,7 @@
 	"woaddoor/contract"
 	"woaddoor/exchange"
 	"woaddoor/fairshare"
+	"woaddoor/memory"
 	"woaddoor/quarantine"
 	"woaddoor/retry"
 	"woaddoor/rollout"
@@ -107,6 +107,9 @@
 	// OnBadRelease is called when a release is found to be bad.
 	// OnBadRelease must not block and may be nil.
 	OnBadRelease func()
+	// Memory accounts for what requests make the process hold that come without a holder. A nil Memory means an
+	// account of maxBufferedTotal.
+	Memory *memory.Account
 	// Forwarder passes requests to other VMs while this VM has no path to the upstreams.
 	// A nil Forwarder means that there is no other VM.
 	Forwarder Forwarder
@@ -140,8 +143,6 @@
 	// because all upstreams of the service were at their rate limits.
 	retrySchedules map[contract.ServiceID]*retry.RetryScheduler
 	canaries       map[contract.ServiceID]*rollout.Canary
-	// bufferedBytes is the size of the parts of buffered answers that maxBufferedTotal bounds.
-	bufferedBytes atomic.Int64
 	// pastOrders holds, for each rollout order that another one has replaced,
 	// the number of its last change in the store.
 	pastOrders map[orderKey]uint64
@@ -193,6 +194,9 @@
 func New(opts *Options) *Relay {
 	opts.ValueCostRatio = cmp.Or(opts.ValueCostRatio, cascade.DefaultValueCostRatio)
 	opts.MaxBackoff = cmp.Or(opts.MaxBackoff, upstream.DefaultMaxBackoff)
+	if opts.Memory == nil {
+		opts.Memory = memory.NewAccount(memory.Options{Total: maxBufferedTotal, Allowance: freeBufferedAnswer})
+	}
 	if opts.Dial == nil {
 		opts.Dial = exchange.Dial
 	}
@@ -304,6 +308,10 @@
 // Serve answers a request through an upstream and returns how the request ended.
 // A refusal is always returned with Refused, and may be returned with StreamCut.
 func (r *Relay) Serve(ctx context.Context, req *Request, c Caller) (RequestEnd, *contract.Refusal) {
+	if req.Memory == nil {
+		req.Memory = r.openHolder()
+		defer req.Memory.Close()
+	}
 	j := newJob(req)
 	r.withLock(func() { j.service = req.Route.PickService(r.random.Float64()) })
 	return r.serve(ctx, j, c)
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -128,6 +128,7 @@
 func (s *streamTransfer) attemptStream(ctx context.Context, e upstream.Entry) error {
 	r, j := s.relay, s.job
 	began := r.opts.Now()
+	j.giveAnswer(s.nonStreamBody)
 	s.nonStreamHead, s.nonStreamBody = nil, nil
 	a, err := r.send(ctx, j, e, s.eventTimeout())
 	if err != nil {
@@ -173,7 +174,7 @@
 		j.recordFailure(contract.OutcomeUnknown, true)
 		return errNoStream
 	}
-	body, err := r.readAnswer(a)
+	body, err := r.readAnswer(a, j.Memory)
 	if err = r.recordAnswer(j, a, err); err != nil {
 		return err
 	}
--- a/settings/callers.go
+++ b/settings/callers.go
@@ -21,6 +21,8 @@
 	ReceiveBuffer, SendBuffer contract.Bytes
 	// StallAfter is the time without progress after which a caller gives way to others who need its memory.
 	StallAfter time.Duration
+	// WriteTimeout is how long a caller may take to receive the next part of an answer.
+	WriteTimeout time.Duration
 }
 
 // Division of the file descriptors among their uses.
@@ -53,7 +55,8 @@
 	defaultReceiveBufferKiB, defaultSendBufferKiB = 16, 64
 	minBufferKiB, maxBufferKiB                    = 4, 4096
 
-	defaultCallerStall = time.Second
+	defaultCallerStall  = time.Second
+	defaultWriteTimeout = 30 * time.Second
 )
 
 // readCallers reads the [callers] section. Its defaults depend on the machine, which has been read before.
@@ -66,6 +69,7 @@
 		ReceiveBuffer:  contract.Bytes(r.Int("receive-buffer-kb", defaultReceiveBufferKiB, minBufferKiB, maxBufferKiB)) * contract.KiB,
 		SendBuffer:     contract.Bytes(r.Int("send-buffer-kb", defaultSendBufferKiB, minBufferKiB, maxBufferKiB)) * contract.KiB,
 		StallAfter:     cmp.Or(r.Duration("stall-after", 0), defaultCallerStall),
+		WriteTimeout:   cmp.Or(r.Duration("write-timeout", 0), defaultWriteTimeout),
 	}
 	v.Callers.Memory = cmp.Or(v.Callers.Memory, contract.Bytes(callerMemoryShare*float64(m.Memory)))
 }
