drain, memory: a connection that makes no progress gives its place to a new one

Callers saw: an ordinary request was not answered in 30 tries over 15 s while 200 others held all places of a VM with 300 descriptors by bodies of which one byte was missing, or by requests that waited for a slow upstream. Cause: at the limit only idle connections were closed for new ones. One with a request stayed until its deadline, however little it had sent, and requests of one workspace could take all places. Change: at the limit the connection whose caller has sent or received nothing substantial (16 KiB of a body, a whole head, a piece of an answer) for longest, a second at least, is closed; never one whose request may be at an upstream. Why it works: a place is kept by progress, not by being open; single bytes are no progress.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -133,7 +133,8 @@
 	v.registry = metrics.NewRegistry()
 	v.resources = newResourceWatch(s.Machine)
 	v.memory = memory.NewAccount(memory.Options{
-		Total: s.Callers.Memory, Allowance: settings.AllowancePerConnection, StallAfter: s.Callers.StallAfter, WorkspaceShare: s.Callers.WorkspaceShare,
+		Total: s.Callers.Memory, Allowance: settings.AllowancePerConnection, StallAfter: s.Callers.StallAfter,
+		MaxRequests: s.Callers.MaxConnections, WorkspaceShare: s.Callers.WorkspaceShare,
 	})
 	if err := v.registry.Register("first_read_milliseconds", v.resources.firstRead); err != nil {
 		return contract.WrapStep(contract.StepSettings, "first_read_milliseconds", err)
@@ -243,7 +244,7 @@
 		return err
 	}
 	v.callers = drain.NewListener(gate, c.MaxConnections)
-	v.callers.Limits = drain.Limits{Memory: v.memory, SendBuffer: c.SendBuffer, WriteTimeout: c.WriteTimeout}
+	v.callers.Limits = drain.Limits{Memory: v.memory, SendBuffer: c.SendBuffer, StallAfter: c.StallAfter, WriteTimeout: c.WriteTimeout}
 	v.callers.OnOpenFailed = func(err error) { v.log.Error("listen-again-failed", logs.ErrorFields(err)...) }
 	v.callers.OnFirstRead = func(waited time.Duration) { v.resources.firstRead.Update(waited.Milliseconds()) }
 	v.serve("callers", v.callers, front)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -53,6 +53,8 @@
 	// Limits are what callers may make the process hold, beside the number of connections. They must be set before
 	// the first connection is accepted.
 	Limits Limits
+	// StalledConns counts the connections that were closed for new ones although requests were in progress on them.
+	StalledConns atomic.Int64
 	// mu guards conns, the set of open connections.
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -97,10 +99,10 @@
 // BusyConns returns the number of open connections on which a request runs, or no request has arrived yet.
 func (l *Listener) BusyConns() int { return int(l.busy.Load()) }
 
-// Accept waits for the next connection. At the connection limit it closes the
-// connection that has been idle longest to make room. If no connection is idle, Accept
-// closes the new connection before anything is read from it,
-// so that the client can safely try another VM.
+// Accept waits for the next connection. At the connection limit it closes the connection that has been idle longest
+// to make room, or the one whose caller has neither sent nor received anything substantial for longest. If there is
+// none, Accept closes the new connection before anything is read from it, so that the client can safely try another
+// VM.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
@@ -129,30 +131,43 @@
 	}
 }
 
-// admit registers a connection and reports whether it did. At the connection limit admit
-// closes the connection that has been idle longest, or returns false if no connection is idle.
+// admit registers a connection and reports whether it did. At the connection limit admit closes another connection
+// for it, or returns false if none can be closed.
 func (l *Listener) admit(c *conn, now time.Time) bool {
 	l.mu.Lock()
-	var longestIdle *conn
+	var idle, stalled *conn
 	full := l.maxConns > 0 && len(l.conns) >= l.maxConns
 	if full {
-		for other := range l.conns {
-			if other.closable(now) && (longestIdle == nil || other.lastRead.Load() < longestIdle.lastRead.Load()) {
-				longestIdle = other
-			}
+		if idle = l.longestIdle(now); idle == nil {
+			stalled = l.longestStalled(now)
 		}
 	}
-	admitted := !full || longestIdle != nil
+	admitted := !full || idle != nil || stalled != nil
 	if admitted {
 		l.conns[c] = true
 	}
 	l.mu.Unlock()
-	if longestIdle != nil {
-		_ = longestIdle.Close() // the client opens another connection
+	if idle != nil {
+		_ = idle.Close() // the client opens another connection
+	}
+	if stalled != nil {
+		l.StalledConns.Add(1)
+		stalled.reset()
 	}
 	return admitted
 }
 
+// longestIdle returns the closable connection that has been idle longest, or nil. The caller holds mu.
+func (l *Listener) longestIdle(now time.Time) *conn {
+	var longest *conn
+	for c := range l.conns {
+		if c.closable(now) && (longest == nil || c.lastRead.Load() < longest.lastRead.Load()) {
+			longest = c
+		}
+	}
+	return longest
+}
+
 // Read reads from the connection and records when it last returned bytes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/drain/memory.go
+++ b/drain/memory.go
@@ -15,6 +15,8 @@
 	Memory *memory.Account
 	// SendBuffer is the nominal size of the send buffer of a connection.
 	SendBuffer contract.Bytes
+	// StallAfter is the time without progress after which a connection is closed if another one needs its place.
+	StallAfter time.Duration
 	// WriteTimeout is how long a caller may take to receive writePiece bytes. Zero means without end.
 	WriteTimeout time.Duration
 }
--- a/settings/callers.go
+++ b/settings/callers.go
@@ -19,7 +19,8 @@
 	WorkspaceShare float64
 	// ReceiveBuffer and SendBuffer are the sizes of the socket buffers of a connection.
 	ReceiveBuffer, SendBuffer contract.Bytes
-	// StallAfter is the time without progress after which a caller gives way to others who need its memory.
+	// StallAfter is the time without progress after which a caller gives way to others who need its memory or
+	// its connection.
 	StallAfter time.Duration
 	// WriteTimeout is how long a caller may take to receive the next part of an answer.
 	WriteTimeout time.Duration
