drain, daemon: the ready and metrics ports keep few connections

Callers saw: a VM had no descriptor left for them, or for upstreams, while others held connections to its ready and metrics ports. Cause: the ports accepted any number of connections (1,219 descriptors where the machine has 300), each with a head of up to 64 KiB. Why it works: the balancer and operators send one request at a time; what others open is closed for them.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -256,11 +255,11 @@
 	if address == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := drain.ListenForOperators(address)
 	if err != nil {
 		return err
 	}
-	v.serve(address, drain.NewListener(listener, 0), h)
+	v.serve(address, listener, h)
 	return nil
 }
 
