entry, settings, drain: woaddoor-entry accounts for its callers as woaddoor-vm does

Callers saw: woaddoor-entry ended when some 30 others sent bodies that stopped short of their ends, or 300 left heads of many short lines unfinished. Cause: a whole body was read before the admission queue, with no deadline and no bound on the sum; heads were bounded in bytes only; nothing bounded the connections, and an idle one was never closed. Change: the listener of callers has an account (caller-memory-mb, 64 KiB for each request that may run by default), a limit of connections (max-connections, twice as many as requests may run and wait), bounded socket buffers, write deadlines and an idle timeout; a body is read until the request's deadline and counts with the copies that are decoded from it; whole answers of engines and services count as well. Why it works: the same account, and the same rule of who gives way, stand before the first byte of a request is kept.

--- a/contract/errors.go
+++ b/contract/errors.go
@@ -100,6 +100,7 @@
 	RefusedStopping            RefusalKind = "stopping"
 	RefusedStreamCut           RefusalKind = "stream-cut"
 	RefusedInvalidStreamToken  RefusalKind = "stream-invalid"
+	RefusedNoMemory            RefusalKind = "no-memory"
 )
 
 // ConcernsUpstreams reports whether a refusal says that this VM found no upstream for a request,
--- /dev/null
+++ b/drain/body.go
@@ -0,0 +1,46 @@
+package drain
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"time"
+
+	"woaddoor/memory"
+)
+
+// ErrBodyLate means that the body of a request was not complete at its deadline.
+var ErrBodyLate = errors.New("body was incomplete at the deadline")
+
+// refusedBodyTime is how long the rest of a body that is refused may still arrive, so that its caller sees the answer.
+const refusedBodyTime = 500 * time.Millisecond
+
+// ReadBody reads the body of a request, at most limit bytes, until the deadline: a body that is read after it would
+// hold memory and a connection although the caller no longer waits for an answer. What is read is held by the holder of
+// the connection until the request ends. After an error the request has to be refused, and its connection closes; the
+// error is memory.ErrNoRoom, memory.ErrTooLarge, ErrBodyLate or that of the connection.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, now func() time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	c := http.NewResponseController(w)
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	holder := memory.FromContext(r.Context())
+	body, err := memory.ReadAll(r.Body, limit, r.ContentLength, holder, now)
+	if err == nil {
+		err = c.SetReadDeadline(time.Time{}) // net/http detects a disconnect by reading
+	}
+	if err == nil {
+		return body, nil
+	}
+	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) && !holder.Evicted() {
+		return nil, ErrBodyLate
+	}
+	if !holder.Evicted() { // otherwise the deadline by which it gave way stays
+		_ = c.SetReadDeadline(now().Add(refusedBodyTime)) // fails only if the connection is closed already
+	}
+	return nil, err
+}
--- a/engine/call.go
+++ b/engine/call.go
@@ -15,6 +15,7 @@
 
 	"woaddoor/contract"
 	"woaddoor/exchange"
+	"woaddoor/memory"
 )
 
 // Call describes one request to one upstream.
@@ -277,12 +278,9 @@
 	if resp.Header.Get(HeaderRequestID) == "" {
 		return nil, fail(contract.OutcomeRan, ErrMismatchedResponse)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseBytes)+1))
+	body, err := readResponse(ctx, resp)
 	if err != nil {
-		return nil, fail(contract.OutcomeRan, errors.Join(ErrTruncated, err))
-	}
-	if contract.Bytes(len(body)) > maxResponseBytes {
-		return nil, fail(contract.OutcomeRan, ErrTooLarge)
+		return nil, fail(contract.OutcomeRan, err)
 	}
 	answer := &ChatResponse{Body: body}
 	if err := json.Unmarshal(body, &answer.Completion); err != nil {
@@ -296,3 +294,17 @@
 	}
 	return answer, nil
 }
+
+// readResponse reads a response that is not streamed, into memory that the request in ctx holds.
+func readResponse(ctx context.Context, resp *http.Response) ([]byte, error) {
+	body, err := memory.ReadAll(resp.Body, int64(maxResponseBytes), resp.ContentLength, memory.FromContext(ctx), time.Now)
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, ErrTooLarge
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, err
+	case err != nil:
+		return nil, errors.Join(ErrTruncated, err)
+	}
+	return body, nil
+}
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 
 	"woaddoor/contract"
 )
@@ -28,12 +26,9 @@
 	fail := func(err error) error {
 		return &CallError{Outcome: contract.OutcomeRan, Err: contract.WrapStep(contract.StepAnswer, string(call.Upstream), err)}
 	}
-	body, err := io.ReadAll(io.LimitReader(open.resp.Body, int64(maxResponseBytes)+1))
+	body, err := readResponse(ctx, open.resp)
 	if err != nil {
-		return nil, fail(errors.Join(ErrTruncated, err))
-	}
-	if contract.Bytes(len(body)) > maxResponseBytes {
-		return nil, fail(ErrTooLarge)
+		return nil, fail(err)
 	}
 	return &PlainResponse{Status: open.resp.StatusCode, ContentType: open.resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -52,6 +52,7 @@
 	contract.RefusedStopping:            http.StatusServiceUnavailable,
 	contract.RefusedStreamCut:           http.StatusBadGateway,
 	contract.RefusedInvalidStreamToken:  http.StatusForbidden,
+	contract.RefusedNoMemory:            http.StatusServiceUnavailable,
 }
 
 // problemOf returns the problem document for a refusal of request id.
--- a/entry/request.go
+++ b/entry/request.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,7 +15,9 @@
 	"woaddoor/bill"
 	"woaddoor/config"
 	"woaddoor/contract"
+	"woaddoor/drain"
 	"woaddoor/keys"
+	"woaddoor/memory"
 	"woaddoor/workspace"
 )
 
@@ -165,18 +166,53 @@
 		}
 		req.deadline = now.Add(d)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.opts.Settings.Entry.MaxBody)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newRefusal(contract.RefusedRequestTooLarge, contract.OutcomeNotRun, contract.StepRead, tooLarge.Error())
+	if refused := s.readBody(w, r, req); refused != nil {
+		return nil, refused
 	}
-	if err != nil {
-		return nil, newRefusal(contract.RefusedInvalidRequest, contract.OutcomeNotRun, contract.StepRead, "body could not be read")
-	}
-	req.body = body
 	return req, nil
 }
 
+// parsedCopies is how often the content of a body is held beside the body: decoded, and as it is sent to an upstream.
+const parsedCopies = 2
+
+// noMemoryRetryAfter is the Retry-After of requests for which there is no memory. Whoever makes no progress has given
+// way by then.
+const noMemoryRetryAfter = time.Second
+
+// readBody reads the body of a request, for which there has to be room in the memory for callers.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) *contract.Refusal {
+	holder := memory.FromContext(r.Context())
+	if !holder.Begin(req.workspace.ID) {
+		w.Header().Set("Connection", "close") // the connection is needed for other workspaces
+		return refuseNoMemory("workspace has as many requests as it may have")
+	}
+	var err error
+	if req.body, err = drain.ReadBody(w, r, int64(s.opts.Settings.Entry.MaxBody), req.deadline, s.clock.Now); err != nil {
+		return refuseBody(err)
+	}
+	now := s.clock.Now()
+	if !holder.Take(contract.Bytes(parsedCopies*len(req.body)), now) || !holder.Run(now) {
+		return refuseNoMemory(memory.ErrNoRoom.Error())
+	}
+	return nil
+}
+
+// refuseBody returns the refusal of a request whose body could not be read.
+func refuseBody(err error) *contract.Refusal {
+	switch {
+	case errors.Is(err, memory.ErrNoRoom):
+		return refuseNoMemory(err.Error())
+	case errors.Is(err, memory.ErrTooLarge):
+		return newRefusal(contract.RefusedRequestTooLarge, contract.OutcomeNotRun, contract.StepRead, "body is "+err.Error())
+	}
+	return newRefusal(contract.RefusedInvalidRequest, contract.OutcomeNotRun, contract.StepRead, "body could not be read: "+err.Error())
+}
+
+// refuseNoMemory returns the refusal of a request that has not run for lack of memory.
+func refuseNoMemory(why string) *contract.Refusal {
+	return newRefusal(contract.RefusedNoMemory, contract.OutcomeNotRun, contract.StepRead, why).WithRetryAfter(noMemoryRetryAfter)
+}
+
 // authenticate finds the workspace by the hash of the API key. A map lookup by hash reveals nothing about the
 // key through its timing.
 func (s *Server) authenticate(r *http.Request) (*config.Workspace, bool) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -27,6 +27,7 @@
 	"woaddoor/keys"
 	"woaddoor/link"
 	"woaddoor/logs"
+	"woaddoor/memory"
 	"woaddoor/rating"
 	"woaddoor/retry"
 	"woaddoor/rollout"
@@ -141,7 +142,7 @@
 // Run serves until ctx is done, then shuts down gracefully: it reports "not ready", refuses new requests, waits
 // for requests in flight up to the drain timeout, and submits its bill records or copies them to peers.
 func (s *Server) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", s.opts.Settings.Entry.Callers)
+	callers, err := s.listenForCallers()
 	if err != nil {
 		return contract.WrapStep(contract.StepSettings, s.opts.Settings.Entry.Callers, err)
 	}
@@ -153,12 +154,8 @@
 	// still calls other processes.
 	background, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
-	drainable := drain.NewListener(callers, 0)
-	servers := []*http.Server{
-		{Handler: s.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: drainable.ConnState},
-		{Handler: s.healthRoutes(), ReadHeaderTimeout: headerTimeout},
-	}
-	for i, l := range []net.Listener{drainable, health} {
+	servers := []*http.Server{newHTTPServer(callers, s.callerRoutes()), newHTTPServer(drain.NewListener(health, 0), s.healthRoutes())}
+	for i, l := range []net.Listener{callers, health} {
 		go s.serveHTTP(servers[i], l)
 	}
 	go func() { _ = s.endpoint.Serve(background) }()
@@ -167,7 +164,7 @@
 	}
 	s.log.Info("started", zap.String("callers", callers.Addr().String()), zap.Uint64("incarnation", uint64(s.incarnation)))
 	<-ctx.Done()
-	s.stop(drainable)
+	s.stop(callers)
 	for _, server := range servers {
 		_ = server.Close()
 	}
@@ -175,12 +172,48 @@
 	return s.endpoint.Close()
 }
 
-// Limits for HTTP request headers.
+// Limits of the connections of callers.
 const (
 	headerTimeout = 10 * time.Second
 	maxHeader     = 32 << 10
+	idleTimeout   = 3 * time.Minute
+	// callerStallAfter is the time without progress after which a caller gives way to others.
+	callerStallAfter = time.Second
+	// callerWriteTimeout is how long a caller may take to receive the next part of an answer.
+	callerWriteTimeout = 30 * time.Second
+	// workspaceShare is the part of the memory and of the connections that the requests of one workspace may take.
+	workspaceShare = 0.75
+
+	receiveBuffer = 16 * contract.KiB
+	sendBuffer    = 64 * contract.KiB
 )
 
+// listenForCallers listens for callers, with limits on what they may make the process hold.
+func (s *Server) listenForCallers() (*drain.Listener, error) {
+	e := s.opts.Settings.Entry
+	inner, err := drain.Listen(e.Callers, drain.Buffers{Receive: receiveBuffer, Send: sendBuffer})
+	if err != nil {
+		return nil, err
+	}
+	l := drain.NewListener(inner, e.MaxConnections)
+	l.Limits = drain.Limits{
+		Memory: memory.NewAccount(memory.Options{
+			Total: e.CallerMemory, Allowance: settings.AllowancePerConnection, StallAfter: callerStallAfter,
+			MaxRequests: e.MaxConnections, WorkspaceShare: workspaceShare,
+		}),
+		SendBuffer: sendBuffer, StallAfter: callerStallAfter, WriteTimeout: callerWriteTimeout,
+	}
+	return l, nil
+}
+
+// newHTTPServer returns the server for a listener.
+func newHTTPServer(l *drain.Listener, h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: l.ConnState, ConnContext: l.ConnContext,
+	}
+}
+
 // serveHTTP serves a listener until the server is closed.
 func (s *Server) serveHTTP(server *http.Server, l net.Listener) {
 	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -44,6 +45,12 @@
 	MaxInFlight int
 	// MaxQueue is the maximum number of queued requests. Zero means 1024.
 	MaxQueue int
+	// MaxConnections is the maximum number of open connections from callers. Zero means twice as many as
+	// requests may run and wait.
+	MaxConnections int
+	// CallerMemory is how much memory heads, bodies and answers may take, beyond AllowancePerConnection each.
+	// Zero means 64 KiB for each request that may run, and room for four of the largest bodies at least.
+	CallerMemory contract.Bytes
 	// MaxTickets is the maximum number of tickets whose state this VM stores as an
 	// arbiter (a VM that votes on a ticket). Zero means 200000.
 	MaxTickets int
@@ -178,13 +185,28 @@
 		MaxBody:        contract.Bytes(r.Int("max-body-bytes", defaultMaxBody, 1, maxIntSetting)),
 		MaxInFlight:    r.Int("max-in-flight", defaultMaxInFlight, 1, maxIntSetting),
 		MaxQueue:       r.Int("max-queue", defaultMaxQueue, 0, maxIntSetting),
+		MaxConnections: r.Int("max-connections", 0, 0, maxIntSetting),
+		CallerMemory:   contract.Bytes(r.Int("caller-memory-mb", 0, 0, maxIntSetting)) * contract.MiB,
 		MaxTickets:     r.Int("max-tickets", defaultMaxTickets, 1, maxIntSetting),
 		MaxBills:       r.Int("max-bills", defaultMaxBills, 1, maxIntSetting),
 		DrainTimeout:   r.Duration("drain", defaultDrainTimeout),
 		StallAfter:     r.Duration("stall-after", defaultStallAfter),
 	}
+	e := &s.Entry
+	e.MaxConnections = cmp.Or(e.MaxConnections, connectionsPerRequest*(e.MaxInFlight+e.MaxQueue))
+	e.CallerMemory = cmp.Or(e.CallerMemory, max(memoryPerRequest*contract.Bytes(e.MaxInFlight), minLargestBodies*e.MaxBody))
 }
 
+// Factors of the defaults of the limits for callers of woaddoor-entry.
+const (
+	// connectionsPerRequest leaves room for connections on which no request runs.
+	connectionsPerRequest = 2
+	// memoryPerRequest is the mean size of a request with its answer for which there is room.
+	memoryPerRequest = 64 * contract.KiB
+	// minLargestBodies is how many bodies of the largest size there is room for.
+	minLargestBodies = 4
+)
+
 func readControl(s *Settings, r *config.SectionReader) {
 	s.Control = Control{
 		Health: readAddress(r, "health"), LinkAddress: readAddress(r, "link"),
