entry, control: the health ports keep few connections

Callers saw: woaddoor-entry had no descriptor for them while others held connections to its health port; for woaddoor-control the same ended its calls to the platform. Cause: both ports accepted any number of connections, without an idle timeout. Change: they listen with drain.ListenForOperators, as the ready and metrics ports of woaddoor-vm do.

--- a/control/server.go
+++ b/control/server.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 	"woaddoor/config"
 	"woaddoor/contract"
 	"woaddoor/document"
+	"woaddoor/drain"
 	"woaddoor/engine"
 	"woaddoor/keys"
 	"woaddoor/leader"
@@ -139,13 +139,16 @@
 // Run serves until ctx is cancelled. Before Run returns, it files the pending bill records. Other
 // processes hold everything else that this process has in memory.
 func (s *Server) Run(ctx context.Context) error {
-	healthListener, err := net.Listen("tcp", s.opts.Settings.Control.Health)
+	healthListener, err := drain.ListenForOperators(s.opts.Settings.Control.Health)
 	if err != nil {
 		return contract.WrapStep(contract.StepSettings, s.opts.Settings.Control.Health, err)
 	}
 	linkCtx, stopLink := context.WithCancel(context.Background())
 	defer stopLink()
-	server := &http.Server{Handler: s.healthHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: s.healthHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ConnState: healthListener.ConnState, ConnContext: healthListener.ConnContext,
+	}
 	go func() { _ = server.Serve(healthListener) }()
 	go func() { _ = s.endpoint.Serve(linkCtx) }()
 	loops := []func(context.Context){s.watchLoop, s.pullLoop, s.heartbeatLoop, s.vmListLoop, s.statusLoop, s.rolloutLoop, s.billFiler.flushLoop}
@@ -162,7 +165,11 @@
 	return s.endpoint.Close()
 }
 
-const readHeaderTimeout = 10 * time.Second
+// Timeouts of connections to the health port.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 3 * time.Minute
+)
 
 // withLock calls f while holding mu.
 func (s *Server) withLock(f func()) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return contract.WrapStep(contract.StepSettings, s.opts.Settings.Entry.Callers, err)
 	}
-	health, err := net.Listen("tcp", s.opts.Settings.Entry.Health)
+	health, err := drain.ListenForOperators(s.opts.Settings.Entry.Health)
 	if err != nil {
 		return contract.WrapStep(contract.StepSettings, s.opts.Settings.Entry.Health, err)
 	}
@@ -154,7 +154,7 @@
 	// still calls other processes.
 	background, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
-	servers := []*http.Server{newHTTPServer(callers, s.callerRoutes()), newHTTPServer(drain.NewListener(health, 0), s.healthRoutes())}
+	servers := []*http.Server{newHTTPServer(callers, s.callerRoutes()), newHTTPServer(health, s.healthRoutes())}
 	for i, l := range []net.Listener{callers, health} {
 		go s.serveHTTP(servers[i], l)
 	}
