drain: lists in heads count by their items

Callers saw: the process of the VM ended when some 400 others sent requests whose prompt has thousands of parts, 16 KiB of head each, and upstreams were slow. Cause: found by a trial after heads had been accounted for: an item of a list takes some 64 bytes once it is split into parts, and a list is one line of a head. Change: the connection counts the commas of a head as well as its lines. Why it works: what a head makes the process hold is taken from the account before it is parsed, whatever its form.

--- a/drain/heads.go
+++ b/drain/heads.go
@@ -12,6 +12,8 @@
 	// fieldCost is what a line of a head takes once it is parsed, beside its bytes: its entry in the map of fields,
 	// its list of values and the copies of both.
 	fieldCost contract.Bytes = 160
+	// itemCost is what an item of a list in a head takes once it is parsed, such as a part of a prompt.
+	itemCost contract.Bytes = 64
 	// freeHead is the size of heads that are covered by the price of a connection.
 	freeHead = 8 * contract.KiB
 )
@@ -25,7 +27,7 @@
 	if c.holder == nil {
 		return true
 	}
-	c.headCost += contract.Bytes(len(p)) + fieldCost*contract.Bytes(bytes.Count(p, newline))
+	c.headCost += contract.Bytes(len(p)) + fieldCost*contract.Bytes(bytes.Count(p, newline)) + itemCost*contract.Bytes(bytes.Count(p, comma))
 	if c.headCost <= freeHead {
 		return true
 	}
@@ -36,4 +38,4 @@
 	return true
 }
 
-var newline = []byte("\n")
+var newline, comma = []byte("\n"), []byte(",")
--- a/internal/crowd/harness_test.go
+++ b/internal/crowd/harness_test.go
@@ -181,12 +181,20 @@
 	*process
 	callers, ready, metrics string
 	descriptorLimit         int
-	log                     string // path of its log
 }
 
 // startVM starts a store, an upstream that answers with h, and a VM whose machine has the given descriptors. The VM
 // is ready when startVM returns.
 func startVM(t *testing.T, descriptors int, h replica.Handler) *vm {
+	t.Helper()
+	log, err := os.Create(filepath.Join(t.TempDir(), "vm.log"))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = log.Close() })
+	return startVMWithLog(t, descriptors, h, log)
+}
+
+// startVMWithLog starts a VM as startVM does, which writes its log to a file.
+func startVMWithLog(t *testing.T, descriptors int, h replica.Handler, log *os.File) *vm {
 	t.Helper()
 	is := is.New(t)
 	store := objects.New()
@@ -214,8 +222,7 @@
 	addresses := freeAddresses(t, 4)
 	v := &vm{callers: addresses[0], ready: addresses[1], metrics: addresses[3], descriptorLimit: descriptors}
 	_, metricsPort, _ := net.SplitHostPort(v.metrics)
-	dir := t.TempDir()
-	path := filepath.Join(dir, "vm.ini")
+	path := filepath.Join(t.TempDir(), "vm.ini")
 	is.NoErr(os.WriteFile(path, fmt.Appendf(nil, `[vm]
 name = vm1
 data-centre = d
@@ -233,10 +240,6 @@
 grace = 4s
 `, v.callers, v.ready, addresses[2], metricsPort, server.Listener.Addr(), machineMemory>>20, descriptors), 0o600))
 	cmd := exec.Command(filepath.Join(binaries, "woaddoor-vm"), "run", "--settings", path)
-	v.log = filepath.Join(dir, "vm.log")
-	log, err := os.Create(v.log)
-	is.NoErr(err)
-	t.Cleanup(func() { _ = log.Close() })
 	cmd.Stdout, cmd.Stderr = log, log
 	is.NoErr(cmd.Start())
 	ended := make(chan struct{})
@@ -244,7 +247,7 @@
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill()
 		<-ended
-		if text, err := os.ReadFile(v.log); err == nil && t.Failed() {
+		if text, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
 			t.Logf("log of the VM:\n%s", text[max(0, len(text)-logShown):])
 		}
 	})
--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -19,6 +19,7 @@
 	longHeads    = 100 // heads that exceed the limit
 	manyFields   = 300 // heads within the limit
 	connections  = 600 // connections to a port that is not for callers
+	manyParts    = 400 // heads of which one line is a list of thousands of items
 	openRequests = 200 // requests whose bodies do not end
 	waiting      = 800 // requests that wait for an upstream, with more bytes behind them
 )
@@ -193,6 +194,17 @@
 	v.check(t)
 }
 
+// TestPromptsOfManyParts guards against heads within the limit whose lists take many times their bytes once they are
+// parsed, while their requests run.
+func TestPromptsOfManyParts(t *testing.T) {
+	v := startVM(t, machineDescriptors, answer)
+	parts := "X-Prompt-Prefix: " + strings.Repeat("1,", maxHead/2-512) + "1"
+	release(t, manyParts, v.callers, func(m member) {
+		m.send(head("/safe/never", fmt.Sprint("c", m.n), "Content-Length: 0", parts) + "\r\n")
+	})
+	v.check(t)
+}
+
 // shortFields returns about n bytes of header lines with as many different names as possible.
 func shortFields(n int) string {
 	var b strings.Builder
