--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -5,23 +5,28 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"woaddoor/internal/standin/objects"
 	"woaddoor/internal/standin/replica"
 )
 
 // Sizes of the crowds. Each takes several times the memory of its machine if the process gives it what it asks for.
 const (
-	bodies       = 32  // bodies or answers of maxBody bytes
-	longHeads    = 100 // heads that exceed the limit
-	manyFields   = 300 // heads within the limit
-	connections  = 600 // connections to a port that is not for callers
-	manyParts    = 400 // heads of which one line is a list of thousands of items
-	openRequests = 200 // requests whose bodies do not end
-	waiting      = 800 // requests that wait for an upstream, with more bytes behind them
+	bodies       = 32   // bodies or answers of maxBody bytes
+	longHeads    = 100  // heads that exceed the limit
+	manyFields   = 300  // heads within the limit
+	connections  = 600  // connections to a port that is not for callers
+	manyParts    = 400  // heads of which one line is a list of thousands of items
+	openRequests = 200  // requests whose bodies do not end
+	waiting      = 800  // requests that wait for an upstream, with more bytes behind them
+	unaccepted   = 3500 // connections to a process that does not accept any
 )
 
 // answer answers a request as its path says: at once, never, or with as many bytes as a caller can ask for.
@@ -246,3 +251,17 @@
 		t.Errorf("readiness is answered with %d", status)
 	}
 }
+
+// TestConnectionsNotAccepted guards against bytes that lie in the sockets of connections that wait to be accepted, while
+// the process has no processor time.
+func TestConnectionsNotAccepted(t *testing.T) {
+	v := startVM(t, machineDescriptors, answer)
+	process, err := os.FindProcess(v.pid)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(process.Signal(syscall.SIGSTOP))
+	release(t, unaccepted, v.callers, func(m member) {
+		m.send(head("/safe/x", "c", "Content-Length: 100000") + "\r\n" + strings.Repeat("a", 64<<10))
+	})
+	is.New(t).NoErr(process.Signal(syscall.SIGCONT))
+	v.check(t)
+}
