logs: long texts are cut

Callers saw: the process of the VM ended when others sent requests with ids of 60 KB and its log was not read. Cause: the queue of log lines is bounded by their number, 2,048; callers choose the ids of requests, which stand in lines. Change: a text in a line is at most 1 KiB. Why it works: a line is bounded now, so the queue is bounded in bytes.

--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,7 @@
 	openRequests = 200  // requests whose bodies do not end
 	waiting      = 800  // requests that wait for an upstream, with more bytes behind them
 	unaccepted   = 3500 // connections to a process that does not accept any
+	refusals     = 2400 // requests that are refused, each with a line in the log
 )
 
 // answer answers a request as its path says: at once, never, or with as many bytes as a caller can ask for.
@@ -265,3 +267,27 @@
 	is.New(t).NoErr(process.Signal(syscall.SIGCONT))
 	v.check(t)
 }
+
+// TestLongIDsInTheLog guards against lines of a log that nobody reads, which callers make long by the ids of their
+// requests.
+func TestLongIDsInTheLog(t *testing.T) {
+	is := is.New(t)
+	unread, log, err := os.Pipe()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unread.Close(); _ = log.Close() })
+	v := startVMWithLog(t, machineDescriptors, answer, log)
+	const perMember = 50
+	request := "GET /none/ HTTP/1.1\r\nHost: " + objects.SampleHost + "\r\nX-Attempt-Id: " + strings.Repeat("c", 60<<10) + "\r\n\r\n"
+	release(t, refusals/perMember, v.callers, func(m member) {
+		answers := bufio.NewReader(m)
+		for range perMember {
+			if !m.send(request) {
+				return
+			}
+			if _, err := http.ReadResponse(answers, nil); err != nil {
+				return
+			}
+		}
+	})
+	v.check(t)
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
@@ -43,6 +45,7 @@
 // EncodeEntry encodes an entry. If a field makes the encoder panic, the line carries the
 // panic message instead of the fields of the entry.
 func (e recoveringEncoder) EncodeEntry(entry zapcore.Entry, fields []zapcore.Field) (line *buffer.Buffer, err error) {
+	fields = cutLongTexts(fields)
 	defer func() {
 		if reason := recover(); reason != nil {
 			line, err = e.Encoder.Clone().EncodeEntry(entry, []zapcore.Field{zap.String("fields_left_out", fmt.Sprint(reason))})
@@ -61,3 +64,21 @@
 	}
 	return fields
 }
+
+// maxText is the length of a text in a line; callers choose some texts, such as the ids of requests.
+const maxText = 1 << 10
+
+// cutLongTexts returns the fields with texts of at most maxText bytes.
+func cutLongTexts(fields []zapcore.Field) []zapcore.Field {
+	cut := false
+	for i, f := range fields {
+		if f.Type != zapcore.StringType || len(f.String) <= maxText {
+			continue
+		}
+		if !cut {
+			fields, cut = slices.Clone(fields), true
+		}
+		fields[i].String = strings.ToValidUTF8(f.String[:maxText], "") + "..."
+	}
+	return fields
+}
--- a/logs/queue_test.go
+++ b/logs/queue_test.go
@@ -74,3 +74,14 @@
 	is.True(strings.Contains(out.String(), "fields_left_out="))
 	is.True(strings.Contains(out.String(), "event=delivered vm=v"))
 }
+
+// TestLongTextsAreCut guards against a queue of lines that takes the memory of the machine because callers choose
+// long ids for their requests.
+func TestLongTextsAreCut(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	New(&out).Info("turned-away", zap.String("request", strings.Repeat("\u00e9", 40_000)), zap.Int("status", 404))
+	is.True(out.Len() < 2*maxText)
+	is.True(strings.Contains(out.String(), "..."))
+	is.True(strings.Contains(out.String(), "status=404"))
+}
