drain: long bodies are decoded in turns, and for a quarter of the time while there is a crowd

Callers saw: few ordinary requests were answered while some 200 others sent bodies in chunks of one byte and opened their connections anew. Cause: a profile of the VM shows 93% of its processor time in the decoder of chunks: a chunk of one byte costs as much as one of 4 KiB. Hundreds of goroutines that decode wait for the processor beside the one that serves an ordinary request. Ruled out: memory (34 MiB), places (the requests that failed had timed out or met no connection to the upstream in time). Change: from its third read on a body needs a turn, of which there are half as many as processors. The turn pauses while its connection waits for bytes; with more than eight busy connections it rests for three times the time it worked. Why it works: what is decoded before a request is known competes with it as a few goroutines that work a quarter of the time. A single caller with such a body is not slowed: up to eight busy connections rest nobody.

--- a/drain/body.go
+++ b/drain/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -28,7 +29,11 @@
 		return nil, err
 	}
 	holder := memory.FromContext(r.Context())
-	body, err := memory.ReadAll(r.Body, limit, r.ContentLength, holder, now)
+	reader := io.Reader(r.Body)
+	if conn := connFrom(r.Context()); conn != nil {
+		reader = &turnReader{body: r.Body, conn: conn}
+	}
+	body, err := memory.ReadAll(reader, limit, r.ContentLength, holder, now)
 	if err == nil {
 		err = c.SetReadDeadline(time.Time{}) // net/http detects a disconnect by reading
 	}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -55,6 +55,7 @@
 	Limits Limits
 	// StalledConns counts the connections that were closed for new ones although requests were in progress on them.
 	StalledConns atomic.Int64
+	turns        *turns
 	// mu guards conns, the set of open connections.
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -64,7 +65,7 @@
 // Zero means no limit. If l is a Gate, the number of busy connections can be limited as well.
 func NewListener(l net.Listener, maxConns int) *Listener {
 	gate, _ := l.(*Gate)
-	return &Listener{Listener: l, gate: gate, maxConns: maxConns, conns: make(map[*conn]bool)}
+	return &Listener{Listener: l, gate: gate, maxConns: maxConns, turns: newTurns(), conns: make(map[*conn]bool)}
 }
 
 // conn is one client connection.
@@ -78,6 +79,9 @@
 	busy       atomic.Bool // whether the connection counts among the listener's busy ones
 	// holder accounts for the memory that the connection makes the process hold; nil without an account.
 	holder *memory.Holder
+	// hasTurn is set while the connection has a turn to decode a body, which began at turnBegan, in Unix nanoseconds.
+	hasTurn   atomic.Bool
+	turnBegan atomic.Int64
 	// inHead tells whether a part of a head, or a request, has arrived since the last request ended.
 	inHead atomic.Bool
 	// headCost is what the head that arrives will take once it is parsed, and headTaken what is taken for it. They
@@ -170,7 +174,7 @@
 
 // Read reads from the connection and records when it last returned bytes.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.readInTurn(p)
 	if n > 0 {
 		now := time.Now()
 		c.lastRead.Store(now.UnixNano())
--- a/drain/memory.go
+++ b/drain/memory.go
@@ -21,13 +21,14 @@
 	WriteTimeout time.Duration
 }
 
-// ConnContext adds the holder of a connection to the context of its requests. The server must use it as
+// ConnContext adds a connection and its holder to the context of its requests. The server must use it as
 // http.Server.ConnContext.
 func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*conn); ok && c.holder != nil {
-		return memory.NewContext(ctx, c.holder)
+	c, ok := nc.(*conn)
+	if !ok || c.holder == nil {
+		return ctx
 	}
-	return ctx
+	return context.WithValue(memory.NewContext(ctx, c.holder), connKey{}, c)
 }
 
 // beginRequest records that the first bytes of a request have arrived: its caller has received the last answer.
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -192,3 +192,6 @@
 	h, _ := ctx.Value(holderKey{}).(*Holder)
 	return h
 }
+
+// Stats returns the totals of the account of the holder.
+func (h *Holder) Stats() Stats { return h.account.Stats() }
