forward, relay: requests of other VMs are taken from the account of the callers' memory

A VM that was offered requests took 16 MiB of bodies for others, whatever its machine has, and held each twice while its message was decoded, beside what its own callers held. Change: a request of another VM has a holder; its offer is declined (full) when there is no room for it and its message. The VM that passes it on counts the encoded copy while it is sent, and the answer that comes back until its caller has it. The frame of a message is no longer joined with a third copy of its body. Measured: go test ./forward ./relay ./link pass. No run with two processes and a crowd was made: suspected, not shown. Why it works: the same account bounds the sum, whoever a request comes from.

--- a/forward/client.go
+++ b/forward/client.go
@@ -128,7 +128,13 @@
 // exchange sends an accepted request to its helper and delivers the answer.
 // It reports whether the helper has failed.
 func (c *Client) exchange(s *link.Stream, f *relay.ForwardedRequest, to relay.AnswerReceiver) (result relay.ForwardResult, helperFailed bool) {
-	if err := s.Send(f); err != nil {
+	copied := contract.Bytes(len(f.Body)) // encoded for the message
+	if !f.Memory.Take(copied, time.Now()) {
+		return relay.ForwardResult{End: relay.ForwardNotTaken}, false
+	}
+	err := s.Send(f)
+	f.Memory.Give(copied)
+	if err != nil {
 		return relay.ForwardResult{End: relay.ForwardLost, Err: err}, true
 	}
 	for {
--- a/forward/helper.go
+++ b/forward/helper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -11,16 +12,13 @@
 	"woaddoor/contract"
 	"woaddoor/link"
 	"woaddoor/logs"
+	"woaddoor/memory"
 	"woaddoor/relay"
 )
 
-// Bounds on what a helper takes on for other VMs.
-const (
-	// maxRunning is the largest number of requests.
-	maxRunning = 128
-	// maxBytes bounds the sum of the requests' bodies.
-	maxBytes = 16 * contract.MiB
-)
+// maxRunning is the largest number of requests that a helper takes on for other VMs. What they make it hold is taken
+// from the account of the callers' memory.
+const maxRunning = 128
 
 // Helper serves the requests that other VMs pass to this one.
 type Helper struct {
@@ -36,7 +34,6 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	running int
-	bytes   contract.Bytes
 	served  int64
 }
 
@@ -96,8 +93,8 @@
 	return holders
 }
 
-// admit reserves room for a request, or returns why it is not accepted.
-func (h *Helper) admit(ctx context.Context, o Offer) Reason {
+// admit reserves room for a request, which the holder holds, or returns why it is not accepted.
+func (h *Helper) admit(ctx context.Context, o Offer, held *memory.Holder) Reason {
 	switch {
 	case h.stopping():
 		return Stopping
@@ -108,19 +105,20 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.running >= maxRunning || h.running > 0 && h.bytes+o.Bytes > maxBytes {
+	if h.running >= maxRunning || !held.Take(messageCopies*max(o.Bytes, 0), time.Now()) {
 		return Full
 	}
 	h.running++
-	h.bytes += o.Bytes
 	return ""
 }
 
-func (h *Helper) release(o Offer) {
+// messageCopies is how often the body of a request is held while its message is decoded.
+const messageCopies = 2
+
+func (h *Helper) release() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.running--
-	h.bytes -= o.Bytes
 }
 
 // serve serves one request of another VM.
@@ -129,11 +127,13 @@
 	if err := s.Receive(&o, requestTimeout); err != nil {
 		return
 	}
-	if why := h.admit(ctx, o); why != "" {
+	held := h.relay.OpenHolder()
+	defer held.Close()
+	if why := h.admit(ctx, o, held); why != "" {
 		_ = s.Send(Admission{Why: why}) // a lost admission is an unanswered offer
 		return
 	}
-	defer h.release(o)
+	defer h.release()
 	if s.Send(Admission{Accepted: true}) != nil {
 		return
 	}
@@ -142,22 +142,33 @@
 		h.log.Info("forward-not-received", append(logs.ErrorFields(err), zap.String("from", peer))...)
 		return
 	}
+	held.Give((messageCopies - 1) * max(o.Bytes, 0))
+	f.Memory = held
 	h.mu.Lock()
 	h.served++
 	h.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer := &answerWriter{stream: s}
+	answer := &answerWriter{stream: s, held: held}
 	go answer.keepAlive(ctx)
 	end, refusal, outcome, sends := h.relay.ServeForwarded(ctx, &f, answer)
 	_ = s.Send(Part{End: &End{RequestEnd: end, Refusal: refusal, Outcome: outcome, Sends: sends}}) // without it, the helper counts as lost
 }
 
 // answerWriter sends the answer to a request to the VM that passed it on. It implements relay.Caller.
-type answerWriter struct{ stream *link.Stream }
+type answerWriter struct {
+	stream *link.Stream
+	held   *memory.Holder
+}
+
+// errNoMemory means that there is no room for the message with an answer.
+var errNoMemory = errors.New("no memory for the message with the answer")
 
 // SendResponse sends a complete answer.
 func (a *answerWriter) SendResponse(h *relay.ResponseHead, body []byte) error {
+	if !a.held.Take(contract.Bytes(len(body)), time.Now()) {
+		return errNoMemory
+	}
 	return a.stream.Send(Part{Head: newHead(h), Whole: true, Body: body})
 }
 
--- a/link/stream.go
+++ b/link/stream.go
@@ -74,10 +74,13 @@
 	if err != nil {
 		return contract.WrapStep(contract.StepLink, s.address, err)
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(body)), uint32(len(body)))
+	length := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes), uint32(len(body)))
 	s.sending.Lock()
 	defer s.sending.Unlock()
-	if _, err := s.stream.Write(append(frame, body...)); err != nil {
+	if _, err := s.stream.Write(length); err != nil {
+		return contract.WrapStep(contract.StepLink, s.address, err)
+	}
+	if _, err := s.stream.Write(body); err != nil {
 		return contract.WrapStep(contract.StepLink, s.address, err)
 	}
 	s.endpoint.countSent(s.address, s.kind, len(body))
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -13,8 +13,13 @@
 // maxBufferedAnswer is the largest answer that is buffered before it is delivered, in bytes.
 const maxBufferedAnswer = 8 << 20
 
-// errAnswerTooLong means that an answer exceeds maxBufferedAnswer.
-var errAnswerTooLong = errors.New("answer is longer than 8 MiB")
+// Errors of answers that are not buffered to their end.
+var (
+	// errAnswerTooLong means that an answer exceeds maxBufferedAnswer.
+	errAnswerTooLong = errors.New("answer is longer than 8 MiB")
+	// errNoMemory means that there is no room for an answer beside what other requests hold.
+	errNoMemory = errors.New("no memory for the answer")
+)
 
 // serveBuffered answers a request with one complete answer.
 // The answer is buffered to its end,
@@ -89,8 +94,9 @@
 	freeBufferedAnswer = 64 << 10
 )
 
-// openHolder returns a holder for a request that came without one. Its request never has to give way.
-func (r *Relay) openHolder() *memory.Holder {
+// OpenHolder returns a holder for a request that did not come on a connection of a caller. It does not give way before
+// it writes an answer that its receiver does not take.
+func (r *Relay) OpenHolder() *memory.Holder {
 	now := r.opts.Now()
 	h := r.opts.Memory.Open(func(memory.Phase) {}, now)
 	h.Enter(memory.Running, now)
@@ -101,12 +107,14 @@
 func (j *job) giveAnswer(body []byte) { j.Memory.Give(contract.Bytes(cap(body))) }
 
 // readAnswer reads an answer to its end, into memory that the request holds until it ends. It returns
-// errAnswerTooLong for an answer that exceeds maxBufferedAnswer, or for which there is no room beside what
-// other requests hold.
+// errAnswerTooLong or errNoMemory if the answer is not read to its end.
 func (r *Relay) readAnswer(a *attempt, held *memory.Holder) ([]byte, error) {
 	body, err := memory.ReadAll(a.answer, maxBufferedAnswer, memory.UnknownLength, held, r.opts.Now)
-	if errors.Is(err, memory.ErrTooLarge) || errors.Is(err, memory.ErrNoRoom) {
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, errAnswerTooLong
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, errNoMemory
 	}
 	return body, err
 }
@@ -134,6 +142,8 @@
 	result := upstream.Failed
 	switch {
 	case errors.Is(err, errAnswerTooLong):
+	case errors.Is(err, errNoMemory): // no fault of the upstream
+		result = upstream.Abandoned
 	case err != nil:
 		result = upstream.Broken
 	case h.NotRun:
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"woaddoor/contract"
+	"woaddoor/memory"
 	"woaddoor/prefill"
 	"woaddoor/retry"
 	"woaddoor/route"
@@ -81,6 +82,8 @@
 	// Holders are the VMs of the forwarding VM's data centre that hold the room of the service, if only
 	// a few of them do. They are not part of the message.
 	Holders []contract.VMID `cbor:"-"`
+	// Memory accounts for what the request makes this process hold. It is not part of the message.
+	Memory *memory.Holder `cbor:"-"`
 }
 
 // Progress is how far a request has come before it is passed to another VM.
@@ -149,8 +152,13 @@
 // It returns how the request ended, and what is known of its attempts at this VM.
 func (r *Relay) ServeForwarded(ctx context.Context, f *ForwardedRequest, c Caller) (RequestEnd, *contract.Refusal, contract.Outcome, int) {
 	now := r.opts.Now()
+	if f.Memory == nil {
+		f.Memory = r.OpenHolder()
+		defer f.Memory.Close()
+	}
 	j := newJob(&Request{
-		ID: f.ID, Workspace: f.Workspace, Regions: f.Regions, Priority: f.Priority, Route: &f.Route, Revision: f.Revision,
+		Memory: f.Memory,
+		ID:     f.ID, Workspace: f.Workspace, Regions: f.Regions, Priority: f.Priority, Route: &f.Route, Revision: f.Revision,
 		Method: f.Method, URI: f.URI, Host: f.Host, Header: f.Header, Body: f.Body,
 		Arrived: now.Add(-f.Elapsed), Deadline: now.Add(f.Remaining), LastEvent: f.LastEvent,
 		ChooseModel: f.ChooseModel, PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, PromptParts: f.PromptParts, PartNames: f.PartNames,
@@ -178,7 +186,7 @@
 		ChooseModel: j.ChooseModel, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, PromptParts: j.PromptParts, PartNames: j.PartNames,
 		SharedPromptKey: j.SharedPromptKey, Session: j.Session, Service: j.service, Counted: j.counted,
 		Progress: Progress{Sends: j.sends, Outcome: j.outcome, HeadSent: j.headSent, WeightsVersion: j.weightsVersion},
-		Overflow: j.sharesUsed,
+		Overflow: j.sharesUsed, Memory: j.Memory,
 	}
 	if j.sends > 0 { // upstreams that were only unreachable from this VM may be tried by another one
 		f.Progress.Tried = j.exclude
@@ -340,6 +348,9 @@
 	if f.job.headSent {
 		return errNoStream
 	}
+	if !f.job.Memory.Take(contract.Bytes(len(body)), f.relay.opts.Now()) {
+		return errNoMemory
+	}
 	f.job.status = h.Status
 	f.recordFirst()
 	if f.caller.SendResponse(h, body) != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -309,7 +309,7 @@
 // A refusal is always returned with Refused, and may be returned with StreamCut.
 func (r *Relay) Serve(ctx context.Context, req *Request, c Caller) (RequestEnd, *contract.Refusal) {
 	if req.Memory == nil {
-		req.Memory = r.openHolder()
+		req.Memory = r.OpenHolder()
 		defer req.Memory.Close()
 	}
 	j := newJob(req)
