exchange: the body of a request is not copied to be sent

Cause: each attempt copied the body behind its head, so a body of 4 MiB took 8 while it was written, outside the account. Change: a body over 16 KiB is written by itself. Why it works: the copy is not made.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -86,9 +86,16 @@
 	return &conn{Conn: c, head: limited, reader: bufio.NewReaderSize(limited, readBuffer), connState: connState{idleSince: time.Now()}}
 }
 
+// maxJoinedBody is the largest body that is copied, so that it is written together with the headers.
+const maxJoinedBody = 16 << 10
+
 // write writes a request. The headers and a small body fit into one packet.
 func (c *conn) write(r *Request) error {
-	b := make([]byte, 0, 1024+len(r.Body))
+	joined := r.Body
+	if len(joined) > maxJoinedBody {
+		joined = nil
+	}
+	b := make([]byte, 0, 1024+len(joined))
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
@@ -109,9 +116,12 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, r.Body...)
+	b = append(b, joined...)
 	c.writeStarted.Store(true)
 	_, err := c.Write(b)
+	if err == nil && len(joined) < len(r.Body) {
+		_, err = c.Write(r.Body)
+	}
 	return err
 }
 
