link: connections of strangers are bounded until they are authenticated

Cause: read in the code, not shown by a run: anybody can begin handshakes with a VM, and each takes memory until it has failed, without a bound on their number. Change: 512 such connections at a time; from 128 on a peer has to show that it receives at its address before anything is kept for it. Measured: TestUnverifiedConnectionsAreBounded; go test ./link ./site pass. Why it works: a connection counts from its first packet until its peer is known or it ends.

--- a/link/server.go
+++ b/link/server.go
@@ -83,6 +83,7 @@
 	// InOtherDataCentre may be nil, and must be set before Serve is called.
 	InOtherDataCentre func(address string) bool
 	sharedConns       bool
+	unverified        unverified
 	traffic           traffic
 
 	// mu guards the fields below. dialing holds the handshakes in progress, by the peer's address.
@@ -122,6 +123,8 @@
 	for _, apply := range options {
 		apply(e)
 	}
+	e.transport.ConnContext = func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) { return e.unverified.admit(ctx) }
+	e.transport.VerifySourceAddress = func(net.Addr) bool { return e.unverified.many() }
 	e.listener, err = e.transport.Listen(identity.TLSConfig(alpnProtocol), e.quicConfig())
 	if err != nil {
 		socket.Close()
@@ -166,6 +169,7 @@
 		_ = conn.CloseWithError(codeRefused, err.Error())
 		return
 	}
+	verified(conn.Context())
 	e.storeAccepted(conn)
 	e.serveStreams(ctx, peer, conn)
 }
