--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -66,6 +66,7 @@
 		lines = append(lines, registryMetrics(v.relay.Metrics.Registry)...)
 		lines = append(lines, v.peerMetrics()...)
 		lines = append(lines, v.resourceMetrics()...)
+		lines = append(lines, v.callerMetrics()...)
 		lines = append(lines, v.evacuationMetrics()...)
 		lines = append(lines, v.leaseMetrics()...)
 		sort.Strings(lines)
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -121,6 +121,7 @@
 	log.Info("start", zap.String("data_centre", string(s.DataCentre)), zap.Bool("first_start", s.FirstStart), zap.String("store", s.Store))
 	go v.site.Run(ctx)
 	go v.watchResources(ctx)
+	go v.callers.LogPressure(ctx, v.log)
 	go v.relay.ProbeDataCentres(ctx)
 	v.waitForSignals()
 	return exitOK
@@ -229,13 +230,12 @@
 // listenForCallers serves the requests of callers. The listener can refuse connections while the VM is short of what
 // its machine gives it.
 func (v *vmProcess) listenForCallers() error {
+	refusals := &refusalLog{log: v.log}
 	front := &platform.Handler{
 		Relay: v.relay, Table: v.site.Table, WaitReady: v.site.AwaitReady, Now: time.Now,
 		CloseConnections: func() bool { return v.stopping.Load() || v.callers.Limited() },
 		Stopping:         func() bool { return v.callers.Draining() },
-		OnRefused: func(id contract.RequestID, status int, why string) {
-			v.log.Info("turned-away", zap.String("request", string(id)), zap.Int("status", status), zap.String("why", why))
-		},
+		OnRefused:        func(id contract.RequestID, status int, why string) { refusals.record(id, status, why, time.Now()) },
 	}
 	c := v.settings.Callers
 	gate, err := drain.NewGate(v.settings.Listen.Callers, drain.Buffers{Receive: c.ReceiveBuffer, Send: c.SendBuffer})
--- a/entry/health.go
+++ b/entry/health.go
@@ -91,6 +91,10 @@
 	s.metrics.tickets.Update(int64(st.Tickets))
 	s.metrics.waiting.Update(int64(st.Waiting))
 	s.metrics.configAge.Update(int64(st.Age))
+	p := s.callers.Pressure()
+	s.metrics.callerMemory.Update(int64(p.Memory.Used))
+	s.metrics.callersGaveWay.Update(p.Memory.Evicted + p.ConnsStalled)
+	s.metrics.callersDenied.Update(p.Memory.Denied + p.ConnsRejected)
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(s.metrics.registry, w)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,9 @@
 	configAge        metrics.Gauge
 	pullFailures     metrics.Counter
 	reportFailures   metrics.Counter
+	callerMemory     metrics.Gauge
+	callersGaveWay   metrics.Gauge
+	callersDenied    metrics.Gauge
 	firstTokenTime   metrics.Histogram
 	answerTime       metrics.Histogram
 }
@@ -49,6 +52,9 @@
 		configAge:        metrics.NewRegisteredGauge("configuration_age_nanoseconds", r),
 		pullFailures:     metrics.NewRegisteredCounter("pull_failures_total", r),
 		reportFailures:   metrics.NewRegisteredCounter("report_failures_total", r),
+		callerMemory:     metrics.NewRegisteredGauge("caller_memory_bytes", r),
+		callersGaveWay:   metrics.NewRegisteredGauge("callers_gave_way_total", r),
+		callersDenied:    metrics.NewRegisteredGauge("callers_denied_total", r),
 		firstTokenTime:   histogram("first_token_nanoseconds"),
 		answerTime:       histogram("answer_nanoseconds"),
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -99,6 +99,8 @@
 	copyFailedAt map[contract.VMID]time.Time
 	// lastCopiedAt is when a peer or the platform last stored bill records sent by this process.
 	lastCopiedAt time.Time
+	// callers is the listener for callers. It is set before anything is served.
+	callers *drain.Listener
 }
 
 // New returns a Server. New opens the listener for calls from other processes.
@@ -154,10 +156,12 @@
 	// still calls other processes.
 	background, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
+	s.callers = callers
 	servers := []*http.Server{newHTTPServer(callers, s.callerRoutes()), newHTTPServer(health, s.healthRoutes())}
 	for i, l := range []net.Listener{callers, health} {
 		go s.serveHTTP(servers[i], l)
 	}
+	go callers.LogPressure(background, s.log)
 	go func() { _ = s.endpoint.Serve(background) }()
 	for _, loop := range []func(context.Context){s.pullLoop, s.peerPullLoop, s.loadReportLoop, s.submitLoop, s.expireLoop} {
 		go loop(background)
