soak: callers that keep to no rules, in the mix

Cause: the soak knew only callers that end their requests. Change: ten a second open a connection on which a body stops short, comes in chunks of one byte, or a head does not end, or nothing is sent, and leave it open for 3 s. Each VM has the limits of the smallest machine (88 MB, 4,100 descriptors), and the resident memory of its process is checked five times a second.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -176,6 +176,8 @@
 			v.name, dataCentre(i), vmAddresses[0], vmAddresses[1], links[i], strings.Join(seeds, ","), metricsPort, f.storeLink.address(), gracePeriod, applyTimeout, drainTimeout, evacuationTimeout, retryRatio, retrySlack, retryWindow, exposureShare)
 		if f.machineOf != nil {
 			ini += f.machineOf(i).settings()
+		} else {
+			ini += machineLimits()
 		}
 		if err := os.WriteFile(v.settingsPath, []byte(ini), 0o600); err != nil {
 			return err
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -126,6 +126,8 @@
 	start(clients.runPoisonParts, 1003)
 	start(clients.runRevokedKey, 1001)
 	start(clients.runVersionProbe, 1002)
+	start(clients.runMisbehaving, 1004)
+	go f.watchMemory(callContext)
 	go f.backups.run(ctx, f.store) // until the process ends
 	startedAt := time.Now()
 	for _, planned := range f.plan(args.Seed, args.For) {
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -25,12 +25,13 @@
 	guaranteeDrainEntry    = "an upstream whose entry says that it drains receives no requests after the drain timeout"
 	guaranteeConfiguration = "a configuration is in force on each VM within the bound, and stays"
 	guaranteeResources     = "heap size and goroutine count stay bounded"
+	guaranteeMemory        = "the process of a VM stays within the memory of its machine"
 )
 
 // guarantees lists all guarantees. A run that does not check each guarantee at least once fails.
 var guarantees = []string{
 	guaranteeAtMostOnce, guaranteeNotRun, guaranteeOwnAnswer, guaranteeEventOrder, guaranteeQuarantine, guaranteePartHeld, guaranteeRevokedKey, guaranteeRetryBudget, guaranteeRecovery, guaranteeDrain, guaranteeBackoff,
-	guaranteeRateLimit, guaranteeEvacuation, guaranteeDrainEntry, guaranteeConfiguration, guaranteeResources,
+	guaranteeRateLimit, guaranteeEvacuation, guaranteeDrainEntry, guaranteeConfiguration, guaranteeResources, guaranteeMemory,
 }
 
 // recorder counts the checks of each guarantee, and keeps the failures and the timeline of faults.
