--- a/drain/turns_test.go
+++ b/drain/turns_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// TestMemoryIsGivenBack checks that a connection holds nothing after a request, while it stays open, and can send the
+// next one.
+func TestMemoryIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	server, account := accountedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, 1<<20, time.Now().Add(time.Minute), time.Now); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	for range 10 {
+		resp, err := server.Client().Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("a", 200_000)))
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	for deadline := time.Now().Add(10 * time.Second); account.Stats().Used > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the server gives back after the client has read the end
+	}
+}
+
 // TestBodyWithoutRoomIsRefused checks that a body for which there is no room is refused, with the connection closed.
 func TestBodyWithoutRoomIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -150,6 +150,37 @@
 	is.Equal(f.Stats().Denied, int64(1))
 }
 
+// TestRunningKeepsItsMemory guards against requests that are ended although they may have run, and against
+// requests that give way although it does not help.
+func TestRunningKeepsItsMemory(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	oldest, running, reading := f.open(""), f.open(""), f.open("")
+	is.True(running.Take(600, f.now))
+	is.True(reading.Take(300, f.now))
+	is.True(running.Run(f.now))
+	f.now = f.now.Add(time.Hour)
+	is.True(!oldest.Take(500, f.now)) // the one that is read holds too little
+	is.Equal(len(f.evicted), 0)
+	is.True(oldest.Take(300, f.now))
+	is.True(reading.Evicted())
+	is.True(!reading.Run(f.now))
+	is.True(!running.Evicted())
+}
+
+// TestWorkspaceThatHoldsMoreIsNotServed checks that a workspace does not take from one that holds less.
+func TestWorkspaceThatHoldsMoreIsNotServed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	less, more := f.open("less"), f.open("more")
+	is.True(less.Take(410, f.now))
+	is.True(more.Take(510, f.now))
+	f.now = f.now.Add(time.Hour)
+	more.Progress(f.now)
+	is.True(!more.Take(200, f.now))
+	is.True(!less.Evicted())
+}
+
 // TestOldestIsServed guards against requests that end each other shortly before their ends: while all make
 // progress, the oldest gets all that it needs.
 func TestOldestIsServed(t *testing.T) {
