memory: a single request of a workspace may take more than its share

Cause: read in the code: on machines of 32 MB and less, or with caller-memory-mb set low, a body within the limits needed more than three quarters of the account, and was refused in calm. Change: the share holds for a workspace with several requests. Why it works: the share is for others; a request alone leaves them the rule that whoever holds more gives way.

--- a/memory/account.go
+++ b/memory/account.go
@@ -28,7 +28,8 @@
 	StallAfter time.Duration
 	// MaxRequests is how many requests all workspaces together may run at a time. Zero means no limit.
 	MaxRequests int
-	// WorkspaceShare is the part of Total, and of MaxRequests, that one workspace may take.
+	// WorkspaceShare is the part of Total, and of MaxRequests, that one workspace may take. A workspace with a single
+	// request may take all of Total.
 	WorkspaceShare float64
 }
 
@@ -105,7 +106,8 @@
 	}
 	for a.opts.Total > 0 && more > 0 {
 		own, total := a.byOwner[h.owner]+more, a.used+more
-		ownerFull := h.owner != "" && float64(own) > a.opts.WorkspaceShare*float64(a.opts.Total)
+		alone := a.byOwner[h.owner] == a.charge(h.taken) // a single request may take more than a workspace's share
+		ownerFull := h.owner != "" && !alone && float64(own) > a.opts.WorkspaceShare*float64(a.opts.Total)
 		if !ownerFull && total <= a.opts.Total {
 			break
 		}
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -215,6 +215,16 @@
 	is.True(!other.Evicted())
 }
 
+// TestSingleRequestMayTakeAll guards against a request within the limits that is refused in calm, because it takes more
+// than the share of its workspace.
+func TestSingleRequestMayTakeAll(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	h := f.open("a")
+	is.True(h.Take(1000, f.now))
+	is.True(!f.open("a").Take(20, f.now)) // the share holds for all others
+}
+
 // TestRequestsOfOneWorkspace guards against a crowd whose requests take all connections while upstreams are slow.
 func TestRequestsOfOneWorkspace(t *testing.T) {
 	is := is.New(t)
