drain: the unread body of a refused request ends with its connection

Callers saw: nothing while there were places; a connection whose request was refused before its body was read (no route, no key, no room) stayed open, and counted as running, for as long as its caller sent nothing. Why it works: the read fails at the deadline, and net/http closes the connection after the answer.

--- a/drain/body.go
+++ b/drain/body.go
@@ -16,10 +16,18 @@
 // refusedBodyTime is how long the rest of a body that is refused may still arrive, so that its caller sees the answer.
 const refusedBodyTime = 500 * time.Millisecond
 
+// AbandonBody gives what has not been read of the body of a request little time to arrive. It has to be called before a
+// request is refused whose body is not read: net/http reads the rest of it without a deadline to use the connection again.
+func AbandonBody(w http.ResponseWriter, r *http.Request, now time.Time) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(now.Add(refusedBodyTime)) // fails only if the connection is closed already
+	}
+}
+
 // ReadBody reads the body of a request, at most limit bytes, until the deadline: a body that is read after it would
 // hold memory and a connection although the caller no longer waits for an answer. What is read is held by the holder of
-// the connection until the request ends. After an error the request has to be refused, and its connection closes; the
-// error is memory.ErrNoRoom, memory.ErrTooLarge, ErrBodyLate or that of the connection.
+// the connection until the request ends. After an error the body has to be abandoned and the request to be refused; its
+// connection closes. The error is memory.ErrNoRoom, memory.ErrTooLarge, ErrBodyLate or that of the connection.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, now func() time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -44,8 +52,5 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && !holder.Evicted() {
 		return nil, ErrBodyLate
 	}
-	if !holder.Evicted() { // otherwise the deadline by which it gave way stays
-		_ = c.SetReadDeadline(now().Add(refusedBodyTime)) // fails only if the connection is closed already
-	}
 	return nil, err
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -122,7 +122,9 @@
 		w.Header().Set(HeaderRequestID, string(id))
 		w.Header().Set(HeaderVM, string(s.opts.Settings.VM))
 		req, refused := s.readRequest(w, r, id)
-		if refused == nil {
+		if refused != nil {
+			drain.AbandonBody(w, r, s.clock.Now())
+		} else {
 			ctx, cancel := context.WithTimeout(r.Context(), req.deadline.Sub(req.arrived))
 			defer cancel()
 			refused = h(ctx, w, r, req)
