--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -30,6 +30,9 @@
 	entryDescriptors   = 600
 )
 
+// tokenTime is how long an engine takes for a token.
+const tokenTime = 20 * time.Millisecond
+
 const chatPath = "/v1/chat/completions"
 
 // entryVM is a VM with woaddoor-entry and woaddoor-control under test.
@@ -48,7 +51,7 @@
 	dir := t.TempDir()
 	f, err := fleet.Start(&fleet.Options{
 		WorkDir: dir, BinDir: binaries, VMs: 1, Engines: 2, DataCentres: []contract.DataCentreID{"dc1"}, EntrySettings: entrySettings,
-		Engine: engine.Options{Versions: []contract.VersionID{"chat-small@1", "chat-small@2", "chat-large@1"}},
+		Engine: engine.Options{TokenTime: tokenTime, Versions: []contract.VersionID{"chat-small@1", "chat-small@2", "chat-large@1"}},
 	})
 	t.Cleanup(f.Stop)
 	is.NoErr(err)
@@ -129,6 +132,17 @@
 	v.check(t)
 }
 
+// TestEntryWholeBodies guards against requests that run at slow engines without regard to the sum of their bodies, of
+// what is decoded from them, and of what is sent.
+func TestEntryWholeBodies(t *testing.T) {
+	v := startEntryVM(t)
+	body := fleet.ChatBody("chat-small", strings.Repeat("a", maxBody-1024), 500, false)
+	release(t, bodies, v.callers, func(m member) {
+		m.send(entryHead(fmt.Sprint("Content-Length: ", len(body))) + "\r\n" + body)
+	})
+	v.check(t)
+}
+
 // TestEntryLongHeads guards against heads that never end and take many times their bytes once they are parsed.
 func TestEntryLongHeads(t *testing.T) {
 	v := startEntryVM(t)
--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -291,3 +291,37 @@
 	})
 	v.check(t)
 }
+
+// TestRequestsOnAllConnections guards against a crowd of one workspace that takes all places with requests that wait for
+// upstreams: callers of other workspaces were turned away until the deadline.
+func TestRequestsOnAllConnections(t *testing.T) {
+	v := startVM(t, fewDescriptors, answer)
+	release(t, openRequests, v.callers, func(m member) {
+		m.send(head("/safe/never", fmt.Sprint("c", m.n), "Content-Length: 0") + "\r\n")
+	})
+	v.check(t)
+}
+
+// TestDribblingCallers guards against a crowd that takes all places and sends single bytes of heads and bodies.
+func TestDribblingCallers(t *testing.T) {
+	v := startVM(t, fewDescriptors, answer)
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	release(t, openRequests, v.callers, func(m member) {
+		if m.n%2 == 0 {
+			m.send(head("/safe/x", fmt.Sprint("c", m.n), "Content-Length: 100000") + "\r\n")
+		} else {
+			m.send("POST /safe/x HTTP/1.1\r\nHost: a\r\nX-Field: ")
+		}
+		go func() {
+			for m.send("a") {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		}()
+	})
+	v.check(t)
+}
