memory: the age that decides who gives way is that of the request

Cause: read again: holders were numbered as their connections were accepted, so a crowd that keeps its connections open was older than any new caller. Change: a holder becomes the youngest when its request ends. Measured: TestAgeIsThatOfTheRequest fails without it; go test ./memory -rapid.checks=20000 passes. Why it works: who came first is asked of requests.

--- a/memory/account.go
+++ b/memory/account.go
@@ -71,12 +71,18 @@
 func (a *Account) Open(evict func(Phase), now time.Time) *Holder {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.opened++
-	h := &Holder{account: a, evict: evict, number: a.opened}
+	h := &Holder{account: a, evict: evict}
+	a.renumber(h)
 	h.Progress(now)
 	return h
 }
 
+// renumber makes a holder the youngest.
+func (a *Account) renumber(h *Holder) {
+	a.opened++
+	h.number = a.opened
+}
+
 // Stats returns the totals.
 func (a *Account) Stats() Stats {
 	a.mu.Lock()
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -150,6 +150,18 @@
 	is.Equal(f.Stats().Denied, int64(1))
 }
 
+// TestAgeIsThatOfTheRequest guards against a connection that is kept open for the sake of its age: its next request is
+// younger than one that has begun before.
+func TestAgeIsThatOfTheRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	kept, other := f.open(""), f.open("")
+	kept.End(f.now)
+	is.True(other.Take(600, f.now))
+	is.True(!kept.Take(600, f.now))
+	is.True(!other.Evicted())
+}
+
 // TestRunningKeepsItsMemory guards against requests that are ended although they may have run, and against
 // requests that give way although it does not help.
 func TestRunningKeepsItsMemory(t *testing.T) {
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -29,13 +29,13 @@
 type Holder struct {
 	account *Account
 	evict   func(Phase)
-	number  uint64 // holders are numbered as they are opened
 	phase   atomic.Int32
 	// progressAt is when the holder last made progress, in Unix nanoseconds.
 	progressAt atomic.Int64
 	evicted    atomic.Bool
 
 	// The mutex of the account guards the fields below.
+	number  uint64 // holders are numbered as they are opened and as their requests end
 	owner   contract.WorkspaceID
 	taken   contract.Bytes
 	running bool // whether it counts among the requests of its owner
@@ -153,6 +153,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.release(h)
+	a.renumber(h)
 	h.Enter(Reading, now)
 }
 
