drain: a turn rests no longer than its work can have lasted

Cause: read again: the rest of a turn is a multiple of the time since it began, by the time of day; after a suspension of the process of 10 s a turn would have rested 30 s, and the body that held it with it. Change: a turn counts as 5 ms of work at most. Why it works: one read decodes what lies in a buffer, which takes less than a millisecond.

--- a/drain/turns.go
+++ b/drain/turns.go
@@ -23,6 +23,8 @@
 	restFactor = 3
 	// minRest is the shortest rest: the timers of the system are no finer.
 	minRest = time.Millisecond
+	// maxWorked bounds the time for which a turn is taken to have worked: a suspension of the process is no work.
+	maxWorked = 5 * time.Millisecond
 )
 
 // turns limits how many long bodies are decoded at a time, and for which part of the time while there are many
@@ -62,6 +64,7 @@
 
 // end ends a turn that has worked for a while. If it rests, others wait for its end.
 func (t *turns) end(worked time.Duration, rests bool) {
+	worked = min(max(worked, 0), maxWorked)
 	if rests && time.Duration(t.owed.Add(int64(restFactor*worked))) >= minRest {
 		time.Sleep(time.Duration(t.owed.Swap(0)))
 	}
--- a/drain/turns_test.go
+++ b/drain/turns_test.go
@@ -21,4 +21,7 @@
 	turns.end(time.Second, false)
 	is.Equal(turns.owed.Load(), int64(0))
 	is.True(turns.take())
+	began := time.Now()
+	turns.end(time.Hour, true) // the process was suspended
+	is.True(time.Since(began) < time.Minute)
 }
