standin, crowd, soak: only the stand-ins know the platform's names

Cause: the new tests wrote headers and the configuration by the platform's names. Change: replica.Head and PromptLine write the head of a caller, objects.PutLimitedDeployment a configuration with limits. Crowds, bounds and checks are as they were.

--- a/internal/crowd/harness_test.go
+++ b/internal/crowd/harness_test.go
@@ -203,20 +203,9 @@
 	u, err := replica.Start("u1", h)
 	is.NoErr(err)
 	t.Cleanup(u.Close)
-	route := func(name, kind string) map[string]any {
-		return map[string]any{
-			"Name": name, "Host": objects.SampleHost, "PathPrefix": "/" + name + "/", "Kind": kind, "Service": "s", "MaxAttempts": 2,
-			"TimeoutMs": routeTimeout.Milliseconds(), "TargetLatencyMs": 1000, "GapTargetMs": 2000,
-		}
-	}
-	store.Put("config", "main", map[string]any{
-		"Version": 1, "Routes": []map[string]any{route("safe", "safe"), route("stream", "streaming")},
-		"Services": []map[string]any{{"Name": "s", "MaxConnections": 1000}},
-		"Limits": map[string]any{
-			"MaxBodyBytes": maxBody, "MaxHeaderBytes": maxHead,
-			"HeaderTimeoutMs": headerTimeout.Milliseconds(), "IdleTimeoutMs": idleTimeout.Milliseconds(),
-		},
-		"Tenants": []map[string]any{{"Name": "crowd", "ApiKeys": []string{crowdKey}}, {"Name": "ordinary", "ApiKeys": []string{ordinaryKey}}},
+	store.PutLimitedDeployment(objects.LimitedDeployment{
+		CallerLimits: objects.CallerLimits{MaxBody: maxBody, MaxHead: maxHead, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		RouteTimeout: routeTimeout, Keys: map[string]string{"crowd": crowdKey, "ordinary": ordinaryKey}, MaxConnections: 1000,
 	})
 	store.PutUpstream(objects.Upstream{ID: "u1", Address: u.Address(), DataCentre: "d", Slots: 1000, Incarnation: 1})
 	addresses := freeAddresses(t, 4)
@@ -251,7 +240,7 @@
 			t.Logf("log of the VM:\n%s", text[max(0, len(text)-logShown):])
 		}
 	})
-	waitUntil(t, func() bool { return statusOf("http://"+v.ready+"/api/readyz") == http.StatusOK })
+	waitUntil(t, func() bool { return statusOf("http://"+v.ready+replica.ReadinessPath) == http.StatusOK })
 	waitUntil(t, func() bool { return v.ordinaryRequest() == nil })
 	v.process = watch(t, cmd.Process.Pid, ended, v.callers, v.ready, v.metrics)
 	return v
@@ -275,7 +264,7 @@
 
 // ordinaryRequest sends a small request on a new connection and checks that it is answered.
 func (v *vm) ordinaryRequest() error {
-	_, err := v.call(ordinaryKey, "/safe/x", strings.NewReader("hello"), 5*time.Second)
+	_, err := v.call(ordinaryKey, "/safe/x", "hello", 5*time.Second)
 	return err
 }
 
@@ -315,11 +304,7 @@
 
 // head returns the head of a request of the crowd, without the empty line that ends it.
 func head(path, id string, lines ...string) string {
-	all := append([]string{
-		"POST " + path + " HTTP/1.1", "Host: " + objects.SampleHost, "X-Key: " + crowdKey, "X-Attempt-Id: " + id,
-		"X-Deadline-Ms: " + strconv.FormatInt(routeTimeout.Milliseconds(), 10),
-	}, lines...)
-	return strings.Join(all, "\r\n") + "\r\n"
+	return replica.Head{Host: objects.SampleHost, Path: path, ID: id, Key: crowdKey, Wait: routeTimeout}.Text(lines...)
 }
 
 // member is one client of a crowd, with one connection.
--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -58,15 +59,12 @@
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // call sends a request on a new connection and returns the status if it is answered with 200.
-func (v *vm) call(key, path string, body io.Reader, bound time.Duration) (int, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+path, body)
+func (v *vm) call(key, path, body string, bound time.Duration) (int, error) {
+	req, err := replica.NewCall(context.Background(), v.callers, objects.SampleHost, path, "ordinary", key, body)
 	if err != nil {
 		return 0, err
 	}
-	req.Host = objects.SampleHost
-	req.Header.Set("X-Key", key)
-	req.Header.Set("X-Attempt-Id", "ordinary")
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(bound.Milliseconds()))
+	replica.SetDeadline(req, bound)
 	client := &http.Client{Timeout: bound, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -205,7 +203,7 @@
 // parsed, while their requests run.
 func TestPromptsOfManyParts(t *testing.T) {
 	v := startVM(t, machineDescriptors, answer)
-	parts := "X-Prompt-Prefix: " + strings.Repeat("1,", maxHead/2-512) + "1"
+	parts := replica.PromptLine(strings.Repeat("1,", maxHead/2-512) + "1")
 	release(t, manyParts, v.callers, func(m member) {
 		m.send(head("/safe/never", fmt.Sprint("c", m.n), "Content-Length: 0", parts) + "\r\n")
 	})
@@ -246,10 +244,10 @@
 func TestPortsOfOperators(t *testing.T) {
 	v := startVM(t, fewDescriptors, answer)
 	for _, address := range []string{v.ready, v.metrics} {
-		release(t, connections, address, func(m member) { m.send("GET /api/readyz HTTP/1.1\r\nHost: a\r\n") })
+		release(t, connections, address, func(m member) { m.send("GET " + replica.ReadinessPath + " HTTP/1.1\r\nHost: a\r\n") })
 	}
 	v.check(t)
-	if status := statusOf("http://" + v.ready + "/api/readyz"); status != http.StatusOK {
+	if status := statusOf("http://" + v.ready + replica.ReadinessPath); status != http.StatusOK {
 		t.Errorf("readiness is answered with %d", status)
 	}
 }
@@ -277,7 +275,7 @@
 	t.Cleanup(func() { _ = unread.Close(); _ = log.Close() })
 	v := startVMWithLog(t, machineDescriptors, answer, log)
 	const perMember = 50
-	request := "GET /none/ HTTP/1.1\r\nHost: " + objects.SampleHost + "\r\nX-Attempt-Id: " + strings.Repeat("c", 60<<10) + "\r\n\r\n"
+	request := replica.Head{Host: objects.SampleHost, Path: "/none/", ID: strings.Repeat("c", 60<<10)}.Text("Content-Length: 0") + "\r\n"
 	release(t, refusals/perMember, v.callers, func(m member) {
 		answers := bufio.NewReader(m)
 		for range perMember {
--- a/internal/soak/misbehaving.go
+++ b/internal/soak/misbehaving.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"woaddoor/internal/standin/objects"
+	"woaddoor/internal/standin/replica"
 )
 
 // The machine of each VM, in the settings. Its memory is that of the smallest known deployment.
@@ -71,7 +72,7 @@
 
 // misbehavingHead returns the head of a request without the empty line that ends it.
 func misbehavingHead(n int, line string) string {
-	return "POST /safe/x HTTP/1.1\r\nHost: " + objects.SampleHost + "\r\nX-Key: " + keyKept + "\r\nX-Attempt-Id: misbehaving-" + strconv.Itoa(n) + "\r\n" + line + "\r\n"
+	return replica.Head{Host: objects.SampleHost, Path: "/safe/x", ID: "misbehaving-" + strconv.Itoa(n), Key: keyKept}.Text(line)
 }
 
 // memoryInterval is the time between two checks of the memory of the VMs.
--- a/internal/standin/objects/sample.go
+++ b/internal/standin/objects/sample.go
@@ -161,3 +161,44 @@
 	}
 	return status.State
 }
+
+// CallerLimits are limits that a configuration sets for callers.
+type CallerLimits struct {
+	MaxBody, MaxHead           int // bytes
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// LimitedDeployment describes a configuration with one service, limits for callers, and two routes, /safe/ (repeatable
+// requests) and /stream/ (streams that cannot be resumed).
+type LimitedDeployment struct {
+	CallerLimits
+	// RouteTimeout is how long a request may be held.
+	RouteTimeout time.Duration
+	// Keys are the keys of the workspaces.
+	Keys map[string]string
+	// MaxConnections is how many connections each upstream accepts.
+	MaxConnections int
+}
+
+// PutLimitedDeployment writes the configuration, as the operator would.
+func (s *Store) PutLimitedDeployment(d LimitedDeployment) {
+	route := func(name, kind string) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": SampleHost, "PathPrefix": "/" + name + "/", "Kind": kind, "Service": "s", "MaxAttempts": 2,
+			"TimeoutMs": d.RouteTimeout.Milliseconds(), "TargetLatencyMs": 1000, "GapTargetMs": 2000,
+		}
+	}
+	var workspaces []map[string]any
+	for name, key := range d.Keys {
+		workspaces = append(workspaces, map[string]any{"Name": name, "ApiKeys": []string{key}})
+	}
+	s.Put("config", "main", map[string]any{
+		"Version": 1, "Routes": []map[string]any{route("safe", "safe"), route("stream", "streaming")},
+		"Services": []map[string]any{{"Name": "s", "MaxConnections": d.MaxConnections}},
+		"Limits": map[string]any{
+			"MaxBodyBytes": d.MaxBody, "MaxHeaderBytes": d.MaxHead,
+			"HeaderTimeoutMs": d.HeaderTimeout.Milliseconds(), "IdleTimeoutMs": d.IdleTimeout.Milliseconds(),
+		},
+		"Tenants": workspaces,
+	})
+}
--- a/internal/standin/replica/caller.go
+++ b/internal/standin/replica/caller.go
@@ -71,3 +71,26 @@
 	}
 	return n
 }
+
+// Head is the head of a request to a VM as a caller of the users' platform sends it, for callers that write it to a
+// connection themselves.
+type Head struct {
+	Host, Path, ID, Key string
+	// Wait is how long the caller waits for the answer. Zero leaves it out.
+	Wait time.Duration
+}
+
+// Text returns the lines of the head, followed by further lines, without the empty line that ends it.
+func (h Head) Text(lines ...string) string {
+	all := []string{"POST " + h.Path + " HTTP/1.1", "Host: " + h.Host, "X-Attempt-Id: " + h.ID}
+	if h.Key != "" {
+		all = append(all, "X-Key: "+h.Key)
+	}
+	if h.Wait > 0 {
+		all = append(all, "X-Deadline-Ms: "+strconv.FormatInt(h.Wait.Milliseconds(), 10))
+	}
+	return strings.Join(append(all, lines...), "\r\n") + "\r\n"
+}
+
+// PromptLine returns the line of a head that names the parts of a prompt.
+func PromptLine(parts string) string { return "X-Prompt-Prefix: " + parts }
