--- a/internal/mutants/main.go
+++ b/internal/mutants/main.go
@@ -69,7 +69,7 @@
 	{"a VM that knows no other VM has no room at a brittle upstream", "upstream/brittle.go", "if len(t.owners.VMs) == 0 {", "if false {", "./upstream", "TestStartingVMLeavesRoom"},
 	{"a VM that may not know all others has one slot at a brittle upstream", "upstream/brittle.go", "share = min(share, 1)", "share += 0", "./upstream", "TestStartingVMLeavesRoom"},
 	{"a share of a brittle upstream grows late", "upstream/brittle.go", "case g.growsAt.IsZero():", "case false:", "./upstream", "TestShareGrowsLate"},
-	{"a VM that the others do not count has no slack", "relay/relay.go", "if r.opts.Counted != nil && !r.opts.Counted() {", "if false {", "./relay", "TestUncountedVMHasNoBudgetOfItsOwn"},
+	{"a VM that the others do not count has no slack", "relay/budget.go", "if r.opts.Counted != nil && !r.opts.Counted() {", "if false {", "./relay", "TestUncountedVMHasNoBudgetOfItsOwn"},
 	{"a VM that the seeds reject is not counted", "site/peers.go", "return !p.HasSeeds() || p.seedReplied.Load()", "return !p.HasSeeds() || true", "./site", "TestRejectedVMIsNotCounted"},
 	{"connections are divided anew when VMs start", "site/site.go", "s.upstreamList.Expire(s.opts.Now()) || s.pushedTable != nil", "s.upstreamList.Expire(s.opts.Now())", "./platform", "TestConnectionsAreDividedAnew"},
 	{"a VM that others reject checks its registration", "site/hubs.go", "if link.Rejected(err) {", "if link.Rejected(err) && false {", "./site", "TestRejectedVMRegistersAgain"},
