--- a/internal/layers/fields_test.go
+++ b/internal/layers/fields_test.go
@@ -26,9 +26,9 @@
 
 // unreadFields lists the fields that are deliberately not read, and why.
 var unreadFields = map[string]string{
-	"route.Limits.Header":        "a listener is opened before a configuration is known; callers stay within the limit",
+	"route.Limits.Header":        "a listener is opened before a configuration is known; heads are bounded by the memory of the account for callers",
 	"route.Limits.HeaderTimeout": "as for Header",
-	"route.Limits.IdleTimeout":   "as for Header; idle connections are kept for longer than callers use them",
+	"route.Limits.IdleTimeout":   "as for Header; idle connections are kept for longer than callers use them, and closed for new ones",
 	"relay.Load.Slots":           "the upstream's entry holds the same number, which does not change",
 	"route.Service.ID":           "services are stored under this key",
 }
