--- a/review/lab/leaving.go
+++ b/review/lab/leaving.go
@@ -15,7 +15,7 @@
 
 // Figures of the case.
 const (
-	leavingUpstreams = 4  // at a time
+	leavingUpstreams = 4   // at a time
 	leavingRate      = 150 // requests a second
 	leavingWork      = 150 * time.Millisecond
 	leavingSteps     = 8
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -18,6 +18,9 @@
 var cases = map[string]func(r *record, trouble bool) (bool, error){}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == replicaProcess {
+		os.Exit(runReplica(os.Args[2]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE RECORD, in the repository's root; TROUBLE=0 leaves out the disruption")
 		os.Exit(couldNot)
