--- a/review/lab/machines.go
+++ b/review/lab/machines.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -222,26 +221,6 @@
 	return fmt.Errorf("%s is not ready", m.name)
 }
 
-// grep returns the lines of the machines' logs that hold one of the words.
-func (s *system) grep(limit int, words ...string) []string {
-	var out []string
-	for _, m := range s.machines {
-		text, err := os.ReadFile(m.log)
-		if err != nil {
-			continue
-		}
-		for _, line := range bytes.Split(text, []byte("\n")) {
-			for _, w := range words {
-				if bytes.Contains(line, []byte(w)) && len(out) < limit {
-					out = append(out, string(line))
-					break
-				}
-			}
-		}
-	}
-	return out
-}
-
 // close ends all processes and the store.
 func (s *system) close() {
 	for _, m := range s.machines {
--- a/review/lab/upstream.go
+++ b/review/lab/upstream.go
@@ -91,12 +91,6 @@
 	u.darkUntil = time.Now().Add(d)
 }
 
-func (u *upstream) count() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.running
-}
-
 func (u *upstream) close() { _ = u.server.Close() }
 
 // event returns an event of a stream with a text of the given size.
