--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command lab plays the cases of the review: it starts the machines of the system as processes, with stand-ins of
 // callers, upstreams and the platform's store on loopback addresses, and tells whether a rule was broken.
 package main
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
