exchange, relay: log how the request's write stood when an answer without a length ended

The logs could not tell whether the write of the request had consumed the reset, the upstream had closed before the reset, or this VM had ended the connection. Change: the write of a request is a type of its own that can be asked for its state, and each answer without a marked end logs it (undelimited: write=complete, failed or under-way, with the error).

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -22,12 +22,12 @@
 type connState struct {
 	// writeStarted is set before the first byte of the current request is written.
 	writeStarted atomic.Bool
-	// writeResult receives the result of writing the current request.
-	writeResult chan error
-	closeAfter  bool // the upstream closes the connection after this response
-	reused      bool // an earlier request was answered on the connection
-	keepAlive   time.Duration
-	idleSince   time.Time
+	// sending is the write of the current request.
+	sending    *requestWrite
+	closeAfter bool // the upstream closes the connection after this response
+	reused     bool // an earlier request was answered on the connection
+	keepAlive  time.Duration
+	idleSince  time.Time
 }
 
 // Timeouts of connections.
@@ -129,12 +129,8 @@
 // If the write of the request failed,
 // the error of the write is a better explanation than the error of the read.
 func (c *conn) cause(err error) error {
-	select {
-	case writeErr := <-c.writeResult:
-		if writeErr != nil {
-			return writeErr
-		}
-	default:
+	if s := c.sending.state(); s.Err != nil {
+		return s.Err
 	}
 	return err
 }
@@ -156,8 +152,8 @@
 	timeout := time.NewTimer(writeResultWait)
 	defer timeout.Stop()
 	select {
-	case err := <-c.writeResult:
-		return err == nil
+	case <-c.sending.done:
+		return c.sending.err == nil
 	case <-timeout.C:
 		return false
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -145,8 +145,7 @@
 }
 
 func (p *Pool) roundTrip(c *conn, r *Request, match MatchFunc) (*Response, error) {
-	c.writeResult = make(chan error, 1)
-	go func() { c.writeResult <- c.write(r) }()
+	c.sending = startWrite(func() error { return c.write(r) })
 	for range maxMismatched + 1 {
 		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -130,7 +130,7 @@
 		r.recordSendFailure(j, err, began)
 		return nil, nil, err
 	}
-	defer a.close()
+	defer r.closeAttempt(j, a)
 	body, err := r.readAnswer(a, j.Memory)
 	return a.head, body, r.recordAnswer(j, a, err)
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -129,6 +129,14 @@
 		zap.Float64("pause_cost", roundToHundredths(pending.estimate.PauseCost)))
 }
 
+// logUndelimited logs how the request of an answer without a marked end stood when the answer ended:
+// only the write of the request may have noticed that the connection was reset.
+func (r *Relay) logUndelimited(j *job, a *attempt) {
+	write := a.answer.WriteState()
+	r.log.Info("undelimited", zap.String("request", string(j.ID)), zap.String("upstream", string(a.entry.ID)), zap.Int("body", len(j.Body)),
+		zap.Stringer("write", write), zap.NamedError("write_error", write.Err), zap.Int64("took_ms", r.opts.Now().Sub(a.startedAt).Milliseconds()))
+}
+
 // isFull reports whether an upstream has rejected a request for want of room.
 func (h *ResponseHead) isFull() bool {
 	return h.NotRun && h.Status == http.StatusServiceUnavailable && h.Notices.Backoff == 0
--- a/relay/send.go
+++ b/relay/send.go
@@ -234,6 +234,14 @@
 	r.opts.OnExecution(j.Workspace, at)
 }
 
+// closeAttempt closes an attempt whose answer was read, and logs how it ended if its end was not marked.
+func (r *Relay) closeAttempt(j *job, a *attempt) {
+	if !a.answer.Delimited {
+		r.logUndelimited(j, a)
+	}
+	a.close()
+}
+
 // close ends an attempt. The connection is reused only if the answer was read to the end.
 func (a *attempt) close() {
 	a.answer.Close()
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -135,7 +135,7 @@
 		r.recordSendFailure(j, err, began)
 		return err
 	}
-	defer a.close()
+	defer r.closeAttempt(j, a)
 	switch h := a.head; {
 	case h.Status != http.StatusOK || h.NotRun:
 		return s.readNonStream(a)
