exchange: an answer without a length is complete only if its request was taken

Cause: the end of the read alone decided that an answer without a marked end is complete. The system reports a reset once. If the write of the request gets it, the read gets the end of the connection. Change: at the end of such an answer, the write of the request must have ended without an error, and all of it must have been acknowledged; otherwise the read fails with ErrIncomplete. It is decided in one place, below buffered answers, streams and requests of other VMs. It works because a peer that closes with unread bytes resets, and bytes that arrive after its close are never acknowledged. Tests: TestUndelimitedAnswerIsCompleteOnlyWithItsRequest sets the order of the write's error and the read's end (3 of 5 cases fail before), TestEndOfUnreadRequestIsNoCompleteAnswer (2 of 3), TestAbortEndsWaitForRequest, and in platform TestResetOfUnreadRequestIsNoWholeAnswer (8 of 10 cases, buffered and streams, sent and passed on).

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -53,6 +54,8 @@
 	pool      *Pool
 	stopAbort func() bool
 	bodyRead  bool // the body was read to its end
+	abortOnce sync.Once
+	aborted   chan struct{} // closed by Abort
 }
 
 // Error is returned for a request without a response.
@@ -171,7 +174,7 @@
 	c.closeAfter = resp.Close
 	c.keepAlive = parseKeepAlive(resp.Header)
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Delimited: delimited, body: resp.Body, conn: c, pool: p}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Delimited: delimited, body: resp.Body, conn: c, pool: p, aborted: make(chan struct{})}
 }
 
 // maxKeepAlive is the longest keep-alive timeout of an upstream that is accepted as valid.
@@ -191,18 +194,12 @@
 	return 0
 }
 
-// Read reads the body of the response. It returns io.EOF when the body is complete.
-func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.bodyRead = true
-	}
-	return n, err
-}
-
 // Abort makes current and further reads of the body fail with os.ErrDeadlineExceeded.
-// Abort may be called concurrently with Read.
-func (r *Response) Abort() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) }
+// Abort may be called concurrently with Read, and more than once.
+func (r *Response) Abort() {
+	r.abortOnce.Do(func() { close(r.aborted) })
+	_ = r.conn.SetReadDeadline(time.Unix(1, 0))
+}
 
 // Close ends the exchange. The connection is kept for reuse only if the response was read
 // completely and no data followed it.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -5,6 +5,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,14 +38,20 @@
 	Serve Handler
 	// Connected is called with each new connection before its first request is read. It may be nil.
 	Connected func()
+	// Early is called with each request before its body is read. If it returns true, it has answered the request, and
+	// the connection is closed. It may be nil.
+	Early func(c *Conn, r *http.Request) bool
+	// ReadBuffer is the size of the receive buffer of its connections in bytes. Zero leaves the system's default.
+	ReadBuffer int
 }
 
 // Replica is the stand-in.
 type Replica struct {
 	ID       string
 	listener net.Listener
-	// connected is called with each new connection; nil for none.
+	// connected is called with each new connection, and early with each request before its body is read; nil for none.
 	connected func()
+	early     func(c *Conn, r *http.Request) bool
 
 	mu       sync.Mutex
 	handler  Handler
@@ -55,15 +64,30 @@
 
 // StartWith starts a replica with the given hooks on a free loopback port.
 func StartWith(id string, h Hooks) (*Replica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen(h.ReadBuffer)
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, listener: l, handler: h.Serve, connected: h.Connected}
+	r := &Replica{ID: id, listener: l, handler: h.Serve, connected: h.Connected, early: h.Early}
 	go r.accept()
 	return r, nil
 }
 
+// listen listens on a free loopback port. Connections get the receive buffer of the listening socket.
+func listen(readBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{}
+	if readBuffer > 0 {
+		config.Control = func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer)
+			})
+			return cmp.Or(err, failure)
+		}
+	}
+	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+}
+
 // Address returns the address on which the replica listens.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
 
@@ -121,6 +145,9 @@
 		if err != nil {
 			return
 		}
+		if r.early != nil && r.early(c, httpRequest) {
+			return
+		}
 		body, err := io.ReadAll(httpRequest.Body)
 		if err != nil {
 			return
@@ -213,6 +240,13 @@
 	}
 }
 
+// EndAnswer ends the answer, and with it the upstream's direction of the connection.
+func (c *Conn) EndAnswer() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // a connection that is closed already needs no end
+	}
+}
+
 // EventText returns one event of a stream as it is sent.
 func EventText(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
 
