engine: a plain answer without a length is complete only if its request was taken

Change: connections of the engine client are CheckedConns. Their end is an error if a write has failed or not all of the request was acknowledged. Chats and streams have an end of their own and did not need it. The timeout for setting up a connection, which stood unused, is used by the same function.

--- a/engine/call.go
+++ b/engine/call.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -90,6 +91,7 @@
 // net/http treats a request with that header as safe to repeat and may send the request twice.
 func NewClient() *Client {
 	transport := &http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -97,6 +99,16 @@
 	return &Client{http: &http.Client{Transport: transport, CheckRedirect: stopAtRedirect}}
 }
 
+// dial opens a connection on which a response that was cut by a reset does not look complete.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return exchange.NewCheckedConn(c), nil
+}
+
 // stopAtRedirect returns a redirect as the response instead of following it, because
 // a request must not leave the upstream that was selected for it.
 func stopAtRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
