relay: what a refusal promises follows from the attempts that were begun

Callers saw: 503 at the route's timeout for a stream that may not be resumed and that an upstream ran. Cause: the outcome of a request began as "not run", and each end of an attempt had to change it. The end of an attempt whose head had come and that was cancelled (deadline, caller gone) did not. Evidence: the line of such a request has sends=1, outcome="not run", attempts="i-1 cancelled", reason=deadline-passed. Ruled out: a send after the refusal (the upstream got it within 1 ms), a refusal for another reason. An attempt without a recorded end may have run, so a branch that forgets it makes a 504, not a false 503. Two refusals that always said "not run" ask it as well.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -68,7 +68,7 @@
 
 // deliver sends a complete answer to the caller.
 func (r *Relay) deliver(j *job, c Caller, h *ResponseHead, body []byte) (RequestEnd, *contract.Refusal) {
-	j.outcome, j.status = contract.OutcomeRan, h.Status
+	j.status = h.Status
 	if err := c.SendResponse(h, body); err != nil {
 		return CallerGone, nil
 	}
@@ -160,7 +160,7 @@
 		r.observeFirstAnswer(j)
 		r.observeLatency(j, took)
 		j.firstAnswerAt = r.opts.Now()
-		j.sends++
+		j.recordExecution()
 		r.recordAttemptEnd(j, a.entry, upstream.Succeeded, took)
 		r.recordSurvival(j, a)
 		return nil
--- a/relay/fairshare.go
+++ b/relay/fairshare.go
@@ -121,7 +121,7 @@
 	}
 	r.log.Info("share-refused", append(fields, shortageFields(d, known)...)...)
 	f := &contract.Refusal{
-		Kind: contract.RefusedLimitReached, Outcome: contract.OutcomeNotRun, Step: contract.StepAdmit,
+		Kind: contract.RefusedLimitReached, Outcome: j.outcome(), Step: contract.StepAdmit,
 		Detail: fmt.Sprintf("the upstreams of the service are short of capacity, and the workspace has used up its share: %.0f%% of its requests of this priority are admitted", 100*d.AdmitFraction),
 	}
 	return f.WithRetryAfter(cmp.Or(d.RetryAfter, retryAfterBusy))
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -145,7 +145,7 @@
 
 // newJob returns the state of a request that has just arrived.
 func newJob(req *Request) *job {
-	return &job{Request: req, outcome: contract.OutcomeNotRun, confidence: -1, relativeValue: 1}
+	return &job{Request: req, execution: newExecution(), confidence: -1, relativeValue: 1}
 }
 
 // ServeForwarded answers a request that another VM has passed on.
@@ -166,7 +166,8 @@
 	})
 	j.service, j.forwarded, j.counted = f.Service, true, f.Counted
 	p := f.Progress
-	j.sends, j.exclude, j.outcome, j.model, j.headSent, j.weightsVersion = p.Sends, p.Tried, p.Outcome, p.Model, p.HeadSent, p.WeightsVersion
+	j.sends, j.exclude, j.model, j.headSent, j.weightsVersion = p.Sends, p.Tried, p.Model, p.HeadSent, p.WeightsVersion
+	j.execution.add(p.Outcome)
 	if p.LastEvent != nil {
 		j.lastEvent, j.resumes = *p.LastEvent, true
 	}
@@ -174,7 +175,7 @@
 		j.Header = make(http.Header)
 	}
 	end, refused := r.serve(ctx, j, c)
-	return end, refused, j.outcome, j.sends - p.Sends
+	return end, refused, j.outcome(), j.sends - p.Sends
 }
 
 // forwardedRequest returns the request of a job as another VM gets it.
@@ -185,7 +186,7 @@
 		Elapsed: now.Sub(j.Arrived), Remaining: j.Deadline.Sub(now), LastEvent: j.LastEvent,
 		ChooseModel: j.ChooseModel, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, PromptParts: j.PromptParts, PartNames: j.PartNames,
 		SharedPromptKey: j.SharedPromptKey, Session: j.Session, Service: j.service, Counted: j.counted,
-		Progress: Progress{Sends: j.sends, Outcome: j.outcome, HeadSent: j.headSent, WeightsVersion: j.weightsVersion},
+		Progress: Progress{Sends: j.sends, Outcome: j.outcome(), HeadSent: j.headSent, WeightsVersion: j.weightsVersion},
 		Overflow: j.sharesUsed, Memory: j.Memory,
 	}
 	if j.sends > 0 { // upstreams that were only unreachable from this VM may be tried by another one
@@ -257,7 +258,7 @@
 		case ctx.Err() != nil:
 			end, refused := r.contextEnd(ctx, j)
 			return end.afterHead(j), refused, true
-		case result.End == ForwardNotTaken && j.outcome == contract.OutcomeNotRun:
+		case result.End == ForwardNotTaken && j.outcome() == contract.OutcomeNotRun:
 			return Refused, nil, false
 		}
 		if result.End == ForwardNotTaken {
@@ -290,7 +291,7 @@
 // lostPath reports whether the other VM has lost its own path before the request ran,
 // which leaves the choice of a further VM.
 func (result ForwardResult) lostPath(j *job) bool {
-	return result.RequestEnd == Refused && result.Refusal != nil && result.Refusal.Kind == contract.RefusedNoPath && j.outcome == contract.OutcomeNotRun
+	return result.RequestEnd == Refused && result.Refusal != nil && result.Refusal.Kind == contract.RefusedNoPath && j.outcome() == contract.OutcomeNotRun
 }
 
 // checkForwardRetry decides whether a request may be passed to a further VM after one was lost.
@@ -312,14 +313,14 @@
 	j.via = result.VM
 	switch result.End {
 	case ForwardEnded:
-		j.outcome = j.outcome.Combine(result.Outcome)
+		j.execution.add(result.Outcome)
 		if result.Outcome == contract.OutcomeRan {
 			j.status = http.StatusOK
 		}
 		j.sends += result.Sends
 		r.Metrics.forwards.Inc(1)
 	case ForwardLost:
-		j.outcome = j.outcome.Combine(contract.OutcomeUnknown)
+		j.execution.add(contract.OutcomeUnknown)
 		j.sends++
 		j.failures++
 		j.resendTaken, j.counted = false, true // the lost VM has counted the request
@@ -328,7 +329,7 @@
 		r.Metrics.forwardsNotTaken.Inc(1)
 	}
 	r.log.Info("forwarded", zap.String("request", string(j.ID)), zap.String("service", string(j.service)), zap.String("via", string(result.VM)),
-		zap.Stringer("end", result.End), zap.Stringer("outcome", j.outcome), zap.Int("sends", j.sends), zap.Int64("took_ms", took.Milliseconds()), zap.NamedError("why", result.Err))
+		zap.Stringer("end", result.End), zap.Stringer("outcome", j.outcome()), zap.Int("sends", j.sends), zap.Int64("took_ms", took.Milliseconds()), zap.NamedError("why", result.Err))
 }
 
 // String returns the name of the end as it appears in the log.
--- a/relay/log.go
+++ b/relay/log.go
@@ -24,7 +24,7 @@
 		zap.String("request", string(j.ID)), zap.String("route", j.Route.Name), zap.String("workspace", string(j.Workspace)),
 		zap.Stringer("revision", j.Revision), zap.String("upstream", string(j.lastUpstream.ID)), zap.String("release", j.lastUpstream.Release),
 		zap.String("model", string(j.model)), zap.Float64("confidence", j.confidence),
-		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome), zap.Int("status", j.status),
+		zap.Uint64("session", j.Session), zap.Int("sends", j.sends), zap.Int("failures", j.failures), zap.Stringer("outcome", j.outcome()), zap.Int("status", j.status),
 		zap.Int64("objective_ms", j.Route.Objective.Milliseconds()), zap.Int64("took_ms", now.Sub(j.Arrived).Milliseconds()),
 	}
 	if j.escalated {
--- a/relay/models.go
+++ b/relay/models.go
@@ -282,8 +282,7 @@
 	r.observeFirstAnswer(j)
 	r.discardTrialAttempt(j)
 	r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
-	j.sends++
-	j.outcome = contract.OutcomeRan
+	j.recordExecution()
 	j.model, j.modelReason = larger, reasonEscalation
 	j.escalated, j.discardedConfidence = true, a.head.Confidence
 	r.log.Info("given-up", zap.String("request", string(j.ID)), zap.String("upstream", string(a.entry.ID)), zap.String("for", string(larger)),
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -55,7 +55,7 @@
 func newSafeJob(now time.Time) *job {
 	return &job{
 		Request: &Request{ID: "r1", Route: &route.Route{Name: "r", Kind: route.Safe, MaxAttempts: 3, Objective: time.Second}, Arrived: now, Deadline: now.Add(time.Minute)},
-		service: "s", outcome: contract.OutcomeNotRun,
+		service: "s", execution: newExecution(),
 	}
 }
 
@@ -73,7 +73,7 @@
 	_, err := r.send(context.Background(), j, chosen, time.Minute)
 	is.True(errors.Is(err, errUnavailableMeanwhile))
 	r.recordSendFailure(j, err, *now)
-	is.Equal(j.outcome, contract.OutcomeNotRun)
+	is.Equal(j.outcome(), contract.OutcomeNotRun)
 	is.Equal(j.sends, 0)
 	left := r.BudgetLeft()
 	is.Equal(r.checkRetry(j, true), retry.Reason(""))
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -29,7 +29,7 @@
 		retryAfter = retryAfterRestart
 	}
 	f := &contract.Refusal{
-		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedQuarantined, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: fmt.Sprintf("requests with %s (%s) have crashed %d upstreams one after another and are not sent now", what, c.Fingerprint, crashes),
 	}
 	return f.WithRetryAfter(retryAfter)
@@ -41,7 +41,7 @@
 // refuseLastUpstream refuses a request that could crash the last available upstream of its service.
 func refuseLastUpstream(j *job) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedQuarantined, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: "requests with this content have crashed upstreams, and only one available upstream is left",
 	}
 	return f.WithRetryAfter(retryAfterRestart)
@@ -51,7 +51,7 @@
 // that is executing another request with the same content.
 func refuseSuspectRunning(j *job) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedQuarantined, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedQuarantined, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: "requests with this content have crashed upstreams, and another one with the same content is running",
 	}
 	return f.WithRetryAfter(retryAfterRestart)
@@ -60,7 +60,7 @@
 // refuseUnlisted refuses a request for a service without a known upstream.
 func refuseUnlisted(j *job) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick, Detail: "no upstream of the service is listed",
+		Kind: contract.RefusedNoUpstream, Outcome: j.outcome(), Step: contract.StepPick, Detail: "no upstream of the service is listed",
 	}
 	return f.WithRetryAfter(retryAfterListUpdate)
 }
@@ -69,7 +69,7 @@
 // Only a change of the configuration or of the deployment can make such a request succeed.
 func refuseRegion(j *job) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedRegionNotAllowed, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedRegionNotAllowed, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: fmt.Sprintf("the service has no upstream in the allowed regions: route %v, workspace %v", j.Route.Regions, j.Regions),
 	}
 	return f.WithRetryAfter(retryAfterRegion)
@@ -88,7 +88,7 @@
 		return refuseUnlisted(j)
 	}
 	f := &contract.Refusal{
-		Kind: contract.RefusedNoUpstream, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedNoUpstream, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: fmt.Sprintf("none of %d upstreams of the service can accept the request now: %d back off, %d are leaving, %d are at their rate limit (%.1f requests/s), %d are brittle and have no room for this VM, of %d this VM has used its share of the connections",
 			o.Listed, o.BackedOff, o.Leaving, o.AtLimit, o.PerSecond, o.NoRoom, o.ShareUsed),
 	}
@@ -112,7 +112,7 @@
 func (r *Relay) refuseNoPath(j *job, now time.Time) *contract.Refusal {
 	status := r.paths.Status(j.service, now)
 	f := &contract.Refusal{
-		Kind: contract.RefusedNoPath, Outcome: j.outcome, Step: contract.StepPick,
+		Kind: contract.RefusedNoPath, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: fmt.Sprintf("no connection to an upstream of the service can be established: %d failed since one was last established", status.Failed),
 	}
 	return f.WithRetryAfter(retryAfterNoPath)
@@ -164,7 +164,7 @@
 // before any engine can begin the prefill of its prompt.
 func refuseLongQueue(j *job, retryAfter time.Duration) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedLimitReached, Outcome: contract.OutcomeNotRun, Step: contract.StepPick,
+		Kind: contract.RefusedLimitReached, Outcome: j.outcome(), Step: contract.StepPick,
 		Detail: "no model can begin an answer before the deadline: the queues at the engines are too long",
 	}
 	return f.WithRetryAfter(max(retryAfter, retryAfterBusy))
@@ -173,10 +173,10 @@
 // refuseAfterFailures refuses a request after failed attempts.
 func (r *Relay) refuseAfterFailures(j *job, reason retry.Reason, err error) *contract.Refusal {
 	f := &contract.Refusal{
-		Kind: contract.RefusedUpstreamFailed, Outcome: j.outcome, Step: contract.StepSend, Peer: string(j.lastUpstream.ID),
+		Kind: contract.RefusedUpstreamFailed, Outcome: j.outcome(), Step: contract.StepSend, Peer: string(j.lastUpstream.ID),
 		Detail: fmt.Sprintf("%v; not tried again: %s", err, reason),
 	}
-	if j.outcome == contract.OutcomeNotRun {
+	if j.outcome() == contract.OutcomeNotRun {
 		f.Kind = contract.RefusedLimitReached
 	}
 	r.withLock(func() {
@@ -189,7 +189,7 @@
 // refuseDeadline refuses a request whose deadline has passed.
 func refuseDeadline(j *job) *contract.Refusal {
 	return &contract.Refusal{
-		Kind: contract.RefusedDeadlinePassed, Outcome: j.outcome, Step: contract.StepAnswer, Peer: string(j.lastUpstream.ID),
+		Kind: contract.RefusedDeadlinePassed, Outcome: j.outcome(), Step: contract.StepAnswer, Peer: string(j.lastUpstream.ID),
 		Detail: "the deadline or the route's timeout passed before the answer arrived",
 	}
 }
--- a/relay/regions_test.go
+++ b/relay/regions_test.go
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	r := newRegionalRelay("a1", 1, []upstream.Entry{{ID: "u", Service: "s", Slots: 4, DataCentre: "b1"}})
 	j := newStreamJob(true)
-	j.service, j.outcome = "s", contract.OutcomeNotRun
+	j.service, j.execution = "s", newExecution()
 	j.Regions = []string{"a"}
 	_, refused := r.selectUpstream(j)
 	is.True(refused != nil)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,7 +27,7 @@
 		Name: "r", Kind: route.Stream, Resumable: resumable, MaxAttempts: 3, Objective: time.Second,
 		Models: []contract.ModelID{"small", "large"},
 	}
-	return &job{Request: &Request{Route: r, ChooseModel: true, Arrived: now, Deadline: now.Add(time.Minute)}, model: "small", relativeValue: 1}
+	return &job{Request: &Request{Route: r, ChooseModel: true, Arrived: now, Deadline: now.Add(time.Minute)}, model: "small", execution: newExecution(), relativeValue: 1}
 }
 
 // TestEscalationConditions checks that a poor answer is discarded only if the request may be
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -290,7 +290,7 @@
 // resendBlocked returns why the request must not be sent to an upstream again,
 // regardless of how many upstreams this VM could not reach.
 func (j *job) resendBlocked(repeatable bool, now time.Time) retry.Reason {
-	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome, Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
+	attempt := retry.Attempt{Number: j.sends, Outcome: j.outcome(), Repeatable: repeatable, Deadline: j.Deadline, ExpectedDuration: minAttemptTime}
 	return attempt.RetryBlocked(max(j.Route.MaxAttempts, 1), now)
 }
 
@@ -307,6 +307,12 @@
 // minAttemptTime covers the network delay and the shortest answer.
 const minAttemptTime = 30 * time.Millisecond
 
+// recordExecution adds an attempt that an upstream has executed to the state of the request.
+func (j *job) recordExecution() {
+	j.sends++
+	j.execution.end(contract.OutcomeRan)
+}
+
 // recordFailure adds a failed attempt to the state of the request.
 func (j *job) recordFailure(o contract.Outcome, sent bool) {
 	j.failures++
@@ -314,7 +320,7 @@
 		j.sends++
 		j.resendTaken = false
 	}
-	j.outcome = j.outcome.Combine(o)
+	j.execution.end(o)
 	j.exclude = append(j.exclude, j.lastUpstream.ID)
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -66,7 +66,7 @@
 	failures    int // failed attempts of any kind
 	// attempts holds the attempts that have ended without a complete answer, for the log.
 	attempts       []endedAttempt
-	outcome        contract.Outcome
+	execution      execution
 	status         int // status code of the delivered answer
 	weightsVersion string
 	// lastEvent is the ID of the newest event of a stream that the caller has received.
@@ -161,6 +161,7 @@
 		o = &j.successor.outgoing
 	} else {
 		o = r.newOutgoing(ctx, j, e)
+		j.execution.begin()
 	}
 	watchdog := r.watchSilence(ctx, j, o.startedAt.Add(timeout), func() { o.cancel(errSilent) })
 	if s := j.successor; s != nil {
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -87,7 +87,7 @@
 
 // complete ends a transfer whose answer is complete.
 func (s *streamTransfer) complete() (RequestEnd, *contract.Refusal) {
-	s.job.outcome, s.job.status = contract.OutcomeRan, http.StatusOK
+	s.job.status = http.StatusOK
 	if s.nonStreamHead != nil { // the final answer is not an event stream
 		return s.relay.deliver(s.job, s.caller, s.nonStreamHead, s.nonStreamBody)
 	}
@@ -200,10 +200,10 @@
 		r.recordAttemptEnd(j, a.entry, upstream.Succeeded, timeToFirst)
 		r.withLock(func() { r.table.RecordDecodeTime(r.opts.Now().Sub(j.firstAnswerAt)) })
 		r.recordSurvival(j, a)
-		j.sends++
+		j.recordExecution()
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
-		j.sends++
+		j.recordExecution()
 	default:
 		r.recordAttemptEnd(j, a.entry, upstream.Broken, 0)
 		j.recordFailure(contract.OutcomeRan, true)
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -199,7 +199,7 @@
 	if f.sent {
 		j.sends++
 	}
-	j.outcome = j.outcome.Combine(f.outcome)
+	j.execution.add(f.outcome)
 	j.attempts = append(slices.Clip(j.attempts), endedAttempt{f.upstream, endNotAccepted})
 	j.exclude = append(slices.Clip(j.exclude), f.upstream)
 }
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -25,7 +25,7 @@
 // newContentJob returns a job with a request body.
 func newContentJob(now time.Time, body string) *job {
 	j := newStreamJob(true)
-	j.outcome = contract.OutcomeNotRun
+	j.execution = newExecution()
 	j.service, j.Arrived, j.Deadline, j.Body = "s", now, now.Add(time.Minute), []byte(body)
 	return j
 }
--- a/relay/upstream_list_test.go
+++ b/relay/upstream_list_test.go
@@ -99,7 +99,7 @@
 func compareSelection(t *rapid.T, a, b *Relay, n int, now time.Time) {
 	selectWith := func(r *Relay) (upstream.Entry, *job) {
 		j := newStreamJob(true)
-		j.service, j.ID, j.Arrived, j.Deadline, j.outcome = "s", contract.RequestID(fmt.Sprint("r", n)), now, now.Add(time.Minute), contract.OutcomeNotRun
+		j.service, j.ID, j.Arrived, j.Deadline, j.execution = "s", contract.RequestID(fmt.Sprint("r", n)), now, now.Add(time.Minute), newExecution()
 		e, _ := r.selectUpstream(j)
 		return e, j
 	}
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -170,6 +170,9 @@
 	for _, f := range w.failed {
 		j.recordFailedSuccessor(f)
 	}
+	if w.reserved != nil && w.reserved.successor != nil {
+		j.execution.begin()
+	}
 	return w.reserved
 }
 
