exchange, relay: heads and unfinished events of upstreams are taken from the memory account

Another operator reported a machine that kept the bytes of a faulty upstream until it ran out of memory. Cause: a head and the part of an event that has not ended were bounded for each answer, not in sum. Change: both are held by their request beyond a free part; without room the attempt fails, which is no fault of the upstream. What a head costs is counted as for callers' heads, in one place (memory.HeadCost). An event is searched for its end once, not again with each read.

--- a/drain/body_test.go
+++ b/drain/body_test.go
@@ -21,7 +21,7 @@
 	inner, err := Listen("127.0.0.1:0", Buffers{Receive: 16 << 10, Send: 64 << 10})
 	is.New(t).NoErr(err)
 	l := NewListener(inner, 0)
-	account := memory.NewAccount(memory.Options{Total: 1 << 20, Allowance: freeHead, StallAfter: time.Second})
+	account := memory.NewAccount(memory.Options{Total: 1 << 20, Allowance: memory.FreeHead, StallAfter: time.Second})
 	l.Limits = Limits{Memory: account, SendBuffer: 64 << 10, StallAfter: time.Second, WriteTimeout: time.Minute}
 	s := httptest.NewUnstartedServer(h)
 	s.Listener = l
@@ -54,7 +54,7 @@
 	answer, err := io.ReadAll(conn)
 	is.NoErr(err)
 	is.True(strings.Count(string(answer), "a") >= size)
-	is.True((<-held).Used >= size-freeHead)
+	is.True((<-held).Used >= size-memory.FreeHead)
 	for account.Stats().Used > 0 { // the server gives back after the client has read the end
 		time.Sleep(time.Millisecond)
 	}
--- a/drain/heads.go
+++ b/drain/heads.go
@@ -1,21 +1,10 @@
 package drain
 
 import (
-	"bytes"
 	"errors"
 	"time"
 
-	"woaddoor/contract"
-)
-
-const (
-	// fieldCost is what a line of a head takes once it is parsed, beside its bytes: its entry in the map of fields,
-	// its list of values and the copies of both.
-	fieldCost contract.Bytes = 160
-	// itemCost is what an item of a list in a head takes once it is parsed, such as a part of a prompt.
-	itemCost contract.Bytes = 64
-	// freeHead is the size of heads that are covered by the price of a connection.
-	freeHead = 8 * contract.KiB
+	"woaddoor/memory"
 )
 
 // errHeadDenied ends a connection whose head has no room. No answer is sent: the request has not been read.
@@ -27,8 +16,8 @@
 	if c.holder == nil {
 		return true
 	}
-	c.headCost += contract.Bytes(len(p)) + fieldCost*contract.Bytes(bytes.Count(p, newline)) + itemCost*contract.Bytes(bytes.Count(p, comma))
-	if c.headCost <= freeHead {
+	c.headCost += memory.HeadCost(p)
+	if c.headCost <= memory.FreeHead {
 		return true
 	}
 	if !c.holder.Take(c.headCost-c.headTaken, now) {
@@ -37,5 +26,3 @@
 	c.headTaken = c.headCost
 	return true
 }
-
-var newline, comma = []byte("\n"), []byte(",")
--- a/drain/operators.go
+++ b/drain/operators.go
@@ -25,7 +25,7 @@
 	}
 	l := NewListener(inner, operatorConns)
 	l.Limits = Limits{
-		Memory:     memory.NewAccount(memory.Options{Total: operatorMemory, Allowance: freeHead, StallAfter: operatorStallAfter}),
+		Memory:     memory.NewAccount(memory.Options{Total: operatorMemory, Allowance: memory.FreeHead, StallAfter: operatorStallAfter}),
 		StallAfter: operatorStallAfter, WriteTimeout: operatorWrite,
 	}
 	return l, nil
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -39,6 +39,9 @@
 	// BeforeSend is called when a connection is available, just before the first byte is written.
 	// If it returns an error, the request is not sent. Nil means that the request is always sent.
 	BeforeSend func() error
+	// HoldHead is called before more of the head of a response is kept than any request may have. It holds memory for n
+	// bytes, or returns an error, with which the request fails. Nil means that no memory is held.
+	HoldHead func(n contract.Bytes) error
 }
 
 // Response is a response whose body has not been read yet. The caller of Do must close it.
@@ -149,6 +152,7 @@
 
 func (p *Pool) roundTrip(c *conn, r *Request, match MatchFunc) (*Response, error) {
 	c.sending = startWrite(func() error { return c.write(r) })
+	c.head.reset(r.HoldHead)
 	for range maxMismatched + 1 {
 		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -338,7 +338,7 @@
 	switch {
 	case errors.Is(err, context.Canceled), errors.Is(err, errDeadline), errors.Is(err, errStopping):
 		result = upstream.Abandoned // canceled by the caller, or because the deadline passed or this VM stops
-	case errors.Is(err, errUnavailableMeanwhile):
+	case errors.Is(err, errUnavailableMeanwhile), errors.Is(err, errNoMemory):
 		result = upstream.Abandoned // the attempt shows nothing about the upstream
 	case errors.Is(err, exchange.ErrPoolExhausted):
 		result = upstream.NoConnection
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -41,6 +41,7 @@
 	nonStreamHead   *ResponseHead
 	nonStreamBody   []byte
 	eventsForwarded int // events sent to the caller
+	heldEvents      contract.Bytes
 }
 
 // serveStream answers a request with a stream of events.
@@ -206,7 +207,11 @@
 		r.recordAttemptEnd(j, a.entry, upstream.Abandoned, 0)
 		j.recordExecution()
 	default:
-		r.recordAttemptEnd(j, a.entry, upstream.Broken, 0)
+		result := upstream.Broken
+		if errors.Is(err, errNoMemory) { // no fault of the upstream
+			result = upstream.Abandoned
+		}
+		r.recordAttemptEnd(j, a.entry, result, 0)
 		j.recordFailure(contract.OutcomeRan, true)
 		s.events.DiscardPartial()
 	}
@@ -271,6 +276,22 @@
 	}
 }
 
+// holdEvents holds memory for the events that have not ended, beyond the part of each stream that does not count.
+func (s *streamTransfer) holdEvents() error {
+	held := contract.Bytes(s.events.Size())
+	if held <= max(s.heldEvents, freeEvents) {
+		return nil
+	}
+	if !s.job.Memory.Take(held-s.heldEvents, s.relay.opts.Now()) {
+		return errNoMemory
+	}
+	s.heldEvents = held
+	return nil
+}
+
+// freeEvents is the size of events that are covered by the price of a connection.
+const freeEvents = 16 * contract.KiB
+
 // endedBeforeFirstEvent reports whether the end of an answer without a marked end came before any
 // event. An upstream that crashes after the head of such an answer ends it in the same way.
 func (s *streamTransfer) endedBeforeFirstEvent(a *attempt) bool {
@@ -283,6 +304,9 @@
 		return nil
 	}
 	events, n, err := s.events.Feed(p)
+	if err == nil {
+		err = s.holdEvents()
+	}
 	if err != nil || n == 0 {
 		return err
 	}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -28,6 +28,9 @@
 	request   *exchange.Request
 	startedAt time.Time
 
+	// held is what the request holds for the head of the answer.
+	held contract.Bytes
+
 	// The fields below are set by exchange.
 	answer *exchange.Response
 	head   *ResponseHead
@@ -59,10 +62,19 @@
 		}
 		return markSent()
 	}
+	o.request.HoldHead = func(n contract.Bytes) error {
+		if !j.Memory.Take(n, r.opts.Now()) {
+			return errNoMemory
+		}
+		o.held += n
+		return nil
+	}
 	o.answer, o.err = o.pool.Do(o.ctx, o.request, func(h http.Header) bool { return r.opts.Protocol.Matches(j.Request, h) })
-	if o.err == nil {
-		o.head = r.opts.Protocol.Decode(o.answer.Status, o.answer.Header)
+	if o.err != nil {
+		j.Memory.Give(o.held)
+		return
 	}
+	o.head = r.opts.Protocol.Decode(o.answer.Status, o.answer.Header)
 }
 
 // answers reports whether the attempt has received an answer that can be forwarded to the caller.
--- a/stream/events.go
+++ b/stream/events.go
@@ -33,6 +33,9 @@
 // LastID returns the id of the newest whole event, or false if no event has had an id.
 func (e *EventSplitter) LastID() (int64, bool) { return e.lastID, e.hasID }
 
+// Size returns how many bytes the splitter takes for an event that has not ended.
+func (e *EventSplitter) Size() int { return cap(e.buf) }
+
 // HasPartial reports whether an event has begun but not ended.
 func (e *EventSplitter) HasPartial() bool { return len(bytes.TrimSpace(e.buf)) > 0 }
 
@@ -40,16 +43,18 @@
 // Feed returns the bytes of the events that are now whole, and the number of these events.
 // The returned bytes are valid until the next call of Feed.
 func (e *EventSplitter) Feed(p []byte) (whole []byte, n int, err error) {
+	search := max(len(e.buf)-maxBlankLine+1, 0) // what lies before was searched already
 	e.buf = append(e.buf, p...)
 	end := 0
 	var out []byte
 	for {
-		at, size := findEventEnd(e.buf[end:])
+		at, size := findEventEnd(e.buf[search:])
 		if at < 0 {
 			break
 		}
-		event := e.buf[end : end+at+size]
-		end += at + size
+		event := e.buf[end : search+at+size]
+		end = search + at + size
+		search = end
 		keep, err := e.accept(event)
 		if err != nil {
 			return nil, 0, err
@@ -66,6 +71,9 @@
 	return out, n, nil
 }
 
+// maxBlankLine is the length of the longest blank line.
+const maxBlankLine = len("\r\n\r\n")
+
 // findEventEnd returns the offset and the length of the first blank line in b, which ends an event.
 // The offset is -1 if b has no blank line.
 func findEventEnd(b []byte) (at, size int) {
