engine: an event of many lines is bounded

Cause: a line was bounded, an event was not. Change: an event has at most 1 MiB of data, and the head of a response at most 64 KiB (10 MiB before, from net/http).

--- a/engine/call.go
+++ b/engine/call.go
@@ -83,6 +83,8 @@
 	dialTimeout         = 2 * time.Second
 	maxIdleConnsPerHost = 64
 	idleConnTimeout     = 90 * time.Second
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 * contract.KiB
 )
 
 // NewClient returns a client with a connection pool of its own.
@@ -91,10 +93,11 @@
 // net/http treats a request with that header as safe to repeat and may send the request twice.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: int64(maxHeadBytes),
 	}
 	return &Client{http: &http.Client{Transport: transport, CheckRedirect: stopAtRedirect}}
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -39,10 +39,12 @@
 	sawFirstChunk   bool
 }
 
-// Sizes of a stream's buffers. A line longer than maxLineBytes fails the stream.
+// Sizes of a stream's buffers. A line longer than maxLineBytes, or an event with more data than maxEventBytes, fails the
+// stream.
 const (
 	streamBufferBytes = 4 * contract.KiB
 	maxLineBytes      = 256 * contract.KiB
+	maxEventBytes     = contract.MiB
 )
 
 // Stream sends a chat request and returns the response as a stream.
@@ -106,6 +108,9 @@
 			return e, nil
 		case bytes.HasPrefix(line, []byte("data:")):
 			s.data = append(s.data, bytes.TrimPrefix(line[len("data:"):], []byte(" "))...)
+			if contract.Bytes(len(s.data)) > maxEventBytes {
+				return Event{}, io.ErrShortBuffer
+			}
 		case bytes.HasPrefix(line, []byte("id:")):
 			e.ID = strings.TrimSpace(string(line[len("id:"):]))
 		}
