entry: what runs at the end of a planned stop is answered

Callers of woaddoor-entry saw a closed connection if their request ran longer than the drain time of a planned stop: the second report of the issue, on a related path. Change: half a second before its end the contexts of requests end. A whole answer is refused with its outcome, a stream ends with an event that tells why. Test: TestPlannedStopAnswersUnfinishedRequests, real processes: "EOF" and "unexpected EOF" before, passes after, with TestPlannedStop.

--- a/entry/request.go
+++ b/entry/request.go
@@ -127,6 +127,7 @@
 		} else {
 			ctx, cancel := context.WithTimeout(r.Context(), req.deadline.Sub(req.arrived))
 			defer cancel()
+			defer context.AfterFunc(s.workEnded, cancel)()
 			refused = h(ctx, w, r, req)
 		}
 		if refused != nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -72,8 +72,10 @@
 	view atomic.Pointer[view]
 	// applyMu serializes the application of pull answers to the view. Lock order: applyMu before mu.
 	applyMu sync.Mutex
-	// stopping is set when a shutdown begins.
-	stopping atomic.Bool
+	// stopping is set when a shutdown begins. workEnded is cancelled by endWork before the drain timeout ends.
+	stopping  atomic.Bool
+	workEnded context.Context
+	endWork   context.CancelFunc
 	// lastRequestID is the last ID given to a request in the admission queues.
 	lastRequestID atomic.Uint64
 	// reconfigured wakes loadReportLoop after a configuration change that may have added upstreams.
@@ -136,6 +138,7 @@
 	s.bills = bill.NewRecordBuffer(s.origin, limits.MaxBills)
 	s.rolloutMonitor = rollout.NewMonitor(rollout.Observer{VM: s.origin.VM, Incarnation: s.incarnation})
 	s.cascades = cascade.NewLearner(cascade.Options{})
+	s.workEnded, s.endWork = context.WithCancel(context.Background())
 	s.view.Store(emptyView())
 	s.registerPeerHandlers()
 	return s, nil
@@ -229,13 +232,18 @@
 // the load balancer has stopped sending requests by then.
 const notReadyPeriod = time.Second
 
+// lastAnswersTime is the time at the end of the drain timeout in which the requests that still run are answered.
+const lastAnswersTime = 500 * time.Millisecond
+
 // stop performs a planned shutdown step by step. A second signal to stop has no effect.
 func (s *Server) stop(callers *drain.Listener) {
 	s.log.Info("stopping", zap.Duration("drain", s.opts.Settings.Entry.DrainTimeout))
 	s.stopping.Store(true)
 	time.Sleep(notReadyPeriod)
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Settings.Entry.DrainTimeout)
+	timeout := s.opts.Settings.Entry.DrainTimeout
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	time.AfterFunc(max(timeout-lastAnswersTime, timeout/2), s.endWork)
 	if !callers.Drain(ctx) {
 		s.log.Error("drain-cut-short", zap.Duration("drain", s.opts.Settings.Entry.DrainTimeout))
 	}
--- a/entry/streaming.go
+++ b/entry/streaming.go
@@ -78,6 +78,9 @@
 		if ctx.Err() != nil && !s.clock.Now().Before(r.job.chat.deadline) {
 			return r.endWithRefusal(newRefusal(contract.RefusedDeadlinePassed, r.recovery.Outcome(), contract.StepStream, "the deadline came before the end of the stream"))
 		}
+		if s.workEnded.Err() != nil {
+			return r.endWithRefusal(newRefusal(contract.RefusedStopping, r.recovery.Outcome(), contract.StepStream, "this VM stops"))
+		}
 		if ctx.Err() != nil {
 			return r.endWithRefusal(newRefusal(contract.RefusedStreamCut, r.recovery.Outcome(), contract.StepStream, "the caller went"))
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,12 +42,18 @@
 // its configuration and waits until it serves. An engine generates a token in the time
 // perToken.
 func startFleet(t *testing.T, dcs, vms int, perToken time.Duration) (*Fleet, context.Context) {
+	t.Helper()
+	return startFleetWith(t, dcs, vms, perToken, "")
+}
+
+// startFleetWith starts a fleet as startFleet does, with extra lines for the [entry] section of the settings.
+func startFleetWith(t *testing.T, dcs, vms int, perToken time.Duration, entrySettings string) (*Fleet, context.Context) {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*waitTimeout)
 	t.Cleanup(cancel)
 	opts := &Options{
-		WorkDir: t.TempDir(), BinDir: binDir, VMs: vms, Engines: 2,
+		WorkDir: t.TempDir(), BinDir: binDir, VMs: vms, Engines: 2, EntrySettings: entrySettings,
 		Engine: engine.Options{Versions: []contract.VersionID{"chat-small@1", "chat-small@2", "chat-large@1"}, TokenTime: perToken},
 	}
 	for i := range dcs {
--- a/internal/fleet/stream_test.go
+++ b/internal/fleet/stream_test.go
@@ -89,6 +89,38 @@
 	is.NoErr(vm.Entry.Err())
 }
 
+// TestPlannedStopAnswersUnfinishedRequests guards against requests that run longer than the drain time of a planned stop
+// being cut at its end without an answer.
+func TestPlannedStopAnswersUnfinishedRequests(t *testing.T) {
+	t.Parallel()
+	const long = 600 // tokens, of 20 ms
+	t.Run("stream", func(t *testing.T) {
+		is := is.New(t)
+		f, ctx := startFleetWith(t, 1, 1, 20*time.Millisecond, "drain = 2s\n")
+		_, lines := openStream(ctx, t, f.VMs[0], ChatBody("chat-small", "hello", long, true))
+		_, _, _ = readStream(lines, 3)
+		f.VMs[0].Entry.Terminate()
+		_, _, complete := readStream(lines, 0)
+		is.True(!complete)
+		is.NoErr(lines.Err()) // the stream ends with an event that tells why
+	})
+	t.Run("whole answer", func(t *testing.T) {
+		is := is.New(t)
+		f, ctx := startFleetWith(t, 1, 1, 20*time.Millisecond, "drain = 2s\n")
+		runs := func() int {
+			return f.Engines["dc1-engine-1"].TotalRunCount() + f.Engines["dc1-engine-2"].TotalRunCount()
+		}
+		before := runs()
+		go func() {
+			waitUntil(ctx, t, "the request runs", func() bool { return runs() > before })
+			f.VMs[0].Entry.Terminate()
+		}()
+		r, err := f.VMs[0].Call(ctx, APIKeyNorte, http.MethodPost, "/v1/chat/completions", ChatBody("chat-small", "hello", long, false))
+		is.NoErr(err)
+		is.True(parseRefusal(t, r).Outcome != "not run")
+	})
+}
+
 // TestStreamResumedOnOtherVM kills a VM in the middle of a stream. The caller
 // resumes the stream at another VM after the last event it received, and gets the
 // complete answer.
