--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -18,9 +18,6 @@
 	"woaddoor/internal/standin/replica"
 )
 
-// stopGrace is the grace of the processes of these tests.
-const stopGrace = 4 * time.Second
-
 // stopTrial is a VM that stops in calm, with the upstreams that its requests run at.
 type stopTrial struct {
 	*vmUnderTest
