--- a/peek/peek.go
+++ b/peek/peek.go
@@ -1,4 +1,5 @@
-// Package peek checks whether unread bytes have arrived on a connection, without consuming them.
+// Package peek checks whether unread bytes have arrived on a connection, without consuming them, and whether its peer has
+// acknowledged what was sent.
 package peek
 
 import (
