--- a/exchange/complete_test.go
+++ b/exchange/complete_test.go
@@ -54,6 +54,15 @@
 func (c *racingConn) Close() error                    { return nil }
 func (c *racingConn) SetReadDeadline(time.Time) error { return nil }
 
+// checkPart checks that a response is read as "part", and whether that is complete.
+func checkPart(is *is.I, resp *Response, complete bool) {
+	is.Helper()
+	got, err := io.ReadAll(resp)
+	is.Equal(string(got), "part")
+	is.Equal(err == nil, complete)
+	is.Equal(errors.Is(err, ErrIncomplete), !complete)
+}
+
 // TestUndelimitedAnswerIsCompleteOnlyWithItsRequest guards against taking an answer without a length for complete although
 // its connection was reset, when the write of the request gets the error and the read gets the end, in either order.
 func TestUndelimitedAnswerIsCompleteOnlyWithItsRequest(t *testing.T) {
@@ -79,10 +88,7 @@
 			resp, err := pool.Do(t.Context(), &Request{Method: "POST", URI: "/", Host: "a", Body: []byte("body")}, matchAny)
 			is.NoErr(err)
 			defer resp.Close()
-			got, err := io.ReadAll(resp)
-			is.Equal(string(got), "part")
-			is.Equal(err == nil, c.complete)
-			is.Equal(errors.Is(err, ErrIncomplete), !c.complete)
+			checkPart(is, resp, c.complete)
 		})
 	}
 }
@@ -145,10 +151,7 @@
 			resp, err := pool.Do(ctx, &Request{Method: "POST", URI: "/", Host: "a", Body: make([]byte, c.size)}, matchAny)
 			is.NoErr(err)
 			defer resp.Close()
-			got, err := io.ReadAll(resp)
-			is.Equal(string(got), "part")
-			is.Equal(err == nil, c.complete)
-			is.Equal(errors.Is(err, ErrIncomplete), !c.complete)
+			checkPart(is, resp, c.complete)
 		})
 	}
 }
--- a/internal/crowd/upstream_test.go
+++ b/internal/crowd/upstream_test.go
@@ -20,7 +20,7 @@
 // for one answer, or never.
 func pour(c *replica.Conn, r *replica.Request) bool {
 	begin, piece, pieces := "", strings.Repeat("a", 8<<10), 0
-	head := fmt.Sprintf("HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", r.ID(), c.Signature())
+	head := c.HeadText(r.ID())
 	switch kind := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]; kind {
 	case "event":
 		begin, pieces = head+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", 127
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -226,13 +226,18 @@
 // BeginUndelimited sends the status line and headers of an answer with neither a length nor chunks:
 // it ends when the handler closes the connection.
 func (c *Conn) BeginUndelimited(id string, headers ...string) {
-	fmt.Fprintf(c, "HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", id, c.Signature())
+	fmt.Fprint(c, c.HeadText(id))
 	for _, h := range headers {
 		fmt.Fprintf(c, "%s\r\n", h)
 	}
 	fmt.Fprint(c, "\r\n")
 }
 
+// HeadText returns the status line and the headers of a signed answer, without the empty line that ends its head.
+func (c *Conn) HeadText(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n", id, c.Signature())
+}
+
 // Reset makes the end of the connection a reset.
 func (c *Conn) Reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
