--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -1,4 +1,4 @@
-// Lab2 starts the real program of the deploy file with stand-ins on loopback, for the scripts of the review.
+// Lab2 starts the real program of the deploy file with stand-ins on loopback, for the scripts of the review, cases 6 and on.
 package main
 
 import (
@@ -17,8 +17,6 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"surplus-refusal": surplusRefusal,
 	"own-refusal":     ownRefusal,
-	"slow-reader":     slowReader,
-	"cut-watch":       cutWatch,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -89,16 +89,6 @@
 	}
 }
 
-// end closes the listener and all connections.
-func (s *server) end() {
-	_ = s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		_ = c.Close()
-	}
-}
-
 // respond writes a whole signed answer.
 func (s *server) respond(c net.Conn, status int, id, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Response-Signature: seal.%s.%s\r\nX-Instance-Load: 1,0,%d\r\nContent-Length: %d\r\n\r\n%s",
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -20,9 +20,6 @@
 	objects  map[string]map[string]*object
 	history  []change
 	changed  chan struct{}
-	// cut is closed to cut the watches that wait. Answers to watches begin at once, so that a watch that is cut ends
-	// within its answer.
-	cut chan struct{}
 }
 
 type metadata struct {
@@ -51,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{listener: l, revision: 1, objects: map[string]map[string]*object{}, changed: make(chan struct{}), cut: make(chan struct{})}
+	s := &store{listener: l, revision: 1, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
 	go func() { _ = http.Serve(l, s) }()
 	return s, nil
 }
@@ -109,14 +106,6 @@
 	return time.Now()
 }
 
-// cutWatches cuts the watches that wait: their connections end without an answer.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
 	q := r.URL.Query()
@@ -165,9 +154,6 @@
 	after, _ := strconv.ParseInt(r.URL.Query().Get("Watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
 	for {
 		s.mu.Lock()
 		events := []map[string]any{}
@@ -176,7 +162,7 @@
 				events = append(events, map[string]any{"Deleted": c.Deleted, "Object": c.Object})
 			}
 		}
-		revision, changed, cut := s.revision, s.changed, s.cut
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "Timestamp": revision})
@@ -184,8 +170,6 @@
 		}
 		select {
 		case <-changed:
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		case <-end:
 			answer(w, http.StatusOK, map[string]any{"events": events, "Timestamp": revision})
 			return
@@ -232,9 +216,7 @@
 }
 
 func answer(w http.ResponseWriter, status int, v any) {
-	if w.Header().Get("Content-Type") == "" { // otherwise the head has been sent
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
