--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -155,3 +155,53 @@
 	d.rec.note("%d unsafe requests, %d surplus answers, %d answered with a promise, of which %d ran", answers.Load(), surplus.Load(), refused.Load(), brokenPromises.Load())
 	return brokenPromises.Load() > 0, nil
 }
+
+// configNumber changes the configuration: a key is taken away, and a time-out changes. The time-out is written with a
+// decimal point.
+func configNumber(d *deployment, trouble bool) (bool, error) {
+	t := &tally{ran: map[string]int{}}
+	for _, zone := range zones {
+		if _, err := d.add(appService, zone, 6, func(s *server, c net.Conn, r *request) bool {
+			t.add(r.id)
+			s.work(r.id, 10*time.Millisecond)
+			return s.respond(c, http.StatusOK, r.id, "done")
+		}); err != nil {
+			return false, err
+		}
+	}
+	if err := d.start(); err != nil {
+		return false, err
+	}
+	timeout := "2500"
+	if trouble {
+		timeout = "2500.0"
+	}
+	acknowledged := d.store.put("config", "main", d.config(timeout, key))
+	d.rec.note("version %d is accepted: %s has no key %s any more, and TimeoutMs of the unsafe route is %s", d.version, tenant, otherKey, timeout)
+	var late, ran, refused atomic.Int64
+	var lastRun atomic.Int64
+	next := func() attempt {
+		a := d.booking()
+		a.key, a.sent = otherKey, time.Now()
+		return a
+	}
+	d.load(12, 50*time.Millisecond, 8*time.Second, next, func(a attempt, r result) {
+		since := a.sent.Sub(acknowledged)
+		switch {
+		case r.status == http.StatusUnauthorized:
+			refused.Add(1)
+		case t.count(a.id) > 0:
+			lastRun.Store(max(lastRun.Load(), int64(since)))
+			ran.Add(1)
+			if since > configApply && late.Add(1) <= 3 {
+				d.rec.note("CONFIG: attempt %s, sent %.3f s after the version was accepted, ran with the key that it took away", a.id, since.Seconds())
+			}
+		}
+	})
+	d.rec.note("requests with the key: %d ran, the last sent %.3f s after the version was accepted, %d of them later than ConfigApplyMs; %d were refused with 401",
+		ran.Load(), time.Duration(lastRun.Load()).Seconds(), late.Load(), refused.Load())
+	return late.Load() > 0, nil
+}
+
+// configApply is ConfigApplyMs.
+const configApply = 2 * time.Second
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -23,6 +23,8 @@
 	id, method, path, key, body string
 	deadline                    time.Duration
 	headers                     []string
+	// sent is when the client began to send it, where a case asks for it.
+	sent time.Time
 }
 
 // result is what the client got: a status, or 0 if the connection ended without a whole answer.
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -19,6 +20,7 @@
 	streamPath  = "/lohu930/2f"
 	tenant      = "hule930"
 	key         = "n2ctnfzs989anu6wsjnb"
+	otherKey    = "anfqasnmgkcuyj8pjbvk"
 	callTimeout = 4 * time.Second
 )
 
@@ -33,12 +35,13 @@
 	version  int
 }
 
-// config returns the configuration of the operator, like the sample of the pages.
-func (d *deployment) config() map[string]any {
+// config returns the next configuration of the operator, like the sample of the pages. The keys are those of the tenant,
+// and unsafeTimeout is the TimeoutMs of the unsafe route, as it is written.
+func (d *deployment) config(unsafeTimeout string, keys ...string) map[string]any {
 	d.version += 3
-	route := func(name, prefix, kind, service string, timeout, target, attempts int, more map[string]any) map[string]any {
+	route := func(name, prefix, kind, service string, timeout string, target, attempts int, more map[string]any) map[string]any {
 		r := map[string]any{
-			"Name": name, "Host": "ficu95.example", "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeout, "TargetLatencyMs": target,
+			"Name": name, "Host": "ficu95.example", "PathPrefix": prefix, "Kind": kind, "TimeoutMs": json.Number(timeout), "TargetLatencyMs": target,
 			"Priority": 1, "Service": service, "MaxAttempts": attempts, "Anonymous": false,
 		}
 		for k, v := range more {
@@ -49,9 +52,9 @@
 	return map[string]any{
 		"Version": d.version,
 		"Routes": []any{
-			route("r-unsafe", "/puxa403/", "unsafe", appService, 2000, 300, 1, nil),
-			route("r-safe", "/cufi504/fi50/", "safe", appService, 2000, 300, 2, nil),
-			route("r-stream", "/lohu930/", "streaming", llmService, 20000, 2000, 3, map[string]any{
+			route("r-unsafe", "/puxa403/", "unsafe", appService, unsafeTimeout, 300, 1, nil),
+			route("r-safe", "/cufi504/fi50/", "safe", appService, "2000", 300, 2, nil),
+			route("r-stream", "/lohu930/", "streaming", llmService, "20000", 2000, 3, map[string]any{
 				"Sizes": []string{"daka510000", "rada7437b5", "ravo486f6a"}, "Sticky": true, "Resumable": true, "GapTargetMs": 1200,
 			}),
 		},
@@ -63,7 +66,7 @@
 			map[string]any{"Name": appService, "HealthPath": "/healthz", "MaxConnections": 96},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []string{key}, "Priority": 1}},
+		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": keys, "Priority": 1}},
 	}
 }
 
@@ -75,7 +78,7 @@
 	}
 	d := &deployment{rec: rec, root: root, store: s, version: 4}
 	d.machines = newMachines(dir)
-	d.store.put("config", "main", d.config())
+	d.store.put("config", "main", d.config("2000", key, otherKey))
 	return d, nil
 }
 
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"surplus-refusal": surplusRefusal,
 	"own-refusal":     ownRefusal,
+	"config-number":   configNumber,
 }
 
 func main() { os.Exit(run()) }
